--- /dev/null
+++ b/internal/quorum/errors.go
@@ -0,0 +1,36 @@
+package quorum
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+)
+
+// The errors of proposals, reads and transfers. Nothing was appended when one
+// of them is returned.
+var (
+	ErrBusy         = errors.New("quorum: too many bytes wait for commit; try again later")
+	ErrTransferring = errors.New("quorum: leadership is being handed over; ask the new leader")
+	ErrNotReady     = errors.New("quorum: the leader has not yet committed in its term; try again")
+	ErrConfPending  = errors.New("quorum: an earlier membership change is not yet committed; try again")
+	ErrNotCaughtUp  = errors.New("quorum: the learner does not hold every committed entry yet; try again")
+)
+
+// NotLeaderError is returned by calls that only the leader serves.
+type NotLeaderError struct{ Leader uint64 } // 0: none known
+
+// Error implements error.
+func (e *NotLeaderError) Error() string {
+	return fmt.Sprintf("quorum: not the leader; leader is %d (0: none known)", e.Leader)
+}
+
+// RefusedError is returned by Step for a message that was not read.
+type RefusedError struct {
+	From uint64
+	Why  string
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("quorum: refused a message from member %d: %s", e.From, e.Why)
+}
