--- /dev/null
+++ b/internal/vm/wire.go
@@ -0,0 +1,157 @@
+package vm
+
+import (
+	"encoding/binary"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"pearmoor/internal/link/wire"
+)
+
+// ErrEpoch is returned by Apply when a delta does not start from the given membership.
+var ErrEpoch = errors.New("vm: membership delta starts from another epoch")
+
+// ToWire converts a member to its message.
+func ToWire(m Member) *wire.Vm {
+	return &wire.Vm{
+		Name:        m.Name,
+		Incarnation: m.Incarnation,
+		Domain:      m.Domain,
+		Region:      m.Region,
+		PeerAddr:    m.PeerAddr,
+		CallerAddr:  m.CallerAddr,
+		Phase:       uint32(m.Phase),
+	}
+}
+
+// FromWire converts a message to a member. An unknown phase counts as Gone, the
+// phase that gives no rights.
+func FromWire(w *wire.Vm) Member {
+	phase := Gone
+	if w.GetPhase() < uint32(Gone) {
+		phase = Phase(w.GetPhase())
+	}
+	return Member{
+		Identity: Identity{
+			Name:        w.GetName(),
+			Incarnation: w.GetIncarnation(),
+			Domain:      w.GetDomain(),
+			Region:      w.GetRegion(),
+			PeerAddr:    w.GetPeerAddr(),
+			CallerAddr:  w.GetCallerAddr(),
+		},
+		Phase: phase,
+	}
+}
+
+// MembershipToWire converts a whole membership; nil stays nil.
+func MembershipToWire(m *Membership) *wire.Membership {
+	if m == nil {
+		return nil
+	}
+	w := &wire.Membership{Epoch: m.Epoch, Members: make([]*wire.Vm, len(m.Members))}
+	for i := range m.Members {
+		w.Members[i] = ToWire(m.Members[i])
+	}
+	return w
+}
+
+// MembershipFromWire converts a whole membership; nil stays nil.
+func MembershipFromWire(w *wire.Membership) *Membership {
+	if w == nil {
+		return nil
+	}
+	m := &Membership{Epoch: w.GetEpoch(), Members: make([]Member, len(w.GetMembers()))}
+	for i, v := range w.GetMembers() {
+		m.Members[i] = FromWire(v)
+	}
+	sortMembers(m.Members)
+	return m
+}
+
+// Delta returns the message that turns from into to. A nil from is the empty
+// membership of epoch 0.
+func Delta(from, to *Membership) *wire.MembershipDelta {
+	d := &wire.MembershipDelta{ToEpoch: to.Epoch}
+	var old []Member
+	if from != nil {
+		d.FromEpoch, old = from.Epoch, from.Members
+	}
+	i, j := 0, 0
+	for i < len(old) || j < len(to.Members) {
+		switch {
+		case j == len(to.Members) || (i < len(old) && old[i].Name < to.Members[j].Name):
+			d.Removes = append(d.Removes, old[i].Name)
+			i++
+		case i == len(old) || to.Members[j].Name < old[i].Name:
+			d.Upserts = append(d.Upserts, ToWire(to.Members[j]))
+			j++
+		default:
+			if old[i] != to.Members[j] {
+				d.Upserts = append(d.Upserts, ToWire(to.Members[j]))
+			}
+			i++
+			j++
+		}
+	}
+	return d
+}
+
+// Apply returns the membership that d makes of from, which stays unchanged. A
+// nil from is the empty membership of epoch 0; a delta with FromEpoch 0 applies
+// to any from, as it states the whole list.
+func Apply(from *Membership, d *wire.MembershipDelta) (*Membership, error) {
+	var old []Member
+	if d.GetFromEpoch() != 0 {
+		if from == nil || from.Epoch != d.GetFromEpoch() {
+			return nil, errors.WithDetailf(ErrEpoch, "delta from epoch %d", d.GetFromEpoch())
+		}
+		old = from.Members
+	}
+	changed := make(map[string]*wire.Vm, len(d.GetUpserts())+len(d.GetRemoves()))
+	for _, name := range d.GetRemoves() {
+		changed[name] = nil
+	}
+	for _, v := range d.GetUpserts() {
+		changed[v.GetName()] = v
+	}
+	to := &Membership{Epoch: d.GetToEpoch(), Members: make([]Member, 0, len(old)+len(d.GetUpserts()))}
+	for _, m := range old {
+		if _, ok := changed[m.Name]; !ok {
+			to.Members = append(to.Members, m)
+		}
+	}
+	for _, v := range changed {
+		if v != nil {
+			to.Members = append(to.Members, FromWire(v))
+		}
+	}
+	sortMembers(to.Members)
+	return to, nil
+}
+
+// Digest identifies the member with every field that a heartbeat states, so that
+// an unchanged heartbeat can be sent as this one number.
+func (m Member) Digest() uint64 {
+	h := xxhash.New()
+	for _, s := range [...]string{m.Name, m.Domain, m.Region, m.PeerAddr, m.CallerAddr} {
+		h.WriteString(s)
+		h.Write([]byte{0})
+	}
+	var tail [9]byte
+	binary.LittleEndian.PutUint64(tail[:], m.Incarnation)
+	tail[8] = byte(m.Phase)
+	h.Write(tail[:])
+	return h.Sum64()
+}
+
+// Same reports whether two identities are one run of one daemon.
+func (id Identity) Same(o Identity) bool {
+	return id.Name == o.Name && id.Incarnation == o.Incarnation
+}
+
+func sortMembers(ms []Member) {
+	sort.Slice(ms, func(i, j int) bool { return ms[i].Name < ms[j].Name })
+}
