standin: leaves that speak the target protocol, with faults set while they run

Leaves with slots, a queue, a connection cap and cost, latency with stragglers, refusals, misleading reports, resets, late and crossed replies, index versions and draining; every document lies in one shard of a version, so lost or doubled hits are seen. Runs are counted over all leaves.

--- /dev/null
+++ b/internal/standin/behavior.go
@@ -0,0 +1,117 @@
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"pearmoor/internal/contract"
+)
+
+// Behavior is how a leaf acts. All of it may be changed while the leaf runs.
+// Shares are fractions of requests from 0 to 1.
+type Behavior struct {
+	Slots       int      `json:"slots"`        // requests run at once
+	Queue       int      `json:"queue"`        // requests that wait for a slot; more are refused
+	Connections int      `json:"connections"`  // most open connections; 0 means no cap
+	ConnectCost Duration `json:"connect_cost"` // from accept to the first byte read
+
+	Latency         Duration `json:"latency"`          // median time of a run
+	Spread          float64  `json:"spread"`           // sigma of the lognormal factor on Latency; 0 is fixed
+	StragglerShare  float64  `json:"straggler_share"`  // runs that take StragglerFactor times as long
+	StragglerFactor float64  `json:"straggler_factor"` // at least 1
+	ColdStart       Duration `json:"cold_start"`       // how long after its start a leaf is cold
+	ColdFactor      float64  `json:"cold_factor"`      // latency factor while cold, at least 1
+
+	RefuseShare  float64  `json:"refuse_share"`  // refused before running
+	RefuseStatus int      `json:"refuse_status"` // 429 or 503
+	RetryAfter   Duration `json:"retry_after"`   // sent with refusals, in whole seconds
+
+	HangShare         float64  `json:"hang_share"`          // keep the slot and never reply
+	ResetShare        float64  `json:"reset_share"`         // run, then reset the connection
+	EarlyResetShare   float64  `json:"early_reset_share"`   // reset before running
+	LateShare         float64  `json:"late_share"`          // reply LateBy after the deadline
+	LateBy            Duration `json:"late_by"`             // see LateShare
+	CrossShare        float64  `json:"cross_share"`         // reply with another request's identity and hits
+	WrongVersionShare float64  `json:"wrong_version_share"` // run and reply another index version
+
+	Draining       bool     `json:"draining"`        // refuses new work, finishes what it has
+	ReportInFlight *int     `json:"report_inflight"` // load reported in place of the true one
+	ReportLag      Duration `json:"report_lag"`      // the status is refreshed this seldom
+	StatusHang     bool     `json:"status_hang"`     // the status endpoint never replies
+}
+
+// DefaultBehavior is a healthy leaf of a desk with two slots.
+func DefaultBehavior() Behavior {
+	return Behavior{
+		Slots:           2,
+		Queue:           64,
+		Connections:     30,
+		Latency:         Duration(5 * time.Millisecond),
+		StragglerFactor: 1,
+		ColdFactor:      1,
+		RefuseStatus:    http.StatusServiceUnavailable,
+		RetryAfter:      Duration(time.Second),
+	}
+}
+
+// Update returns b with the fields present in the JSON object patch replaced.
+func (b Behavior) Update(patch []byte) (Behavior, error) {
+	dec := json.NewDecoder(bytes.NewReader(patch))
+	dec.DisallowUnknownFields()
+	if b.ReportInFlight != nil {
+		// The decoder would write through the pointer into a copy in use.
+		v := *b.ReportInFlight
+		b.ReportInFlight = &v
+	}
+	if err := dec.Decode(&b); err != nil {
+		return b, contract.Faults{{Field: "set", Value: string(patch), Why: err.Error(), Fix: "send an object of behavior fields"}}
+	}
+	return b, b.Validate()
+}
+
+// Validate returns contract.Faults that list every value out of range.
+func (b Behavior) Validate() error {
+	var fs contract.Faults
+	atLeast := func(field string, v, least float64) {
+		if !(v >= least) {
+			fs = append(fs, contract.Fault{Field: field, Value: fmt.Sprint(v), Why: "is too small", Fix: fmt.Sprintf("use %v or more", least)})
+		}
+	}
+	share := func(field string, v float64) {
+		if !(v >= 0 && v <= 1) {
+			fs = append(fs, contract.Fault{Field: field, Value: fmt.Sprint(v), Why: "is no fraction", Fix: "use 0 to 1"})
+		}
+	}
+	atLeast("slots", float64(b.Slots), 1)
+	atLeast("queue", float64(b.Queue), 0)
+	atLeast("connections", float64(b.Connections), 0)
+	atLeast("spread", b.Spread, 0)
+	atLeast("straggler_factor", b.StragglerFactor, 1)
+	atLeast("cold_factor", b.ColdFactor, 1)
+	for _, d := range []struct {
+		field string
+		value Duration
+	}{
+		{"connect_cost", b.ConnectCost}, {"latency", b.Latency}, {"cold_start", b.ColdStart},
+		{"retry_after", b.RetryAfter}, {"late_by", b.LateBy}, {"report_lag", b.ReportLag},
+	} {
+		atLeast(d.field, float64(d.value), 0)
+	}
+	for _, s := range []struct {
+		field string
+		value float64
+	}{
+		{"straggler_share", b.StragglerShare}, {"refuse_share", b.RefuseShare}, {"hang_share", b.HangShare},
+		{"reset_share", b.ResetShare}, {"early_reset_share", b.EarlyResetShare}, {"late_share", b.LateShare},
+		{"cross_share", b.CrossShare}, {"wrong_version_share", b.WrongVersionShare},
+	} {
+		share(s.field, s.value)
+	}
+	if b.RefuseStatus != http.StatusTooManyRequests && b.RefuseStatus != http.StatusServiceUnavailable {
+		fs = append(fs, contract.Fault{Field: "refuse_status", Value: fmt.Sprint(b.RefuseStatus), Why: "is no refusal of the target protocol", Fix: "use 429 or 503"})
+	}
+	return fs.ErrOrNil()
+}
--- /dev/null
+++ b/internal/standin/fleet.go
@@ -0,0 +1,141 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"pearmoor/internal/contract"
+)
+
+// ServiceSpec is a query service whose leaves are to be started.
+type ServiceSpec struct {
+	Path     string
+	Leaves   []string // names, in the order of the tree
+	Behavior Behavior
+	Shards   uint32 // of the first index version; 0 means DefaultShards
+}
+
+// FleetConfig describes the leaves of a whole tier.
+type FleetConfig struct {
+	Services  []ServiceSpec
+	Host      string // address to listen on, without port
+	Documents int    // of each query service; 0 means DefaultDocuments
+	Seed      uint64
+}
+
+// FirstVersion is the index version all leaves start with.
+const FirstVersion = 1
+
+// Fleet is a set of running leaves.
+type Fleet struct {
+	runs     *Runs
+	platform *Platform
+	order    []fleetLeaf
+}
+
+// fleetLeaf is a leaf with its place among the leaves of its service.
+type fleetLeaf struct {
+	*Leaf
+	service string
+	index   int // of count
+	count   int
+}
+
+// StartFleet starts every leaf; Close ends them.
+func StartFleet(cfg FleetConfig) (*Fleet, error) {
+	f := &Fleet{runs: NewRuns(DefaultRunMemory), platform: NewPlatform(time.Now)}
+	for _, s := range cfg.Services {
+		if err := f.startService(cfg, s); err != nil {
+			f.Close()
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+func (f *Fleet) startService(cfg FleetConfig, s ServiceSpec) error {
+	shards := s.Shards
+	if shards == 0 {
+		shards = DefaultShards(len(s.Leaves))
+	}
+	for i, name := range s.Leaves {
+		l, err := StartLeaf(LeafConfig{
+			Name:   name,
+			Listen: cfg.Host + ":0",
+			Indexes: []contract.LeafIndex{{
+				Service: s.Path, Version: FirstVersion, Shards: shards, Held: Layout(i, len(s.Leaves), shards),
+			}},
+			Documents: cfg.Documents,
+			Behavior:  s.Behavior,
+			Seed:      cfg.Seed ^ xxhash.Sum64String(fmt.Sprintf("%s/%s", s.Path, name)),
+			Runs:      f.runs,
+		})
+		if err != nil {
+			return err
+		}
+		f.order = append(f.order, fleetLeaf{Leaf: l, service: s.Path, index: i, count: len(s.Leaves)})
+	}
+	return nil
+}
+
+// Leaves returns the leaves in the order of the services.
+func (f *Fleet) Leaves() []*Leaf {
+	out := make([]*Leaf, len(f.order))
+	for i := range f.order {
+		out[i] = f.order[i].Leaf
+	}
+	return out
+}
+
+// Addr returns the address of a leaf of a service, and "" for an unknown one.
+func (f *Fleet) Addr(service, leaf string) string {
+	for i := range f.order {
+		if f.order[i].service == service && f.order[i].Name() == leaf {
+			return f.order[i].Addr()
+		}
+	}
+	return ""
+}
+
+// Runs returns the count of runs over all leaves.
+func (f *Fleet) Runs() *Runs { return f.runs }
+
+// Platform returns the stand-in of the platform's VM list.
+func (f *Fleet) Platform() *Platform { return f.platform }
+
+// Close ends all leaves at once.
+func (f *Fleet) Close() {
+	f.each(func(l fleetLeaf) { _ = l.Close() })
+}
+
+// Shutdown ends all leaves after the requests in flight, or when ctx ends.
+func (f *Fleet) Shutdown(ctx context.Context) {
+	f.each(func(l fleetLeaf) { _ = l.Shutdown(ctx) })
+}
+
+func (f *Fleet) each(do func(fleetLeaf)) {
+	var wg sync.WaitGroup
+	for _, l := range f.order {
+		wg.Go(func() { do(l) })
+	}
+	wg.Wait()
+}
+
+// FleetStats is the reply to GET /stats.
+type FleetStats struct {
+	Runs   RunStats    `json:"runs"`
+	Leaves []LeafStats `json:"leaves"`
+}
+
+// Stats returns the counters of all leaves; takeWindow starts a new window.
+func (f *Fleet) Stats(takeWindow bool) FleetStats {
+	st := FleetStats{Runs: f.runs.Stats(), Leaves: make([]LeafStats, len(f.order))}
+	for i, l := range f.order {
+		st.Leaves[i] = l.Stats(takeWindow)
+	}
+	return st
+}
--- /dev/null
+++ b/internal/standin/handle.go
@@ -0,0 +1,227 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"pearmoor/internal/contract"
+)
+
+const bodyLimit = 4 << 20
+
+type connKey struct{}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+func (l *Leaf) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+contract.LeafQueryPath, l.serveQuery)
+	mux.HandleFunc("GET "+contract.LeafStatusPath, l.serveStatus)
+	return mux
+}
+
+func (l *Leaf) serveQuery(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	l.counts.lastNew.Store(arrived.UnixNano())
+	var q contract.LeafRequest
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyLimit))
+	if err == nil {
+		err = json.Unmarshal(body, &q)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	b := l.Behavior()
+	if l.refuse(w, b) {
+		return
+	}
+	if l.chance(b.EarlyResetShare) {
+		resetConn(r)
+		return
+	}
+	if _, held := l.lookup(q.Service, q.Shard, q.IndexVersion); !held {
+		l.counts.notHeld.Add(1)
+		http.Error(w, "shard not held at that index version", http.StatusConflict)
+		return
+	}
+	deadline := arrived.Add(time.Duration(q.DeadlineMS) * time.Millisecond)
+	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	defer cancel()
+	if err := l.slots.acquire(ctx); err != nil {
+		l.counts.expired.Add(1)
+		refuseWith(w, http.StatusServiceUnavailable, b, err.Error())
+		return
+	}
+	if !time.Now().Before(deadline) {
+		l.slots.release()
+		l.counts.expired.Add(1)
+		refuseWith(w, http.StatusServiceUnavailable, b, errExpired.Error())
+		return
+	}
+	l.runs.add(RunKey{Request: runID(&q), Service: q.Service, Shard: q.Shard}, q.Repeatable)
+	reply, ok := l.run(ctx, r, &q, b)
+	// The slot is free before the first byte of the reply leaves, so that a
+	// sender that counts exactly is never seen above the slots.
+	l.slots.release()
+	switch {
+	case !ok:
+		l.counts.cancelled.Add(1)
+		http.Error(w, "stopped", http.StatusGatewayTimeout)
+	case l.chance(b.ResetShare):
+		resetConn(r)
+	default:
+		l.counts.replies.Add(1)
+		writeJSON(w, reply)
+	}
+}
+
+// refuse turns the request away before anything has run.
+func (l *Leaf) refuse(w http.ResponseWriter, b Behavior) bool {
+	switch {
+	case b.Draining:
+		l.counts.drained.Add(1)
+		refuseWith(w, http.StatusServiceUnavailable, b, "draining")
+	case l.chance(b.RefuseShare):
+		l.counts.refused.Add(1)
+		refuseWith(w, b.RefuseStatus, b, "shedding load")
+	default:
+		return false
+	}
+	return true
+}
+
+func refuseWith(w http.ResponseWriter, status int, b Behavior, why string) {
+	seconds := int(math.Ceil(time.Duration(b.RetryAfter).Seconds()))
+	w.Header().Set("Retry-After", strconv.Itoa(seconds))
+	http.Error(w, why, status)
+}
+
+// run does the work of q. It returns false when the work was stopped by the
+// caller or the deadline.
+func (l *Leaf) run(ctx context.Context, r *http.Request, q *contract.LeafRequest, b Behavior) (*contract.LeafReply, bool) {
+	switch {
+	case l.chance(b.HangShare):
+		<-r.Context().Done()
+		return nil, false
+	case l.chance(b.LateShare):
+		late := time.Duration(q.DeadlineMS)*time.Millisecond + time.Duration(b.LateBy)
+		if !sleep(r.Context(), late) {
+			return nil, false
+		}
+	case !sleep(ctx, l.latency(b)):
+		return nil, false
+	}
+	return l.reply(q, b), true
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// latency draws the time of one run.
+func (l *Leaf) latency(b Behavior) time.Duration {
+	d := float64(b.Latency)
+	l.mu.Lock()
+	if b.Spread > 0 {
+		d *= math.Exp(b.Spread * l.random.NormFloat64())
+	}
+	if b.StragglerShare > 0 && l.random.Float64() < b.StragglerShare {
+		d *= b.StragglerFactor
+	}
+	cold := time.Since(l.started) < time.Duration(b.ColdStart)
+	l.mu.Unlock()
+	if cold {
+		d *= b.ColdFactor
+	}
+	return time.Duration(d)
+}
+
+// reply answers q, or, as the behavior says, another request or version.
+func (l *Leaf) reply(q *contract.LeafRequest, b Behavior) *contract.LeafReply {
+	answered := *q
+	l.mu.Lock()
+	if l.last != nil && b.CrossShare > 0 && l.random.Float64() < b.CrossShare {
+		answered = *l.last
+	}
+	l.last = q
+	l.mu.Unlock()
+	shards, _ := l.lookup(answered.Service, answered.Shard, answered.IndexVersion)
+	if l.chance(b.WrongVersionShare) {
+		answered.IndexVersion++
+	}
+	origin := Origin{Version: answered.IndexVersion, Shards: shards, Documents: l.documents}
+	return &contract.LeafReply{
+		ID:           answered.ID,
+		Attempt:      answered.Attempt,
+		Service:      answered.Service,
+		Shard:        answered.Shard,
+		IndexVersion: answered.IndexVersion,
+		Hits:         Hits(answered.Service, answered.Shard, origin),
+	}
+}
+
+// lookup returns the size of a version's partition map and whether shard is here.
+func (l *Leaf) lookup(service string, shard uint32, version uint64) (uint32, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, x := range l.indexes {
+		if x.Service != service || x.Version != version {
+			continue
+		}
+		for _, s := range x.Held {
+			if s == shard {
+				return x.Shards, true
+			}
+		}
+	}
+	return 0, false
+}
+
+// runID is the identity under which a run is counted: a resend by the caller is
+// a new request to the tier, and is told by the run_key in its body.
+func runID(q *contract.LeafRequest) string {
+	var body struct {
+		RunKey string `json:"run_key"`
+	}
+	if json.Unmarshal(q.Body, &body) == nil && body.RunKey != "" {
+		return body.RunKey
+	}
+	return q.ID
+}
+
+func resetConn(r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*countedConn); ok {
+		c.reset()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	out, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(out)))
+	_, _ = w.Write(out)
+}
--- /dev/null
+++ b/internal/standin/leaf.go
@@ -0,0 +1,198 @@
+package standin
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pearmoor/internal/contract"
+)
+
+// LeafConfig describes a leaf to start.
+type LeafConfig struct {
+	Name      string
+	Listen    string // host:port; empty takes a free port of 127.0.0.1
+	Indexes   []contract.LeafIndex
+	Documents int // of each query service; 0 means DefaultDocuments
+	Behavior  Behavior
+	Seed      uint64
+	Runs      *Runs // shared by leaves whose runs are counted together; may be nil
+}
+
+// Leaf is a running stand-in of a target.
+type Leaf struct {
+	name      string
+	documents int
+	runs      *Runs
+	behavior  atomic.Pointer[Behavior]
+	slots     slots
+	conns     connCount
+	counts    counters
+
+	mu      sync.Mutex
+	addr    string
+	server  *http.Server // nil while down
+	started time.Time
+	indexes []contract.LeafIndex
+	random  *rand.Rand
+	last    *contract.LeafRequest // for crossed replies
+	report  contract.LeafStatus
+	read    time.Time // when report was made
+	done    sync.WaitGroup
+}
+
+type counters struct {
+	replies   atomic.Uint64
+	refused   atomic.Uint64
+	notHeld   atomic.Uint64
+	expired   atomic.Uint64
+	cancelled atomic.Uint64
+	drained   atomic.Uint64 // arrivals while draining
+	lastNew   atomic.Int64  // Unix nanoseconds of the last arrival
+}
+
+// StartLeaf starts a leaf; Close ends it.
+func StartLeaf(cfg LeafConfig) (*Leaf, error) {
+	if err := cfg.Behavior.Validate(); err != nil {
+		return nil, err
+	}
+	l := &Leaf{
+		name:      cfg.Name,
+		documents: cfg.Documents,
+		runs:      cfg.Runs,
+		indexes:   slices.Clone(cfg.Indexes),
+		random:    rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
+		addr:      cfg.Listen,
+	}
+	if l.documents == 0 {
+		l.documents = DefaultDocuments
+	}
+	if l.runs == nil {
+		l.runs = NewRuns(DefaultRunMemory)
+	}
+	if l.addr == "" {
+		l.addr = "127.0.0.1:0"
+	}
+	l.behavior.Store(&cfg.Behavior)
+	l.slots.configure(cfg.Behavior.Slots, cfg.Behavior.Queue)
+	return l, l.Up()
+}
+
+// Up makes a leaf that is down listen again on the address it had, cold.
+func (l *Leaf) Up() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.server != nil {
+		return nil
+	}
+	lis, err := net.Listen("tcp", l.addr)
+	if err != nil {
+		return errors.Wrapf(err, "standin: leaf %s", l.name)
+	}
+	l.addr = lis.Addr().String()
+	l.started = time.Now()
+	srv := &http.Server{Handler: l.handler(), ConnContext: withConn, ReadHeaderTimeout: time.Minute}
+	l.server = srv
+	l.done.Go(func() {
+		_ = srv.Serve(&cappedListener{Listener: lis, behavior: l.Behavior, conns: &l.conns})
+	})
+	return nil
+}
+
+// Down closes the listener and all connections at once, as a lost target does.
+func (l *Leaf) Down() error {
+	l.mu.Lock()
+	srv := l.server
+	l.server = nil
+	l.mu.Unlock()
+	if srv == nil {
+		return nil
+	}
+	err := srv.Close()
+	l.done.Wait()
+	return err
+}
+
+// Close ends the leaf.
+func (l *Leaf) Close() error { return l.Down() }
+
+// Shutdown ends the leaf after the requests in flight, or when ctx ends.
+func (l *Leaf) Shutdown(ctx context.Context) error {
+	l.mu.Lock()
+	srv := l.server
+	l.mu.Unlock()
+	if srv != nil {
+		_ = srv.Shutdown(ctx)
+	}
+	return l.Down()
+}
+
+// Name returns the leaf's name.
+func (l *Leaf) Name() string { return l.name }
+
+// Addr returns host:port, the same also after Down and Up.
+func (l *Leaf) Addr() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.addr
+}
+
+// Behavior returns the behavior in force.
+func (l *Leaf) Behavior() Behavior { return *l.behavior.Load() }
+
+// SetBehavior replaces the behavior; requests already running keep theirs.
+func (l *Leaf) SetBehavior(b Behavior) error {
+	if err := b.Validate(); err != nil {
+		return err
+	}
+	l.behavior.Store(&b)
+	l.slots.configure(b.Slots, b.Queue)
+	return nil
+}
+
+// Publish adds an index version, or replaces it.
+func (l *Leaf) Publish(x contract.LeafIndex) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.removeIndex(x.Service, x.Version)
+	l.indexes = append(l.indexes, x)
+}
+
+// Retire drops an index version.
+func (l *Leaf) Retire(service string, version uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.removeIndex(service, version)
+}
+
+func (l *Leaf) removeIndex(service string, version uint64) {
+	kept := make([]contract.LeafIndex, 0, len(l.indexes)+1)
+	for _, x := range l.indexes {
+		if x.Service != service || x.Version != version {
+			kept = append(kept, x)
+		}
+	}
+	l.indexes = kept
+}
+
+// Runs returns how often the work of one request was run at a shard.
+func (l *Leaf) Runs(service, request string, shard uint32) int {
+	return l.runs.Count(RunKey{Request: request, Service: service, Shard: shard})
+}
+
+// draw returns a number in [0, 1).
+func (l *Leaf) draw() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.random.Float64()
+}
+
+// chance is true for the given share of calls.
+func (l *Leaf) chance(share float64) bool { return share > 0 && l.draw() < share }
--- /dev/null
+++ b/internal/standin/leaf_test.go
@@ -0,0 +1,294 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"pearmoor/internal/contract"
+)
+
+const (
+	testService = "/hall/desk/svc"
+	waitLimit   = 10 * time.Second
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func startTestLeaf(t *testing.T, change func(*Behavior)) *Leaf {
+	t.Helper()
+	b := DefaultBehavior()
+	b.Latency = 0
+	change(&b)
+	l, err := StartLeaf(LeafConfig{
+		Name:     "leaf-1",
+		Indexes:  []contract.LeafIndex{{Service: testService, Version: 1, Shards: 2, Held: []uint32{0, 1}}},
+		Behavior: b,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+func newClient(t *testing.T) *http.Client {
+	tr := &http.Transport{MaxIdleConnsPerHost: 64}
+	t.Cleanup(tr.CloseIdleConnections)
+	return &http.Client{Transport: tr}
+}
+
+func request(id string, deadline time.Duration) *contract.LeafRequest {
+	return &contract.LeafRequest{
+		ID: id, Attempt: 1, Service: testService, Shard: 1, IndexVersion: 1,
+		DeadlineMS: deadline.Milliseconds(), Repeatable: true, Body: json.RawMessage(`{}`),
+	}
+}
+
+// send returns the status, the reply where it was 200, and the transport error.
+func send(ctx context.Context, c *http.Client, l *Leaf, q *contract.LeafRequest) (int, *contract.LeafReply, error) {
+	body, _ := json.Marshal(q)
+	r, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+l.Addr()+contract.LeafQueryPath, bytes.NewReader(body))
+	resp, err := c.Do(r)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	var reply contract.LeafReply
+	if resp.StatusCode == http.StatusOK {
+		err = json.NewDecoder(resp.Body).Decode(&reply)
+	}
+	return resp.StatusCode, &reply, err
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(waitLimit); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("never came: %s", what)
+}
+
+// Six requests reach a leaf of two slots and a queue of two at once. The callers
+// see four runs, two at a time, and two refusals that were not run: the leaf's
+// own count of what was put on it must show all of them.
+func TestLeafCountsRunningQueuedAndRefused(t *testing.T) {
+	l := startTestLeaf(t, func(b *Behavior) { b.Slots, b.Queue, b.HangShare = 2, 2, 1 })
+	c := newClient(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var wg sync.WaitGroup
+	for i := range 4 {
+		wg.Go(func() { _, _, _ = send(ctx, c, l, request(fmt.Sprint("held-", i), time.Minute)) })
+	}
+	eventually(t, "two running and two queued", func() bool { return l.Stats(false).InFlight == 4 })
+	for i := range 2 {
+		status, _, err := send(ctx, c, l, request(fmt.Sprint("refused-", i), time.Minute))
+		if err != nil || status != http.StatusServiceUnavailable {
+			t.Fatalf("status %d, error %v", status, err)
+		}
+		if n := l.Runs(testService, fmt.Sprint("refused-", i), 1); n != 0 {
+			t.Fatalf("a refused request ran %d times", n)
+		}
+	}
+	st := l.Stats(true)
+	if st.MostInFlight != 5 || st.QueueRefused != 2 || st.WindowInFlight != 5 {
+		t.Fatalf("stats %+v", st)
+	}
+	cancel()
+	wg.Wait()
+	eventually(t, "slots free after the callers left", func() bool { return l.Stats(false).InFlight == 0 })
+	if st := l.Stats(true); st.WindowInFlight > 4 || st.MostInFlight != 5 {
+		t.Fatalf("stats %+v", st)
+	}
+}
+
+// A request waits behind one that never ends, and its deadline passes in the
+// queue. The caller is refused, and the work was never started.
+func TestLeafRefusesWhatExpiredInTheQueue(t *testing.T) {
+	l := startTestLeaf(t, func(b *Behavior) { b.Slots, b.HangShare = 1, 1 })
+	c := newClient(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var wg sync.WaitGroup
+	wg.Go(func() { _, _, _ = send(ctx, c, l, request("holder", time.Minute)) })
+	eventually(t, "the holder running", func() bool { return l.Stats(false).InFlight == 1 })
+	status, _, err := send(ctx, c, l, request("late", 20*time.Millisecond))
+	if err != nil || status != http.StatusServiceUnavailable || l.Runs(testService, "late", 1) != 0 {
+		t.Fatalf("status %d, error %v, runs %d", status, err, l.Runs(testService, "late", 1))
+	}
+	cancel()
+	wg.Wait()
+}
+
+// A caller opens one connection more than the leaf accepts. The leaf closes it
+// at once and counts it, so that a tier that went over the cap is found out.
+func TestLeafCapsConnections(t *testing.T) {
+	l := startTestLeaf(t, func(b *Behavior) { b.Connections = 2 })
+	var open []net.Conn
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", l.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		open = append(open, conn)
+		return conn
+	}
+	dial()
+	dial()
+	eventually(t, "two open", func() bool { return l.Stats(false).Open == 2 })
+	third := dial()
+	_ = third.SetReadDeadline(time.Now().Add(waitLimit))
+	if _, err := third.Read(make([]byte, 1)); err == nil {
+		t.Fatal("the third connection was served")
+	}
+	st := l.Stats(false)
+	if st.MostOpen != 3 || st.ConnectionsRefused != 1 || st.Opened != 2 {
+		t.Fatalf("stats %+v", st)
+	}
+	for _, conn := range open {
+		_ = conn.Close()
+	}
+	eventually(t, "none open", func() bool { return l.Stats(false).Open == 0 })
+}
+
+func TestLeafFaults(t *testing.T) {
+	Convey("A leaf acts as its behavior says", t, func() {
+		l := startTestLeaf(t, func(*Behavior) {})
+		c := newClient(t)
+		ctx := context.Background()
+		set := func(patch string) {
+			b, err := l.Behavior().Update([]byte(patch))
+			So(err, ShouldBeNil)
+			So(l.SetBehavior(b), ShouldBeNil)
+		}
+		ask := func(id string) (int, *contract.LeafReply, error) {
+			return send(ctx, c, l, request(id, time.Minute))
+		}
+		Convey("healthy", func() {
+			status, reply, err := ask("a")
+			So(err, ShouldBeNil)
+			So(status, ShouldEqual, http.StatusOK)
+			So(reply.Matches(request("a", time.Minute)), ShouldBeTrue)
+			So(l.Runs(testService, "a", 1), ShouldEqual, 1)
+		})
+		Convey("draining refuses without running", func() {
+			set(`{"draining":true}`)
+			status, _, err := ask("a")
+			So(err, ShouldBeNil)
+			So(status, ShouldEqual, http.StatusServiceUnavailable)
+			So(l.Runs(testService, "a", 1), ShouldEqual, 0)
+			So(l.status(l.Behavior()).State, ShouldEqual, contract.LeafDraining)
+		})
+		Convey("a version it does not hold is 409", func() {
+			q := request("a", time.Minute)
+			q.IndexVersion = 7
+			status, _, err := send(ctx, c, l, q)
+			So(err, ShouldBeNil)
+			So(status, ShouldEqual, http.StatusConflict)
+		})
+		Convey("a reset after running is no reply, and one run", func() {
+			set(`{"reset_share":1}`)
+			_, _, err := ask("a")
+			So(err, ShouldNotBeNil)
+			So(l.Runs(testService, "a", 1), ShouldEqual, 1)
+		})
+		Convey("a crossed reply carries another request's identity", func() {
+			_, _, _ = ask("first")
+			set(`{"cross_share":1}`)
+			_, reply, err := ask("second")
+			So(err, ShouldBeNil)
+			So(reply.ID, ShouldEqual, "first")
+		})
+		Convey("a wrong version is told in the reply", func() {
+			set(`{"wrong_version_share":1}`)
+			_, reply, err := ask("a")
+			So(err, ShouldBeNil)
+			So(reply.IndexVersion, ShouldEqual, 2)
+		})
+		Convey("a load report may lie", func() {
+			set(`{"report_inflight":99}`)
+			So(l.status(l.Behavior()).InFlight, ShouldEqual, 99)
+		})
+		Convey("down and up keep the address", func() {
+			addr := l.Addr()
+			So(l.Down(), ShouldBeNil)
+			_, _, err := ask("a")
+			So(err, ShouldNotBeNil)
+			So(l.Up(), ShouldBeNil)
+			So(l.Addr(), ShouldEqual, addr)
+			status, _, err := ask("b")
+			So(err, ShouldBeNil)
+			So(status, ShouldEqual, http.StatusOK)
+		})
+	})
+}
+
+// Whatever the version and the number of shards, the shards together hold each
+// document once: a lost or doubled hit is then the reader's doing.
+func TestShardsPartitionTheDocuments(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := Origin{
+			Version:   rapid.Uint64().Draw(t, "version"),
+			Shards:    rapid.Uint32Range(1, 64).Draw(t, "shards"),
+			Documents: rapid.IntRange(0, 200).Draw(t, "documents"),
+		}
+		seen := map[string]bool{}
+		for s := range o.Shards {
+			for _, h := range Hits(testService, s, o) {
+				if seen[h.ID] {
+					t.Fatalf("%s is in two shards", h.ID)
+				}
+				seen[h.ID] = true
+			}
+		}
+		if len(seen) != o.Documents {
+			t.Fatalf("%d documents of %d", len(seen), o.Documents)
+		}
+	})
+}
+
+func TestLayoutKeepsTwoReplicas(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 9).Draw(t, "leaves")
+		shards := rapid.Uint32Range(1, 40).Draw(t, "shards")
+		holders := make(map[uint32]int)
+		for i := range n {
+			for _, s := range Layout(i, n, shards) {
+				holders[s]++
+			}
+		}
+		for s := range shards {
+			if holders[s] != 2 {
+				t.Fatalf("shard %d of %d has %d holders of %d leaves", s, shards, holders[s], n)
+			}
+		}
+	})
+}
+
+func TestPlatformListLags(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := NewPlatform(func() time.Time { return now })
+	p.SetLag(time.Minute)
+	p.SetVMs([]contract.PlatformVM{{Name: "a"}})
+	now = now.Add(59 * time.Second)
+	if got := p.VMs(); len(got) != 0 {
+		t.Fatalf("seen too early: %v", got)
+	}
+	now = now.Add(time.Second)
+	if got := p.VMs(); len(got) != 1 {
+		t.Fatalf("not seen after the lag: %v", got)
+	}
+}
--- /dev/null
+++ b/internal/standin/slots.go
@@ -0,0 +1,111 @@
+package standin
+
+import (
+	"container/list"
+	"context"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+var (
+	errQueueFull = errors.New("the leaf's queue is full")
+	errExpired   = errors.New("the deadline passed before a slot was free")
+)
+
+// slots runs a bounded number of requests at once; more wait in order up to a
+// bound. It counts everything a caller has put on the leaf at one time.
+type slots struct {
+	mu       sync.Mutex
+	limit    int
+	queue    int
+	running  int
+	waiting  list.List // of chan struct{}, closed when the slot is handed over
+	peak     int       // most running plus waiting, ever
+	window   int       // the same since the last reading of the window
+	refusals uint64
+}
+
+func (s *slots) configure(limit, queue int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit, s.queue = limit, queue
+	s.grant()
+}
+
+// acquire waits for a slot until ctx ends. The request counts as in flight from
+// here to its release, also when it is refused for a full queue.
+func (s *slots) acquire(ctx context.Context) error {
+	s.mu.Lock()
+	s.note(1)
+	if s.running < s.limit && s.waiting.Len() == 0 {
+		s.running++
+		s.mu.Unlock()
+		return nil
+	}
+	if s.waiting.Len() >= s.queue {
+		s.refusals++
+		s.mu.Unlock()
+		return errQueueFull
+	}
+	ready := make(chan struct{})
+	e := s.waiting.PushBack(ready)
+	s.mu.Unlock()
+
+	select {
+	case <-ready:
+		return nil
+	case <-ctx.Done():
+		return s.abandon(e, ready)
+	}
+}
+
+func (s *slots) abandon(e *list.Element, ready chan struct{}) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	select {
+	case <-ready:
+		s.running--
+		s.grant()
+	default:
+		s.waiting.Remove(e)
+	}
+	return errExpired
+}
+
+func (s *slots) release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+	s.grant()
+}
+
+func (s *slots) grant() {
+	for s.running < s.limit && s.waiting.Len() > 0 {
+		ready := s.waiting.Remove(s.waiting.Front()).(chan struct{})
+		s.running++
+		close(ready)
+	}
+}
+
+// note records the peak with extra requests on top of those held; mu is held.
+func (s *slots) note(extra int) {
+	n := s.running + s.waiting.Len() + extra
+	s.peak = max(s.peak, n)
+	s.window = max(s.window, n)
+}
+
+func (s *slots) inFlight() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running + s.waiting.Len()
+}
+
+// takeWindow returns the most in flight since the last call.
+func (s *slots) takeWindow() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.window
+	s.window = s.running + s.waiting.Len()
+	return n
+}
