Admit requests to leaves by permit, queue and budget

Cause: nothing bounds what a daemon has in flight at a leaf. Change: a gate per leaf with this daemon's share of its slots, a queue of two classes by deadline, early refusals, pauses, backoff, slow start, a fence on the boot-time clock, and budgets for hedges and retries.

--- /dev/null
+++ b/internal/admit/errors.go
@@ -0,0 +1,49 @@
+package admit
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pearmoor/internal/contract"
+)
+
+// Causes of refusals.
+var (
+	ErrNoShare     = errors.New("this daemon holds no share of the leaf's slots")
+	ErrQueueFull   = errors.New("the queue for the leaf is full")
+	ErrNoFit       = errors.New("the expected wait for a slot does not fit the deadline")
+	ErrUnconfirmed = errors.New("the daemon's lease has run out")
+)
+
+// retryJitter spreads callers that were refused together over a quarter more time.
+const retryJitter = 0.25
+
+const (
+	noShareRetry     = 100 * time.Millisecond // a new view follows a lost share
+	unconfirmedRetry = time.Second            // the interval of lease renewals
+)
+
+func errNoShare() error {
+	return refusal(contract.ReasonOverload, noShareRetry, ErrNoShare)
+}
+
+func errUnconfirmed() error {
+	return refusal(contract.ReasonUnconfirmed, unconfirmedRetry, ErrUnconfirmed)
+}
+
+func errOverload(after time.Duration, cause error) error {
+	return refusal(contract.ReasonOverload, after, cause)
+}
+
+func refusal(reason contract.Reason, after time.Duration, cause error) error {
+	e := contract.Refuse(reason, cause)
+	e.RetryAfter = max(1, jitter(after).Milliseconds())
+	return e
+}
+
+// jitter returns d lengthened by up to retryJitter.
+func jitter(d time.Duration) time.Duration {
+	return d + time.Duration(rand.Float64()*retryJitter*float64(d))
+}
--- /dev/null
+++ b/internal/admit/gate.go
@@ -0,0 +1,292 @@
+package admit
+
+import (
+	"context"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"pearmoor/internal/contract"
+	"pearmoor/internal/settings"
+	"pearmoor/internal/vm"
+)
+
+// gate admits requests to one leaf.
+type gate struct {
+	set  *Gates
+	leaf string
+
+	mu      sync.Mutex
+	limits  Limits
+	flying  []*Permit // permits out
+	over    bool      // more are out than the share allows
+	queue   queue
+	service ewma // how long a permit is held
+	health  health
+	hint    hint
+	timer   stopper
+	timerAt vm.Instant
+}
+
+// never is the deadline of a request that has none.
+const never = vm.Instant(math.MaxInt64)
+
+// configure applies l and reports whether the gate may be forgotten.
+func (g *gate) configure(l Limits) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limits = l
+	g.markOver()
+	g.dispatch(g.set.clock())
+	return l.Slots <= 0 && len(g.flying) == 0
+}
+
+func (g *gate) idle() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.limits.Slots <= 0 && len(g.flying) == 0
+}
+
+func (g *gate) markOver() {
+	over := len(g.flying) > g.limits.Slots
+	if over == g.over {
+		return
+	}
+	g.over = over
+	if over {
+		g.set.over.Add(1)
+	} else {
+		g.set.over.Add(-1)
+	}
+}
+
+func (g *gate) acquire(ctx context.Context, pr settings.Priority) (*Permit, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, contract.Refuse(contract.ReasonDeadline, err)
+	}
+	now := g.set.clock()
+	deadline := deadlineOf(ctx, now)
+	g.mu.Lock()
+	if err := g.closed(now); err != nil {
+		g.mu.Unlock()
+		return nil, err
+	}
+	if g.queue.len() == 0 && g.room(now) && fits(now, 0, g.service.mean, deadline) {
+		p := g.grant(now)
+		g.mu.Unlock()
+		return p, nil
+	}
+	if !g.makePlace(pr) {
+		after := g.wait(now, g.queue.len())
+		g.mu.Unlock()
+		refusedFull.Inc(1)
+		return nil, errOverload(after, ErrQueueFull)
+	}
+	w := &waiter{priority: class(pr), deadline: deadline, result: make(chan grant, 1)}
+	g.queue.push(w)
+	waiting.Inc(1)
+	g.dispatch(now)
+	g.mu.Unlock()
+	return g.await(ctx, w)
+}
+
+// class maps an unknown priority to the nearest known one.
+func class(pr settings.Priority) settings.Priority { return min(pr, settings.Urgent) }
+
+// deadlineOf converts ctx's deadline to the boot-time clock.
+func deadlineOf(ctx context.Context, now vm.Instant) vm.Instant {
+	d, ok := ctx.Deadline()
+	if !ok {
+		return never
+	}
+	return now.Add(time.Until(d))
+}
+
+// fits reports whether a request that waits and then runs ends by its deadline.
+func fits(now vm.Instant, wait, service time.Duration, deadline vm.Instant) bool {
+	return now.Add(wait+service) <= deadline
+}
+
+// closed returns why nothing at all is let through, or nil.
+func (g *gate) closed(now vm.Instant) error {
+	if now >= g.set.fence.end() {
+		refusedUnconfirmed.Inc(1)
+		return errUnconfirmed()
+	}
+	if g.limits.Slots <= 0 {
+		refusedNoShare.Inc(1)
+		return errNoShare()
+	}
+	return nil
+}
+
+// makePlace reports whether the queue can take one more. An urgent request
+// pushes out the last ordinary one: a flood of ordinary requests would
+// otherwise keep urgent ones out by filling the queue.
+func (g *gate) makePlace(pr settings.Priority) bool {
+	if g.queue.len() < g.limits.Queue {
+		return true
+	}
+	ordinary := g.queue.class[settings.Ordinary]
+	if class(pr) != settings.Urgent || len(ordinary) == 0 {
+		return false
+	}
+	last := ordinary[len(ordinary)-1]
+	g.queue.remove(last)
+	refusedFull.Inc(1)
+	last.refuse(errOverload(g.wait(g.set.clock(), g.queue.len()), ErrQueueFull))
+	return true
+}
+
+func (w *waiter) refuse(err error) {
+	waiting.Dec(1)
+	w.result <- grant{err: err}
+}
+
+func (g *gate) tryAcquire() (*Permit, bool) {
+	now := g.set.clock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if now >= g.set.fence.end() || g.queue.len() > 0 || !g.room(now) {
+		return nil, false
+	}
+	return g.grant(now), true
+}
+
+func (g *gate) grant(now vm.Instant) *Permit {
+	p := &Permit{gate: g, gen: g.set.fence.gen.Load(), granted: now}
+	g.flying = append(g.flying, p)
+	g.health.started(now, g.period(now))
+	granted.Inc(1)
+	return p
+}
+
+func (g *gate) release(p *Permit, o Outcome, retryAfter time.Duration) {
+	now := g.set.clock()
+	g.mu.Lock()
+	if at := slices.Index(g.flying, p); at >= 0 {
+		g.flying = slices.Delete(g.flying, at, at+1)
+	}
+	g.learn(now, o, now.Sub(p.granted), retryAfter)
+	g.markOver()
+	g.dispatch(now)
+	forget := g.limits.Slots <= 0 && len(g.flying) == 0
+	g.mu.Unlock()
+	if forget {
+		g.set.forget(g)
+	}
+}
+
+// learn updates the estimate and the health. What ended otherwise than by a
+// reply is known to take at least as long as it did, so it only raises the mean.
+func (g *gate) learn(now vm.Instant, o Outcome, held, retryAfter time.Duration) {
+	switch o {
+	case Answered:
+		g.service.add(held)
+		g.health.answered(now, g.limits.Ramp)
+	case Refused:
+		g.health.refused(now, retryAfter)
+	case Failed:
+		g.health.failed(now)
+		g.censored(held)
+	case Cancelled:
+		g.censored(held)
+	}
+}
+
+func (g *gate) censored(held time.Duration) {
+	if g.service.mean > 0 && held > g.service.mean {
+		g.service.add(held)
+	}
+}
+
+// leave takes a waiter out whose context ended; a permit that came at the same
+// moment is given back.
+func (g *gate) leave(ctx context.Context, w *waiter) error {
+	g.mu.Lock()
+	removed := g.queue.remove(w)
+	if removed {
+		waiting.Dec(1)
+		g.dispatch(g.set.clock())
+	}
+	g.mu.Unlock()
+	if !removed {
+		if r := <-w.result; r.permit != nil {
+			r.permit.Release()
+		}
+	}
+	return contract.Refuse(contract.ReasonDeadline, ctx.Err())
+}
+
+// dispatch refuses the waiters whose expected wait has come not to fit, and
+// grants to the others as far as there is room.
+func (g *gate) dispatch(now vm.Instant) {
+	if g.queue.len() == 0 {
+		return
+	}
+	if err := g.closed(now); err != nil {
+		g.queue.sift(func(w *waiter, _ int) bool {
+			w.refuse(err)
+			return false
+		})
+		return
+	}
+	g.queue.sift(func(w *waiter, ahead int) bool { return g.keep(w, now, ahead) })
+	for g.queue.len() > 0 && g.room(now) {
+		w := g.queue.pop()
+		waiting.Dec(1)
+		w.result <- grant{permit: g.grant(now)}
+	}
+	g.arm(now)
+}
+
+// keep refuses w when its expected wait does not fit its deadline any more.
+func (g *gate) keep(w *waiter, now vm.Instant, ahead int) bool {
+	wait := g.wait(now, ahead)
+	if fits(now, wait, g.service.mean, w.deadline) {
+		return true
+	}
+	refusedNoFit.Inc(1)
+	w.refuse(errOverload(now.Add(wait+g.service.mean).Sub(w.deadline), ErrNoFit))
+	return false
+}
+
+// arm sets the timer for the next moment at which something changes without an
+// event: a block ends, a waiter's latest start passes, the lease ends. A timer
+// that is set for earlier stays; it finds nothing to do and sets the next.
+func (g *gate) arm(now vm.Instant) {
+	if g.queue.len() == 0 {
+		return
+	}
+	at := g.set.fence.end()
+	if d := g.health.blocked(now); d > 0 {
+		at = min(at, now.Add(d))
+	}
+	for _, c := range g.queue.class {
+		if len(c) > 0 && c[0].deadline != never {
+			at = min(at, c[0].deadline.Add(1-g.service.mean))
+		}
+	}
+	if g.timer != nil {
+		if g.timerAt <= at {
+			return
+		}
+		g.timer.Stop()
+	}
+	g.timerAt = at
+	g.timer = g.set.after(max(at.Sub(now), minTimer), g.poll)
+}
+
+// minTimer keeps a timer that the wall and the boot-time clock see differently
+// from spinning.
+const minTimer = 100 * time.Microsecond
+
+// poll looks at the gate again when its timer fires. Timers of a paused process
+// fire late and together, so what to do is decided by the clock alone.
+func (g *gate) poll() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.timer = nil
+	g.dispatch(g.set.clock())
+}
--- /dev/null
+++ b/internal/admit/gates.go
@@ -0,0 +1,139 @@
+package admit
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"pearmoor/internal/settings"
+	"pearmoor/internal/vm"
+)
+
+// Limits is what a gate may let through.
+type Limits struct {
+	Slots int           // this daemon's share of the leaf's slots; 0 lets nothing through
+	Queue int           // most waiting requests
+	Ramp  time.Duration // slow start after Gates.Ramp or a recovery; 0 means none
+}
+
+// Gates holds one gate per leaf. A leaf is named by its address
+// (settings.Leaf.Addr), which is what its slots belong to.
+type Gates struct {
+	clock vm.Clock
+	after afterFunc
+	fence fence
+	over  atomic.Int64 // gates with more in flight than their share
+
+	mu   sync.RWMutex
+	byID map[string]*gate
+}
+
+// stopper stops a timer; see time.Timer.Stop.
+type stopper interface{ Stop() bool }
+
+// afterFunc runs f after d; see time.AfterFunc.
+type afterFunc func(d time.Duration, f func()) stopper
+
+func realAfter(d time.Duration, f func()) stopper { return time.AfterFunc(d, f) }
+
+// NewGates returns gates that let nothing through until Configure has given a
+// leaf its share and Fence has named the end of the lease.
+func NewGates(clock vm.Clock) *Gates {
+	return newGates(clock, realAfter)
+}
+
+func newGates(clock vm.Clock, after afterFunc) *Gates {
+	return &Gates{clock: clock, after: after, byID: make(map[string]*gate)}
+}
+
+// Configure sets a leaf's limits. A smaller share cancels nothing: new permits
+// are withheld until fewer are in flight. With no slots left, waiting requests
+// are refused and the gate is forgotten when its last permit comes back.
+func (g *Gates) Configure(leaf string, l Limits) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	gt := g.byID[leaf]
+	if gt == nil {
+		if l.Slots <= 0 {
+			return
+		}
+		gt = &gate{set: g, leaf: leaf}
+		g.byID[leaf] = gt
+	}
+	if gt.configure(l) {
+		delete(g.byID, leaf)
+	}
+}
+
+// forget drops a gate that has no share and nothing in flight.
+func (g *Gates) forget(gt *gate) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if gt.idle() && g.byID[gt.leaf] == gt {
+		delete(g.byID, gt.leaf)
+	}
+}
+
+func (g *Gates) get(leaf string) *gate {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	return g.byID[leaf]
+}
+
+// Acquire waits for a permit. It fails with a *contract.Error of verdict NotRun:
+// at once when the expected wait or the queue can't take the request before
+// ctx's deadline, later only when that comes to light while waiting.
+func (g *Gates) Acquire(ctx context.Context, leaf string, pr settings.Priority) (*Permit, error) {
+	gt := g.get(leaf)
+	if gt == nil {
+		return nil, errNoShare()
+	}
+	return gt.acquire(ctx, pr)
+}
+
+// TryAcquire returns a permit only if one is free now and nobody waits for it.
+func (g *Gates) TryAcquire(leaf string) (*Permit, bool) {
+	gt := g.get(leaf)
+	if gt == nil {
+		return nil, false
+	}
+	return gt.tryAcquire()
+}
+
+// Load describes a leaf's gate for the choice between replicas.
+func (g *Gates) Load(leaf string) Load {
+	gt := g.get(leaf)
+	if gt == nil {
+		return Load{}
+	}
+	return gt.load()
+}
+
+// Respected reports whether no gate has more in flight than its share, so that
+// a smaller share may be acknowledged.
+func (g *Gates) Respected() bool { return g.over.Load() == 0 }
+
+// Ramp begins a slow start: the leaf is new, or says that it is starting, or
+// has come back.
+func (g *Gates) Ramp(leaf string) {
+	if gt := g.get(leaf); gt != nil {
+		gt.beginRamp()
+	}
+}
+
+// Hint passes on the load that a leaf reported. It lags and may mislead, so it
+// only weighs on Load.Wait, by at most hintWeight, and fades with its age.
+func (g *Gates) Hint(leaf string, inFlight, slots int) {
+	if gt := g.get(leaf); gt != nil {
+		gt.setHint(inFlight, slots)
+	}
+}
+
+// Fence names the instant at which the daemon's lease ends. No permit is handed
+// out or passes Check at or after it. A caller with a new view calls Configure
+// for every leaf first and Fence last. Permits from before a lapse stay void
+// when a later fence is set: another daemon may hold their slots by then.
+func (g *Gates) Fence(until vm.Instant) {
+	g.fence.set(until, g.clock())
+}
--- /dev/null
+++ b/internal/admit/load.go
@@ -0,0 +1,66 @@
+package admit
+
+import (
+	"time"
+
+	"pearmoor/internal/vm"
+)
+
+const (
+	hintWeight = 0.5             // a reported load lengthens the expected wait by at most half a service time
+	hintLife   = 3 * time.Second // a report older than this has no weight
+)
+
+// Load is the state of a leaf's gate.
+type Load struct {
+	Slots    int           // this daemon's share
+	InFlight int           // permits out
+	Waiting  int           // requests in the queue
+	Service  time.Duration // learnt time a request holds its slot; 0: not known yet
+	Wait     time.Duration // expected wait of a request that came now
+	Failing  bool          // in backoff after failures in a row
+}
+
+// hint is a load reported by the leaf itself.
+type hint struct {
+	busy float64 // 0..1
+	at   vm.Instant
+}
+
+func (g *gate) setHint(inFlight, slots int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if slots <= 0 {
+		g.hint = hint{}
+		return
+	}
+	busy := float64(max(inFlight, 0)) / float64(slots)
+	g.hint = hint{busy: min(busy, 1), at: g.set.clock()}
+}
+
+// extra is what the hint adds to the expected wait.
+func (h hint) extra(now vm.Instant, service time.Duration) time.Duration {
+	age := now.Sub(h.at)
+	if h.busy == 0 || age >= hintLife {
+		return 0
+	}
+	fresh := 1 - float64(age)/float64(hintLife)
+	return time.Duration(hintWeight * h.busy * fresh * float64(service))
+}
+
+func (g *gate) load() Load {
+	now := g.set.clock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l := Load{
+		Slots:    g.limits.Slots,
+		InFlight: len(g.flying),
+		Waiting:  g.queue.len(),
+		Service:  g.service.mean,
+		Failing:  g.health.failing(),
+	}
+	if l.Slots > 0 {
+		l.Wait = g.wait(now, l.Waiting) + g.hint.extra(now, l.Service)
+	}
+	return l
+}
--- /dev/null
+++ b/internal/admit/room.go
@@ -0,0 +1,48 @@
+package admit
+
+import (
+	"math"
+	"time"
+
+	"pearmoor/internal/vm"
+)
+
+// room reports whether one more request may start now.
+func (g *gate) room(now vm.Instant) bool {
+	return len(g.flying) < g.limit(now) && g.health.blocked(now) == 0
+}
+
+// limit is how many may be in flight now: the share, less during a slow start,
+// one while the leaf is failing.
+func (g *gate) limit(now vm.Instant) int {
+	if g.health.failing() {
+		return min(1, g.limits.Slots)
+	}
+	f := g.health.fraction(now, g.limits.Ramp)
+	return int(math.Ceil(f * float64(g.limits.Slots)))
+}
+
+// period is the mean time between starts at full use.
+func (g *gate) period(now vm.Instant) time.Duration {
+	f := g.health.fraction(now, g.limits.Ramp)
+	rate := f * float64(max(g.limits.Slots, 1))
+	return time.Duration(float64(g.service.mean) / rate)
+}
+
+// wait is the expected wait of a request with ahead others before it.
+func (g *gate) wait(now vm.Instant, ahead int) time.Duration {
+	free := g.freeIn(now)
+	return max(free, g.health.blocked(now)) + time.Duration(ahead)*g.period(now)
+}
+
+// freeIn is when the next permit is expected back, 0 if one is free.
+func (g *gate) freeIn(now vm.Instant) time.Duration {
+	if len(g.flying) < g.limit(now) || len(g.flying) == 0 {
+		return 0
+	}
+	least := g.service.residual(now.Sub(g.flying[0].granted))
+	for _, p := range g.flying[1:] {
+		least = min(least, g.service.residual(now.Sub(p.granted)))
+	}
+	return least
+}
