Connect the processes by drpc over mutual TLS

Pool reuses connections, bounded per address; Serve waits for calls under way; certificates name a VM or an operator, are read again when they change, and each drpc service is open to one kind. Plain text works on loopback only.

--- /dev/null
+++ b/internal/link/peer/peer_test.go
@@ -0,0 +1,333 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
+	"storj.io/drpc/drpcmux"
+
+	"pearmoor/internal/link/wire"
+)
+
+const (
+	testValidity = time.Hour
+	testWait     = 20 * time.Second
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// control answers Read with the name of the caller; hold, if set, keeps Status
+// open until it is closed.
+type control struct {
+	wire.DRPCControlUnimplementedServer
+	entered chan struct{}
+	hold    chan struct{}
+}
+
+func (c *control) Read(ctx context.Context, _ *wire.ReadRequest) (*wire.ReadReply, error) {
+	id, _ := FromContext(ctx)
+	return &wire.ReadReply{Redirect: id.Kind.String() + "/" + id.Name}, nil
+}
+
+func (c *control) Status(context.Context, *wire.StatusRequest) (*wire.StatusReply, error) {
+	c.entered <- struct{}{}
+	<-c.hold
+	return &wire.StatusReply{Term: 7}, nil
+}
+
+func (c *control) Audit(context.Context, *wire.AuditRequest) (*wire.AuditReply, error) {
+	panic("broken handler")
+}
+
+type testServer struct {
+	addr   string
+	cancel context.CancelFunc
+	done   chan error
+}
+
+func (s *testServer) stop() error {
+	s.cancel()
+	select {
+	case err := <-s.done:
+		return err
+	case <-time.After(testWait):
+		return context.DeadlineExceeded
+	}
+}
+
+func start(t *testing.T, c *control, conf *tls.Config) *testServer {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterControl(mux, c); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &testServer{addr: lis.Addr().String(), cancel: cancel, done: make(chan error, 1)}
+	go func() { s.done <- Serve(ctx, lis, mux, conf) }()
+	return s
+}
+
+func newFiles(dir, name string) Files {
+	return Files{
+		CA:   filepath.Join(dir, "ca.pem"),
+		Cert: filepath.Join(dir, name+".pem"),
+		Key:  filepath.Join(dir, name+".key"),
+	}
+}
+
+// issue writes a certificate of a fresh authority, or of the one given.
+func issue(t *testing.T, a *Authority, dir string, id Identity) Files {
+	t.Helper()
+	f := newFiles(dir, id.Kind.String()+"-"+id.Name)
+	if err := a.Save(f.CA, filepath.Join(dir, "ca.key")); err != nil {
+		t.Fatal(err)
+	}
+	if err := a.Issue(id, []string{"127.0.0.1"}, testValidity, f.Cert, f.Key); err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+func load(t *testing.T, f Files) *Reloader {
+	t.Helper()
+	r, err := f.Load()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func authority(t *testing.T) *Authority {
+	t.Helper()
+	a, err := NewAuthority(testValidity)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+func read(pool *Pool, addr string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), testWait)
+	defer cancel()
+	conn, err := pool.Conn(ctx, addr)
+	if err != nil {
+		return "", err
+	}
+	reply, err := wire.NewDRPCControlClient(conn).Read(ctx, &wire.ReadRequest{})
+	if err != nil {
+		return "", err
+	}
+	return reply.Redirect, nil
+}
+
+func TestIdentity(t *testing.T) {
+	Convey("With an authority and a server of VM c1", t, func() {
+		dir, a := t.TempDir(), authority(t)
+		server := start(t, &control{}, load(t, issue(t, a, dir, Identity{Name: "c1", Kind: VM})).ServerConfig())
+		defer func() { So(server.stop(), ShouldBeNil) }()
+
+		Convey("an operator's calls carry the name in its certificate", func() {
+			pool := NewPool(load(t, issue(t, a, dir, Identity{Name: "asha", Kind: Operator})).ClientConfig())
+			defer pool.Close()
+			who, err := read(pool, server.addr)
+			So(err, ShouldBeNil)
+			So(who, ShouldEqual, "operator/asha")
+		})
+
+		// A thief who copied the certificate of an entry VM edits the tree: the
+		// handshake succeeds, since the VM is known, and without a check of the
+		// kind the change would be accepted in the VM's name.
+		Convey("a VM's certificate may not be used for an operator's calls", func() {
+			pool := NewPool(load(t, issue(t, a, dir, Identity{Name: "e1", Kind: VM})).ClientConfig())
+			defer pool.Close()
+			_, err := read(pool, server.addr)
+			So(err, ShouldNotBeNil)
+			So(err.Error(), ShouldContainSubstring, `"e1" is of kind vm`)
+		})
+
+		Convey("a client of another authority is refused by both sides", func() {
+			other := t.TempDir()
+			files := issue(t, authority(t), other, Identity{Name: "asha", Kind: Operator})
+			pool := NewPool(load(t, files).ClientConfig())
+			defer pool.Close()
+			_, err := read(pool, server.addr)
+			So(NotSent(err), ShouldBeTrue)
+			So(err.Error(), ShouldContainSubstring, "unknown authority")
+
+			files.CA = filepath.Join(dir, "ca.pem") // trusts the server, is not trusted by it
+			pool2 := NewPool(load(t, files).ClientConfig())
+			defer pool2.Close()
+			_, err = read(pool2, server.addr)
+			So(err, ShouldNotBeNil)
+		})
+	})
+
+	Convey("A server that shows an operator's certificate is refused", t, func() {
+		dir, a := t.TempDir(), authority(t)
+		r := load(t, issue(t, a, dir, Identity{Name: "asha", Kind: Operator}))
+		server := start(t, &control{}, r.ServerConfig())
+		defer func() { So(server.stop(), ShouldBeNil) }()
+		pool := NewPool(r.ClientConfig())
+		defer pool.Close()
+		_, err := read(pool, server.addr)
+		So(NotSent(err), ShouldBeTrue)
+	})
+}
+
+// The authority is replaced while daemons run. The client still trusts only the
+// old one: calls on new connections fail. Once its files are replaced as well,
+// the next handshake reads them, and calls succeed without a restart.
+func TestReload(t *testing.T) {
+	Convey("Replaced files are used by the next handshake", t, func() {
+		serverDir, clientDir, old := t.TempDir(), t.TempDir(), authority(t)
+		c1, asha := Identity{Name: "c1", Kind: VM}, Identity{Name: "asha", Kind: Operator}
+		serverFiles := load(t, issue(t, old, serverDir, c1))
+		clientFiles := load(t, issue(t, old, clientDir, asha))
+		server := start(t, &control{}, serverFiles.ServerConfig())
+		defer func() { So(server.stop(), ShouldBeNil) }()
+		conf := clientFiles.ClientConfig()
+		try := func() error {
+			pool := NewPool(conf)
+			defer pool.Close()
+			_, err := read(pool, server.addr)
+			return err
+		}
+		So(try(), ShouldBeNil)
+
+		fresh := authority(t)
+		issue(t, fresh, serverDir, c1)
+		So(NotSent(try()), ShouldBeTrue)
+
+		issue(t, fresh, clientDir, asha)
+		So(try(), ShouldBeNil)
+	})
+
+	Convey("A key that does not fit its certificate leaves the former pair in use", t, func() {
+		dir, a := t.TempDir(), authority(t)
+		files := issue(t, a, dir, Identity{Name: "c1", Kind: VM})
+		r := load(t, files)
+		before := r.get()
+		So(a.Issue(Identity{Name: "c1", Kind: VM}, nil, testValidity, filepath.Join(dir, "x.pem"), files.Key), ShouldBeNil)
+		So(r.get(), ShouldEqual, before)
+	})
+}
+
+// A planned stop begins while a call is under way. Serve must not return, and
+// must not close the call's connection, before the call has been answered.
+func TestDrainWaits(t *testing.T) {
+	Convey("Serve answers the call under way before it returns", t, func() {
+		c := &control{entered: make(chan struct{}), hold: make(chan struct{})}
+		server := start(t, c, nil)
+		pool := NewPool(nil)
+		defer pool.Close()
+		type outcome struct {
+			reply *wire.StatusReply
+			err   error
+		}
+		got := make(chan outcome, 1)
+		go func() {
+			conn, _ := pool.Conn(context.Background(), server.addr)
+			reply, err := wire.NewDRPCControlClient(conn).Status(context.Background(), &wire.StatusRequest{})
+			got <- outcome{reply, err}
+		}()
+		<-c.entered
+		server.cancel()
+		select {
+		case <-server.done:
+			t.Fatal("Serve returned with a call under way")
+		case <-time.After(2 * drainGrace):
+		}
+		_, err := read(NewPool(nil), server.addr)
+		So(NotSent(err), ShouldBeTrue) // no longer accepts
+		close(c.hold)
+		out := <-got
+		So(out.err, ShouldBeNil)
+		So(out.reply.Term, ShouldEqual, 7)
+		So(<-server.done, ShouldBeNil)
+	})
+}
+
+func TestPlainText(t *testing.T) {
+	Convey("Plain text", t, func() {
+		Convey("is refused on addresses that other machines reach", func() {
+			lis, err := net.Listen("tcp", "0.0.0.0:0")
+			So(err, ShouldBeNil)
+			So(Serve(context.Background(), lis, drpcmux.New(), nil), ShouldNotBeNil)
+			_, err = read(NewPool(nil), "192.0.2.1:7000")
+			So(NotSent(err), ShouldBeTrue)
+			So(err.Error(), ShouldContainSubstring, "plain text is refused")
+		})
+
+		Convey("carries a stated name", func() {
+			server := start(t, &control{}, nil)
+			defer func() { So(server.stop(), ShouldBeNil) }()
+			pool := NewPool(nil)
+			defer pool.Close()
+			conn, err := pool.Conn(context.Background(), server.addr)
+			So(err, ShouldBeNil)
+			reply, err := wire.NewDRPCControlClient(conn).Read(WithOperator(context.Background(), "ravi"), &wire.ReadRequest{})
+			So(err, ShouldBeNil)
+			So(reply.Redirect, ShouldEqual, "operator/ravi")
+		})
+
+		Convey("answers a panic with an error and serves on", func() {
+			server := start(t, &control{}, nil)
+			defer func() { So(server.stop(), ShouldBeNil) }()
+			pool := NewPool(nil)
+			defer pool.Close()
+			conn, err := pool.Conn(context.Background(), server.addr)
+			So(err, ShouldBeNil)
+			_, err = wire.NewDRPCControlClient(conn).Audit(context.Background(), &wire.AuditRequest{})
+			So(err, ShouldNotBeNil)
+			_, err = read(pool, server.addr)
+			So(err, ShouldBeNil)
+		})
+	})
+}
+
+// The other side stops reading and answering without closing, as after a silent
+// cut. The caller's deadline ends the call, and the connection is not kept.
+func TestCutConnection(t *testing.T) {
+	Convey("A call on a silent connection ends by its deadline, and later calls dial anew", t, func() {
+		lis, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer lis.Close()
+		accepted := make(chan net.Conn, 2)
+		go func() {
+			for {
+				conn, err := lis.Accept()
+				if err != nil {
+					return
+				}
+				accepted <- conn
+			}
+		}()
+		pool := NewPool(nil)
+		defer pool.Close()
+		conn, err := pool.Conn(context.Background(), lis.Addr().String())
+		So(err, ShouldBeNil)
+		call := func() error {
+			ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+			defer cancel()
+			_, err := wire.NewDRPCControlClient(conn).Read(ctx, &wire.ReadRequest{})
+			return err
+		}
+		err = call()
+		So(err, ShouldNotBeNil)
+		So(NotSent(err), ShouldBeFalse) // bytes left: it may have run
+		So(NotSent(call()), ShouldBeFalse)
+		for range 2 { // two calls, two connections
+			(<-accepted).Close()
+		}
+	})
+}
--- /dev/null
+++ b/internal/link/peer/pool.go
@@ -0,0 +1,175 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcpool"
+)
+
+const (
+	// connsPerAddr bounds the calls under way to one address: a drpc connection
+	// carries one call at a time.
+	connsPerAddr = 64
+	// idleExpiry closes a connection that nobody has used for this long.
+	idleExpiry = time.Minute
+)
+
+// Pool keeps connections to other processes and reuses them. The zero value is
+// not usable; make one with NewPool.
+type Pool struct {
+	conf *tls.Config
+	idle *drpcpool.Pool[string, *drpcconn.Conn]
+
+	mu     sync.Mutex
+	slots  map[string]chan struct{}
+	closed bool
+}
+
+// NewPool returns a pool that dials with tlsConf, or in plain text to loopback
+// addresses only if it is nil.
+func NewPool(tlsConf *tls.Config) *Pool {
+	return &Pool{
+		conf:  tlsConf,
+		idle:  drpcpool.New[string, *drpcconn.Conn](drpcpool.Options{Expiration: idleExpiry, KeyCapacity: connsPerAddr}),
+		slots: make(map[string]chan struct{}),
+	}
+}
+
+// Conn returns a handle that carries calls to addr, any number at a time. The
+// handle dials when a call needs it, so an unreachable address shows as a
+// NotSentError of the call. Closing the handle leaves pooled connections open.
+func (p *Pool) Conn(_ context.Context, addr string) (drpc.Conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return nil, &NotSentError{Addr: addr, Cause: errors.New("the pool is closed")}
+	}
+	slots, ok := p.slots[addr]
+	if !ok {
+		slots = make(chan struct{}, connsPerAddr)
+		p.slots[addr] = slots
+	}
+	return &handle{pool: p, addr: addr, slots: slots, closed: make(chan struct{})}, nil
+}
+
+// Close closes the idle connections and refuses new calls. Calls under way go on.
+func (p *Pool) Close() error {
+	p.mu.Lock()
+	p.closed = true
+	p.mu.Unlock()
+	return p.idle.Close()
+}
+
+func (p *Pool) isClosed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.closed
+}
+
+type handle struct {
+	pool  *Pool
+	addr  string
+	slots chan struct{}
+
+	once   sync.Once
+	closed chan struct{}
+}
+
+// Close implements drpc.Conn.
+func (h *handle) Close() error {
+	h.once.Do(func() { close(h.closed) })
+	return nil
+}
+
+// Closed implements drpc.Conn.
+func (h *handle) Closed() <-chan struct{} { return h.closed }
+
+// Invoke implements drpc.Conn.
+func (h *handle) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
+	conn, err := h.take(ctx)
+	if err != nil {
+		return &NotSentError{Addr: h.addr, Cause: err}
+	}
+	defer h.put(conn)
+	err = conn.Invoke(ctx, rpc, enc, in, out)
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		// No answer in time may be a link that was cut silently, on which every
+		// later call would wait as long. A new connection shows it by dialing.
+		_ = conn.Close()
+	}
+	return err
+}
+
+// NewStream implements drpc.Conn.
+func (h *handle) NewStream(ctx context.Context, rpc string, enc drpc.Encoding) (drpc.Stream, error) {
+	conn, err := h.take(ctx)
+	if err != nil {
+		return nil, &NotSentError{Addr: h.addr, Cause: err}
+	}
+	stream, err := conn.NewStream(ctx, rpc, enc)
+	if err != nil {
+		h.put(conn)
+		return nil, err
+	}
+	go func() {
+		<-stream.Context().Done()
+		h.put(conn)
+	}()
+	return stream, nil
+}
+
+func (h *handle) take(ctx context.Context) (*drpcconn.Conn, error) {
+	if err := h.acquire(ctx); err != nil {
+		return nil, err
+	}
+	if conn, ok := h.pool.idle.Take(h.addr); ok {
+		return conn, nil
+	}
+	conn, err := dial(ctx, h.addr, h.pool.conf)
+	if err != nil {
+		<-h.slots
+		dialFailures.Inc(1)
+		return nil, err
+	}
+	dials.Inc(1)
+	return conn, nil
+}
+
+func (h *handle) acquire(ctx context.Context) error {
+	select {
+	case <-h.closed:
+		return errors.New("the connection is closed")
+	case h.slots <- struct{}{}:
+		return nil
+	default:
+	}
+	waits.Inc(1)
+	select {
+	case h.slots <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return errors.Wrapf(ctx.Err(), "all %d connections are busy", connsPerAddr)
+	}
+}
+
+func (h *handle) put(conn *drpcconn.Conn) {
+	if h.pool.isClosed() {
+		_ = conn.Close()
+	} else {
+		h.pool.idle.Put(h.addr, conn)
+	}
+	<-h.slots
+}
+
+var (
+	dials        = metrics.GetOrRegisterCounter("peer.pool.dials", metrics.DefaultRegistry)
+	dialFailures = metrics.GetOrRegisterCounter("peer.pool.dial_failures", metrics.DefaultRegistry)
+	waits        = metrics.GetOrRegisterCounter("peer.pool.waits", metrics.DefaultRegistry)
+)
--- /dev/null
+++ b/internal/link/peer/reloader.go
@@ -0,0 +1,186 @@
+package peer
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+)
+
+// Files names the PEM files of an authority, a certificate and its key.
+type Files struct{ CA, Cert, Key string }
+
+// Load reads the files and returns a Reloader that reads them again when they change.
+func (f Files) Load() (*Reloader, error) {
+	r := &Reloader{files: f}
+	loaded, err := f.read()
+	if err != nil {
+		return nil, err
+	}
+	r.stamps = f.stamps()
+	r.current = loaded
+	return r, nil
+}
+
+type material struct {
+	cert     tls.Certificate
+	roots    *x509.CertPool
+	identity Identity
+}
+
+func (f Files) read() (*material, error) {
+	ca, err := os.ReadFile(f.CA)
+	if err != nil {
+		return nil, errors.Wrap(err, "peer: read the authority")
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(ca) {
+		return nil, errors.Newf("peer: %s holds no PEM certificate", f.CA)
+	}
+	cert, err := tls.LoadX509KeyPair(f.Cert, f.Key)
+	if err != nil {
+		return nil, errors.Wrapf(err, "peer: load %s with %s", f.Cert, f.Key)
+	}
+	id, err := identityOf(cert.Leaf)
+	if err != nil {
+		return nil, err
+	}
+	return &material{cert: cert, roots: roots, identity: id}, nil
+}
+
+// stamp tells one content of a file from another; a replaced file has a new
+// inode even where its size and time are the same.
+type stamp struct {
+	info os.FileInfo
+	err  bool
+}
+
+func (s stamp) same(o stamp) bool {
+	if s.err || o.err {
+		return s.err == o.err
+	}
+	return os.SameFile(s.info, o.info) && s.info.Size() == o.info.Size() && s.info.ModTime().Equal(o.info.ModTime())
+}
+
+type stamps [3]stamp
+
+func (f Files) stamps() stamps {
+	var out stamps
+	for i, name := range []string{f.CA, f.Cert, f.Key} {
+		info, err := os.Stat(name)
+		out[i] = stamp{info: info, err: err != nil}
+	}
+	return out
+}
+
+func (s stamps) same(o stamps) bool {
+	for i := range s {
+		if !s[i].same(o[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+// Reloader hands out TLS configurations made from files. Each handshake looks
+// whether the files have changed and uses the new ones if they can be read; a
+// half-replaced set is logged once and the last good one stays in use.
+type Reloader struct {
+	files Files
+
+	mu      sync.Mutex
+	stamps  stamps
+	current *material
+}
+
+// Identity returns the name in the certificate now in use.
+func (r *Reloader) Identity() Identity { return r.get().identity }
+
+// NotAfter returns when the certificate now in use expires.
+func (r *Reloader) NotAfter() time.Time { return r.get().cert.Leaf.NotAfter }
+
+func (r *Reloader) get() *material {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	seen := r.files.stamps()
+	if seen.same(r.stamps) {
+		return r.current
+	}
+	r.stamps = seen
+	loaded, err := r.files.read()
+	if err != nil {
+		klog.Errorf("peer: changed certificate files are unusable, keeping the former ones: %v", err)
+		return r.current
+	}
+	klog.Infof("peer: certificate files reloaded, now %s %q until %s",
+		loaded.identity.Kind, loaded.identity.Name, loaded.cert.Leaf.NotAfter.Format(time.RFC3339))
+	r.current = loaded
+	return r.current
+}
+
+// ServerConfig returns a configuration that demands a certificate of the
+// authority from every client.
+func (r *Reloader) ServerConfig() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			m := r.get()
+			return &tls.Config{
+				MinVersion:   tls.VersionTLS13,
+				Certificates: []tls.Certificate{m.cert},
+				ClientCAs:    m.roots,
+				ClientAuth:   tls.RequireAndVerifyClientCert,
+				// A resumed session would skip the check against an authority
+				// that has been replaced since.
+				SessionTicketsDisabled: true,
+			}, nil
+		},
+	}
+}
+
+// ClientConfig returns a configuration for dialing VMs. The pool that uses it
+// also checks that the certificate is valid for the address dialed.
+func (r *Reloader) ClientConfig() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			return &r.get().cert, nil
+		},
+		// The library reads RootCAs once, so a replaced authority would need a
+		// restart. VerifyConnection does the whole check against the newest one.
+		InsecureSkipVerify: true,
+		VerifyConnection: func(state tls.ConnectionState) error {
+			return verifyServer(state, r.get().roots)
+		},
+	}
+}
+
+func verifyServer(state tls.ConnectionState, roots *x509.CertPool) error {
+	if len(state.PeerCertificates) == 0 {
+		return errors.New("peer: the server showed no certificate")
+	}
+	intermediates := x509.NewCertPool()
+	for _, cert := range state.PeerCertificates[1:] {
+		intermediates.AddCert(cert)
+	}
+	opts := x509.VerifyOptions{
+		Roots:         roots,
+		Intermediates: intermediates,
+		KeyUsages:     []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth},
+	}
+	if _, err := state.PeerCertificates[0].Verify(opts); err != nil {
+		return errors.Wrap(err, "peer: server certificate")
+	}
+	id, err := identityOf(state.PeerCertificates[0])
+	if err != nil {
+		return err
+	}
+	if id.Kind != VM {
+		return errors.Newf("peer: the server's certificate is %s %q; a VM's is needed", id.Kind, id.Name)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/link/peer/server.go
@@ -0,0 +1,148 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+	"storj.io/drpc"
+)
+
+const (
+	// handshakeTimeout bounds how long an unproven client may hold a connection.
+	handshakeTimeout = 3 * time.Second
+	// drainGrace is how long an idle connection stays open once the server
+	// stops. A call that was on its way when the stop began arrives in this
+	// time and is answered; closing at once would cut it off.
+	drainGrace = 300 * time.Millisecond
+	// acceptPause keeps a process that is out of descriptors from spinning.
+	acceptPause = 50 * time.Millisecond
+)
+
+// Serve answers calls on lis until ctx ends. It then stops accepting, waits for
+// the calls under way however long they take, and returns nil. With a nil
+// tlsConf it serves plain text, which it refuses on a non-loopback address.
+func Serve(ctx context.Context, lis net.Listener, mux drpc.Handler, tlsConf *tls.Config) error {
+	if tlsConf == nil {
+		if err := requireLoopback(lis.Addr().String()); err != nil {
+			_ = lis.Close()
+			return err
+		}
+	}
+	s := &server{mux: mux, conf: tlsConf, conns: make(map[*serverConn]struct{})}
+	stop := context.AfterFunc(ctx, func() { _ = lis.Close() })
+	defer stop()
+	err := s.accept(ctx, lis)
+	s.drain()
+	return err
+}
+
+type server struct {
+	mux  drpc.Handler
+	conf *tls.Config
+	wg   sync.WaitGroup
+
+	mu       sync.Mutex
+	draining bool
+	conns    map[*serverConn]struct{}
+}
+
+func (s *server) accept(ctx context.Context, lis net.Listener) error {
+	for {
+		raw, err := lis.Accept()
+		switch {
+		case err == nil:
+			s.wg.Add(1)
+			go s.serveConn(raw)
+		case ctx.Err() != nil:
+			return nil
+		case errors.Is(err, net.ErrClosed):
+			return errors.Wrap(err, "peer: accept")
+		default:
+			klog.Warningf("peer: accept: %v", err)
+			pause(ctx, acceptPause)
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func (s *server) serveConn(raw net.Conn) {
+	defer s.wg.Done()
+	c, err := s.open(raw)
+	if err != nil {
+		_ = raw.Close()
+		klog.Warningf("peer: connection from %s refused: %v", raw.RemoteAddr(), err)
+		return
+	}
+	if s.track(c) {
+		c.serve(s.mux)
+	}
+	c.close()
+	s.untrack(c)
+}
+
+// open shakes hands and learns who the client is.
+func (s *server) open(raw net.Conn) (*serverConn, error) {
+	if err := watchSocket(raw); err != nil {
+		return nil, err
+	}
+	if s.conf == nil {
+		return newServerConn(raw, nil), nil
+	}
+	conn := tls.Server(raw, s.conf)
+	ctx, cancel := context.WithTimeout(context.Background(), handshakeTimeout)
+	defer cancel()
+	if err := conn.HandshakeContext(ctx); err != nil {
+		return nil, err
+	}
+	id, err := identityOfState(conn.ConnectionState())
+	if err != nil {
+		return nil, err
+	}
+	return newServerConn(conn, &id), nil
+}
+
+func (s *server) track(c *serverConn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		return false
+	}
+	s.conns[c] = struct{}{}
+	return true
+}
+
+func (s *server) untrack(c *serverConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+func (s *server) drain() {
+	time.Sleep(drainGrace)
+	s.mu.Lock()
+	s.draining = true
+	busy := 0
+	for c := range s.conns {
+		if c.stop() {
+			busy++
+		}
+	}
+	s.mu.Unlock()
+	if busy > 0 {
+		klog.Infof("peer: waiting for %d calls", busy)
+	}
+	s.wg.Wait()
+}
--- /dev/null
+++ b/internal/link/peer/serverconn.go
@@ -0,0 +1,123 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"runtime/debug"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+	"k8s.io/klog/v2"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmanager"
+)
+
+// serverConn is one client's connection and the call it carries, if any.
+type serverConn struct {
+	man *drpcmanager.Manager
+	id  *Identity // nil on plain text
+
+	mu       sync.Mutex
+	busy     bool
+	stopping bool
+}
+
+func newServerConn(conn net.Conn, id *Identity) *serverConn {
+	return &serverConn{man: drpcmanager.NewWithOptions(conn, managerOptions()), id: id}
+}
+
+// serve answers one call after the other until the client leaves or stop is called.
+func (c *serverConn) serve(mux drpc.Handler) {
+	ctx := context.Background()
+	if c.id != nil {
+		ctx = context.WithValue(ctx, identityKey{}, *c.id)
+	}
+	for {
+		stream, rpc, err := c.man.NewServerStream(ctx)
+		if err != nil || !c.begin() {
+			return
+		}
+		if err := c.handle(mux, stream, rpc); err != nil {
+			err = stream.SendError(err)
+			if err != nil {
+				return
+			}
+		} else if err := stream.CloseSend(); err != nil {
+			return
+		}
+		if !c.end() {
+			return
+		}
+	}
+}
+
+func (c *serverConn) handle(mux drpc.Handler, stream drpc.Stream, rpc string) (err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			panics.Inc(1)
+			klog.Errorf("peer: %s panicked: %v\n%s", rpc, r, debug.Stack())
+			err = errors.Newf("peer: %s failed by a fault of the server", rpc)
+		}
+	}()
+	if c.id == nil {
+		return mux.HandleRPC(statedStream{stream}, rpc)
+	}
+	if err := authorize(rpc, *c.id); err != nil {
+		denied.Inc(1)
+		klog.Warningf("%v", err)
+		return err
+	}
+	return mux.HandleRPC(stream, rpc)
+}
+
+// begin marks a call under way, and reports false if the connection is to close.
+func (c *serverConn) begin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stopping {
+		return false
+	}
+	c.busy = true
+	return true
+}
+
+// end marks the call done, and reports false if the connection is to close.
+func (c *serverConn) end() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = false
+	return !c.stopping
+}
+
+// stop closes the connection now if it is idle, else after its call. It reports
+// whether a call is under way.
+func (c *serverConn) stop() bool {
+	c.mu.Lock()
+	busy := c.busy
+	c.stopping = true
+	c.mu.Unlock()
+	if !busy {
+		c.close()
+	}
+	return busy
+}
+
+func (c *serverConn) close() { _ = c.man.Close() }
+
+// statedStream carries the name that a plain-text client states.
+type statedStream struct{ drpc.Stream }
+
+// Context implements drpc.Stream.
+func (s statedStream) Context() context.Context {
+	ctx := s.Stream.Context()
+	if id, ok := statedIdentity(ctx); ok {
+		return context.WithValue(ctx, identityKey{}, id)
+	}
+	return ctx
+}
+
+var (
+	panics = metrics.GetOrRegisterCounter("peer.server.panics", metrics.DefaultRegistry)
+	denied = metrics.GetOrRegisterCounter("peer.server.denied", metrics.DefaultRegistry)
+)
