settings: schema, immutable tree, validation and forms

The tree shares untouched nodes between versions; what holds at a node is resolved when the tree is made. Encoding is deterministic CBOR, the file form YAML.

--- /dev/null
+++ b/internal/settings/check.go
@@ -0,0 +1,185 @@
+package settings
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"pearmoor/internal/contract"
+)
+
+// leaseMargin is how much of a daemon's lease may be gone when a request
+// arrives: the interval of confirmations with time to spare.
+const leaseMargin = 2 * time.Second
+
+// rule refuses a contradiction between settings that are each in range.
+type rule struct {
+	names  []string // the settings it is about; the first is the one shown
+	broken func(e *Effective, t Tier) bool
+	why    string
+	fix    string
+}
+
+var rules = []rule{
+	{
+		names:  []string{nameHedgeAfter, nameDeadlineDefault},
+		broken: func(e *Effective, _ Tier) bool { return e.HedgeAfter >= e.DeadlineDefault },
+		why:    "a hedge would come no earlier than deadline-default",
+		fix:    "set hedge-after below deadline-default, or to 0s",
+	},
+	{
+		names:  []string{nameDeadlineDefault, nameDeadlineMax},
+		broken: func(e *Effective, _ Tier) bool { return e.DeadlineDefault > e.DeadlineMax },
+		why:    "the default deadline is longer than the longest one",
+		fix:    "lower deadline-default or raise deadline-max",
+	},
+	{
+		names:  []string{nameConnectCost, nameDeadlineDefault},
+		broken: func(e *Effective, _ Tier) bool { return e.ConnectCost >= e.DeadlineDefault },
+		why:    "a new connection would outlast deadline-default",
+		fix:    "lower connect-cost or raise deadline-default",
+	},
+	{
+		names:  []string{nameHomes, nameLeafSlots},
+		broken: func(e *Effective, _ Tier) bool { return e.Homes > e.LeafSlots },
+		why:    "a home would be left without a slot of a leaf",
+		fix:    "set homes to leaf-slots at most",
+	},
+	{
+		names:  []string{nameLeafConnections, nameLeafSlots},
+		broken: func(e *Effective, _ Tier) bool { return e.LeafConnections < e.LeafSlots },
+		why:    "a leaf's slots can't all be used over so few connections",
+		fix:    "set leaf-connections to leaf-slots at least",
+	},
+	{
+		names:  []string{nameDeadlineMax, nameDaemonLease},
+		broken: func(e *Effective, t Tier) bool { return e.DeadlineMax+leaseMargin > t.DaemonLease },
+		why:    "a request could outlive the lease of the daemon that runs it",
+		fix:    fmt.Sprintf("keep deadline-max %v or more below daemon-lease", leaseMargin),
+	},
+	{
+		names:  []string{nameProbeInterval, nameDaemonLease},
+		broken: func(e *Effective, t Tier) bool { return 2*e.ProbeInterval > t.DaemonLease },
+		why:    "a home's lease could run out before it has probed its leaves twice",
+		fix:    "set probe-interval to half of daemon-lease at most",
+	},
+	{
+		names:  []string{nameDeadlineMax, nameResendWindow},
+		broken: func(e *Effective, t Tier) bool { return e.DeadlineMax > t.ResendWindow },
+		why:    "a key could be forgotten while its caller still waits for the answer",
+		fix:    "raise resend-window to deadline-max at least",
+	},
+}
+
+// checker gathers the faults of a tree that edits would make.
+type checker struct {
+	tree   *Tree
+	all    bool // look at nodes that did not change, too
+	faults contract.Faults
+	moved  bool // some query service's leaves changed
+}
+
+// check returns every fault of t, given that old has none.
+func (t *Tree) check(old *Tree) contract.Faults {
+	c := checker{tree: t, all: t.tier != old.tier}
+	c.walk(t.top, old.top)
+	if c.moved {
+		c.sharedAddresses()
+	}
+	return c.faults
+}
+
+func (c *checker) walk(r, old *resolved) {
+	if r == old && !c.all {
+		return
+	}
+	if old == nil || r.eff != old.eff || c.all {
+		c.rules(r)
+	}
+	if len(r.eff.Leaves) > 0 || len(r.eff.Drained) > 0 {
+		c.service(r, old)
+	}
+	for _, child := range r.children {
+		c.walk(child, old.child(child.decl.name))
+	}
+}
+
+// rules reports a contradiction at the node that makes it: one that states a
+// setting of it. The nodes that merely inherit it add nothing.
+func (c *checker) rules(r *resolved) {
+	for i := range rules {
+		ru := &rules[i]
+		if !ru.broken(r.eff, c.tree.tier) {
+			continue
+		}
+		if name := c.stating(r, ru.names); name != "" {
+			c.add(r, name, ru.why, ru.fix)
+		}
+	}
+}
+
+// stating returns the first of names that r states, and the first of all where
+// none is stated but r is the root, whose defaults hold.
+func (c *checker) stating(r *resolved, names []string) string {
+	for _, name := range names {
+		if r.decl.states(name) {
+			return name
+		}
+	}
+	if r == c.tree.top {
+		return names[0]
+	}
+	return ""
+}
+
+func (c *checker) service(r, old *resolved) {
+	if old == nil || !sameLeaves(r.eff.Leaves, old.eff.Leaves) {
+		c.moved = true
+	}
+	if len(r.children) > 0 {
+		c.add(r, nameLeaves, "a query service has no nodes below it", "unset leaves, or remove the nodes below")
+	}
+	for _, name := range r.eff.Drained {
+		if !slices.ContainsFunc(r.eff.Leaves, func(l Leaf) bool { return l.Name == name }) {
+			c.add(r, nameDrained, fmt.Sprintf("the query service has no leaf %q", name), "leave it out of drained")
+		}
+	}
+}
+
+// sameLeaves compares by identity: an unchanged list is never parsed anew.
+func sameLeaves(a, b []Leaf) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
+// sharedAddresses refuses an address that two query services declare. Each would
+// use all slots of the target, which would run twice what it can.
+func (c *checker) sharedAddresses() {
+	first := make(map[string]string, len(c.tree.top.services))
+	for _, path := range c.tree.top.services {
+		e, _ := c.tree.Effective(path)
+		for _, l := range e.Leaves {
+			other, taken := first[l.Addr]
+			if !taken {
+				first[l.Addr] = path
+				continue
+			}
+			c.faults = append(c.faults, contract.Fault{Field: fieldOf(path, nameLeaves), Value: l.String(),
+				Why: "the address is declared by " + other + " as well", Fix: "declare a target in one query service"})
+		}
+	}
+}
+
+func (c *checker) add(r *resolved, name, why, fix string) {
+	c.faults = append(c.faults, contract.Fault{Field: fieldOf(r.eff.Path, name), Value: c.show(r, name), Why: why, Fix: fix})
+}
+
+const shownValue = 200 // characters of a value that a fault repeats
+
+func (c *checker) show(r *resolved, name string) string {
+	text := c.tree.valueAt(r.eff, name)
+	if len(text) > shownValue {
+		return strings.ToValidUTF8(text[:shownValue], "") + "..."
+	}
+	return text
+}
--- /dev/null
+++ b/internal/settings/diff.go
@@ -0,0 +1,56 @@
+package settings
+
+import "slices"
+
+// Diff returns the edits that make the values of from those of to. It compares
+// values and not the versions that set them. Parts that the trees share are not
+// looked at, so the cost is that of the difference.
+func Diff(from, to *Tree) []Edit {
+	var d differ
+	d.node("", from.root, to.root)
+	return d.edits
+}
+
+// Inverse returns the edits that undo edits, computed on t before them. They
+// can't be applied where they state again what this version does not know.
+func (t *Tree) Inverse(edits []Edit) []Edit {
+	return Diff(t.Replay(0, edits), t)
+}
+
+type differ struct{ edits []Edit }
+
+func (d *differ) node(path string, from, to *node) {
+	if from == to {
+		return
+	}
+	d.stated(path, from.stated, to.stated)
+	for _, c := range from.children {
+		if to.child(c.name) == nil {
+			d.add(Remove, joinPath(path, c.name), "", "")
+		}
+	}
+	for _, c := range to.children {
+		old := from.child(c.name)
+		if old == nil {
+			old = &node{}
+		}
+		d.node(joinPath(path, c.name), old, c)
+	}
+}
+
+func (d *differ) stated(path string, from, to []stated) {
+	for _, s := range from {
+		if !slices.ContainsFunc(to, func(o stated) bool { return o.name == s.name }) {
+			d.add(Unset, path, s.name, "")
+		}
+	}
+	for _, s := range to {
+		if !slices.ContainsFunc(from, func(o stated) bool { return o.name == s.name && o.text == s.text }) {
+			d.add(Set, path, s.name, s.text)
+		}
+	}
+}
+
+func (d *differ) add(op Op, path, name, text string) {
+	d.edits = append(d.edits, Edit{Path: showPath(path), Name: name, Value: text, Op: op})
+}
--- a/internal/settings/effective.go
+++ b/internal/settings/effective.go
@@ -46,7 +46,7 @@
 	LeafConnections int           // connections a leaf accepts, over all daemons
 	ConnectCost     time.Duration // what a new connection to a leaf costs
 	LeafTLS         bool
-	Homes           int           // daemons that may send to a leaf at once
+	Homes           int // daemons that may send to a leaf at once
 	Priority        Priority
 	Goal            Goal
 	Snapshot        SnapshotScope
--- /dev/null
+++ b/internal/settings/encode.go
@@ -0,0 +1,147 @@
+package settings
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// formatVersion is that of the bytes Encode writes.
+const formatVersion = 1
+
+// encodedTree is the outer layer of an encoded tree. The digest finds bytes that
+// were damaged on the way or on a disk.
+type encodedTree struct {
+	_      struct{} `cbor:",toarray"`
+	Format uint64
+	Digest uint64
+	Root   encodedNode
+}
+
+type encodedNode struct {
+	_        struct{} `cbor:",toarray"`
+	Name     string
+	Stated   []encodedValue
+	Children []encodedNode
+}
+
+type encodedValue struct {
+	_       struct{} `cbor:",toarray"`
+	Name    string
+	Text    string
+	Version uint64
+}
+
+var encMode, decMode = codec()
+
+// codec returns the deterministic mode of CBOR (RFC 8949, 4.2) for writing, and
+// for reading one bounded in depth.
+func codec() (cbor.EncMode, cbor.DecMode) {
+	enc, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic("settings: " + err.Error())
+	}
+	dec, err := cbor.DecOptions{
+		MaxNestedLevels:  2*MaxDepth + 8,
+		MaxArrayElements: 1 << 20,
+		IndefLength:      cbor.IndefLengthForbidden,
+		TagsMd:           cbor.TagsForbidden,
+	}.DecMode()
+	if err != nil {
+		panic("settings: " + err.Error())
+	}
+	return enc, dec
+}
+
+// Encode returns the canonical bytes of t: equal trees have equal bytes.
+func (t *Tree) Encode() []byte {
+	b, err := encMode.Marshal(encodedTree{Format: formatVersion, Digest: t.Digest(), Root: encodeNode(t.root)})
+	if err != nil {
+		// The types hold only strings, numbers and lists of them.
+		panic("settings: encode: " + err.Error())
+	}
+	return b
+}
+
+func encodeNode(n *node) encodedNode {
+	out := encodedNode{Name: n.name, Stated: make([]encodedValue, len(n.stated)), Children: make([]encodedNode, len(n.children))}
+	for i, s := range n.stated {
+		out.Stated[i] = encodedValue{Name: s.name, Text: s.text, Version: s.version}
+	}
+	for i, c := range n.children {
+		out.Children[i] = encodeNode(c)
+	}
+	return out
+}
+
+// Decode reads the bytes of Encode, maybe of a version with another schema: what
+// this version does not know is kept and has no effect. Bytes that Encode could
+// not have written are refused.
+func Decode(b []byte) (*Tree, error) { return decode(current, b) }
+
+func decode(sc *schema, b []byte) (*Tree, error) {
+	var in encodedTree
+	if err := decMode.Unmarshal(b, &in); err != nil {
+		return nil, errors.Wrap(err, "settings: the bytes are no tree")
+	}
+	if in.Format != formatVersion {
+		return nil, errors.Newf("settings: the tree has format %d; this version reads %d", in.Format, formatVersion)
+	}
+	if in.Root.Name != "" {
+		return nil, errors.Newf("settings: the root has the name %q", in.Root.Name)
+	}
+	root, err := sc.decodeNode(&in.Root, "", 0)
+	if err != nil {
+		return nil, err
+	}
+	t := newTree(sc, root, nil)
+	if t.Digest() != in.Digest {
+		return nil, errors.Newf("settings: the tree has digest %016x and says %016x: the bytes are damaged", t.Digest(), in.Digest)
+	}
+	return t, nil
+}
+
+func (sc *schema) decodeNode(in *encodedNode, path string, depth int) (*node, error) {
+	if depth > MaxDepth {
+		return nil, errors.Newf("settings: the node %s is too deep", path)
+	}
+	n := &node{name: in.Name, stated: make([]stated, len(in.Stated)), children: make([]*node, len(in.Children))}
+	for i := range in.Stated {
+		v := &in.Stated[i]
+		if v.Name == "" || i > 0 && in.Stated[i-1].Name >= v.Name {
+			return nil, errors.Newf("settings: the values of %s are out of order", showPath(path))
+		}
+		n.stated[i] = sc.restore(v, depth == 0)
+	}
+	for i := range in.Children {
+		c := &in.Children[i]
+		child := joinPath(path, c.Name)
+		if !segmentPattern.MatchString(c.Name) || i > 0 && in.Children[i-1].Name >= c.Name {
+			return nil, errors.Newf("settings: the nodes below %s are out of order or not well named", showPath(path))
+		}
+		if len(c.Stated)+len(c.Children) == 0 {
+			return nil, errors.Newf("settings: the node %s is empty", child)
+		}
+		var err error
+		if n.children[i], err = sc.decodeNode(c, child, depth+1); err != nil {
+			return nil, err
+		}
+	}
+	return n, nil
+}
+
+// restore reads a stated value; its text stays as it is, so that the digest is
+// the one of the version that wrote it.
+func (sc *schema) restore(v *encodedValue, atRoot bool) stated {
+	st := stated{name: v.Name, text: v.Text, version: v.Version}
+	s, ok := sc.lookup(v.Name)
+	if !ok {
+		return st
+	}
+	if why, _ := s.misplaced(atRoot); why != "" {
+		return st
+	}
+	if val, err := s.parse(v.Text); err == nil {
+		st.val = val
+	}
+	return st
+}
--- /dev/null
+++ b/internal/settings/file.go
@@ -0,0 +1,205 @@
+package settings
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+
+	"pearmoor/internal/contract"
+)
+
+// The keys of a node in a file.
+const (
+	keySettings = "settings"
+	keyNodes    = "nodes"
+)
+
+// MaxFile is the largest file that ParseFile reads, in bytes.
+const MaxFile = 64 << 20
+
+// ParseFile reads a tree in the YAML form kept in version control. The error is
+// contract.Faults with every fault found.
+func ParseFile(text []byte) (*Tree, error) {
+	if len(text) > MaxFile {
+		return nil, fileFault("the file is too large", fmt.Sprintf("keep it to %d bytes", MaxFile))
+	}
+	file, err := parser.ParseBytes(text, 0)
+	if err != nil {
+		return nil, fileFault(yaml.FormatError(err, false, false), "write the file as YAML")
+	}
+	if len(file.Docs) != 1 {
+		return nil, fileFault(fmt.Sprintf("it holds %d documents", len(file.Docs)), "keep one tree in a file")
+	}
+	r := fileReader{}
+	if body := file.Docs[0].Body; body != nil && body.Type() != ast.NullType {
+		r.node(Root, 0, body)
+	}
+	if len(r.faults) > 0 {
+		return nil, r.faults
+	}
+	return New().Apply(0, r.edits)
+}
+
+func fileFault(why, fix string) contract.Faults {
+	return contract.Faults{{Field: "file", Why: why, Fix: fix}}
+}
+
+// fileReader turns the nodes of a file into edits.
+type fileReader struct {
+	edits  []Edit
+	faults contract.Faults
+}
+
+func (r *fileReader) fault(field, value, why, fix string) {
+	r.faults = append(r.faults, contract.Fault{Field: field, Value: value, Why: why, Fix: fix})
+}
+
+func (r *fileReader) node(path string, depth int, body ast.Node) {
+	if depth > MaxDepth {
+		r.fault(path, "", "the node is too deep", fmt.Sprintf("use %d levels at most", MaxDepth))
+		return
+	}
+	for _, kv := range r.entries(path, body) {
+		switch key := keyOf(kv); key {
+		case keySettings:
+			r.settings(path, kv.Value)
+		case keyNodes:
+			for _, child := range r.entries(path+":"+keyNodes, kv.Value) {
+				r.child(path, depth, child)
+			}
+		default:
+			r.fault(path+":"+key, "", "the key is unknown", "use settings and nodes")
+		}
+	}
+}
+
+func (r *fileReader) child(path string, depth int, kv *ast.MappingValueNode) {
+	name := keyOf(kv)
+	if !segmentPattern.MatchString(name) {
+		r.fault(path+":"+keyNodes, name, "the name of the node is not well formed", segmentRule)
+		return
+	}
+	r.node(joinPath(path, name), depth+1, kv.Value)
+}
+
+func (r *fileReader) settings(path string, body ast.Node) {
+	for _, kv := range r.entries(path+":"+keySettings, body) {
+		name := keyOf(kv)
+		if text, ok := r.text(fieldOf(path, name), kv.Value); ok {
+			r.edits = append(r.edits, Edit{Path: path, Name: name, Value: text, Op: Set})
+		}
+	}
+}
+
+// entries returns the keys and values of a mapping; none where it is left empty.
+func (r *fileReader) entries(field string, body ast.Node) []*ast.MappingValueNode {
+	switch m := body.(type) {
+	case *ast.MappingNode:
+		return m.Values
+	case *ast.MappingValueNode:
+		return []*ast.MappingValueNode{m}
+	case *ast.NullNode:
+		return nil
+	}
+	r.fault(field, short(body.String()), "it is no mapping", "write keys and values")
+	return nil
+}
+
+// text returns a value as an operator would give it in a flag. A list is joined
+// by commas, so that a file can hold one leaf on each line.
+func (r *fileReader) text(field string, body ast.Node) (string, bool) {
+	switch v := body.(type) {
+	case *ast.SequenceNode:
+		items := make([]string, 0, len(v.Values))
+		for _, item := range v.Values {
+			text, ok := r.scalar(field, item)
+			if !ok {
+				return "", false
+			}
+			items = append(items, text)
+		}
+		return strings.Join(items, ","), true
+	default:
+		return r.scalar(field, body)
+	}
+}
+
+func (r *fileReader) scalar(field string, body ast.Node) (string, bool) {
+	switch v := body.(type) {
+	case *ast.StringNode:
+		return v.Value, true
+	case *ast.LiteralNode:
+		return v.Value.Value, true
+	case *ast.IntegerNode, *ast.FloatNode, *ast.BoolNode:
+		return body.GetToken().Value, true
+	}
+	r.fault(field, short(body.String()), "it is no plain value", "write a word, a number or a list of words, without anchors and tags")
+	return "", false
+}
+
+func keyOf(kv *ast.MappingValueNode) string {
+	if s, ok := kv.Key.(*ast.StringNode); ok {
+		return s.Value
+	}
+	return strings.TrimSpace(kv.Key.String())
+}
+
+func short(text string) string {
+	if len(text) > shownValue {
+		return strings.ToValidUTF8(text[:shownValue], "") + "..."
+	}
+	return text
+}
+
+// ExportFile returns the YAML form of t, which ParseFile reads. It leaves out the
+// versions that set the values, and what this version does not know.
+func (t *Tree) ExportFile() []byte {
+	b, err := yaml.MarshalWithOptions(exportNode(t.root), yaml.IndentSequence(true))
+	if err != nil {
+		// The value holds only strings and lists of them.
+		panic("settings: export: " + err.Error())
+	}
+	return b
+}
+
+func exportNode(n *node) yaml.MapSlice {
+	out := yaml.MapSlice{}
+	var values yaml.MapSlice
+	for _, s := range n.stated {
+		if s.val != nil {
+			values = append(values, yaml.MapItem{Key: s.name, Value: s.export()})
+		}
+	}
+	if len(values) > 0 {
+		out = append(out, yaml.MapItem{Key: keySettings, Value: values})
+	}
+	var nodes yaml.MapSlice
+	for _, c := range n.children {
+		nodes = append(nodes, yaml.MapItem{Key: c.name, Value: exportNode(c)})
+	}
+	if len(nodes) > 0 {
+		out = append(out, yaml.MapItem{Key: keyNodes, Value: nodes})
+	}
+	return out
+}
+
+// export returns the value in the type that reads best in a file.
+func (s *stated) export() any {
+	if len(s.val.leaves) > 0 || len(s.val.names) > 0 {
+		return strings.Split(s.text, ",")
+	}
+	if n, err := strconv.ParseInt(s.text, 10, 64); err == nil {
+		return n
+	}
+	if f, err := strconv.ParseFloat(s.text, 64); err == nil {
+		return f
+	}
+	if b, err := strconv.ParseBool(s.text); err == nil {
+		return b
+	}
+	return s.text
+}
--- /dev/null
+++ b/internal/settings/leaves.go
@@ -0,0 +1,99 @@
+package settings
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// MaxLeaves is the most leaves one query service may declare.
+const MaxLeaves = 4096
+
+const leafForm = "write name=ip:port@domain, separated by commas"
+
+// ParseLeaves reads a leaf list, name=ip:port@domain separated by commas, and
+// returns it sorted by name.
+func ParseLeaves(text string) ([]Leaf, error) {
+	items := strings.Split(text, ",")
+	if len(items) > MaxLeaves {
+		return nil, errors.Newf("there are %d leaves; %d at most are allowed", len(items), MaxLeaves)
+	}
+	leaves := make([]Leaf, 0, len(items))
+	for _, item := range items {
+		leaf, err := parseLeaf(strings.TrimSpace(item))
+		if err != nil {
+			return nil, err
+		}
+		leaves = append(leaves, leaf)
+	}
+	slices.SortFunc(leaves, func(a, b Leaf) int { return cmp.Compare(a.Name, b.Name) })
+	return leaves, refuseDuplicates(leaves)
+}
+
+func parseLeaf(item string) (Leaf, error) {
+	name, rest, ok := strings.Cut(item, "=")
+	if !ok {
+		return Leaf{}, errors.Newf("leaf %q has no '='", item)
+	}
+	addr, domain, ok := strings.Cut(rest, "@")
+	if !ok {
+		return Leaf{}, errors.Newf("leaf %q names no failure domain", item)
+	}
+	if !segmentPattern.MatchString(name) {
+		return Leaf{}, errors.Newf("leaf name %q is not well formed: %s", name, segmentRule)
+	}
+	if !segmentPattern.MatchString(domain) {
+		return Leaf{}, errors.Newf("failure domain %q of leaf %q is not well formed: %s", domain, name, segmentRule)
+	}
+	ap, err := netip.ParseAddrPort(addr)
+	if err != nil || ap.Port() == 0 || ap.Addr().IsUnspecified() || ap.Addr().Zone() != "" {
+		return Leaf{}, errors.Newf("address %q of leaf %q is not an IP number and port", addr, name)
+	}
+	return Leaf{Name: name, Addr: netip.AddrPortFrom(ap.Addr().Unmap(), ap.Port()).String(), Domain: domain}, nil
+}
+
+// refuseDuplicates keeps one target from being counted as two: its slots would
+// be handed out twice and it would be overloaded by the system itself.
+func refuseDuplicates(sorted []Leaf) error {
+	byAddr := make(map[string]string, len(sorted))
+	for i, l := range sorted {
+		if i > 0 && sorted[i-1].Name == l.Name {
+			return errors.Newf("leaf name %q stands twice", l.Name)
+		}
+		if first, ok := byAddr[l.Addr]; ok {
+			return errors.Newf("address %s is that of both leaf %q and leaf %q", l.Addr, first, l.Name)
+		}
+		byAddr[l.Addr] = l.Name
+	}
+	return nil
+}
+
+// FormatLeaves writes a leaf list in the form that ParseLeaves reads.
+func FormatLeaves(leaves []Leaf) string {
+	var b strings.Builder
+	for i, l := range leaves {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(l.String())
+	}
+	return b.String()
+}
+
+// String returns name=ip:port@domain.
+func (l Leaf) String() string { return l.Name + "=" + l.Addr + "@" + l.Domain }
+
+func parseNames(text string) ([]string, error) {
+	names := strings.Split(text, ",")
+	for i, n := range names {
+		names[i] = strings.TrimSpace(n)
+		if !segmentPattern.MatchString(names[i]) {
+			return nil, errors.Newf("name %q is not well formed: %s", names[i], segmentRule)
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names), nil
+}
--- /dev/null
+++ b/internal/settings/plan.go
@@ -0,0 +1,99 @@
+package settings
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Effect is a value that a change alters at one query service. Before is "" when
+// the service is new, After when it goes; a service that is new or goes has the
+// one effect on leaves. Service is "/" for the settings that only the root states.
+type Effect struct {
+	Service string `json:"service"`
+	Name    string `json:"name"`
+	Before  string `json:"before"`
+	After   string `json:"after"`
+}
+
+// Plan lists what a change from old to new alters, by query service and in the
+// order of the schema. Parts that the trees share are not looked at.
+func Plan(old, new *Tree) []Effect {
+	p := planner{old: old, new: new}
+	p.tier()
+	p.node(old.top, new.top)
+	slices.SortStableFunc(p.effects, func(a, b Effect) int { return cmp.Compare(a.Service, b.Service) })
+	return p.effects
+}
+
+type planner struct {
+	old, new *Tree
+	effects  []Effect
+}
+
+func (p *planner) tier() {
+	for i := range p.new.schema.settings {
+		if s := &p.new.schema.settings[i]; s.RootOnly {
+			p.compare(Root, s.Name, p.old.valueAt(p.old.top.eff, s.Name), p.new.valueAt(p.new.top.eff, s.Name))
+		}
+	}
+}
+
+// node compares two nodes of one path, either of which may be nil.
+func (p *planner) node(old, new *resolved) {
+	if old == new {
+		return
+	}
+	p.service(old, new)
+	if old != nil {
+		for _, c := range old.children {
+			if new.child(c.decl.name) == nil {
+				p.node(c, nil)
+			}
+		}
+	}
+	if new != nil {
+		for _, c := range new.children {
+			p.node(old.child(c.decl.name), c)
+		}
+	}
+}
+
+func (p *planner) service(old, new *resolved) {
+	was, is := old.leafText(), new.leafText()
+	switch {
+	case was == "" && is == "":
+	case was == "":
+		p.compare(new.eff.Path, nameLeaves, "", is)
+	case is == "":
+		p.compare(old.eff.Path, nameLeaves, was, "")
+	default:
+		p.settings(old.eff, new.eff)
+	}
+}
+
+func (p *planner) settings(old, new *Effective) {
+	if old == new {
+		return
+	}
+	for i := range p.new.schema.settings {
+		s := &p.new.schema.settings[i]
+		if !s.RootOnly {
+			p.compare(new.Path, s.Name, p.old.valueAt(old, s.Name), p.new.valueAt(new, s.Name))
+		}
+	}
+}
+
+func (p *planner) compare(service, name, before, after string) {
+	if before != after {
+		p.effects = append(p.effects, Effect{Service: service, Name: name, Before: before, After: after})
+	}
+}
+
+// leafText returns the stated leaves of a query service, "" for any other node.
+func (r *resolved) leafText() string {
+	if r == nil || len(r.eff.Leaves) == 0 {
+		return ""
+	}
+	i, _ := r.decl.findStated(nameLeaves)
+	return r.decl.stated[i].text
+}
--- /dev/null
+++ b/internal/settings/tree_test.go
@@ -0,0 +1,90 @@
+package settings
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"pearmoor/internal/contract"
+)
+
+// shop returns a tree of one region with two desks, three query services.
+func shop(t testing.TB) *Tree {
+	t.Helper()
+	return mustApply(t, New(), 1,
+		Edit{Path: "/", Name: "deadline-default", Value: "220ms"},
+		Edit{Path: "gj-west", Name: "goal", Value: "tail"},
+		Edit{Path: "gj-west/storefront", Name: "priority", Value: "urgent"},
+		Edit{Path: "gj-west/storefront/s1", Name: "leaves", Value: "b=10.0.0.2:80@kheda-rack,a=10.0.0.1:80@anand-hall"},
+		Edit{Path: "gj-west/storefront/s2", Name: "leaves", Value: "a=10.0.0.3:80@anand-hall"},
+		Edit{Path: "gj-west/ledger-desk", Name: "leaves", Value: "a=10.0.1.1:80@vadodara-a"},
+	)
+}
+
+func mustApply(t testing.TB, from *Tree, version uint64, edits ...Edit) *Tree {
+	t.Helper()
+	next, err := from.Apply(version, edits)
+	if err != nil {
+		t.Fatalf("apply: %v", err)
+	}
+	return next
+}
+
+// faultsOf returns the faults that edits meet.
+func faultsOf(t testing.TB, from *Tree, edits ...Edit) contract.Faults {
+	t.Helper()
+	_, err := from.Apply(99, edits)
+	if err == nil {
+		return nil
+	}
+	faults, ok := err.(contract.Faults)
+	if !ok {
+		t.Fatalf("the error is a %T", err)
+	}
+	return faults
+}
+
+func fields(faults contract.Faults) []string {
+	out := make([]string, len(faults))
+	for i, f := range faults {
+		out[i] = f.Field
+	}
+	return out
+}
+
+func TestInheritance(t *testing.T) {
+	Convey("Given a tree of two desks", t, func() {
+		tree := shop(t)
+		s1, ok := tree.Effective("gj-west/storefront/s1")
+		So(ok, ShouldBeTrue)
+
+		Convey("a service takes what the nearest node above it states, and the defaults", func() {
+			So(s1.Priority, ShouldEqual, Urgent)
+			So(s1.Goal, ShouldEqual, Tail)
+			So(s1.DeadlineDefault.String(), ShouldEqual, "220ms")
+			So(s1.LeafSlots, ShouldEqual, 2)
+			So(FormatLeaves(s1.Leaves), ShouldEqual, "a=10.0.0.1:80@anand-hall,b=10.0.0.2:80@kheda-rack")
+		})
+		Convey("the sibling desk doesn't", func() {
+			ledger, _ := tree.Effective("gj-west/ledger-desk")
+			So(ledger.Priority, ShouldEqual, Ordinary)
+		})
+		Convey("the query services of a node are listed", func() {
+			So(tree.Services("/"), ShouldResemble, []string{"gj-west/ledger-desk", "gj-west/storefront/s1", "gj-west/storefront/s2"})
+			So(tree.Services("gj-west/storefront"), ShouldResemble, []string{"gj-west/storefront/s1", "gj-west/storefront/s2"})
+			So(tree.Services("nowhere"), ShouldBeEmpty)
+		})
+		Convey("Explain names the node and the version that set each value", func() {
+			next := mustApply(t, tree, 7, Edit{Path: "gj-west/storefront", Name: "homes", Value: "1"})
+			xs, err := next.Explain("gj-west/storefront/s1")
+			So(err, ShouldBeNil)
+			got := map[string]Explained{}
+			for _, x := range xs {
+				got[x.Name] = x
+			}
+			So(got["homes"], ShouldResemble, Explained{Name: "homes", Value: "1", StatedAt: "gj-west/storefront", Version: 7})
+			So(got["deadline-default"], ShouldResemble, Explained{Name: "deadline-default", Value: "220ms", StatedAt: "/", Version: 1})
+			So(got["ramp"], ShouldResemble, Explained{Name: "ramp", Value: "10s", StatedAt: "default"})
+		})
+	})
+}
--- /dev/null
+++ b/internal/settings/value.go
@@ -0,0 +1,187 @@
+package settings
+
+import (
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/units"
+	"github.com/cockroachdb/errors"
+)
+
+// Kind is the type of a setting's value.
+type Kind uint8
+
+// The kinds.
+const (
+	Count    Kind = iota // a whole number
+	Ratio                // a number such as 0.03
+	Duration             // a number with ns, us, ms, s, m or h
+	Bytes                // a number with B, KiB, MiB or GiB
+	Bool                 // true or false
+	Choice               // one of a few words
+	LeafList             // name=ip:port@domain, separated by commas
+	NameList             // names, separated by commas
+)
+
+var kindNames = [...]string{"count", "ratio", "duration", "bytes", "bool", "choice", "leaf list", "name list"}
+
+// String returns the name used in the reference page.
+func (k Kind) String() string { return kindNames[k] }
+
+// maxNumberText bounds the text of a number, so that no unit can overflow int64.
+const maxNumberText = 24
+
+// value is a parsed value; which field holds it depends on the kind.
+type value struct {
+	text   string // canonical
+	num    int64  // count, nanoseconds, bytes, 0 or 1, index of the choice
+	ratio  float64
+	leaves []Leaf
+	names  []string
+}
+
+func (v *value) duration() time.Duration { return time.Duration(v.num) }
+
+// parse reads text as a value of s and brings it into canonical form, so that
+// two ways to write one value are one value.
+func (s *Setting) parse(text string) (*value, error) {
+	text = strings.TrimSpace(text)
+	if text == "" {
+		return nil, errors.New("the value is empty")
+	}
+	v, err := s.parseKind(text)
+	if err != nil {
+		return nil, err
+	}
+	if s.min != nil && s.less(v, s.min) {
+		return nil, errors.Newf("it is below the least value, %s", s.Min)
+	}
+	if s.max != nil && s.less(s.max, v) {
+		return nil, errors.Newf("it is above the greatest value, %s", s.Max)
+	}
+	return v, nil
+}
+
+func (s *Setting) less(a, b *value) bool {
+	if s.Kind == Ratio {
+		return a.ratio < b.ratio
+	}
+	return a.num < b.num
+}
+
+func (s *Setting) parseKind(text string) (*value, error) {
+	switch s.Kind {
+	case LeafList:
+		leaves, err := ParseLeaves(text)
+		return &value{text: FormatLeaves(leaves), leaves: leaves}, err
+	case NameList:
+		names, err := parseNames(text)
+		return &value{text: strings.Join(names, ","), names: names}, err
+	case Choice:
+		return s.parseChoice(text)
+	case Bool:
+		return parseBool(text)
+	}
+	if len(text) > maxNumberText {
+		return nil, errors.New("the number is too long")
+	}
+	return s.parseNumber(text)
+}
+
+func (s *Setting) parseNumber(text string) (*value, error) {
+	switch s.Kind {
+	case Count:
+		return parseCount(text)
+	case Ratio:
+		return parseRatio(text)
+	case Duration:
+		return parseDuration(text)
+	default:
+		return parseBytes(text)
+	}
+}
+
+func (s *Setting) parseChoice(text string) (*value, error) {
+	i := slices.Index(s.Choices, text)
+	if i < 0 {
+		return nil, errors.Newf("it is none of %s", strings.Join(s.Choices, ", "))
+	}
+	return &value{text: text, num: int64(i)}, nil
+}
+
+func parseBool(text string) (*value, error) {
+	switch text {
+	case "true":
+		return &value{text: text, num: 1}, nil
+	case "false":
+		return &value{text: text}, nil
+	}
+	return nil, errors.New("it is neither true nor false")
+}
+
+func parseCount(text string) (*value, error) {
+	n, err := strconv.ParseInt(text, 10, 32)
+	if err != nil {
+		return nil, errors.New("it is not a whole number without a unit")
+	}
+	return &value{text: strconv.FormatInt(n, 10), num: n}, nil
+}
+
+func parseRatio(text string) (*value, error) {
+	f, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) {
+		return nil, errors.New("it is not a plain number such as 0.03")
+	}
+	f += 0 // -0 becomes 0
+	return &value{text: strconv.FormatFloat(f, 'f', -1, 64), ratio: f}, nil
+}
+
+func parseDuration(text string) (*value, error) {
+	if _, err := strconv.ParseFloat(text, 64); err == nil && text != "0" {
+		return nil, errors.New("it has no unit; ns, us, ms, s, m and h are units")
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		return nil, errors.New("it is not a duration such as 20ms, 1.5s or 2m")
+	}
+	return &value{text: formatDuration(d), num: int64(d)}, nil
+}
+
+// formatDuration writes 2m for what time.Duration writes as 2m0s.
+func formatDuration(d time.Duration) string {
+	s := d.String()
+	if strings.HasSuffix(s, "m0s") {
+		s = strings.TrimSuffix(s, "0s")
+	}
+	if strings.HasSuffix(s, "h0m") {
+		s = strings.TrimSuffix(s, "0m")
+	}
+	return s
+}
+
+func parseBytes(text string) (*value, error) {
+	if _, err := strconv.ParseFloat(text, 64); err == nil {
+		return nil, errors.New("it has no unit; B, KiB, MiB and GiB are units")
+	}
+	n, err := units.ParseStrictBytes(text)
+	if err != nil {
+		return nil, errors.New("it is not a size such as 64KiB or 1MiB")
+	}
+	return &value{text: formatBytes(n), num: n}, nil
+}
+
+// formatBytes writes n in the greatest unit that divides it.
+func formatBytes(n int64) string {
+	for _, u := range []struct {
+		size units.Base2Bytes
+		name string
+	}{{units.GiB, "GiB"}, {units.MiB, "MiB"}, {units.KiB, "KiB"}} {
+		if n != 0 && n%int64(u.size) == 0 {
+			return strconv.FormatInt(n/int64(u.size), 10) + u.name
+		}
+	}
+	return strconv.FormatInt(n, 10) + "B"
+}
