--- a/internal/standin/command.go
+++ b/internal/standin/command.go
@@ -91,7 +91,7 @@
 	if c.Leaf != "" && c.Leaf != l.Name() {
 		return false
 	}
-	root := strings.TrimSuffix(c.Service, "/")
+	root := strings.Trim(c.Service, "/")
 	return root == "" || root == l.service || strings.HasPrefix(l.service, root+"/")
 }
 
--- a/internal/standin/command_test.go
+++ b/internal/standin/command_test.go
@@ -40,9 +40,9 @@
 
 func TestControlChoosesLeaves(t *testing.T) {
 	fleet, err := StartFleet(FleetConfig{Host: "127.0.0.1", Services: []ServiceSpec{
-		{Path: "/a/x", Leaves: []string{"x1", "x2"}, Behavior: DefaultBehavior()},
-		{Path: "/a/y", Leaves: []string{"y1", "y2", "y3"}, Behavior: DefaultBehavior()},
-		{Path: "/ab", Leaves: []string{"z1"}, Behavior: DefaultBehavior()},
+		{Path: "a/x", Leaves: []string{"x1", "x2"}, Behavior: DefaultBehavior()},
+		{Path: "a/y", Leaves: []string{"y1", "y2", "y3"}, Behavior: DefaultBehavior()},
+		{Path: "ab", Leaves: []string{"z1"}, Behavior: DefaultBehavior()},
 	}})
 	if err != nil {
 		t.Fatal(err)
@@ -53,7 +53,7 @@
 		status int
 		reply  string
 	}{
-		{`{"service":"/a","set":{"slots":3}}`, http.StatusOK, `{"leaves":5}`},
+		{`{"service":"/a/","set":{"slots":3}}`, http.StatusOK, `{"leaves":5}`},
 		{`{"leaf":"y2","publish":{"version":2,"shards":6}}`, http.StatusOK, `{"leaves":1}`},
 		{`{"reset_peaks":true}`, http.StatusOK, `{"leaves":6}`},
 		{`{"leaf":"nobody","reset_peaks":true}`, http.StatusBadRequest, ""},
--- a/internal/standin/documents.go
+++ b/internal/standin/documents.go
@@ -17,8 +17,9 @@
 // one index version with no document lost or doubled.
 type Origin struct {
 	Version   uint64 `json:"version"`
-	Shards    uint32 `json:"shards"`    // size of that version's partition map
-	Documents int    `json:"documents"` // of the query service, over all its shards
+	Shards    uint32 `json:"shards"`            // size of that version's partition map
+	Documents int    `json:"documents"`         // of the query service, over all its shards
+	RunKey    string `json:"run_key,omitempty"` // from the body of the request that was answered
 }
 
 // DocumentID names the n-th document of a query service.
--- a/internal/standin/handle.go
+++ b/internal/standin/handle.go
@@ -168,7 +168,12 @@
 	if l.chance(b.WrongVersionShare) {
 		answered.IndexVersion++
 	}
-	origin := Origin{Version: answered.IndexVersion, Shards: shards, Documents: l.documents}
+	origin := Origin{
+		Version:   answered.IndexVersion,
+		Shards:    shards,
+		Documents: l.documents,
+		RunKey:    runKey(&answered),
+	}
 	return &contract.LeafReply{
 		ID:           answered.ID,
 		Attempt:      answered.Attempt,
@@ -199,13 +204,21 @@
 // runID is the identity under which a run is counted: a resend by the caller is
 // a new request to the tier, and is told by the run_key in its body.
 func runID(q *contract.LeafRequest) string {
+	if key := runKey(q); key != "" {
+		return key
+	}
+	return q.ID
+}
+
+// runKey returns the run_key of a body that is an object with one, and "" else.
+func runKey(q *contract.LeafRequest) string {
 	var body struct {
 		RunKey string `json:"run_key"`
 	}
-	if json.Unmarshal(q.Body, &body) == nil && body.RunKey != "" {
-		return body.RunKey
+	if json.Unmarshal(q.Body, &body) != nil {
+		return ""
 	}
-	return q.ID
+	return body.RunKey
 }
 
 func resetConn(r *http.Request) {
--- a/internal/standin/leaf_test.go
+++ b/internal/standin/leaf_test.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	testService = "/hall/desk/svc"
+	testService = "hall/desk/svc"
 	waitLimit   = 10 * time.Second
 )
 
--- a/internal/standin/runs.go
+++ b/internal/standin/runs.go
@@ -20,6 +20,7 @@
 	order   []RunKey
 	next    int
 	total   uint64
+	extra   uint64 // runs of repeatable requests beyond the first
 	once    uint64 // runs of not-repeatable requests
 	doubled uint64 // runs of not-repeatable requests beyond the first
 }
@@ -39,12 +40,15 @@
 		r.next = (r.next + 1) % len(r.order)
 	}
 	r.counts[k]++
-	if repeatable {
-		return
-	}
-	r.once++
-	if r.counts[k] > 1 {
+	again := r.counts[k] > 1
+	switch {
+	case !repeatable && again:
+		r.once++
 		r.doubled++
+	case !repeatable:
+		r.once++
+	case again:
+		r.extra++
 	}
 }
 
@@ -58,6 +62,7 @@
 // RunStats sums up all runs.
 type RunStats struct {
 	Total         uint64 `json:"total"`
+	Extra         uint64 `json:"extra"` // runs of a repeatable request beyond its first at a shard
 	NotRepeatable uint64 `json:"not_repeatable"`
 	Doubled       uint64 `json:"doubled"` // runs of a not-repeatable request beyond its first at a shard
 }
@@ -66,5 +71,5 @@
 func (r *Runs) Stats() RunStats {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return RunStats{Total: r.total, NotRepeatable: r.once, Doubled: r.doubled}
+	return RunStats{Total: r.total, Extra: r.extra, NotRepeatable: r.once, Doubled: r.doubled}
 }
