--- a/internal/vm/vm.go
+++ b/internal/vm/vm.go
@@ -3,6 +3,11 @@
 // pauses.
 package vm
 
+import (
+	"slices"
+	"strings"
+)
+
 // Phase is where a daemon is in its life.
 type Phase uint8
 
@@ -39,10 +44,11 @@
 
 // Find returns the member of that name.
 func (m *Membership) Find(name string) (Member, bool) {
-	for i := range m.Members {
-		if m.Members[i].Name == name {
-			return m.Members[i], true
-		}
+	i, ok := slices.BinarySearchFunc(m.Members, name, func(member Member, name string) int {
+		return strings.Compare(member.Name, name)
+	})
+	if !ok {
+		return Member{}, false
 	}
-	return Member{}, false
+	return m.Members[i], true
 }
