control: replicated state with changes, epochs and audit records

Apply is pure and never validates: a change is checked by the proposer on the tree of its base version, so that control VMs with different schemas still build the same tree.

--- /dev/null
+++ b/internal/control/state/snapshot.go
@@ -0,0 +1,65 @@
+package state
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"pearmoor/internal/link/wire"
+	"pearmoor/internal/settings"
+	"pearmoor/internal/vm"
+)
+
+// Encode returns the whole state.
+func (s *State) Encode() ([]byte, error) {
+	out := &wire.ControlState{
+		Version: s.version, Tree: s.tree.Encode(), Digest: s.tree.Digest(),
+		Settled: vm.MembershipToWire(s.settled), Pending: vm.MembershipToWire(s.pending),
+		LastEpoch: s.lastEpoch, Epochs: s.epochs.list,
+		InForce: s.inForce, LeaseBoundMs: uint32(s.leaseBound / time.Millisecond),
+		LastUnixMs: s.lastUnixMS,
+	}
+	if s.epochs.pending != nil {
+		out.Epochs = append(out.Epochs[:len(out.Epochs):len(out.Epochs)], s.epochs.pending)
+	}
+	for _, st := range s.steps.list {
+		out.Steps = append(out.Steps, &wire.ChangeStep{Record: st.rec, Digest: st.digest})
+	}
+	return proto.MarshalOptions{Deterministic: true}.Marshal(out)
+}
+
+// Decode reads what Encode returned; no bytes at all are the state before the
+// first entry.
+func Decode(b []byte) (*State, error) {
+	s := New()
+	if len(b) == 0 {
+		return s, nil
+	}
+	var in wire.ControlState
+	if err := proto.Unmarshal(b, &in); err != nil {
+		return nil, errors.Wrap(err, "state: snapshot can't be read")
+	}
+	tree, err := settings.Decode(in.Tree)
+	if err != nil {
+		return nil, errors.Wrap(err, "state: settings tree of the snapshot can't be read")
+	}
+	if got := tree.Digest(); got != in.Digest {
+		return nil, errors.Newf("state: settings tree of the snapshot has digest %x, expected %x; this program reads the tree differently from the one that wrote it", got, in.Digest)
+	}
+	s.tree, s.version, s.inForce = tree, in.Version, in.InForce
+	if in.Settled != nil {
+		s.settled = vm.MembershipFromWire(in.Settled)
+	}
+	s.pending = vm.MembershipFromWire(in.Pending)
+	s.lastEpoch, s.epochs.list = in.LastEpoch, in.Epochs
+	if n := len(in.Epochs); s.pending != nil && n > 0 {
+		s.epochs.pending, s.epochs.list = in.Epochs[n-1], in.Epochs[:n-1]
+	}
+	for _, st := range in.Steps {
+		s.steps.add(st.Record, st.Digest)
+	}
+	s.leaseBound = max(time.Duration(in.LeaseBoundMs)*time.Millisecond, tree.Tier().DaemonLease)
+	s.lastUnixMS = in.LastUnixMs
+	return s, nil
+}
--- /dev/null
+++ b/internal/control/state/state.go
@@ -0,0 +1,107 @@
+package state
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"pearmoor/internal/link/wire"
+	"pearmoor/internal/settings"
+	"pearmoor/internal/vm"
+)
+
+// State is the replicated state after some entry of the log.
+type State struct {
+	tree    *settings.Tree
+	version uint64
+	inForce uint64
+	steps   steps
+
+	settled   *vm.Membership
+	pending   *vm.Membership // nil when none
+	lastEpoch uint64
+	epochs    epochs
+
+	leaseBound time.Duration
+	lastUnixMS int64
+}
+
+// New returns the state before the first entry.
+func New() *State {
+	s := &State{tree: settings.New(), settled: &vm.Membership{}, steps: newSteps()}
+	s.leaseBound = s.tree.Tier().DaemonLease
+	return s
+}
+
+// Result tells what one entry did.
+type Result struct {
+	Reply         *wire.ChangeReply // outcome of a change; nil for other entries
+	Accepted      *wire.AuditRecord // set when a change was accepted by this very entry
+	InForce       uint64            // set when versions up to it came into force everywhere
+	InForceUnixMS int64
+	Moved         bool // whether daemons or waiting operators have something new to learn
+}
+
+// Apply applies one entry. An error means that this program can't tell what the
+// entry does: going on would make this VM's state differ from the others'.
+func (s *State) Apply(data []byte) (Result, error) {
+	var c wire.Command
+	if err := proto.Unmarshal(data, &c); err != nil {
+		return Result{}, errors.Wrap(err, "state: entry can't be read")
+	}
+	switch b := c.Body.(type) {
+	case *wire.Command_Change:
+		return s.applyChange(b.Change), nil
+	case *wire.Command_Epoch:
+		return Result{Moved: s.applyEpoch(b.Epoch)}, nil
+	case *wire.Command_Settle:
+		return Result{Moved: s.applySettle(b.Settle.Epoch)}, nil
+	case *wire.Command_InForce:
+		return s.applyInForce(b.InForce), nil
+	case *wire.Command_LeaseBound:
+		s.applyLeaseBound(time.Duration(b.LeaseBound.LeaseMs) * time.Millisecond)
+		return Result{}, nil
+	}
+	return Result{}, errors.New("state: entry is of a newer pearmoor; upgrade this control VM before the leader")
+}
+
+// Tree returns the newest settings tree.
+func (s *State) Tree() *settings.Tree { return s.tree }
+
+// Version returns the number of the newest accepted change; 0 before the first.
+func (s *State) Version() uint64 { return s.version }
+
+// InForce returns the newest version that is in force everywhere.
+func (s *State) InForce() uint64 { return s.inForce }
+
+// Settled returns the membership whose shares are in use.
+func (s *State) Settled() *vm.Membership { return s.settled }
+
+// Pending returns the membership under way, or nil.
+func (s *State) Pending() *vm.Membership { return s.pending }
+
+// LeaseBound returns the longest lease that any daemon may still hold. It
+// outlasts a change that shortens the lease, until LeaseBoundCommand.
+func (s *State) LeaseBound() time.Duration { return s.leaseBound }
+
+func (s *State) applyInForce(c *wire.InForceCommand) Result {
+	if c.Version <= s.inForce || c.Version > s.version {
+		return Result{}
+	}
+	ms := s.advanceClock(c.UnixMs)
+	s.steps.markInForce(s.inForce+1, c.Version, ms)
+	s.inForce = c.Version
+	return Result{InForce: c.Version, InForceUnixMS: ms, Moved: true}
+}
+
+func (s *State) applyLeaseBound(d time.Duration) {
+	s.leaseBound = max(d, s.tree.Tier().DaemonLease)
+}
+
+// advanceClock keeps recorded times in the order of the log when the wall clock
+// of a new leader is behind its predecessor's or was stepped back.
+func (s *State) advanceClock(unixMS int64) int64 {
+	s.lastUnixMS = max(s.lastUnixMS, unixMS)
+	return s.lastUnixMS
+}
