load: open-loop load with callers that fail over, and answers checked

Requests start on a Poisson or constant schedule that never waits for answers; latency counts from the scheduled start into HDR histograms. Callers keep address lists for their lifetime and resend a not-repeatable request only under its key. Answers are compared with the documents of the stand-in leaves: lost, doubled, mixed and foreign hits, untrue coverage.

--- /dev/null
+++ b/internal/load/caller.go
@@ -0,0 +1,208 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pearmoor/internal/contract"
+)
+
+const (
+	addressesPath = "/v1/addresses"
+	queryPath     = "/v1/query"
+	answerLimit   = 64 << 20
+	failoverPause = 20 * time.Millisecond // before a second round over a fresh list
+)
+
+// caller keeps address lists for their lifetime, one per path.
+type caller struct {
+	http    *http.Client
+	entries []string
+
+	mu    sync.Mutex
+	lists map[string]*addressList
+}
+
+// addressList is filled once, by the first request that needs it.
+type addressList struct {
+	mu    sync.Mutex
+	reply *contract.Addresses
+	until time.Time
+}
+
+func newCaller(client *http.Client, entries []string) *caller {
+	return &caller{http: client, entries: entries, lists: make(map[string]*addressList)}
+}
+
+// outcome is how one request ended.
+type outcome struct {
+	answer    *contract.Answer  // nil unless the status was 200
+	failure   *contract.Failure // nil when there was an answer or no daemon replied
+	err       error             // the last transport error when no daemon replied
+	failovers int               // attempts at a further address
+	resends   int               // failovers of a not-repeatable request that may have arrived
+	session   string
+}
+
+// addresses returns the list for a path, asking for a new one when it is too old.
+func (c *caller) addresses(ctx context.Context, path string) (*contract.Addresses, error) {
+	c.mu.Lock()
+	l := c.lists[path]
+	if l == nil {
+		l = &addressList{}
+		c.lists[path] = l
+	}
+	c.mu.Unlock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.reply != nil && time.Now().Before(l.until) {
+		return l.reply, nil
+	}
+	reply, err := c.ask(ctx, path, l.reply)
+	if err != nil {
+		return nil, err
+	}
+	l.reply = reply
+	l.until = time.Now().Add(time.Duration(reply.LifetimeMS) * time.Millisecond)
+	return reply, nil
+}
+
+func (c *caller) forget(path string, old *contract.Addresses) {
+	c.mu.Lock()
+	l := c.lists[path]
+	c.mu.Unlock()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.reply == old {
+		l.until = time.Time{}
+	}
+}
+
+// ask requests a list from the daemons of the old one and from the entries.
+func (c *caller) ask(ctx context.Context, path string, old *contract.Addresses) (*contract.Addresses, error) {
+	var bases []string
+	if old != nil {
+		for _, a := range old.Addresses {
+			bases = append(bases, a.URL)
+		}
+	}
+	for _, i := range rand.Perm(len(c.entries)) {
+		bases = append(bases, c.entries[i])
+	}
+	var last error
+	for _, base := range bases {
+		reply, err := c.askOne(ctx, base, path)
+		if err == nil {
+			return reply, nil
+		}
+		last = err
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, last
+}
+
+func (c *caller) askOne(ctx context.Context, base, path string) (*contract.Addresses, error) {
+	u := base + addressesPath + "?service=" + url.QueryEscape(path)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.http.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, answerLimit))
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Newf("%s: %s: %s", u, resp.Status, bytes.TrimSpace(body))
+	}
+	var reply contract.Addresses
+	if err := json.Unmarshal(body, &reply); err != nil {
+		return nil, errors.Wrap(err, u)
+	}
+	if len(reply.Addresses) == 0 {
+		return nil, errors.Newf("%s: the list is empty", u)
+	}
+	return &reply, nil
+}
+
+// query sends a request, failing over along the address list until the deadline.
+// A session given in q is kept: it is that of a resend.
+func (c *caller) query(ctx context.Context, q contract.Request, deadline time.Time) outcome {
+	var out outcome
+	for first := true; ; first = false {
+		if !first && !sleepUntil(ctx, time.Now().Add(failoverPause)) {
+			return out
+		}
+		list, err := c.addresses(ctx, q.Path)
+		if err != nil {
+			out.err = err
+			return out
+		}
+		if q.Session == "" && !q.IsRepeatable() {
+			q.Session = list.Session
+		}
+		out.session = q.Session
+		for _, a := range list.Addresses {
+			if c.try(ctx, a.URL, q, deadline, &out) {
+				return out
+			}
+			out.failovers++
+		}
+		c.forget(q.Path, list)
+	}
+}
+
+// try sends to one address; it returns true when the request is decided.
+func (c *caller) try(ctx context.Context, base string, q contract.Request, deadline time.Time, out *outcome) bool {
+	left := time.Until(deadline)
+	if left < time.Millisecond || ctx.Err() != nil {
+		if out.err == nil {
+			out.err = context.DeadlineExceeded
+		}
+		return true
+	}
+	q.DeadlineMS = left.Milliseconds()
+	status, body, wrote, err := c.post(ctx, base+queryPath, &q)
+	if err != nil {
+		out.err, out.failure = err, nil
+		if wrote && !q.IsRepeatable() {
+			out.resends++
+		}
+		return false
+	}
+	out.err = nil
+	if status == http.StatusOK {
+		out.answer = new(contract.Answer)
+		out.err = json.Unmarshal(body, out.answer)
+		return true
+	}
+	out.failure = new(contract.Failure)
+	if err := json.Unmarshal(body, out.failure); err != nil {
+		out.err = errors.Wrapf(err, "status %d", status)
+		return true
+	}
+	return !elsewhere(out.failure)
+}
+
+// elsewhere reports whether another address may do what this one refused.
+func elsewhere(f *contract.Failure) bool {
+	if f.Verdict != contract.NotRun {
+		return false
+	}
+	return f.Reason == contract.ReasonDraining || f.Reason == contract.ReasonUnconfirmed
+}
--- /dev/null
+++ b/internal/load/config.go
@@ -0,0 +1,79 @@
+package load
+
+import (
+	"crypto/tls"
+	"fmt"
+	"strings"
+	"time"
+
+	"pearmoor/internal/contract"
+)
+
+// Config describes a run.
+type Config struct {
+	Entries       []string // base URLs of daemons to ask for addresses
+	Paths         []string // nodes of the tree; requests go to them in turn
+	Rate          float64  // requests a second over all paths
+	Arrivals      Arrivals
+	Duration      time.Duration
+	Deadline      time.Duration // of each request, from its scheduled start
+	NotRepeatable float64       // share of requests sent as not repeatable, 0..1
+	Resend        float64       // share of not-repeatable requests sent a second time under the same key after their outcome
+	Callers       int           // each keeps its own address lists
+	Outstanding   int           // most requests under way in this process; arrivals beyond are counted as skipped
+	Window        time.Duration // width of a point in the plots
+	Seed          uint64
+	Standin       string // control URL of stand-in leaves: in flight per leaf and runs; may be empty
+	TLS           *tls.Config
+}
+
+// The defaults of Config's zero fields.
+const (
+	DefaultCallers     = 8
+	DefaultOutstanding = 4096
+	DefaultWindow      = time.Second
+	DefaultDeadline    = time.Second
+)
+
+func (c *Config) fill() {
+	if c.Arrivals == "" {
+		c.Arrivals = Poisson
+	}
+	if c.Callers == 0 {
+		c.Callers = DefaultCallers
+	}
+	if c.Outstanding == 0 {
+		c.Outstanding = DefaultOutstanding
+	}
+	if c.Window == 0 {
+		c.Window = DefaultWindow
+	}
+	if c.Deadline == 0 {
+		c.Deadline = DefaultDeadline
+	}
+}
+
+// validate returns contract.Faults that list every value at fault.
+func (c *Config) validate() error {
+	var fs contract.Faults
+	fault := func(bad bool, field string, value any, why, fix string) {
+		if bad {
+			fs = append(fs, contract.Fault{Field: field, Value: fmt.Sprint(value), Why: why, Fix: fix})
+		}
+	}
+	fault(len(c.Entries) == 0, "entries", "", "no daemon is named", "give the base URL of at least one")
+	for _, e := range c.Entries {
+		fault(!strings.HasPrefix(e, "http://") && !strings.HasPrefix(e, "https://"), "entries", e, "is no base URL", "write http://host:port")
+	}
+	fault(len(c.Paths) == 0, "paths", "", "no path is named", "give a node of the tree")
+	fault(!(c.Rate > 0), "rate", c.Rate, "is not above 0", "give requests a second")
+	fault(c.Arrivals != Poisson && c.Arrivals != Constant, "arrivals", c.Arrivals, "is unknown", "use poisson or constant")
+	fault(c.Duration <= 0, "duration", c.Duration, "is not above 0", "give a time such as 30s")
+	fault(c.Deadline < time.Millisecond, "deadline", c.Deadline, "is under a millisecond", "give a time such as 500ms")
+	fault(!(c.NotRepeatable >= 0 && c.NotRepeatable <= 1), "not-repeatable", c.NotRepeatable, "is no share", "use 0 to 1")
+	fault(!(c.Resend >= 0 && c.Resend <= 1), "resend", c.Resend, "is no share", "use 0 to 1")
+	fault(c.Callers < 1, "callers", c.Callers, "is under 1", "use 1 or more")
+	fault(c.Outstanding < 1, "outstanding", c.Outstanding, "is under 1", "use 1 or more")
+	fault(c.Window < time.Millisecond, "window", c.Window, "is under a millisecond", "give a time such as 1s")
+	return fs.ErrOrNil()
+}
--- /dev/null
+++ b/internal/load/leaves.go
@@ -0,0 +1,180 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pearmoor/internal/standin"
+)
+
+const statsLimit = 10 * time.Second
+
+// LeafSeries is what one leaf had in flight over the run.
+type LeafSeries struct {
+	Name    string    `json:"name"`
+	Service string    `json:"service"`
+	Slots   int       `json:"slots"`
+	Most    []int     `json:"most_in_flight"` // in each window: running plus queued
+	At      []float64 `json:"at_s"`           // end of each window, from the start of the run
+}
+
+// LeafReport is the leaves' own side of a run.
+type LeafReport struct {
+	Runs           standin.RunStats   `json:"runs"` // of this run alone
+	MostInFlight   int                `json:"most_in_flight"`
+	MostOverSlots  float64            `json:"most_in_flight_over_slots"`
+	MostOpen       int                `json:"most_open"`
+	MostOverCap    float64            `json:"most_open_over_cap"`
+	Opened         uint64             `json:"connections_opened"`
+	ConnsRefused   uint64             `json:"connections_refused"`
+	Refused        uint64             `json:"refused"`
+	Expired        uint64             `json:"expired"`
+	Cancelled      uint64             `json:"cancelled"`
+	WhileDraining  uint64             `json:"while_draining"`
+	Series         []LeafSeries       `json:"series,omitempty"`
+	before, latest standin.FleetStats // first and last reading
+}
+
+// watcher polls the statistics of stand-in leaves during a run.
+type watcher struct {
+	http   *http.Client
+	url    string
+	start  time.Time
+	report LeafReport
+}
+
+func newWatcher(ctx context.Context, client *http.Client, control string) (*watcher, error) {
+	w := &watcher{http: client, url: strings.TrimSuffix(strings.TrimSpace(control), "/")}
+	if err := Command(ctx, client, w.url, standin.Command{ResetPeaks: true}); err != nil {
+		return nil, err
+	}
+	st, err := w.read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	w.start = time.Now()
+	w.report.before = *st
+	for _, l := range st.Leaves {
+		w.report.Series = append(w.report.Series, LeafSeries{Name: l.Name, Service: strings.Join(l.Services, ","), Slots: l.Slots})
+	}
+	return w, nil
+}
+
+// Command sends a control command to stand-in leaves.
+func Command(ctx context.Context, client *http.Client, control string, c standin.Command) error {
+	payload, err := json.Marshal(c)
+	if err != nil {
+		return err
+	}
+	control = strings.TrimSuffix(strings.TrimSpace(control), "/")
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, control+standin.ControlPath, strings.NewReader(string(payload)))
+	if err != nil {
+		return err
+	}
+	resp, err := client.Do(r)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Newf("stand-in control: %s", resp.Status)
+	}
+	return nil
+}
+
+func (w *watcher) read(ctx context.Context) (*standin.FleetStats, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, w.url+standin.StatsPath+"?window=1", nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := w.http.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Newf("stand-in statistics: %s", resp.Status)
+	}
+	st := new(standin.FleetStats)
+	return st, json.NewDecoder(resp.Body).Decode(st)
+}
+
+// run polls until ctx ends, and once more after that.
+func (w *watcher) run(ctx context.Context, window time.Duration) error {
+	tick := time.NewTicker(window)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			if st, err := w.read(ctx); err == nil {
+				w.add(st)
+			}
+		case <-ctx.Done():
+			last, cancel := context.WithTimeout(context.WithoutCancel(ctx), statsLimit)
+			defer cancel()
+			st, err := w.read(last)
+			if err != nil {
+				return err
+			}
+			w.add(st)
+			return nil
+		}
+	}
+}
+
+func (w *watcher) add(st *standin.FleetStats) {
+	w.report.latest = *st
+	at := time.Since(w.start).Seconds()
+	for i, l := range st.Leaves {
+		if i >= len(w.report.Series) {
+			break
+		}
+		s := &w.report.Series[i]
+		s.Most = append(s.Most, l.WindowInFlight)
+		s.At = append(s.At, at)
+	}
+}
+
+// finish sums up the run from the first and the last reading.
+func (w *watcher) finish() *LeafReport {
+	r := &w.report
+	r.Runs.Total = r.latest.Runs.Total - r.before.Runs.Total
+	r.Runs.Extra = r.latest.Runs.Extra - r.before.Runs.Extra
+	r.Runs.NotRepeatable = r.latest.Runs.NotRepeatable - r.before.Runs.NotRepeatable
+	r.Runs.Doubled = r.latest.Runs.Doubled - r.before.Runs.Doubled
+	for i, l := range r.latest.Leaves {
+		b := r.before.Leaves[i]
+		r.MostInFlight = max(r.MostInFlight, l.MostInFlight)
+		r.MostOverSlots = max(r.MostOverSlots, float64(l.MostInFlight)/float64(l.Slots))
+		r.MostOpen = max(r.MostOpen, l.MostOpen)
+		if l.Connections > 0 {
+			r.MostOverCap = max(r.MostOverCap, float64(l.MostOpen)/float64(l.Connections))
+		}
+		r.Opened += l.Opened - b.Opened
+		r.ConnsRefused += l.ConnectionsRefused - b.ConnectionsRefused
+		r.Refused += l.Refused + l.QueueRefused - b.Refused - b.QueueRefused
+		r.Expired += l.Expired - b.Expired
+		r.Cancelled += l.Cancelled - b.Cancelled
+		r.WhileDraining += l.WhileDraining - b.WhileDraining
+	}
+	return r
+}
+
+// busiest returns the n series with the highest peaks, highest first.
+func (r *LeafReport) busiest(n int) []LeafSeries {
+	peak := func(s LeafSeries) int {
+		if len(s.Most) == 0 {
+			return 0
+		}
+		return slices.Max(s.Most)
+	}
+	sorted := slices.Clone(r.Series)
+	slices.SortStableFunc(sorted, func(a, b LeafSeries) int { return peak(b) - peak(a) })
+	return sorted[:min(n, len(sorted))]
+}
--- /dev/null
+++ b/internal/load/plot.go
@@ -0,0 +1,87 @@
+package load
+
+import (
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	plotWidth   = 20 * vg.Centimeter
+	plotHeight  = 12 * vg.Centimeter
+	plotLeaves  = 10  // most leaves drawn, the busiest
+	plotLowest  = 0.1 // ms; the log axis has no zero
+	axisSeconds = "time since start (s)"
+)
+
+// PlotLatency draws the latency quantiles of each window as an SVG file.
+func PlotLatency(path string, windows []Window) error {
+	p := plot.New()
+	p.Title.Text = "latency from the scheduled start"
+	p.X.Label.Text = axisSeconds
+	p.Y.Label.Text = "latency (ms, log)"
+	p.Y.Scale = plot.LogScale{}
+	p.Y.Tick.Marker = plot.LogTicks{Prec: -1}
+	p.Y.Min, p.Y.Max = plotLowest, 1
+	p.Legend.Top = true
+	for i, line := range []struct {
+		name string
+		at   func(Quantiles) float64
+	}{
+		{"p50", func(q Quantiles) float64 { return q.P50 }},
+		{"p90", func(q Quantiles) float64 { return q.P90 }},
+		{"p99", func(q Quantiles) float64 { return q.P99 }},
+		{"p99.9", func(q Quantiles) float64 { return q.P999 }},
+	} {
+		var xy plotter.XYs
+		for _, w := range windows {
+			if w.Count == 0 {
+				continue
+			}
+			at := (time.Duration(w.StartMS) * time.Millisecond).Seconds()
+			xy = append(xy, plotter.XY{X: at, Y: max(line.at(w.Quantiles), plotLowest)})
+		}
+		if err := addLine(p, i, line.name, xy); err != nil {
+			return err
+		}
+	}
+	return p.Save(plotWidth, plotHeight, path)
+}
+
+// PlotLeaves draws the most in flight per leaf over its slots as an SVG file.
+func PlotLeaves(path string, r *LeafReport) error {
+	p := plot.New()
+	p.Title.Text = "most in flight per leaf over its slots (busiest leaves)"
+	p.X.Label.Text = axisSeconds
+	p.Y.Label.Text = "in flight / slots"
+	p.Y.Min, p.Y.Max = 0, 1
+	p.Legend.Top = true
+	for i, s := range r.busiest(plotLeaves) {
+		xy := make(plotter.XYs, len(s.Most))
+		for j := range s.Most {
+			xy[j] = plotter.XY{X: s.At[j], Y: float64(s.Most[j]) / float64(s.Slots)}
+		}
+		if err := addLine(p, i, s.Service+" "+s.Name, xy); err != nil {
+			return err
+		}
+	}
+	return p.Save(plotWidth, plotHeight, path)
+}
+
+func addLine(p *plot.Plot, i int, name string, xy plotter.XYs) error {
+	if len(xy) == 0 {
+		return nil
+	}
+	l, err := plotter.NewLine(xy)
+	if err != nil {
+		return err
+	}
+	l.Color = plotutil.Color(i)
+	l.Dashes = plotutil.Dashes(i / len(plotutil.SoftColors))
+	p.Add(l)
+	p.Legend.Add(name, l)
+	return nil
+}
--- /dev/null
+++ b/internal/load/post.go
@@ -0,0 +1,37 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+
+	"pearmoor/internal/contract"
+)
+
+// post sends q; wrote tells whether any of it may have left.
+func (c *caller) post(ctx context.Context, u string, q *contract.Request) (status int, body []byte, wrote bool, err error) {
+	payload, err := json.Marshal(q)
+	if err != nil {
+		return 0, nil, false, err
+	}
+	var left atomic.Bool
+	trace := &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { left.Store(true) },
+	}
+	r, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), http.MethodPost, u, bytes.NewReader(payload))
+	if err != nil {
+		return 0, nil, false, err
+	}
+	r.Header.Set("Content-Type", "application/json")
+	resp, err := c.http.Do(r)
+	if err != nil {
+		return 0, nil, left.Load(), err
+	}
+	defer resp.Body.Close()
+	body, err = io.ReadAll(io.LimitReader(resp.Body, answerLimit))
+	return resp.StatusCode, body, true, err
+}
--- /dev/null
+++ b/internal/load/result.go
@@ -0,0 +1,140 @@
+package load
+
+import (
+	"sync"
+	"time"
+
+	"pearmoor/internal/contract"
+)
+
+// Result is what a run measured.
+type Result struct {
+	Rate       float64 `json:"rate"`
+	DurationMS int64   `json:"duration_ms"`
+	Scheduled  int     `json:"scheduled"`
+	Skipped    int     `json:"skipped"` // not started: this process had too many under way
+	Answered   int     `json:"answered"`
+	Refused    int     `json:"refused"`  // verdict not_run
+	InDoubt    int     `json:"in_doubt"` // verdict may_have_run
+	Failed     int     `json:"failed"`   // no daemon replied before the deadline
+	Late       int     `json:"late"`     // answered after the deadline
+	Failovers  int     `json:"failovers"`
+	Whole      int     `json:"whole"`         // answered with every shard
+	Goodput    float64 `json:"goodput"`       // whole answers in time, a second
+	Coverage   float64 `json:"mean_coverage"` // over the answered
+	Extra      int     `json:"extra_attempts"`
+	Errors     int     `json:"broken_answers"` // 200 with a body that can't be read
+
+	Reasons map[contract.Reason]int `json:"reasons"` // of refusals and doubts
+	Missing map[contract.Reason]int `json:"missing"` // of shards not covered
+	Check   Check                   `json:"check"`
+	Once    Once                    `json:"not_repeatable"`
+
+	Answers  Quantiles   `json:"answer_latency"`
+	Refusals Quantiles   `json:"refusal_latency"`
+	Windows  []Window    `json:"windows"` // of answers
+	Leaves   *LeafReport `json:"leaves,omitempty"`
+}
+
+// Once counts the not-repeatable requests.
+type Once struct {
+	Sent     int `json:"sent"`
+	Ran      int `json:"ran"`
+	NotRun   int `json:"not_run"`
+	InDoubt  int `json:"in_doubt"`
+	Resends  int `json:"resends"`  // sent again under the same key
+	Changed  int `json:"changed"`  // resends told another outcome than a first that was certain
+	Repeated int `json:"repeated"` // resends answered with the first outcome
+}
+
+// tally gathers the results of requests that run at once.
+type tally struct {
+	mu       sync.Mutex
+	res      Result
+	coverage float64 // sum over the answered
+	good     int     // whole and in time
+	answers  *Recorder
+	refusals *Recorder
+}
+
+func newTally(start time.Time, window time.Duration) *tally {
+	return &tally{
+		res:      Result{Reasons: map[contract.Reason]int{}, Missing: map[contract.Reason]int{}},
+		answers:  NewRecorder(start, window),
+		refusals: NewRecorder(start, window),
+	}
+}
+
+func (t *tally) skip() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.res.Scheduled++
+	t.res.Skipped++
+}
+
+// add counts one request that ended latency after its scheduled start.
+func (t *tally) add(o *outcome, runKey string, intended time.Time, latency, deadline time.Duration) {
+	var check Check
+	if o.answer != nil && o.err == nil {
+		check = CheckAnswer(o.answer, runKey)
+		t.answers.Record(intended, latency)
+	} else if o.failure != nil {
+		t.refusals.Record(intended, latency)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := &t.res
+	r.Scheduled++
+	r.Failovers += o.failovers
+	switch {
+	case o.answer != nil && o.err != nil:
+		r.Errors++
+	case o.answer != nil:
+		t.answered(o.answer, check, latency <= deadline)
+	case o.failure != nil && o.failure.Verdict == contract.NotRun:
+		r.Refused++
+		r.Reasons[o.failure.Reason]++
+	case o.failure != nil:
+		r.InDoubt++
+		r.Reasons[o.failure.Reason]++
+	default:
+		r.Failed++
+	}
+}
+
+func (t *tally) answered(a *contract.Answer, check Check, inTime bool) {
+	r := &t.res
+	r.Answered++
+	r.Extra += a.ExtraAttempts
+	r.Check.Add(check)
+	t.coverage += a.Coverage.Fraction()
+	for _, m := range a.Coverage.Missing {
+		r.Missing[m.Reason]++
+	}
+	whole := a.Coverage.Total > 0 && a.Coverage.Answered == a.Coverage.Total
+	if whole {
+		r.Whole++
+	}
+	if !inTime {
+		r.Late++
+	}
+	if whole && inTime {
+		t.good++
+	}
+}
+
+func (t *tally) finish(c *Config) *Result {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := &t.res
+	r.Rate = c.Rate
+	r.DurationMS = c.Duration.Milliseconds()
+	r.Goodput = float64(t.good) / c.Duration.Seconds()
+	if r.Answered > 0 {
+		r.Coverage = t.coverage / float64(r.Answered)
+	}
+	r.Answers = t.answers.Total()
+	r.Refusals = t.refusals.Total()
+	r.Windows = t.answers.Windows()
+	return r
+}
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,178 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"pearmoor/internal/contract"
+)
+
+// grace lets the reply of a request reach the caller after its deadline, so
+// that a late answer is seen and counted as late.
+const grace = 2 * time.Second
+
+// idlePerHost keeps a caller's connections open between bursts.
+const idlePerHost = 512
+
+// Run runs load as cfg describes. It returns when the last request has ended;
+// when ctx ends, no further request starts.
+func Run(ctx context.Context, cfg Config) (*Result, error) {
+	cfg.fill()
+	if err := cfg.validate(); err != nil {
+		return nil, err
+	}
+	schedule, err := NewSchedule(cfg.Arrivals, cfg.Rate, cfg.Duration, cfg.Seed)
+	if err != nil {
+		return nil, err
+	}
+	transport := &http.Transport{MaxIdleConnsPerHost: idlePerHost, TLSClientConfig: cfg.TLS}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: transport}
+
+	watchCtx, stopWatch := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWatch()
+	var watch *watcher
+	var watching errgroup.Group
+	if cfg.Standin != "" {
+		if watch, err = newWatcher(ctx, client, cfg.Standin); err != nil {
+			return nil, err
+		}
+		watching.Go(func() error { return watch.run(watchCtx, cfg.Window) })
+	}
+	r := newRunner(&cfg, client)
+	Drive(ctx, schedule, cfg.Outstanding, r.one, func(int, time.Time) { r.tally.skip() })
+	stopWatch()
+	if err := watching.Wait(); err != nil {
+		return nil, err
+	}
+	res := r.tally.finish(&cfg)
+	if watch != nil {
+		res.Leaves = watch.finish()
+	}
+	return res, nil
+}
+
+type runner struct {
+	cfg     *Config
+	run     string // unique over runs, so that keys are
+	callers []*caller
+	tally   *tally
+
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+func newRunner(cfg *Config, client *http.Client) *runner {
+	r := &runner{
+		cfg:    cfg,
+		run:    fmt.Sprintf("%x", rand.Uint64()),
+		tally:  newTally(time.Now(), cfg.Window),
+		random: rand.New(rand.NewPCG(cfg.Seed, ^cfg.Seed)),
+	}
+	for range cfg.Callers {
+		r.callers = append(r.callers, newCaller(client, cfg.Entries))
+	}
+	return r
+}
+
+func (r *runner) chance(share float64) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.random.Float64() < share
+}
+
+// one runs the n-th request of the schedule.
+func (r *runner) one(n int, intended time.Time) {
+	deadline := intended.Add(r.cfg.Deadline)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(grace))
+	defer cancel()
+	c := r.callers[n%len(r.callers)]
+	q := r.request(n)
+	o := c.query(ctx, q, deadline)
+	runKey := r.key(n)
+	r.tally.add(&o, runKey, intended, time.Since(intended), r.cfg.Deadline)
+	if q.IsRepeatable() {
+		return
+	}
+	var again *outcome
+	if o.session != "" && r.chance(r.cfg.Resend) {
+		q.Session = o.session
+		resent := c.resend(q, r.cfg.Deadline)
+		again = &resent
+	}
+	r.tally.addOnce(&o, again)
+}
+
+func (r *runner) key(n int) string { return fmt.Sprintf("%s-%d", r.run, n) }
+
+func (r *runner) request(n int) contract.Request {
+	key := r.key(n)
+	body, err := json.Marshal(struct {
+		RunKey string `json:"run_key"`
+	}{key})
+	if err != nil {
+		panic(err) // a struct of a string always marshals
+	}
+	q := contract.Request{Path: r.cfg.Paths[n%len(r.cfg.Paths)], Body: body}
+	if r.chance(r.cfg.NotRepeatable) {
+		repeatable := false
+		q.Repeatable = &repeatable
+		q.Key = key
+	}
+	return q
+}
+
+// resend sends a decided request once more under its key, as a caller does that
+// never saw the reply.
+func (c *caller) resend(q contract.Request, limit time.Duration) outcome {
+	deadline := time.Now().Add(limit)
+	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(grace))
+	defer cancel()
+	return c.query(ctx, q, deadline)
+}
+
+// verdict is what the caller knows of a request that has ended.
+func (o *outcome) verdict() contract.Verdict {
+	switch {
+	case o.answer != nil && o.err == nil:
+		return contract.Ran
+	case o.failure != nil && o.err == nil:
+		return o.failure.Verdict
+	default:
+		return contract.MayHaveRun
+	}
+}
+
+// addOnce counts a not-repeatable request and its resend, if there was one.
+func (t *tally) addOnce(first, again *outcome) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	o := &t.res.Once
+	o.Sent++
+	switch first.verdict() {
+	case contract.Ran:
+		o.Ran++
+	case contract.NotRun:
+		o.NotRun++
+	default:
+		o.InDoubt++
+	}
+	o.Resends += first.resends
+	if again == nil {
+		return
+	}
+	o.Resends++
+	switch {
+	case again.verdict() == first.verdict():
+		o.Repeated++
+	case first.verdict() == contract.Ran && again.verdict() == contract.NotRun:
+		o.Changed++
+	}
+}
--- /dev/null
+++ b/internal/load/schedule.go
@@ -0,0 +1,107 @@
+package load
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Arrivals names how the gaps between requests are drawn.
+type Arrivals string
+
+// The arrival processes.
+const (
+	Poisson  Arrivals = "poisson"  // exponential gaps, as from many callers of their own mind
+	Constant Arrivals = "constant" // equal gaps
+)
+
+// Schedule yields the scheduled starts of requests, as offsets from the start
+// of the run. It depends on nothing but its parameters.
+type Schedule struct {
+	arrivals Arrivals
+	gap      float64 // mean, in nanoseconds
+	end      time.Duration
+	random   *rand.Rand
+	at       float64
+}
+
+// NewSchedule returns a schedule of rate requests a second for d.
+func NewSchedule(a Arrivals, rate float64, d time.Duration, seed uint64) (*Schedule, error) {
+	if a != Poisson && a != Constant {
+		return nil, errors.Newf("arrivals %q are unknown; use %s or %s", a, Poisson, Constant)
+	}
+	if !(rate > 0) || math.IsInf(rate, 1) {
+		return nil, errors.Newf("rate %v is not above 0", rate)
+	}
+	return &Schedule{
+		arrivals: a,
+		gap:      float64(time.Second) / rate,
+		end:      d,
+		random:   rand.New(rand.NewPCG(seed, seed)),
+	}, nil
+}
+
+// Next returns the next start, and false past the end.
+func (s *Schedule) Next() (time.Duration, bool) {
+	gap := s.gap
+	if s.arrivals == Poisson {
+		gap *= s.random.ExpFloat64()
+	}
+	s.at += gap
+	at := time.Duration(s.at)
+	return at, at < s.end
+}
+
+// Drive starts do at every scheduled instant, each in its own goroutine, and
+// returns when all have returned. The schedule never waits for do. When
+// outstanding calls reach limit (0: no limit), a further one is not started
+// and passed to skip; when ctx ends, no further one starts.
+func Drive(ctx context.Context, s *Schedule, limit int, do func(n int, intended time.Time), skip func(n int, intended time.Time)) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	free := make(chan struct{}, max(limit, 1))
+	start := time.Now()
+	for n := 0; ; n++ {
+		at, ok := s.Next()
+		if !ok {
+			return
+		}
+		intended := start.Add(at)
+		if !sleepUntil(ctx, intended) {
+			return
+		}
+		if limit > 0 {
+			select {
+			case free <- struct{}{}:
+			default:
+				skip(n, intended)
+				continue
+			}
+		}
+		wg.Go(func() {
+			do(n, intended)
+			if limit > 0 {
+				<-free
+			}
+		})
+	}
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	d := time.Until(at)
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
