--- /dev/null
+++ b/internal/quorum/chaos_test.go
@@ -0,0 +1,251 @@
+package quorum
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// world is the cluster as rapid drives it.
+type world struct {
+	*cluster
+	spare  map[uint64]*host // added VMs by id, and replaced disks to be added under a new id
+	nextID uint64
+	lost   int // voters' disks lost for good and not yet removed
+}
+
+// Callers see commits, compare-and-set results and reads while VMs crash in the
+// middle of their work, disks are replaced, links are cut one way, messages are
+// lost, repeated and reordered, and the group changes. Whatever the order, no
+// term has two leaders, no commit is lost or changed, and no read is stale; when
+// the faults end the group goes on.
+func TestGroupSurvivesFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 5).Draw(t, "voters")
+		w := &world{cluster: newCluster(t, rapid.Uint64().Draw(t, "seed"), n), nextID: uint64(n) + 1}
+		if rapid.Bool().Draw(t, "formed") {
+			w.mustLead()
+			w.rounds(5)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"rounds":   w.actRounds,
+			"elect":    w.actElect,
+			"network":  w.actNetwork,
+			"cut":      w.actCut,
+			"propose":  w.actPropose,
+			"read":     w.actRead,
+			"crash":    w.actCrash,
+			"restart":  w.actRestart,
+			"compact":  w.actCompact,
+			"add":      w.actAdd,
+			"promote":  w.actPromote,
+			"remove":   w.actRemove,
+			"replace":  w.actReplace,
+			"handOver": w.actTransfer,
+		})
+		w.finish()
+	})
+}
+
+func (w *world) pick(t *rapid.T) *host {
+	hs := w.up()
+	if len(hs) == 0 {
+		t.Skip("all are down")
+	}
+	return hs[rapid.IntRange(0, len(hs)-1).Draw(t, "host")]
+}
+
+// pickLeader prefers whoever believes to lead, the stale ones included.
+func (w *world) pickLeader(t *rapid.T) *host {
+	var hs []*host
+	for _, h := range w.up() {
+		if h.m.role == Leader {
+			hs = append(hs, h)
+		}
+	}
+	if len(hs) == 0 {
+		t.Skip("nobody leads")
+	}
+	return hs[rapid.IntRange(0, len(hs)-1).Draw(t, "leader")]
+}
+
+func (w *world) actRounds(t *rapid.T) { w.rounds(rapid.IntRange(1, 30).Draw(t, "n")) }
+
+// actElect makes one VM's timeout come at once, to bring about equal votes.
+func (w *world) actElect(t *rapid.T) {
+	h := w.pick(t)
+	if h.m.role != Leader {
+		h.m.timeoutAt = h.m.tick
+		h.m.Tick()
+		w.pump(h)
+	}
+}
+
+func (w *world) actNetwork(t *rapid.T) {
+	w.loss = rapid.SampledFrom([]float64{0, 0, 0.1, 0.4}).Draw(t, "loss")
+	w.repeat = rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "repeat")
+	w.delay = rapid.SampledFrom([]float64{0, 0.3, 0.8}).Draw(t, "delay")
+}
+
+func (w *world) actCut(t *rapid.T) {
+	if rapid.Bool().Draw(t, "heal") {
+		clear(w.cut)
+		return
+	}
+	a, b := w.pick(t), w.pick(t)
+	w.cut[[2]uint64{a.disk, b.disk}] = true
+	if rapid.Bool().Draw(t, "both ways") {
+		w.cut[[2]uint64{b.disk, a.disk}] = true
+	}
+}
+
+func (w *world) actPropose(t *rapid.T) {
+	h := w.pickLeader(t)
+	for range rapid.IntRange(1, 8).Draw(t, "n") {
+		_, _, _ = h.m.Propose(command(h.state.value, w.rng.Uint64N(5), 0))
+	}
+	if rapid.Bool().Draw(t, "pump") {
+		w.pump(h)
+	}
+}
+
+func (w *world) actRead(t *rapid.T) {
+	h := w.pickLeader(t)
+	w.read(h)
+	w.pump(h)
+}
+
+func (w *world) actCrash(t *rapid.T) {
+	w.crash(w.pick(t), rapid.IntRange(afterEarly, wholly).Draw(t, "until"))
+}
+
+func (w *world) actRestart(t *rapid.T) {
+	for _, h := range w.sorted() {
+		if h.m == nil && !w.isLost(h) {
+			w.start(h)
+		}
+	}
+}
+
+// isLost reports whether the disk was replaced: another disk runs under its id.
+func (w *world) isLost(h *host) bool {
+	for _, o := range w.hosts {
+		if o.id == h.id && o.disk > h.disk {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *world) actCompact(t *rapid.T) {
+	w.compact(w.pick(t), rapid.Uint64Range(0, 5).Draw(t, "keep"))
+}
+
+func (w *world) actAdd(t *rapid.T) {
+	h := w.pickLeader(t)
+	if w.nextID > 9 {
+		t.Skip("enough VMs")
+	}
+	n := w.addHost(w.nextID, nil)
+	w.nextID++
+	_, _, err := h.m.ProposeConf(ConfChange{AddLearner, &Member{Id: n.id, Disk: n.disk}})
+	if err != nil {
+		delete(w.hosts, n.disk) // was never heard of
+		return
+	}
+	w.pump(h)
+}
+
+func (w *world) actPromote(t *rapid.T) {
+	h := w.pickLeader(t)
+	for _, b := range h.m.conf().Members {
+		if b.Learner {
+			_, _, _ = h.m.ProposeConf(ConfChange{Promote, b})
+		}
+	}
+	w.pump(h)
+}
+
+func (w *world) actRemove(t *rapid.T) {
+	h := w.pickLeader(t)
+	bs := h.m.conf().Members
+	b := bs[rapid.IntRange(0, len(bs)-1).Draw(t, "member")]
+	_, _, _ = h.m.ProposeConf(ConfChange{Remove, b})
+	w.pump(h)
+}
+
+// actReplace loses a VM's disk and starts it again on a blank one under the same
+// id and with the same start-up flags, as an operator would who knows no better.
+// The group is promised to live through one such loss at a time.
+func (w *world) actReplace(t *rapid.T) {
+	h := w.pick(t)
+	if w.lost > 0 {
+		t.Skip("one disk at a time")
+	}
+	for _, o := range w.up() {
+		if voterCount(o.m.conf()) == 1 {
+			t.Skip("the only copy may be on this disk")
+		}
+	}
+	w.lost++
+	genesis := h.stored.Snapshot
+	if genesis.GetIndex() != 0 {
+		genesis = nil
+	}
+	h.m = nil
+	w.addHost(h.id, genesis)
+}
+
+func (w *world) actTransfer(t *rapid.T) {
+	h := w.pickLeader(t)
+	_ = h.m.Transfer(0)
+	w.pump(h)
+}
+
+// finish ends all faults. Whatever group the newest leader states, if a quorum of
+// its disks is left, it elects a leader and commits, and all agree.
+func (w *world) finish() {
+	for _, h := range w.sorted() {
+		if h.m == nil && !w.isLost(h) {
+			w.start(h)
+		}
+	}
+	w.calm(150)
+	if !w.canDecide() {
+		return
+	}
+	h := w.mustLead()
+	index := w.mustCommit(h)
+	for _, b := range h.m.conf().Members {
+		o := w.hosts[b.Disk]
+		if o != nil && o.m != nil && o.state.applied < index {
+			w.t.Fatalf("member %d holds %d of %d after the faults ended: %s", o.id, o.state.applied, index, w)
+		}
+	}
+}
+
+// canDecide reports whether the disks of a quorum are there, both for the group
+// last committed and for every later one that a running VM might go by.
+func (w *world) canDecide() bool {
+	if w.group == nil {
+		return w.lost == 0 // a new group needs all of its first disks
+	}
+	groups := []*Conf{w.group}
+	for _, h := range w.up() {
+		if h.m.confs.newest().index > w.groupAt {
+			groups = append(groups, h.m.conf())
+		}
+	}
+	for _, c := range groups {
+		n := 0
+		for _, b := range c.Members {
+			if o := w.hosts[b.Disk]; !b.Learner && o != nil && o.m != nil {
+				n++
+			}
+		}
+		if n < quorumSize(c) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/quorum/config.go
+++ b/internal/quorum/config.go
@@ -5,12 +5,17 @@
 // MaxMembers is the most members, voters and learners together, of a group.
 const MaxMembers = 8
 
+// minElectionTicks leaves a tick between the end of QuorumActive and the first
+// vote for another leader.
+const minElectionTicks = 4
+
 // Config sets up a Machine.
 type Config struct {
 	ID uint64 // never 0, never reused by another VM or disk
 
 	// ElectionTicks is the minimum election timeout; each timeout is drawn from
-	// [ElectionTicks, 2*ElectionTicks). It must be at least 3*HeartbeatTicks.
+	// [ElectionTicks, 2*ElectionTicks). It must be at least 4 and
+	// 3*HeartbeatTicks.
 	ElectionTicks  int
 	HeartbeatTicks int
 
@@ -36,9 +41,9 @@
 		return errors.New("quorum: ID=0 means nobody; use 1 or more")
 	case c.HeartbeatTicks < 1:
 		return errors.Newf("quorum: HeartbeatTicks=%d is too short; use 1 or more", c.HeartbeatTicks)
-	case c.ElectionTicks < 3*c.HeartbeatTicks:
-		return errors.Newf("quorum: ElectionTicks=%d would not survive a lost heartbeat; use at least 3*HeartbeatTicks=%d",
-			c.ElectionTicks, 3*c.HeartbeatTicks)
+	case c.ElectionTicks < 3*c.HeartbeatTicks || c.ElectionTicks < minElectionTicks:
+		return errors.Newf("quorum: ElectionTicks=%d would not survive a lost heartbeat; use at least %d, which is 3*HeartbeatTicks",
+			c.ElectionTicks, max(3*c.HeartbeatTicks, minElectionTicks))
 	case c.MaxAppendBytes < 1 || c.MaxInflight < 1 || c.MaxUncommittedBytes < 1:
 		return errors.New("quorum: MaxAppendBytes, MaxInflight and MaxUncommittedBytes must be 1 or more")
 	}
--- /dev/null
+++ b/internal/quorum/invariant_test.go
@@ -0,0 +1,89 @@
+package quorum
+
+import (
+	"fmt"
+
+	"pearmoor/internal/quorum/quorumpb"
+)
+
+func content(e *Entry) string { return fmt.Sprintf("%d %v %x", e.Term, e.Kind, e.Data) }
+
+// checkLeader checks election safety, and leader completeness when a term's
+// leader is first seen.
+func (c *cluster) checkLeader(h *host) {
+	if h.m == nil || h.m.role != Leader {
+		return
+	}
+	term := h.m.hard.Term
+	if disk, ok := c.leaders[term]; ok {
+		if disk != h.disk {
+			c.t.Fatalf("election safety: term %d is led by disks %d and %d", term, disk, h.disk)
+		}
+		return
+	}
+	c.leaders[term] = h.disk
+	for index, t := range c.terms {
+		if index >= h.m.log.first && !h.m.log.matches(index, t) {
+			c.t.Fatalf("leader completeness: leader %d of term %d lacks committed entry %d: %s", h.id, term, index, c)
+		}
+	}
+}
+
+// checkEntries checks log matching: an index and term name one entry with one
+// predecessor, whoever holds it; by induction the logs are the same below.
+func (c *cluster) checkEntries(h *host, es []*Entry) {
+	for _, e := range es {
+		prev, ok := h.m.log.term(e.Index - 1)
+		if !ok {
+			continue // replaced or compacted since
+		}
+		now := fmt.Sprintf("%s after term %d", content(e), prev)
+		at := position{e.Index, e.Term}
+		if was, ok := c.entries[at]; ok && was != now {
+			c.t.Fatalf("log matching: entry %d of term %d is %q and %q", e.Index, e.Term, was, now)
+		}
+		c.entries[at] = now
+	}
+}
+
+// apply checks state machine safety: every index holds one entry for all.
+func (c *cluster) apply(h *host, e *Entry) {
+	if e.Index != h.state.applied+1 {
+		c.t.Fatalf("member %d applies %d after %d", h.id, e.Index, h.state.applied)
+	}
+	if was, ok := c.committed[e.Index]; ok && was != content(e) {
+		c.t.Fatalf("state machine safety: index %d is %q and %q", e.Index, was, content(e))
+	}
+	c.committed[e.Index], c.terms[e.Index] = content(e), e.Term
+	c.newest = max(c.newest, e.Index)
+	if e.Kind == quorumpb.EntryKind_CONF && e.Index > c.groupAt {
+		c.groupAt, c.group = e.Index, h.m.confs.at(e.Index)
+	}
+	swapped := h.state.apply(e)
+	c.checkChain(h)
+	if c.onApply != nil {
+		c.onApply(h, e, swapped)
+	}
+}
+
+// checkChain checks that equal indexes mean equal states, snapshots included.
+func (c *cluster) checkChain(h *host) {
+	if was, ok := c.chains[h.state.applied]; ok && was != h.state.chain {
+		c.t.Fatalf("state machine safety: states differ at index %d", h.state.applied)
+	}
+	c.chains[h.state.applied] = h.state.chain
+}
+
+// finishRead checks that a read sees everything that was committed when it was asked.
+func (c *cluster) finishRead(h *host, r ReadState) {
+	if _, ok := c.reads[r.Token]; ok {
+		c.t.Fatalf("read %d finished twice", r.Token)
+	}
+	c.reads[r.Token] = &r
+	if !r.Lost && r.Index < c.asked[r.Token] {
+		c.t.Fatalf("linearizable read: index %d was given, %d was committed before it was asked", r.Index, c.asked[r.Token])
+	}
+	if c.onRead != nil {
+		c.onRead(h, r)
+	}
+}
--- /dev/null
+++ b/internal/quorum/log.go
@@ -0,0 +1,119 @@
+package quorum
+
+import "sort"
+
+// entryLog holds the entries from first on. Invariants:
+//   - entries are consecutive and their terms never fall;
+//   - first-1 <= applied <= commit <= last, and stable <= last;
+//   - an entry at or below commit is never changed or truncated.
+type entryLog struct {
+	first    uint64 // index of entries[0]
+	prevTerm uint64 // term of the entry at first-1
+	entries  []*Entry
+	stable   uint64 // synced up to here
+	commit   uint64
+	applied  uint64 // handed to the application up to here
+}
+
+func (l *entryLog) last() uint64 { return l.first + uint64(len(l.entries)) - 1 }
+
+// term returns the term of the entry at i, and false where it isn't known.
+func (l *entryLog) term(i uint64) (uint64, bool) {
+	switch {
+	case i+1 == l.first:
+		return l.prevTerm, true
+	case i < l.first || i > l.last():
+		return 0, false
+	}
+	return l.entries[i-l.first].Term, true
+}
+
+func (l *entryLog) lastTerm() uint64 {
+	t, _ := l.term(l.last())
+	return t
+}
+
+func (l *entryLog) matches(index, term uint64) bool {
+	t, ok := l.term(index)
+	return ok && t == term
+}
+
+// upToDate reports whether a log ending with that entry holds at least what this
+// one does; only such a candidate gets a vote, so that every leader holds every
+// committed entry.
+func (l *entryLog) upToDate(index, term uint64) bool {
+	own := l.lastTerm()
+	return term > own || term == own && index >= l.last()
+}
+
+// from returns the entries in [lo, hi], as many as fit into maxBytes but at least one.
+func (l *entryLog) from(lo, hi uint64, maxBytes int) []*Entry {
+	hi = min(hi, l.last())
+	if lo < l.first || lo > hi {
+		return nil
+	}
+	part := l.entries[lo-l.first : hi+1-l.first]
+	size := 0
+	for i, e := range part {
+		size += entrySize(e)
+		if size > maxBytes && i > 0 {
+			return part[:i:i]
+		}
+	}
+	return part[:len(part):len(part)]
+}
+
+func (l *entryLog) append(es ...*Entry) { l.entries = append(l.entries, es...) }
+
+// truncate drops the entries from index on. The slice is copied when it grows
+// again, because entries handed out before may still be read.
+func (l *entryLog) truncate(index uint64) {
+	n := index - l.first
+	l.entries = l.entries[:n:n]
+	l.stable = min(l.stable, index-1)
+}
+
+// stableTo notes that the entries up to index were synced, unless they were
+// replaced meanwhile.
+func (l *entryLog) stableTo(index, term uint64) {
+	if index > l.stable && l.matches(index, term) {
+		l.stable = index
+	}
+}
+
+func (l *entryLog) commitTo(index uint64) {
+	l.commit = max(l.commit, min(index, l.last()))
+}
+
+// hint returns the highest index at or below index whose term is not above term.
+// With it one exchange skips a whole term of entries that can't match.
+func (l *entryLog) hint(index, term uint64) (uint64, uint64) {
+	index = min(index, l.last())
+	if index+1 < l.first {
+		return index, 0
+	}
+	n := sort.Search(int(index+1-l.first), func(i int) bool { return l.entries[i].Term > term })
+	index = l.first + uint64(n) - 1
+	t, _ := l.term(index)
+	return index, t
+}
+
+// compact drops the entries below first.
+func (l *entryLog) compact(first uint64) {
+	if first <= l.first {
+		return
+	}
+	l.prevTerm, _ = l.term(first - 1)
+	l.entries = append([]*Entry(nil), l.entries[first-l.first:]...)
+	l.first = first
+}
+
+// reset empties the log: it goes on after a snapshot.
+func (l *entryLog) reset(index, term uint64) {
+	*l = entryLog{first: index + 1, prevTerm: term, stable: index, commit: index, applied: index}
+}
+
+// entryOverhead is the room for index, term and kind in a message, in bytes.
+const entryOverhead = 24
+
+func entrySize(e *Entry) int { return len(e.Data) + entryOverhead }
