Sync daemons with the leader or a relay

A client keeps immutable views that never go back, counts its lease from the instant a request was sent, and passes over an upstream that is silent or cut off. A relay passes its children's heartbeats up and hands on only what the leader answered.

--- /dev/null
+++ b/internal/relay/client.go
@@ -0,0 +1,239 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+
+	"pearmoor/internal/link/wire"
+	"pearmoor/internal/vm"
+)
+
+const (
+	// startJitter spreads the first call of daemons that start together.
+	startJitter = 250 * time.Millisecond
+	// minGap is the shortest time between two calls of one kind, so that a burst
+	// of changes costs a daemon a bounded number of calls.
+	minGap = 20 * time.Millisecond
+	// batchDelay gathers what a relay's children report at one moment, such as a
+	// new configuration in force, into one call.
+	batchDelay = 20 * time.Millisecond
+	// leaseParts is how many intervals fit a lease at least. Through a relay a
+	// lease is up to two intervals and a call old when it is renewed, which leaves
+	// time to find another relay when this one is lost.
+	leaseParts = 6
+)
+
+// SupersededError ends Run: the membership holds a later run of this daemon. Its
+// shares are the later run's, so this one must stop.
+type SupersededError struct {
+	Self  vm.Identity
+	Known uint64 // incarnation of the later run
+}
+
+// Error implements error.
+func (e *SupersededError) Error() string {
+	return fmt.Sprintf("relay: %s has a later run: incarnation %d is known, this one is %d; "+
+		"stop one of the two, or start again with an incarnation above the known one", e.Self.Name, e.Known, e.Self.Incarnation)
+}
+
+// Client keeps a daemon's view of the agreed state up to date, its lease renewed
+// and its own word known to the leader. It implements Source.
+type Client struct {
+	cfg      Config
+	history  *History
+	children *children
+	urgent   chan struct{} // holds a token when something has to be said at once
+
+	mu         sync.Mutex
+	view       *View
+	changed    chan struct{}
+	phase      vm.Phase
+	config     uint64 // newest version acked
+	epoch      uint64 // newest epoch acked
+	whole      bool   // ask for the whole state
+	resend     bool   // send heartbeats in full
+	lease      time.Duration
+	confirmed  vm.Instant // send instant of the last call that was granted
+	up         *upstreams
+	superseded error
+}
+
+// NewClient returns a client that does nothing until Run.
+func NewClient(cfg Config) *Client {
+	cfg = cfg.withDefaults()
+	return &Client{
+		cfg:      cfg,
+		history:  NewHistory(),
+		children: newChildren(),
+		urgent:   make(chan struct{}, 1),
+		view:     &View{},
+		changed:  make(chan struct{}),
+		up:       newUpstreams(cfg.Self, cfg.Control),
+	}
+}
+
+// Current returns the newest view; it is never nil.
+func (c *Client) Current() *View {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view
+}
+
+// Changed returns a channel that is closed when the view is replaced.
+func (c *Client) Changed() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changed
+}
+
+// SetPhase states the daemon's own phase and sends it at once.
+func (c *Client) SetPhase(p vm.Phase) {
+	c.mu.Lock()
+	news := p != c.phase
+	c.phase = p
+	c.mu.Unlock()
+	if news {
+		c.pushNow()
+	}
+}
+
+// Ack states that what is in flight fits the daemon's shares under the given
+// configuration version and epoch, and sends it at once. Lower numbers than
+// before are left out.
+func (c *Client) Ack(config, epoch uint64) {
+	c.mu.Lock()
+	news := config > c.config || epoch > c.epoch
+	c.config, c.epoch = max(c.config, config), max(c.epoch, epoch)
+	c.mu.Unlock()
+	if news {
+		c.pushNow()
+	}
+}
+
+func (c *Client) pushNow() {
+	select {
+	case c.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// Run syncs until ctx is done or a later run of the daemon is known.
+func (c *Client) Run(ctx context.Context) error {
+	if !sleep(ctx, c.randomUpTo(startJitter)) {
+		return nil
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return c.poll(ctx) })
+	g.Go(func() error { return c.push(ctx) })
+	return g.Wait()
+}
+
+// poll asks for news, again and again. The upstream holds each call until there
+// is some or the interval is over.
+func (c *Client) poll(ctx context.Context) error {
+	failures := 0
+	for ctx.Err() == nil {
+		start := c.cfg.Clock()
+		out := c.exchange(ctx, c.interval(), false)
+		if err := c.supersededBy(); err != nil {
+			return err
+		}
+		failures = out.failures(failures)
+		sleep(ctx, c.pause(out, failures, c.cfg.Clock().Sub(start)))
+	}
+	return nil
+}
+
+// push sends at once what can't wait for the next poll, and what children of this
+// relay have said, at least every interval.
+func (c *Client) push(ctx context.Context) error {
+	for {
+		timer := time.NewTimer(c.interval())
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return nil
+		case <-c.urgent:
+			timer.Stop()
+			sleep(ctx, c.batching())
+		case <-timer.C:
+			if !c.children.waiting(c.cfg.Clock()) {
+				continue
+			}
+		}
+		if ctx.Err() == nil {
+			c.exchange(ctx, 0, true)
+		}
+	}
+}
+
+// batching is how long a push waits for others to join it.
+func (c *Client) batching() time.Duration {
+	if c.children.empty() {
+		return minGap / 4
+	}
+	return batchDelay
+}
+
+// interval is the time between two heartbeats.
+func (c *Client) interval() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.lease > 0 {
+		return min(c.cfg.Interval, c.lease/leaseParts)
+	}
+	return c.cfg.Interval
+}
+
+func (c *Client) supersededBy() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.superseded
+}
+
+// checkSuperseded notes a later run of this daemon in the membership.
+func (c *Client) checkSuperseded(v *View) {
+	m := v.Members()
+	if m == nil || c.superseded != nil {
+		return
+	}
+	if known, ok := m.Find(c.cfg.Self.Name); ok && known.Incarnation > c.cfg.Self.Incarnation {
+		c.superseded = &SupersededError{Self: c.cfg.Self, Known: known.Incarnation}
+		klog.Errorf("relay: superseded by incarnation %d", known.Incarnation)
+	}
+}
+
+// ownHeartbeat is the daemon's own word. The caller holds mu.
+func (c *Client) ownHeartbeat() *wire.Heartbeat {
+	return &wire.Heartbeat{
+		Vm:            vm.ToWire(vm.Member{Identity: c.cfg.Self, Phase: c.phase}),
+		ConfigVersion: c.config,
+		AckedEpoch:    c.epoch,
+	}
+}
+
+func (c *Client) randomUpTo(d time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Duration(c.up.rng.Int64N(int64(d)))
+}
+
+// sleep waits for d and reports whether ctx is still good.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/relay/config.go
@@ -0,0 +1,49 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"storj.io/drpc"
+
+	"pearmoor/internal/vm"
+)
+
+// Defaults of Config.
+const (
+	DefaultInterval = time.Second
+	DefaultDirect   = 64
+	DefaultFanout   = 8
+)
+
+// Conns gives connections to other daemons; Close of one hands it back.
+type Conns interface {
+	Conn(ctx context.Context, addr string) (drpc.Conn, error)
+}
+
+// Config is what a Client needs.
+type Config struct {
+	Self     vm.Identity
+	Control  []string      // peer addresses of control VMs; one that works is enough
+	Conns    Conns         // how to reach control VMs and relays
+	Clock    vm.Clock      // nil: vm.Now
+	Interval time.Duration // longest time between two heartbeats; 0: DefaultInterval
+	Direct   int           // most members that all sync with the leader; 0: DefaultDirect
+	Fanout   int           // daemons per relay when there are more members; 0: DefaultFanout
+}
+
+func (cfg Config) withDefaults() Config {
+	if cfg.Clock == nil {
+		cfg.Clock = vm.Now
+	}
+	if cfg.Interval <= 0 {
+		cfg.Interval = DefaultInterval
+	}
+	if cfg.Direct <= 0 {
+		cfg.Direct = DefaultDirect
+	}
+	if cfg.Fanout <= 0 {
+		cfg.Fanout = DefaultFanout
+	}
+	return cfg
+}
--- /dev/null
+++ b/internal/relay/exchange.go
@@ -0,0 +1,268 @@
+package relay
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"k8s.io/klog/v2"
+
+	"pearmoor/internal/link/wire"
+	"pearmoor/internal/vm"
+)
+
+const (
+	// callMargin is how long a reply may take beyond the time it is held. A silent
+	// cut shows no other sign, so this and the hold bound what it costs.
+	callMargin = 700 * time.Millisecond
+	// maxCallMargin lets a slow upstream answer after several calls ran out.
+	maxCallMargin = 3 * time.Second
+	// driftParts takes 1% off a lease: the clocks of two VMs may run that far apart
+	// before the daemon believes its lease longer than the leader does.
+	driftParts = 100
+	// firstRetry and maxRetry bound the pause between calls that fail in a row.
+	firstRetry = 20 * time.Millisecond
+	maxRetry   = time.Second
+)
+
+var (
+	exchanges = metrics.GetOrRegisterCounter("relay.exchanges", nil)
+	failed    = metrics.GetOrRegisterCounter("relay.exchanges.failed", nil)
+	unjoined  = metrics.GetOrRegisterCounter("relay.state.refused", nil)
+	version   = metrics.GetOrRegisterGauge("relay.config.version", nil)
+)
+
+// outcome is how an exchange went.
+type outcome uint8
+
+const (
+	callFailed  outcome = iota // no reply
+	unconfirmed                // a reply that renews no lease
+	redirected                 // the leader is known now
+	unchanged                  // the lease is renewed
+	changed                    // the lease is renewed and the view is newer
+)
+
+// failures counts the exchanges in a row that were of no use.
+func (o outcome) failures(before int) int {
+	if o == callFailed || o == unconfirmed {
+		return before + 1
+	}
+	if o == redirected {
+		return before
+	}
+	return 0
+}
+
+// pause returns how long poll waits before its next exchange.
+func (c *Client) pause(o outcome, failures int, took time.Duration) time.Duration {
+	switch {
+	case o == changed || o == redirected:
+		return minGap - took
+	case o == unchanged:
+		return c.interval() - took
+	case failures == 1 && !c.allPaused():
+		return c.randomUpTo(firstRetry)
+	}
+	backoff := min(firstRetry<<min(failures, 10), maxRetry)
+	return backoff/2 + c.randomUpTo(backoff/2)
+}
+
+func (c *Client) allPaused() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, wait := c.up.pick(c.cfg.Clock())
+	return wait > 0
+}
+
+// exchange sends one Sync and takes in the reply. A push carries the heartbeats
+// of children; a poll carries only the daemon's own, as it may be held.
+func (c *Client) exchange(ctx context.Context, hold time.Duration, push bool) outcome {
+	var kids []*child
+	if push {
+		kids = c.children.take(c.cfg.Clock())
+	}
+	addr, req := c.request(hold, kids)
+	if addr == "" {
+		return callFailed
+	}
+	exchanges.Inc(1)
+	sent := c.cfg.Clock()
+	reply, err := c.call(ctx, addr, req, hold)
+	if err != nil {
+		return c.noReply(ctx, addr, err)
+	}
+	out, granted := c.receive(addr, sent, req, reply, push)
+	if granted {
+		c.children.grant(kids, reply, sent)
+	}
+	return out
+}
+
+func (c *Client) request(hold time.Duration, kids []*child) (string, *wire.SyncRequest) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	addr, _ := c.up.pick(c.cfg.Clock())
+	v := c.view
+	req := &wire.SyncRequest{WaitMs: uint32(hold.Milliseconds()), HaveInForce: v.InForce}
+	if !c.whole {
+		req.HaveConfig, req.HaveDigest = v.ConfigVersion, v.ConfigDigest
+		req.HaveSettled, req.HavePending = epochOf(v.Settled), epochOf(v.Pending)
+	}
+	agreed := v.Members()
+	addHeartbeat(req, c.ownHeartbeat(), agreed, c.resend)
+	for _, k := range kids {
+		addHeartbeat(req, k.heartbeat, agreed, c.resend)
+	}
+	return addr, req
+}
+
+// call is bounded in time as a whole, connecting included.
+func (c *Client) call(ctx context.Context, addr string, req *wire.SyncRequest, hold time.Duration) (*wire.SyncReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, hold+c.margin(addr))
+	defer cancel()
+	conn, err := c.cfg.Conns.Conn(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Close()
+	return wire.NewDRPCSpreadClient(conn).Sync(ctx, req)
+}
+
+// margin grows with the failures of addr, so that an upstream that is slow, and
+// not lost, is reached in the end.
+func (c *Client) margin(addr string) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return min(callMargin+c.up.paused[addr].last, maxCallMargin)
+}
+
+func (c *Client) noReply(ctx context.Context, addr string, err error) outcome {
+	if ctx.Err() != nil {
+		return callFailed
+	}
+	failed.Inc(1)
+	klog.V(1).Infof("relay: no reply from %s: %v", addr, err)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.up.failed(addr, c.cfg.Clock())
+	return callFailed
+}
+
+// receive takes in a reply to a request sent at that instant. Granted reports
+// whether the leader confirmed what the request carried.
+func (c *Client) receive(addr string, sent vm.Instant, req *wire.SyncRequest, r *wire.SyncReply, push bool) (out outcome, granted bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before := c.view
+	again := c.install(req, r)
+	c.up.setControl(r.GetControl())
+	now := c.cfg.Clock()
+	if leader := r.GetRedirect(); leader != "" && leader != addr {
+		c.publish(before)
+		return c.follow(addr, leader, now), false
+	}
+	// A grant says that the leader counts on this daemon knowing the state that
+	// comes with it. Without that state the daemon could use shares that the
+	// leader has since given to others.
+	granted = r.GetGranted() && covers(c.view, r)
+	if granted {
+		c.confirmed = max(c.confirmed, sent)
+		c.renew(sent, r)
+	}
+	c.publish(before)
+	switch {
+	case again:
+		return changed, granted
+	case !granted || !c.renewed(now, r):
+		// One that answers, but is itself cut off from the leader, is passed
+		// over like a lost one. A push is not held until the leader has answered.
+		if !push {
+			c.up.failed(addr, now)
+		}
+		return unconfirmed, granted
+	}
+	c.up.worked(addr)
+	if c.view.placements != before.placements {
+		return changed, granted
+	}
+	return unchanged, granted
+}
+
+// follow takes the leader that the daemon at addr named.
+func (c *Client) follow(addr, leader string, now vm.Instant) outcome {
+	if c.up.redirected(leader, now) {
+		return redirected
+	}
+	c.up.failed(addr, now)
+	return unconfirmed
+}
+
+// renewed reports whether the lease is as long as a working upstream keeps it, or
+// the leader itself declines to confirm this daemon.
+func (c *Client) renewed(now vm.Instant, r *wire.SyncReply) bool {
+	return c.view.Lease.Sub(now) >= c.lease/2 || slices.Contains(r.GetRefused(), c.cfg.Self.Name)
+}
+
+// install joins the reply's state to the view. Again reports that the request has
+// to be made once more in another form: for the whole state, or with full
+// heartbeats. It is false when that was the form already.
+func (c *Client) install(req *wire.SyncRequest, r *wire.SyncReply) (again bool) {
+	c.resend = r.GetResend()
+	again = c.resend && len(req.GetSteady()) > 0
+	next, err := advance(c.view, r)
+	if err != nil {
+		unjoined.Inc(1)
+		if !c.whole {
+			klog.Errorf("relay: state refused, asking for all of it: %v", err)
+			again = true
+		}
+		c.whole = true
+		return again
+	}
+	c.whole = false
+	if next == c.view {
+		return again
+	}
+	c.view = next
+	c.checkSuperseded(next)
+	c.up.members(next.Members(), c.cfg.Direct, c.cfg.Fanout)
+	version.Update(int64(next.ConfigVersion))
+	c.history.Advance(State{
+		ConfigVersion: next.ConfigVersion,
+		ConfigDigest:  next.ConfigDigest,
+		Tree:          next.Tree,
+		InForce:       next.InForce,
+		Settled:       next.Settled,
+		Pending:       next.Pending,
+	}, r.GetDeltas())
+	return again
+}
+
+// renew extends the lease by a grant. It counts from the instant the request was
+// sent, which is before the leader handled it, less the grant's age, so that it
+// ends here before the leader takes it for ended.
+func (c *Client) renew(sent vm.Instant, r *wire.SyncReply) {
+	if slices.Contains(r.GetRefused(), c.cfg.Self.Name) {
+		return
+	}
+	lease := time.Duration(r.GetLeaseMs()) * time.Millisecond
+	c.lease = lease
+	age := time.Duration(r.GetAgeMs()) * time.Millisecond
+	until := sent.Add(lease - lease/driftParts - age)
+	if until > c.view.Lease {
+		next := *c.view
+		next.Lease = until
+		c.view = &next
+	}
+}
+
+// publish wakes those who wait for a view newer than before.
+func (c *Client) publish(before *View) {
+	if c.view == before {
+		return
+	}
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
--- /dev/null
+++ b/internal/relay/history.go
@@ -0,0 +1,176 @@
+package relay
+
+import (
+	"sync"
+
+	"pearmoor/internal/link/wire"
+	"pearmoor/internal/settings"
+	"pearmoor/internal/vm"
+)
+
+// What a History keeps, so that a daemon that asks now and then never needs the
+// whole state: at 1,900 changes a day, several days of changes.
+const (
+	maxDeltas      = 10_000
+	maxMemberships = 64
+)
+
+// State is the agreed state as far as it is known at one place.
+type State struct {
+	ConfigVersion uint64
+	ConfigDigest  uint64
+	Tree          *settings.Tree
+	InForce       uint64
+	Settled       *vm.Membership
+	Pending       *vm.Membership
+}
+
+// History answers what others ask for: the changes and memberships that lead
+// from what they have to the newest state. It may be used by several goroutines.
+type History struct {
+	mu          sync.Mutex
+	state       State
+	deltas      []*wire.TreeDelta // consecutive, the last leads to state.ConfigVersion
+	memberships []*vm.Membership  // oldest first; settled and pending ones
+	snapshot    []byte            // encoded state.Tree, nil until asked for
+	changed     chan struct{}
+}
+
+// NewHistory returns an empty history.
+func NewHistory() *History { return &History{changed: make(chan struct{})} }
+
+// Advance replaces the state. Deltas are the changes that lead to it; those that
+// are already kept are left out, and a gap drops what was kept before it. A state
+// with a lower version or epoch is left out.
+func (h *History) Advance(s State, deltas []*wire.TreeDelta) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if s.ConfigVersion < h.state.ConfigVersion || epochOf(s.Settled) < epochOf(h.state.Settled) {
+		return
+	}
+	if s.ConfigVersion != h.state.ConfigVersion || s.ConfigDigest != h.state.ConfigDigest {
+		h.snapshot = nil
+	}
+	h.keepDeltas(s.ConfigVersion, deltas)
+	h.keepMembership(s.Settled)
+	h.keepMembership(s.Pending)
+	h.state = s
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+func (h *History) keepDeltas(version uint64, deltas []*wire.TreeDelta) {
+	for _, d := range deltas {
+		if d.GetVersion() > version || d.GetVersion() <= h.lastDelta() {
+			continue
+		}
+		if len(h.deltas) > 0 && d.GetVersion() != h.lastDelta()+1 {
+			h.deltas = nil
+		}
+		h.deltas = append(h.deltas, d)
+	}
+	if h.lastDelta() != version {
+		h.deltas = nil
+	}
+	if extra := len(h.deltas) - maxDeltas; extra > 0 {
+		h.deltas = append([]*wire.TreeDelta(nil), h.deltas[extra:]...)
+	}
+}
+
+func (h *History) lastDelta() uint64 {
+	if len(h.deltas) == 0 {
+		return 0
+	}
+	return h.deltas[len(h.deltas)-1].GetVersion()
+}
+
+func (h *History) keepMembership(m *vm.Membership) {
+	if m == nil || h.findMembership(m.Epoch) != nil {
+		return
+	}
+	h.memberships = append(h.memberships, m)
+	if len(h.memberships) > maxMemberships {
+		h.memberships = append([]*vm.Membership(nil), h.memberships[1:]...)
+	}
+}
+
+func (h *History) findMembership(epoch uint64) *vm.Membership {
+	for i := len(h.memberships) - 1; i >= 0; i-- {
+		if h.memberships[i].Epoch == epoch {
+			return h.memberships[i]
+		}
+	}
+	return nil
+}
+
+// State returns the newest state and a channel closed at the next Advance.
+func (h *History) State() (State, <-chan struct{}) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.state, h.changed
+}
+
+// HasNews reports whether the state holds something that the sender of req does
+// not have.
+func (s *State) HasNews(req *wire.SyncRequest) bool {
+	return s.hasConfigNews(req) ||
+		epochOf(s.Settled) > req.GetHaveSettled() ||
+		epochOf(s.Pending) > max(req.GetHavePending(), req.GetHaveSettled()) ||
+		s.InForce > req.GetHaveInForce()
+}
+
+func (s *State) hasConfigNews(req *wire.SyncRequest) bool {
+	if s.Tree == nil || s.ConfigVersion < req.GetHaveConfig() {
+		return false
+	}
+	return s.ConfigVersion > req.GetHaveConfig() || s.ConfigDigest != req.GetHaveDigest()
+}
+
+// Fill writes the newest state into reply, leaving out what req says is there.
+func (h *History) Fill(req *wire.SyncRequest, reply *wire.SyncReply) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := &h.state
+	reply.InForce = s.InForce
+	reply.SettledEpoch = epochOf(s.Settled)
+	reply.PendingEpoch = epochOf(s.Pending)
+	h.fillConfig(req, reply)
+	if s.Settled != nil && s.Settled.Epoch > req.GetHaveSettled() {
+		reply.Settled = vm.Delta(h.findMembership(req.GetHaveSettled()), s.Settled)
+	}
+	if s.Pending != nil && s.Pending.Epoch > req.GetHavePending() {
+		reply.Pending = vm.Delta(s.Settled, s.Pending)
+	}
+}
+
+func (h *History) fillConfig(req *wire.SyncRequest, reply *wire.SyncReply) {
+	s := &h.state
+	reply.ConfigVersion, reply.ConfigDigest = s.ConfigVersion, s.ConfigDigest
+	if !s.hasConfigNews(req) {
+		return
+	}
+	if deltas, ok := h.deltasAfter(req.GetHaveConfig(), req.GetHaveDigest()); ok {
+		reply.Deltas = deltas
+		return
+	}
+	if h.snapshot == nil {
+		h.snapshot = s.Tree.Encode()
+	}
+	reply.Snapshot = h.snapshot
+}
+
+// deltasAfter returns the changes after version, if they are kept and the sender's
+// tree of that version is the one they were made on.
+func (h *History) deltasAfter(version, digest uint64) ([]*wire.TreeDelta, bool) {
+	if version == 0 || len(h.deltas) == 0 {
+		return nil, false
+	}
+	first := h.deltas[0].GetVersion()
+	if version+1 < first || version >= h.lastDelta() {
+		return nil, false
+	}
+	if version >= first && h.deltas[version-first].GetDigest() != digest {
+		return nil, false
+	}
+	return h.deltas[version+1-first:], true
+}
--- /dev/null
+++ b/internal/relay/server.go
@@ -0,0 +1,121 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pearmoor/internal/link/wire"
+	"pearmoor/internal/vm"
+)
+
+// The reasons for which a relay takes no more on.
+var (
+	errNoHeartbeat = errors.New("relay: a sync request needs a heartbeat; send the daemon's own first")
+	errBusy        = errors.New("relay: too many daemons sync here; use another relay or control")
+)
+
+// Server returns the server that answers the daemons for which this one is a
+// relay. It passes their heartbeats up and grants nothing of its own.
+func (c *Client) Server() wire.DRPCSpreadServer { return &server{client: c} }
+
+type server struct {
+	client   *Client
+	expander Expander
+}
+
+// Sync implements wire.DRPCSpreadServer.
+func (s *server) Sync(ctx context.Context, req *wire.SyncRequest) (*wire.SyncReply, error) {
+	c := s.client
+	arrived := c.cfg.Clock()
+	v := c.Current()
+	hbs, unknown := s.expander.Expand(req, v.Settled, v.Pending)
+	if len(hbs) == 0 && !unknown {
+		return nil, errNoHeartbeat
+	}
+	urgent := false
+	for _, hb := range hbs {
+		u, ok := c.children.heard(hb, arrived)
+		if !ok {
+			return nil, errBusy
+		}
+		urgent = urgent || u
+	}
+	if urgent {
+		c.pushNow()
+	}
+	if !unknown {
+		hold := min(time.Duration(req.GetWaitMs())*time.Millisecond, c.interval())
+		s.hold(ctx, req, hbs, arrived, hold)
+	}
+	reply := &wire.SyncReply{Resend: unknown}
+	// Grants before state: a grant must never be newer than the state that goes
+	// with it, or the child would use shares that are no longer its own.
+	s.fillGrants(reply, hbs, arrived)
+	c.history.Fill(req, reply)
+	return reply, nil
+}
+
+// hold waits until there is something to say: newer state, a grant for one who
+// has none to speak of, the loss of this relay's own upstream, or the end of the
+// time asked for.
+func (s *server) hold(ctx context.Context, req *wire.SyncRequest, hbs []*wire.Heartbeat, arrived vm.Instant, d time.Duration) {
+	c := s.client
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	grants, _ := c.children.grantsOf(hbs)
+	eager := anyOld(grants, arrived)
+	for {
+		state, news := c.history.State()
+		grants, granted := c.children.grantsOf(hbs)
+		if state.HasNews(req) || c.cutOff() || (eager && !anyOld(grants, arrived)) {
+			return
+		}
+		select {
+		case <-news:
+		case <-granted:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func anyOld(grants []grant, now vm.Instant) bool {
+	for _, g := range grants {
+		if g.lease == 0 || g.left(now) < g.lease/2 {
+			return true
+		}
+	}
+	return false
+}
+
+// cutOff reports whether no leader has confirmed this daemon for two intervals
+// and the longest that a lost call goes unnoticed.
+func (c *Client) cutOff() bool {
+	limit := 2*c.interval() + callMargin
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.confirmed != 0 && c.cfg.Clock().Sub(c.confirmed) > limit
+}
+
+// fillGrants passes on the leader's answers. The child counts its lease from when
+// it sent the request, which was before it arrived here; what a grant was older
+// than that at arrival is its age.
+func (s *server) fillGrants(r *wire.SyncReply, hbs []*wire.Heartbeat, arrived vm.Instant) {
+	grants, _ := s.client.children.grantsOf(hbs)
+	for i, g := range grants {
+		if g.lease == 0 {
+			r.Refused = append(r.Refused, hbs[i].GetVm().GetName())
+			continue
+		}
+		age := uint32(max(0, arrived.Sub(g.base)).Milliseconds() + 1)
+		r.Granted = true
+		r.AgeMs = max(r.AgeMs, age)
+		if lease := uint32(g.lease.Milliseconds()); r.LeaseMs == 0 || lease < r.LeaseMs {
+			r.LeaseMs = lease
+		}
+	}
+}
--- /dev/null
+++ b/internal/relay/upstream.go
@@ -0,0 +1,170 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"pearmoor/internal/domain"
+	"pearmoor/internal/vm"
+)
+
+// maxRelays is how many relays a daemon tries before it asks control directly.
+const maxRelays = 2
+
+// How long an upstream that failed is passed over: doubled with each failure in
+// a row, and jittered, so that daemons that lost one upstream together don't come
+// back together. Control addresses are few and the new leader is one of them, so
+// they are tried again sooner.
+const (
+	firstControlPause = 100 * time.Millisecond
+	maxControlPause   = time.Second
+	firstRelayPause   = time.Second
+	maxRelayPause     = 30 * time.Second
+)
+
+// upstreams chooses whom to sync with. It is not safe for concurrent use.
+type upstreams struct {
+	self    vm.Identity
+	control []string // peer addresses of the control group
+	leader  string   // who was last said to lead, empty if not known
+	paused  map[string]pause
+	rng     *rand.Rand
+
+	relaysFor *vm.Membership // membership that relays were worked out from
+	relays    []string
+}
+
+type pause struct {
+	until vm.Instant
+	last  time.Duration
+}
+
+func newUpstreams(self vm.Identity, control []string) *upstreams {
+	seed := xxhash.Sum64String(self.Name)
+	u := &upstreams{
+		self:   self,
+		paused: make(map[string]pause),
+		rng:    rand.New(rand.NewPCG(seed, self.Incarnation)),
+	}
+	u.setControl(control)
+	return u
+}
+
+// setControl takes the control group's addresses. Each daemon starts at another
+// one, so that none is asked first by all.
+func (u *upstreams) setControl(addrs []string) {
+	if len(addrs) == 0 {
+		return
+	}
+	sorted := slices.Clone(addrs)
+	slices.Sort(sorted)
+	if first := int(xxhash.Sum64String(u.self.Name) % uint64(len(sorted))); first > 0 {
+		sorted = append(sorted[first:], sorted[:first]...)
+	}
+	u.control = slices.Compact(sorted)
+}
+
+// candidates lists the addresses to sync with, best first.
+func (u *upstreams) candidates() []string {
+	list := slices.Clone(u.relays)
+	if u.leader != "" {
+		list = append(list, u.leader)
+	}
+	for _, addr := range u.control {
+		if addr != u.leader {
+			list = append(list, addr)
+		}
+	}
+	return list
+}
+
+// pick returns the best candidate that is not passed over at now. When all are,
+// it returns the first to become free and how long that takes.
+func (u *upstreams) pick(now vm.Instant) (addr string, wait time.Duration) {
+	var soonest vm.Instant
+	for _, candidate := range u.candidates() {
+		until := u.paused[candidate].until
+		if until <= now {
+			return candidate, 0
+		}
+		if addr == "" || until < soonest {
+			addr, soonest = candidate, until
+		}
+	}
+	return addr, soonest.Sub(now)
+}
+
+// failed passes addr over for a while.
+func (u *upstreams) failed(addr string, now vm.Instant) {
+	first, most := firstControlPause, maxControlPause
+	if slices.Contains(u.relays, addr) {
+		first, most = firstRelayPause, maxRelayPause
+	}
+	last := min(max(first, 2*u.paused[addr].last), most)
+	u.paused[addr] = pause{until: now.Add(u.jitter(last)), last: last}
+	if addr == u.leader {
+		u.leader = ""
+	}
+}
+
+// worked forgets earlier failures of addr.
+func (u *upstreams) worked(addr string) { delete(u.paused, addr) }
+
+// redirected takes addr as the leader. It reports false when addr was just found
+// not to work: the one who names it has not noticed yet.
+func (u *upstreams) redirected(addr string, now vm.Instant) bool {
+	if u.paused[addr].until > now {
+		return false
+	}
+	u.leader = addr
+	return true
+}
+
+// jitter returns a time between half of d and d.
+func (u *upstreams) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(u.rng.Int64N(int64(d/2)+1))
+}
+
+// members works out the relays of this daemon from a new membership.
+func (u *upstreams) members(m *vm.Membership, direct, fanout int) {
+	if m == u.relaysFor {
+		return
+	}
+	u.relaysFor = m
+	u.relays = relaysOf(m, u.self, direct, fanout)
+}
+
+// relaysOf returns the peer addresses of the relays that self should use, best
+// first. There are none when the leader can take all members, and for a relay,
+// which syncs with the leader.
+//
+// Relays are the members of a failure domain that rendezvous hashing chooses, one
+// for each fanout members and one more, so that the loss of one leaves enough.
+// Each daemon ranks them by a hash of its own, so that the daemons of a lost
+// relay spread over all that are left.
+func relaysOf(m *vm.Membership, self vm.Identity, direct, fanout int) []string {
+	if m == nil || len(m.Members) <= direct {
+		return nil
+	}
+	local := &vm.Membership{}
+	for i := range m.Members {
+		if m.Members[i].Domain == self.Domain {
+			local.Members = append(local.Members, m.Members[i])
+		}
+	}
+	count := (len(local.Members)+fanout-1)/fanout + 1
+	relays := &vm.Membership{Members: domain.Homes(local, "relays of "+self.Domain, count)}
+	for i := range relays.Members {
+		if relays.Members[i].Name == self.Name {
+			return nil
+		}
+	}
+	var addrs []string
+	for _, r := range domain.Homes(relays, self.Name, maxRelays) {
+		addrs = append(addrs, r.PeerAddr)
+	}
+	return addrs
+}
