--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -43,14 +43,20 @@
 	return &caller{http: client, entries: entries, lists: make(map[string]*addressList)}
 }
 
-// outcome is how one request ended.
-type outcome struct {
-	answer    *contract.Answer  // nil unless the status was 200
-	failure   *contract.Failure // nil when there was an answer or no daemon replied
-	err       error             // the last transport error when no daemon replied
-	failovers int               // attempts at a further address
-	resends   int               // failovers of a not-repeatable request that may have arrived
-	session   string
+// Outcome is how one request ended.
+type Outcome struct {
+	Answer    *contract.Answer  // nil unless the status was 200
+	Failure   *contract.Failure // nil when there was an answer or no daemon replied
+	Err       error             // the last transport error when no daemon replied
+	Failovers int               // attempts at a further address
+	Resends   int               // failovers of a not-repeatable request that may have arrived
+	Session   string            // under which a not-repeatable request was sent
+}
+
+// Asker sends one request and follows it to its end. A session given in q is
+// kept: it is that of a resend.
+type Asker interface {
+	Ask(ctx context.Context, q contract.Request, deadline time.Time) Outcome
 }
 
 // addresses returns the list for a path, asking for a new one when it is too old.
@@ -140,63 +146,62 @@
 	return &reply, nil
 }
 
-// query sends a request, failing over along the address list until the deadline.
-// A session given in q is kept: it is that of a resend.
-func (c *caller) query(ctx context.Context, q contract.Request, deadline time.Time) outcome {
-	var out outcome
+// Ask implements Asker: it fails over along the address list until the deadline.
+func (c *caller) Ask(ctx context.Context, q contract.Request, deadline time.Time) Outcome {
+	var out Outcome
 	for first := true; ; first = false {
 		if !first && !sleepUntil(ctx, time.Now().Add(failoverPause)) {
 			return out
 		}
 		list, err := c.addresses(ctx, q.Path)
 		if err != nil {
-			out.err = err
+			out.Err = err
 			return out
 		}
 		if q.Session == "" && !q.IsRepeatable() {
 			q.Session = list.Session
 		}
-		out.session = q.Session
+		out.Session = q.Session
 		for _, a := range list.Addresses {
 			if c.try(ctx, a.URL, q, deadline, &out) {
 				return out
 			}
-			out.failovers++
+			out.Failovers++
 		}
 		c.forget(q.Path, list)
 	}
 }
 
 // try sends to one address; it returns true when the request is decided.
-func (c *caller) try(ctx context.Context, base string, q contract.Request, deadline time.Time, out *outcome) bool {
+func (c *caller) try(ctx context.Context, base string, q contract.Request, deadline time.Time, out *Outcome) bool {
 	left := time.Until(deadline)
 	if left < time.Millisecond || ctx.Err() != nil {
-		if out.err == nil {
-			out.err = context.DeadlineExceeded
+		if out.Err == nil {
+			out.Err = context.DeadlineExceeded
 		}
 		return true
 	}
 	q.DeadlineMS = left.Milliseconds()
 	status, body, wrote, err := c.post(ctx, base+queryPath, &q)
 	if err != nil {
-		out.err, out.failure = err, nil
+		out.Err, out.Failure = err, nil
 		if wrote && !q.IsRepeatable() {
-			out.resends++
+			out.Resends++
 		}
 		return false
 	}
-	out.err = nil
+	out.Err = nil
 	if status == http.StatusOK {
-		out.answer = new(contract.Answer)
-		out.err = json.Unmarshal(body, out.answer)
+		out.Answer = new(contract.Answer)
+		out.Err = json.Unmarshal(body, out.Answer)
 		return true
 	}
-	out.failure = new(contract.Failure)
-	if err := json.Unmarshal(body, out.failure); err != nil {
-		out.err = errors.Wrapf(err, "status %d", status)
+	out.Failure = new(contract.Failure)
+	if err := json.Unmarshal(body, out.Failure); err != nil {
+		out.Err = errors.Wrapf(err, "status %d", status)
 		return true
 	}
-	return !elsewhere(out.failure)
+	return !elsewhere(out.Failure)
 }
 
 // elsewhere reports whether another address may do what this one refused.
--- a/internal/load/config.go
+++ b/internal/load/config.go
@@ -12,6 +12,7 @@
 // Config describes a run.
 type Config struct {
 	Entries       []string // base URLs of daemons to ask for addresses
+	Askers        []Asker  // used in turn in place of callers of Entries, where given
 	Paths         []string // nodes of the tree; requests go to them in turn
 	Rate          float64  // requests a second over all paths
 	Arrivals      Arrivals
@@ -61,7 +62,7 @@
 			fs = append(fs, contract.Fault{Field: field, Value: fmt.Sprint(value), Why: why, Fix: fix})
 		}
 	}
-	fault(len(c.Entries) == 0, "entries", "", "no daemon is named", "give the base URL of at least one")
+	fault(len(c.Entries) == 0 && len(c.Askers) == 0, "entries", "", "no daemon is named", "give the base URL of at least one")
 	for _, e := range c.Entries {
 		fault(!strings.HasPrefix(e, "http://") && !strings.HasPrefix(e, "https://"), "entries", e, "is no base URL", "write http://host:port")
 	}
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -73,30 +73,30 @@
 }
 
 // add counts one request that ended latency after its scheduled start.
-func (t *tally) add(o *outcome, runKey string, intended time.Time, latency, deadline time.Duration) {
+func (t *tally) add(o *Outcome, runKey string, intended time.Time, latency, deadline time.Duration) {
 	var check Check
-	if o.answer != nil && o.err == nil {
-		check = CheckAnswer(o.answer, runKey)
+	if o.Answer != nil && o.Err == nil {
+		check = CheckAnswer(o.Answer, runKey)
 		t.answers.Record(intended, latency)
-	} else if o.failure != nil {
+	} else if o.Failure != nil {
 		t.refusals.Record(intended, latency)
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := &t.res
 	r.Scheduled++
-	r.Failovers += o.failovers
+	r.Failovers += o.Failovers
 	switch {
-	case o.answer != nil && o.err != nil:
+	case o.Answer != nil && o.Err != nil:
 		r.Errors++
-	case o.answer != nil:
-		t.answered(o.answer, check, latency <= deadline)
-	case o.failure != nil && o.failure.Verdict == contract.NotRun:
+	case o.Answer != nil:
+		t.answered(o.Answer, check, latency <= deadline)
+	case o.Failure != nil && o.Failure.Verdict == contract.NotRun:
 		r.Refused++
-		r.Reasons[o.failure.Reason]++
-	case o.failure != nil:
+		r.Reasons[o.Failure.Reason]++
+	case o.Failure != nil:
 		r.InDoubt++
-		r.Reasons[o.failure.Reason]++
+		r.Reasons[o.Failure.Reason]++
 	default:
 		r.Failed++
 	}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -60,10 +60,10 @@
 }
 
 type runner struct {
-	cfg     *Config
-	run     string // unique over runs, so that keys are
-	callers []*caller
-	tally   *tally
+	cfg    *Config
+	run    string // unique over runs, so that keys are
+	askers []Asker
+	tally  *tally
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -76,8 +76,12 @@
 		tally:  newTally(time.Now(), cfg.Window),
 		random: rand.New(rand.NewPCG(cfg.Seed, ^cfg.Seed)),
 	}
+	r.askers = cfg.Askers
+	if len(r.askers) > 0 {
+		return r
+	}
 	for range cfg.Callers {
-		r.callers = append(r.callers, newCaller(client, cfg.Entries))
+		r.askers = append(r.askers, newCaller(client, cfg.Entries))
 	}
 	return r
 }
@@ -93,18 +97,18 @@
 	deadline := intended.Add(r.cfg.Deadline)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(grace))
 	defer cancel()
-	c := r.callers[n%len(r.callers)]
+	asker := r.askers[n%len(r.askers)]
 	q := r.request(n)
-	o := c.query(ctx, q, deadline)
+	o := asker.Ask(ctx, q, deadline)
 	runKey := r.key(n)
 	r.tally.add(&o, runKey, intended, time.Since(intended), r.cfg.Deadline)
 	if q.IsRepeatable() {
 		return
 	}
-	var again *outcome
-	if o.session != "" && r.chance(r.cfg.Resend) {
-		q.Session = o.session
-		resent := c.resend(q, r.cfg.Deadline)
+	var again *Outcome
+	if o.Session != "" && r.chance(r.cfg.Resend) {
+		q.Session = o.Session
+		resent := resend(asker, q, r.cfg.Deadline)
 		again = &resent
 	}
 	r.tally.addOnce(&o, again)
@@ -131,27 +135,27 @@
 
 // resend sends a decided request once more under its key, as a caller does that
 // never saw the reply.
-func (c *caller) resend(q contract.Request, limit time.Duration) outcome {
+func resend(asker Asker, q contract.Request, limit time.Duration) Outcome {
 	deadline := time.Now().Add(limit)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(grace))
 	defer cancel()
-	return c.query(ctx, q, deadline)
+	return asker.Ask(ctx, q, deadline)
 }
 
 // verdict is what the caller knows of a request that has ended.
-func (o *outcome) verdict() contract.Verdict {
+func (o *Outcome) verdict() contract.Verdict {
 	switch {
-	case o.answer != nil && o.err == nil:
+	case o.Answer != nil && o.Err == nil:
 		return contract.Ran
-	case o.failure != nil && o.err == nil:
-		return o.failure.Verdict
+	case o.Failure != nil && o.Err == nil:
+		return o.Failure.Verdict
 	default:
 		return contract.MayHaveRun
 	}
 }
 
 // addOnce counts a not-repeatable request and its resend, if there was one.
-func (t *tally) addOnce(first, again *outcome) {
+func (t *tally) addOnce(first, again *Outcome) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	o := &t.res.Once
@@ -164,7 +168,7 @@
 	default:
 		o.InDoubt++
 	}
-	o.Resends += first.resends
+	o.Resends += first.Resends
 	if again == nil {
 		return
 	}
