Send to leaves over bounded warm connections, and probe them

Cause: nothing carries a request to a leaf with a verdict, and nothing knows which index versions leaves hold. Change: a pool of net/http client connections per leaf, counted from the dial on; exchanges that outlive their caller and keep the permit until the leaf is done; verdicts from what was written and answered; a prober with the catalog of index versions and the three words on draining.

--- a/internal/admit/errors.go
+++ b/internal/admit/errors.go
@@ -14,6 +14,7 @@
 	ErrNoShare     = errors.New("this daemon holds no share of the leaf's slots")
 	ErrQueueFull   = errors.New("the queue for the leaf is full")
 	ErrNoFit       = errors.New("the expected wait for a slot does not fit the deadline")
+	ErrDraining    = errors.New("the leaf is leaving and takes no new work")
 	ErrUnconfirmed = errors.New("the daemon's lease has run out")
 )
 
@@ -29,6 +30,10 @@
 	return refusal(contract.ReasonOverload, noShareRetry, ErrNoShare)
 }
 
+func errDraining() error {
+	return refusal(contract.ReasonNoReplica, noShareRetry, ErrDraining)
+}
+
 func errUnconfirmed() error {
 	return refusal(contract.ReasonUnconfirmed, unconfirmedRetry, ErrUnconfirmed)
 }
--- a/internal/admit/gate.go
+++ b/internal/admit/gate.go
@@ -17,16 +17,17 @@
 	set  *Gates
 	leaf string
 
-	mu      sync.Mutex
-	limits  Limits
-	flying  []*Permit // permits out
-	over    bool      // more are out than the share allows
-	queue   queue
-	service ewma // how long a permit is held
-	health  health
-	hint    hint
-	timer   stopper
-	timerAt vm.Instant
+	mu       sync.Mutex
+	limits   Limits
+	flying   []*Permit // permits out
+	over     bool      // more are out than the share allows
+	draining bool      // the leaf is leaving
+	queue    queue
+	service  ewma // how long a permit is held
+	health   health
+	hint     hint
+	timer    stopper
+	timerAt  vm.Instant
 }
 
 // never is the deadline of a request that has none.
@@ -42,6 +43,23 @@
 	return l.Slots <= 0 && len(g.flying) == 0
 }
 
+func (g *gate) setDraining(on bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.draining = on
+	g.dispatch(g.set.clock())
+}
+
+func (g *gate) answered() (time.Duration, bool) {
+	now := g.set.clock()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.health.lastAnswer == 0 {
+		return 0, false
+	}
+	return now.Sub(g.health.lastAnswer), true
+}
+
 func (g *gate) idle() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -118,6 +136,10 @@
 		refusedNoShare.Inc(1)
 		return errNoShare()
 	}
+	if g.draining {
+		refusedDraining.Inc(1)
+		return errDraining()
+	}
 	return nil
 }
 
@@ -148,7 +170,7 @@
 	now := g.set.clock()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if now >= g.set.fence.end() || g.queue.len() > 0 || !g.room(now) {
+	if g.draining || now >= g.set.fence.end() || g.queue.len() > 0 || !g.room(now) {
 		return nil, false
 	}
 	return g.grant(now), true
@@ -185,6 +207,8 @@
 	case Answered:
 		g.service.add(held)
 		g.health.answered(now, g.limits.Ramp)
+	case Declined:
+		g.health.answered(now, g.limits.Ramp)
 	case Refused:
 		g.health.refused(now, retryAfter)
 	case Failed:
--- a/internal/admit/gates.go
+++ b/internal/admit/gates.go
@@ -25,8 +25,9 @@
 	fence fence
 	over  atomic.Int64 // gates with more in flight than their share
 
-	mu   sync.RWMutex
-	byID map[string]*gate
+	mu       sync.RWMutex
+	byID     map[string]*gate
+	draining map[string]bool // also of leaves that have no gate at present
 }
 
 // stopper stops a timer; see time.Timer.Stop.
@@ -44,7 +45,7 @@
 }
 
 func newGates(clock vm.Clock, after afterFunc) *Gates {
-	return &Gates{clock: clock, after: after, byID: make(map[string]*gate)}
+	return &Gates{clock: clock, after: after, byID: make(map[string]*gate), draining: make(map[string]bool)}
 }
 
 // Configure sets a leaf's limits. A smaller share cancels nothing: new permits
@@ -58,7 +59,7 @@
 		if l.Slots <= 0 {
 			return
 		}
-		gt = &gate{set: g, leaf: leaf}
+		gt = &gate{set: g, leaf: leaf, draining: g.draining[leaf]}
 		g.byID[leaf] = gt
 	}
 	if gt.configure(l) {
@@ -122,6 +123,30 @@
 	}
 }
 
+// Drain shuts a leaf's gate while on: the leaf is leaving. What is in flight
+// goes on; what waits is refused.
+func (g *Gates) Drain(leaf string, on bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if on {
+		g.draining[leaf] = true
+	} else {
+		delete(g.draining, leaf)
+	}
+	if gt := g.byID[leaf]; gt != nil {
+		gt.setDraining(on)
+	}
+}
+
+// Answered returns how long ago the leaf last replied to a request.
+func (g *Gates) Answered(leaf string) (time.Duration, bool) {
+	gt := g.get(leaf)
+	if gt == nil {
+		return 0, false
+	}
+	return gt.answered()
+}
+
 // Hint passes on the load that a leaf reported. It lags and may mislead, so it
 // only weighs on Load.Wait, by at most hintWeight, and fades with its age.
 func (g *Gates) Hint(leaf string, inFlight, slots int) {
--- a/internal/admit/health.go
+++ b/internal/admit/health.go
@@ -24,6 +24,7 @@
 	ramping    bool
 	rampFrom   vm.Instant
 	nextStart  vm.Instant // pacing during a slow start
+	lastAnswer vm.Instant // 0: none yet
 }
 
 func (h *health) failing() bool { return h.failures >= failThreshold }
@@ -43,6 +44,7 @@
 func (h *health) answered(now vm.Instant, ramp time.Duration) {
 	recovered := h.failing()
 	h.failures, h.refusals = 0, 0
+	h.lastAnswer = now
 	if recovered && ramp > 0 {
 		h.beginRamp(now)
 	}
--- a/internal/admit/metrics.go
+++ b/internal/admit/metrics.go
@@ -9,6 +9,7 @@
 	refusedFull        = metrics.GetOrRegisterCounter("admit.refused.queue_full", nil)
 	refusedNoFit       = metrics.GetOrRegisterCounter("admit.refused.no_fit", nil)
 	refusedNoShare     = metrics.GetOrRegisterCounter("admit.refused.no_share", nil)
+	refusedDraining    = metrics.GetOrRegisterCounter("admit.refused.draining", nil)
 	refusedUnconfirmed = metrics.GetOrRegisterCounter("admit.refused.unconfirmed", nil)
 	budgetDenied       = metrics.GetOrRegisterCounter("admit.budget.denied", nil)
 )
--- a/internal/admit/permit.go
+++ b/internal/admit/permit.go
@@ -14,6 +14,7 @@
 const (
 	Unused    Outcome = iota // nothing was sent, nothing learnt
 	Answered                 // the leaf replied
+	Declined                 // the leaf replied without running: alive, its time says nothing
 	Refused                  // the leaf refused before running: 429 or 503
 	Failed                   // no connection, a reset, or no reply in time
 	Cancelled                // the caller gave up on an attempt that was still running
--- /dev/null
+++ b/internal/link/leaf/judge.go
@@ -0,0 +1,80 @@
+package leaf
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pearmoor/internal/admit"
+	"pearmoor/internal/contract"
+)
+
+// judge turns a whole reply into an outcome: only a reply that matches the
+// request proves that it ran, and only 429, 503 and 409 that it did not.
+func judge(resp *http.Response, body []byte, req *contract.LeafRequest) outcome {
+	switch resp.StatusCode {
+	case http.StatusOK:
+		return judgeReply(body, req)
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		refused.Inc(1)
+		after := parseRetryAfter(resp.Header.Get("Retry-After"), time.Now())
+		e := contract.Refuse(contract.ReasonRefused, statusError(resp))
+		e.RetryAfter = after.Milliseconds()
+		return outcome{err: e, learnt: admit.Refused, retryAfter: after}
+	case http.StatusConflict:
+		e := contract.Refuse(contract.ReasonNoReplica, statusError(resp))
+		return outcome{err: e, learnt: admit.Declined}
+	default:
+		return broken(contract.ReasonTargetFailed, statusError(resp))
+	}
+}
+
+func statusError(resp *http.Response) error {
+	return errors.Newf("the target answered with status %d", resp.StatusCode)
+}
+
+func judgeReply(body []byte, req *contract.LeafRequest) outcome {
+	reply, err := parseReply(body)
+	if err != nil {
+		return broken(contract.ReasonWrongReply, err)
+	}
+	if !reply.Matches(req) {
+		wrongReplies.Inc(1)
+		err := errors.Newf("the reply is of request %q attempt %d shard %d version %d",
+			reply.ID, reply.Attempt, reply.Shard, reply.IndexVersion)
+		out := broken(contract.ReasonWrongReply, err)
+		out.learnt = admit.Declined // alive, but says nothing of the time a request takes
+		return out
+	}
+	return outcome{reply: reply, learnt: admit.Answered}
+}
+
+func parseReply(body []byte) (*contract.LeafReply, error) {
+	reply := new(contract.LeafReply)
+	if err := json.Unmarshal(body, reply); err != nil {
+		return nil, errors.Wrap(err, "the reply is not valid")
+	}
+	return reply, nil
+}
+
+// retryAfterMax bounds a leaf's word on when to come back.
+const retryAfterMax = time.Hour
+
+// parseRetryAfter reads a Retry-After header, in seconds or as a date; 0 if
+// there is none that can be read.
+func parseRetryAfter(v string, now time.Time) time.Duration {
+	if v == "" {
+		return 0
+	}
+	if s, err := strconv.ParseUint(v, 10, 32); err == nil {
+		return min(time.Duration(s)*time.Second, retryAfterMax)
+	}
+	at, err := http.ParseTime(v)
+	if err != nil {
+		return 0
+	}
+	return min(max(0, at.Sub(now)), retryAfterMax)
+}
--- /dev/null
+++ b/internal/link/leaf/leaf_test.go
@@ -0,0 +1,165 @@
+package leaf
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"pearmoor/internal/admit"
+	"pearmoor/internal/contract"
+	"pearmoor/internal/settings"
+	"pearmoor/internal/vm"
+)
+
+func TestMain(m *testing.M) {
+	// The fault tests leave attempts running at fakes that are closed later; all
+	// goroutines must have gone when the last test is over.
+	goleak.VerifyTestMain(m)
+}
+
+// generous is an upper limit for events that come at once when nothing is wrong.
+const generous = 20 * time.Second
+
+// fakeLeaf is a target that counts what reaches it.
+type fakeLeaf struct {
+	*httptest.Server
+	runs     atomic.Int64 // requests that began to run
+	inFlight atomic.Int64
+	most     atomic.Int64 // most in flight
+	opened   atomic.Int64 // connections accepted
+	openNow  atomic.Int64
+	mostOpen atomic.Int64
+
+	mu      sync.Mutex
+	handle  func(w http.ResponseWriter, r *http.Request, q *contract.LeafRequest)
+	status  contract.LeafStatus
+	statusH http.HandlerFunc // in place of status
+}
+
+func newFakeLeaf(t testing.TB) *fakeLeaf {
+	f := &fakeLeaf{handle: answer}
+	f.status = contract.LeafStatus{Name: "a", State: contract.LeafServing, Slots: 2}
+	mux := http.NewServeMux()
+	mux.HandleFunc(contract.LeafQueryPath, f.query)
+	mux.HandleFunc(contract.LeafStatusPath, f.report)
+	f.Server = httptest.NewUnstartedServer(mux)
+	f.Config.ConnState = f.connState
+	f.Start()
+	t.Cleanup(f.Close)
+	return f
+}
+
+func raise(most *atomic.Int64, n int64) {
+	for m := most.Load(); n > m && !most.CompareAndSwap(m, n); m = most.Load() {
+	}
+}
+
+func (f *fakeLeaf) connState(_ net.Conn, s http.ConnState) {
+	switch s {
+	case http.StateNew:
+		f.opened.Add(1)
+		raise(&f.mostOpen, f.openNow.Add(1))
+	case http.StateClosed, http.StateHijacked:
+		f.openNow.Add(-1)
+	}
+}
+
+func (f *fakeLeaf) query(w http.ResponseWriter, r *http.Request) {
+	var q contract.LeafRequest
+	if err := json.NewDecoder(r.Body).Decode(&q); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	f.runs.Add(1)
+	raise(&f.most, f.inFlight.Add(1))
+	defer f.inFlight.Add(-1)
+	f.mu.Lock()
+	h := f.handle
+	f.mu.Unlock()
+	h(w, r, &q)
+}
+
+func (f *fakeLeaf) report(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	st, h := f.status, f.statusH
+	f.mu.Unlock()
+	if h != nil {
+		h(w, r)
+		return
+	}
+	json.NewEncoder(w).Encode(st)
+}
+
+func (f *fakeLeaf) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+func replyTo(q *contract.LeafRequest) contract.LeafReply {
+	return contract.LeafReply{
+		ID: q.ID, Attempt: q.Attempt, Service: q.Service, Shard: q.Shard, IndexVersion: q.IndexVersion,
+		Hits: []contract.Hit{{ID: "h", Score: 1}},
+	}
+}
+
+func answer(w http.ResponseWriter, _ *http.Request, q *contract.LeafRequest) {
+	json.NewEncoder(w).Encode(replyTo(q))
+}
+
+func (f *fakeLeaf) leaf() settings.Leaf {
+	return settings.Leaf{Name: "a", Addr: f.Listener.Addr().String(), Domain: "lalitpur-hall"}
+}
+
+// bench is a sender with gates open for one leaf.
+type rig struct {
+	sender *Sender
+	gates  *admit.Gates
+	leaf   settings.Leaf
+}
+
+func newRig(t testing.TB, leaf settings.Leaf, slots int, link Link) *rig {
+	r := &rig{sender: NewSender(Config{}), gates: admit.NewGates(vm.Now), leaf: leaf}
+	r.gates.Configure(leaf.Addr, admit.Limits{Slots: slots, Queue: 16})
+	r.gates.Fence(vm.Now().Add(time.Hour))
+	r.sender.Limit(leaf, link)
+	t.Cleanup(r.sender.Close)
+	return r
+}
+
+func request(id string) *contract.LeafRequest {
+	return &contract.LeafRequest{ID: id, Attempt: 1, Service: "/s", Shard: 3, IndexVersion: 7, Body: json.RawMessage(`{"q":"<pension>"}`)}
+}
+
+func (r *rig) send(ctx context.Context, t testing.TB, id string) (*contract.LeafReply, error) {
+	p, err := r.gates.Acquire(ctx, r.leaf.Addr, settings.Urgent)
+	if err != nil {
+		return nil, err
+	}
+	return r.sender.Send(ctx, r.leaf, request(id), p)
+}
+
+func deadline(t testing.TB, d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// eventually waits for a condition that another goroutine brings about.
+func eventually(t testing.TB, what string, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(generous); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if cond() {
+			return
+		}
+	}
+	t.Fatalf("not seen within %v: %s", generous, what)
+}
--- /dev/null
+++ b/internal/link/leaf/prober.go
@@ -0,0 +1,368 @@
+package leaf
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"pearmoor/internal/admit"
+	"pearmoor/internal/contract"
+	"pearmoor/internal/settings"
+	"pearmoor/internal/vm"
+)
+
+const (
+	defaultInterval = time.Second
+	probeTimeoutMin = 500 * time.Millisecond
+	firstProbe      = 100 * time.Millisecond // a new leaf is asked within this time
+	probeJitter     = 0.2                    // of the interval, either way
+	staleIntervals  = 5                      // a status older than so many intervals does not make a leaf live
+	staleMin        = 3 * time.Second
+)
+
+// ProberConfig makes a Prober.
+type ProberConfig struct {
+	Sender      *Sender
+	Gates       *admit.Gates
+	PlatformURL string   // base URL of the platform's VM list; empty: none
+	Clock       vm.Clock // nil: vm.Now
+}
+
+// Prober polls the status of watched leaves and keeps the catalog of index
+// versions. A leaf that leaves, by its own word, the operator's or the
+// platform's, is taken out of the catalog and its gate is shut.
+type Prober struct {
+	sender   *Sender
+	gates    *admit.Gates
+	platform *platformList
+	clock    vm.Clock
+	wake     chan struct{}
+
+	mu       sync.RWMutex
+	services map[string]*service
+	targets  map[string]*target // by address
+	leaving  map[string]bool
+}
+
+// service is a watched query service.
+type service struct {
+	leaves  []settings.Leaf
+	drained []string
+	every   time.Duration
+	catalog []Snapshot
+}
+
+// target is a watched leaf.
+type target struct {
+	leaf     settings.Leaf
+	every    time.Duration
+	services []string
+	due      time.Time
+	probing  bool
+	failing  bool
+	known    bool // status is valid
+	status   contract.LeafStatus
+	at       vm.Instant // of the status
+	draining bool
+	live     bool
+}
+
+// NewProber returns a prober that watches nothing yet.
+func NewProber(c ProberConfig) *Prober {
+	p := &Prober{
+		sender:   c.Sender,
+		gates:    c.Gates,
+		clock:    c.Clock,
+		wake:     make(chan struct{}, 1),
+		services: make(map[string]*service),
+		targets:  make(map[string]*target),
+	}
+	if p.clock == nil {
+		p.clock = vm.Now
+	}
+	if c.PlatformURL != "" {
+		p.platform = newPlatformList(c.PlatformURL)
+	}
+	return p
+}
+
+// Watch watches the leaves of a query service from now on, and no longer if e
+// is nil. It is called again when the service's settings change.
+func (p *Prober) Watch(name string, e *settings.Effective) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if e == nil {
+		delete(p.services, name)
+	} else {
+		s := p.services[name]
+		if s == nil {
+			s = new(service)
+			p.services[name] = s
+		}
+		s.leaves, s.drained, s.every = e.Leaves, e.Drained, e.ProbeInterval
+		if s.every <= 0 {
+			s.every = defaultInterval
+		}
+	}
+	p.retarget()
+	p.signal()
+}
+
+// retarget brings targets in line with services.
+func (p *Prober) retarget() {
+	old := p.targets
+	p.targets = make(map[string]*target, len(old))
+	for name, s := range p.services {
+		for _, l := range s.leaves {
+			p.addTarget(old[l.Addr], l, name, s.every)
+		}
+	}
+	for addr := range old {
+		if p.targets[addr] == nil {
+			p.gates.Drain(addr, false)
+		}
+	}
+	for _, t := range p.targets {
+		p.judgeDrain(t)
+		t.live = p.isLive(t)
+	}
+	for name := range p.services {
+		p.rebuild(name)
+	}
+}
+
+func (p *Prober) addTarget(t *target, l settings.Leaf, service string, every time.Duration) {
+	if now := p.targets[l.Addr]; now != nil {
+		now.services = append(now.services, service)
+		now.every = min(now.every, every)
+		return
+	}
+	if t == nil {
+		t = &target{due: time.Now().Add(rand.N(firstProbe))}
+	}
+	t.leaf, t.every, t.services = l, every, []string{service}
+	p.targets[l.Addr] = t
+}
+
+// judgeDrain shuts or opens the gate of a leaf and reports a change.
+func (p *Prober) judgeDrain(t *target) {
+	leaving := t.known && t.status.State == contract.LeafDraining || isLeaving(p.leaving, t.leaf)
+	for _, name := range t.services {
+		leaving = leaving || slices.Contains(p.services[name].drained, t.leaf.Name)
+	}
+	if leaving == t.draining {
+		return
+	}
+	t.draining = leaving
+	p.gates.Drain(t.leaf.Addr, leaving)
+	if leaving {
+		klog.Infof("leaf: %s drains", t.leaf.Name)
+		return
+	}
+	klog.Infof("leaf: %s takes work again", t.leaf.Name)
+	p.gates.Ramp(t.leaf.Addr)
+}
+
+// isLive trusts a recent answer to a request as much as a recent status: the
+// status endpoint of a leaf that works may fail, and a stale status may speak
+// for a leaf that is gone.
+func (p *Prober) isLive(t *target) bool {
+	if !t.known || t.draining {
+		return false
+	}
+	life := max(staleMin, staleIntervals*t.every)
+	if p.clock().Sub(t.at) <= life {
+		return true
+	}
+	age, ok := p.gates.Answered(t.leaf.Addr)
+	return ok && age <= life
+}
+
+// rebuild makes a service's catalog anew; readers keep the one they have.
+func (p *Prober) rebuild(name string) {
+	s := p.services[name]
+	if s == nil {
+		return
+	}
+	reports := make([]report, 0, len(s.leaves))
+	for _, l := range s.leaves {
+		if t := p.targets[l.Addr]; t.known {
+			reports = append(reports, report{leaf: l, status: &t.status, live: t.live})
+		}
+	}
+	s.catalog = snapshots(name, reports)
+}
+
+// Status returns the last status of the leaf at addr and its age.
+func (p *Prober) Status(addr string) (contract.LeafStatus, time.Duration, bool) {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	t := p.targets[addr]
+	if t == nil || !t.known {
+		return contract.LeafStatus{}, 0, false
+	}
+	return t.status, p.clock().Sub(t.at), true
+}
+
+// Snapshots returns the index versions of a service, newest first. The slice
+// is shared and must not be changed.
+func (p *Prober) Snapshots(service string) []Snapshot {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	s := p.services[service]
+	if s == nil {
+		return nil
+	}
+	return s.catalog
+}
+
+func (p *Prober) signal() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run polls until ctx ends, and returns when its last probe has ended.
+func (p *Prober) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	if p.platform != nil {
+		wg.Go(func() { p.pollPlatform(ctx) })
+	}
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-p.wake:
+		case <-timer.C:
+		}
+		due, next := p.takeDue(time.Now())
+		for _, d := range due {
+			wg.Go(func() { p.probe(d) })
+		}
+		timer.Reset(next)
+	}
+}
+
+// dueProbe is a probe to make, with what may change while it runs.
+type dueProbe struct {
+	target *target
+	addr   string
+	every  time.Duration
+}
+
+// takeDue returns the targets to probe now and how long until the next is due.
+func (p *Prober) takeDue(now time.Time) ([]dueProbe, time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var due []dueProbe
+	next := defaultInterval
+	for _, t := range p.targets {
+		if !t.probing && !t.due.After(now) {
+			t.probing = true
+			t.due = now.Add(jittered(t.every))
+			due = append(due, dueProbe{target: t, addr: t.leaf.Addr, every: t.every})
+		}
+		if wait := t.due.Sub(now); wait > 0 {
+			next = min(next, wait)
+		}
+	}
+	return due, next
+}
+
+func jittered(d time.Duration) time.Duration {
+	return d + time.Duration((2*rand.Float64()-1)*probeJitter*float64(d))
+}
+
+func (p *Prober) probe(d dueProbe) {
+	st, err := p.sender.probe(d.addr, max(probeTimeoutMin, d.every))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := d.target
+	t.probing = false
+	if err != nil {
+		probesFailed.Inc(1)
+		if !t.failing {
+			klog.Warningf("leaf: probe of %s failed: %v", t.leaf.Name, err)
+		}
+	}
+	t.failing = err != nil
+	if p.targets[t.leaf.Addr] != t {
+		return
+	}
+	changed := err == nil && p.learn(t, st)
+	if live := p.isLive(t); live != t.live {
+		t.live, changed = live, true
+	}
+	if changed {
+		for _, name := range t.services {
+			p.rebuild(name)
+		}
+	}
+}
+
+// learn takes in a new status and reports whether the catalog is affected.
+func (p *Prober) learn(t *target, st contract.LeafStatus) bool {
+	changed := !t.known || !slices.EqualFunc(t.status.Indexes, st.Indexes, sameIndex)
+	cold := st.State == contract.LeafStarting && (!t.known || t.status.State != contract.LeafStarting)
+	t.known, t.status, t.at = true, st, p.clock()
+	p.judgeDrain(t)
+	p.gates.Hint(t.leaf.Addr, st.InFlight, st.Slots)
+	if cold {
+		p.gates.Ramp(t.leaf.Addr)
+	}
+	return changed
+}
+
+func sameIndex(a, b contract.LeafIndex) bool {
+	return a.Service == b.Service && a.Version == b.Version && a.Shards == b.Shards && slices.Equal(a.Held, b.Held)
+}
+
+// pollPlatform keeps the platform's list of leaving VMs. A list that can't be
+// renewed is kept for platformLife, then dropped: leaves speak for themselves.
+func (p *Prober) pollPlatform(ctx context.Context) {
+	defer p.platform.client.CloseIdleConnections()
+	failing := false
+	for {
+		leaving, err := p.platform.fetch(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil && !failing {
+			klog.Warningf("leaf: platform list failed: %v", err)
+		}
+		failing = err != nil
+		if err == nil || time.Since(p.platform.at) > platformLife {
+			p.setLeaving(leaving)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(jittered(platformInterval)):
+		}
+	}
+}
+
+func (p *Prober) setLeaving(leaving map[string]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leaving = leaving
+	for _, t := range p.targets {
+		was := t.draining
+		p.judgeDrain(t)
+		if t.draining == was {
+			continue
+		}
+		t.live = p.isLive(t)
+		for _, name := range t.services {
+			p.rebuild(name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/link/leaf/roundtrip.go
@@ -0,0 +1,119 @@
+package leaf
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"pearmoor/internal/admit"
+	"pearmoor/internal/contract"
+)
+
+const (
+	replyLimit  = 16 << 20 // bytes of a reply; a longer one counts as failed
+	statusLimit = 1 << 20  // bytes of a status report
+	keepBuffer  = 1 << 20  // a larger read buffer is not kept
+)
+
+var errTooLong = errors.New("the reply is longer than the limit")
+
+var queryHeader = http.Header{"Content-Type": {"application/json"}}
+
+// newQuery builds the request. Its body can't be rewound and it has no
+// Idempotency-Key, so nothing below may send it twice: a resend that the
+// verdict does not know of would run the request two times.
+func newQuery(addr string, req *contract.LeafRequest) (*http.Request, error) {
+	var body bytes.Buffer
+	enc := json.NewEncoder(&body)
+	enc.SetEscapeHTML(false)
+	if err := enc.Encode(req); err != nil {
+		return nil, err
+	}
+	return &http.Request{
+		Method:        http.MethodPost,
+		URL:           &url.URL{Scheme: "http", Host: addr, Path: contract.LeafQueryPath},
+		Host:          addr,
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+		Header:        queryHeader,
+		Body:          io.NopCloser(&body),
+		ContentLength: int64(body.Len()),
+	}, nil
+}
+
+// roundTrip sends the request on c and judges what comes back. c is given back
+// to the pool only after a whole exchange.
+func (x *exchange) roundTrip(c *conn) outcome {
+	r, err := newQuery(x.pool.addr, &x.req)
+	if err != nil {
+		x.pool.put(c)
+		return outcome{err: contract.Refuse(contract.ReasonInvalid, err), learnt: admit.Unused}
+	}
+	c.wire.first.Store(x)
+	resp, err := c.client.RoundTrip(r)
+	if err != nil {
+		return x.failed(c, err)
+	}
+	buf := buffers.Get().(*bytes.Buffer)
+	defer putBuffer(buf)
+	if err := readAll(buf, resp, replyLimit); err != nil {
+		return x.failed(c, err)
+	}
+	x.setConn(nil)
+	if resp.Close {
+		c.close()
+	} else {
+		x.pool.put(c)
+	}
+	return judge(resp, buf.Bytes(), &x.req)
+}
+
+// failed judges an exchange without a whole reply and closes its connection.
+func (x *exchange) failed(c *conn, err error) outcome {
+	nothingSent := x.disarm(c)
+	x.setConn(nil)
+	half := c.wire.half.Load()
+	c.close()
+	var refused *contract.Error
+	switch {
+	case nothingSent && errors.As(err, &refused):
+		return notSent(refused)
+	case nothingSent && x.left.Load():
+		return notSent(errAborted)
+	case nothingSent:
+		return deadConn(err)
+	}
+	out := broken(contract.ReasonTargetFailed, err)
+	if half && !x.killed.Load() {
+		out.learnt = admit.Cancelled
+	}
+	return out
+}
+
+var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+func putBuffer(b *bytes.Buffer) {
+	if b.Cap() <= keepBuffer {
+		b.Reset()
+		buffers.Put(b)
+	}
+}
+
+// readAll reads a whole body into buf and closes it.
+func readAll(buf *bytes.Buffer, resp *http.Response, limit int64) error {
+	defer resp.Body.Close()
+	if resp.ContentLength > limit {
+		return errTooLong
+	}
+	n, err := buf.ReadFrom(io.LimitReader(resp.Body, limit+1))
+	if err == nil && n > limit {
+		err = errTooLong
+	}
+	return err
+}
--- /dev/null
+++ b/internal/link/leaf/sender.go
@@ -0,0 +1,151 @@
+package leaf
+
+import (
+	"context"
+	"crypto/tls"
+	"math"
+	"sync"
+	"time"
+
+	"pearmoor/internal/admit"
+	"pearmoor/internal/contract"
+	"pearmoor/internal/settings"
+	"pearmoor/internal/vm"
+)
+
+// Config makes a Sender.
+type Config struct {
+	Clock vm.Clock    // nil: vm.Now
+	TLS   *tls.Config // for leaves with Link.TLS; nil: the system's authorities
+}
+
+// Sender sends requests to leaves over bounded pools of connections.
+type Sender struct {
+	clock vm.Clock
+	tls   *tls.Config
+
+	mu    sync.RWMutex
+	pools map[string]*pool // by address
+}
+
+// NewSender returns a sender that reaches no leaf until Limit has named its link.
+func NewSender(c Config) *Sender {
+	s := &Sender{clock: c.Clock, tls: c.TLS, pools: make(map[string]*pool)}
+	if s.clock == nil {
+		s.clock = vm.Now
+	}
+	if s.tls == nil {
+		s.tls = new(tls.Config)
+	}
+	return s
+}
+
+// Limit sets what may be used to reach a leaf. A smaller share of connections
+// closes idle ones at once and the others when their exchange is over.
+func (s *Sender) Limit(leaf settings.Leaf, l Link) {
+	s.mu.Lock()
+	p := s.pools[leaf.Addr]
+	if p != nil && (p.tls != nil) != l.TLS {
+		p.setLink(Link{})
+		p = nil
+	}
+	if p == nil {
+		if l.Conns <= 0 {
+			delete(s.pools, leaf.Addr)
+			s.mu.Unlock()
+			return
+		}
+		p = &pool{addr: leaf.Addr}
+		if l.TLS {
+			p.tls = s.tls
+		}
+		s.pools[leaf.Addr] = p
+	}
+	if l.Conns <= 0 {
+		delete(s.pools, leaf.Addr)
+	}
+	s.mu.Unlock()
+	p.setLink(l)
+}
+
+func (s *Sender) pool(addr string) *pool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.pools[addr]
+}
+
+// Conns returns how many connections to a leaf are open or being opened, and
+// what opening one costs.
+func (s *Sender) Conns(addr string) (open int, cost time.Duration) {
+	p := s.pool(addr)
+	if p == nil {
+		return 0, 0
+	}
+	p.mu.Lock()
+	open = p.open
+	p.mu.Unlock()
+	return open, p.connectCost()
+}
+
+// Close closes idle connections, and the others when their exchange is over.
+func (s *Sender) Close() {
+	s.mu.Lock()
+	pools := s.pools
+	s.pools = make(map[string]*pool)
+	s.mu.Unlock()
+	for _, p := range pools {
+		p.setLink(Link{})
+	}
+}
+
+// Send sends req once and waits for its reply until ctx ends. It owns the
+// permit from here on and gives it back when the leaf is known to be done,
+// which may be after Send has returned. The leaf is told the time left until
+// ctx's deadline or the end of the lease, whichever is first. The error is
+// always a *contract.Error.
+func (s *Sender) Send(ctx context.Context, leaf settings.Leaf, req *contract.LeafRequest, permit *admit.Permit) (*contract.LeafReply, error) {
+	p := s.pool(leaf.Addr)
+	if p == nil {
+		permit.Release()
+		return nil, notConnected(errNoShare).err
+	}
+	wait, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	x := &exchange{
+		pool:     p,
+		permit:   permit,
+		clock:    s.clock,
+		req:      *req,
+		deadline: s.deadline(ctx, permit),
+		cancel:   cancel,
+		done:     make(chan struct{}),
+	}
+	go x.run(wait)
+	select {
+	case <-x.done:
+		return x.result()
+	case <-ctx.Done():
+	}
+	if x.over() {
+		return x.result()
+	}
+	if x.leave() {
+		return nil, contract.Refuse(contract.ReasonDeadline, ctx.Err())
+	}
+	return nil, &contract.Error{Verdict: contract.MayHaveRun, Reason: contract.ReasonDeadline, Cause: ctx.Err()}
+}
+
+func (x *exchange) result() (*contract.LeafReply, error) {
+	if x.err != nil {
+		return nil, x.err
+	}
+	return x.reply, nil
+}
+
+func (s *Sender) deadline(ctx context.Context, permit *admit.Permit) vm.Instant {
+	end := permit.Until()
+	if d, ok := ctx.Deadline(); ok {
+		end = min(end, s.clock().Add(time.Until(d)))
+	}
+	return min(end, vm.Instant(math.MaxInt64/2))
+}
--- /dev/null
+++ b/internal/link/leaf/sender_test.go
@@ -0,0 +1,24 @@
+package leaf
+
+import (
+	"strconv"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestSendAnswers(t *testing.T) {
+	Convey("A reply that matches comes back, over one warm connection", t, func() {
+		f := newFakeLeaf(t)
+		r := newRig(t, f.leaf(), 2, Link{Conns: 3})
+		for i := range 20 {
+			reply, err := r.send(deadline(t, generous), t, strconv.Itoa(i))
+			So(err, ShouldBeNil)
+			So(reply.ID, ShouldEqual, strconv.Itoa(i))
+			So(reply.Hits, ShouldHaveLength, 1)
+		}
+		So(f.runs.Load(), ShouldEqual, 20)
+		So(f.opened.Load(), ShouldEqual, 1)
+		So(r.gates.Load(r.leaf.Addr).InFlight, ShouldEqual, 0)
+	})
+}
--- /dev/null
+++ b/internal/link/leaf/wire.go
@@ -0,0 +1,117 @@
+package leaf
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	dialTimeout = 2 * time.Second
+	// A connection that is cut without a word looks open. Keep-alives find out
+	// when it is idle, the user timeout when sent bytes stay unacknowledged.
+	keepAliveIdle     = 5 * time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 3
+	userTimeout       = 6 * time.Second
+)
+
+// wire is a connection to a leaf. It calls a hook before the first byte of an
+// exchange and counts itself out of its pool when it is closed.
+type wire struct {
+	net.Conn
+	pool      *pool
+	exact     bool                     // plain TCP: a write of 0 bytes sent nothing
+	first     atomic.Pointer[exchange] // armed until the first write of an exchange
+	half      atomic.Bool              // the write side is shut
+	closeOnce sync.Once
+}
+
+var errHalfClosed = errors.New("the connection is being closed")
+
+// Write sends b. The exchange's checks run right before its first byte.
+func (w *wire) Write(b []byte) (int, error) {
+	if w.half.Load() {
+		return 0, errHalfClosed
+	}
+	x := w.first.Swap(nil)
+	if x == nil {
+		return w.Conn.Write(b)
+	}
+	if err := x.begin(); err != nil {
+		return 0, err
+	}
+	n, err := w.Conn.Write(b)
+	if n == 0 && err != nil && w.exact {
+		x.state.Store(unsent)
+	}
+	return n, err
+}
+
+// Close closes the connection and gives its place in the pool back.
+func (w *wire) Close() error {
+	err := w.Conn.Close()
+	w.closeOnce.Do(func() { w.pool.closed(w) })
+	return err
+}
+
+// closeWrite tells the leaf that the caller has gone while the way back stays
+// open. A leaf that honours cancellation stops, and the end of the stream then
+// proves that it has; one that does not answers in full.
+func (w *wire) closeWrite() {
+	if !w.half.CompareAndSwap(false, true) {
+		return
+	}
+	if c, ok := w.Conn.(interface{ CloseWrite() error }); ok && c.CloseWrite() == nil {
+		return
+	}
+	w.Close()
+}
+
+var dialer = net.Dialer{
+	Timeout: dialTimeout,
+	KeepAliveConfig: net.KeepAliveConfig{
+		Enable:   true,
+		Idle:     keepAliveIdle,
+		Interval: keepAliveInterval,
+		Count:    keepAliveCount,
+	},
+	Control: setUserTimeout,
+}
+
+func setUserTimeout(_, _ string, c syscall.RawConn) error {
+	var err error
+	ctrl := c.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	return errors.CombineErrors(ctrl, err)
+}
+
+func dialPlain(ctx context.Context, addr string) (net.Conn, error) {
+	return dialer.DialContext(ctx, "tcp", addr)
+}
+
+func dialTLS(ctx context.Context, addr string, base *tls.Config) (net.Conn, error) {
+	raw, err := dialPlain(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	conf := base.Clone()
+	conf.NextProtos = []string{"http/1.1"}
+	if conf.ServerName == "" {
+		conf.ServerName, _, _ = net.SplitHostPort(addr)
+	}
+	c := tls.Client(raw, conf)
+	if err := c.HandshakeContext(ctx); err != nil {
+		raw.Close()
+		return nil, err
+	}
+	return c, nil
+}
