Key homes by the service's own path and follow leaves that change service

A leaf that moved to another service in one change counted as unused before it, so its slots could be given out twice until every daemon had the change.

--- a/internal/domain/group.go
+++ b/internal/domain/group.go
@@ -20,9 +20,9 @@
 	Leaves int    // number of leaves
 }
 
-// Groups splits a service's leaves, in the order they are declared, into runs of
-// GroupSize; what is left over goes into the last run, so that it has between
-// GroupSize and 2*GroupSize-1 leaves. Replicas declared side by side stay
+// Groups splits a service's leaves, in the order of the tree (by name), into runs
+// of GroupSize; what is left over goes into the last run, so that it has between
+// GroupSize and 2*GroupSize-1 leaves. Replicas with neighbouring names stay
 // together, and a leaf added at the end moves no other group.
 func Groups(service string, leaves []settings.Leaf, m *vm.Membership) []Group {
 	n := max(1, len(leaves)/GroupSize)
--- a/internal/relay/advance.go
+++ b/internal/relay/advance.go
@@ -90,10 +90,7 @@
 	if v.Tree == nil || d.GetVersion() != v.ConfigVersion+1 {
 		return errors.Wrapf(errGap, "change %d after version %d", d.GetVersion(), v.ConfigVersion)
 	}
-	t, err := v.Tree.Apply(d.GetVersion(), settings.EditsFromWire(d.GetEdits()))
-	if err != nil {
-		return errors.Wrapf(err, "relay: change %d", d.GetVersion())
-	}
+	t := v.Tree.Replay(d.GetVersion(), settings.EditsFromWire(d.GetEdits()))
 	if t.Digest() != d.GetDigest() {
 		return errors.Wrapf(errDigest, "change %d", d.GetVersion())
 	}
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -18,34 +18,29 @@
 // placements caches what rendezvous hashing gives for the services asked for.
 type placements struct {
 	byEpoch sync.Map // epochKey -> []Placed: homes by one membership alone
-	usable  sync.Map // usableKey -> []Placed: homes that hold a share
+	usable  sync.Map // *settings.Effective -> []Placed: homes that hold a share
+	owners  sync.Map // *settings.Tree -> map[string]string: leaf address to service
 }
 
 // epochKey keeps the trees of different versions apart by their Effective, which
 // is one pointer per node and tree.
 type epochKey struct {
 	effective *settings.Effective
-	service   string
 	epoch     uint64
 }
 
-type usableKey struct {
-	effective *settings.Effective
-	service   string
-}
-
 // Placement returns the groups of a service's leaves and the homes of each that
 // hold a share now. A group may have no home for as long as a transition lasts.
-func (v *View) Placement(service string, e *settings.Effective) []Placed {
+// E is the service's own; its path is the key, however the caller spells it.
+func (v *View) Placement(_ string, e *settings.Effective) []Placed {
 	if v.placements == nil {
-		return v.usable(service, e)
+		return v.usable(e)
 	}
-	key := usableKey{effective: e, service: service}
-	if got, ok := v.placements.usable.Load(key); ok {
+	if got, ok := v.placements.usable.Load(e); ok {
 		return got.([]Placed)
 	}
-	got := v.usable(service, e)
-	v.placements.usable.Store(key, got)
+	got := v.usable(e)
+	v.placements.usable.Store(e, got)
 	return got
 }
 
@@ -70,13 +65,13 @@
 }
 
 // usable keeps the homes of the settled membership that hold a share of a leaf.
-func (v *View) usable(service string, e *settings.Effective) []Placed {
-	settled := v.placed(service, e, v.Settled)
+func (v *View) usable(e *settings.Effective) []Placed {
+	settled := v.placed(e, v.Settled)
 	out := make([]Placed, len(settled))
 	for k, g := range settled {
 		out[k].Group = g.Group
 		for _, h := range g.Homes {
-			if v.holdsAny(service, e, g.Group, h.Identity) {
+			if v.holdsAny(e, g.Group, h.Identity) {
 				out[k].Homes = append(out[k].Homes, h)
 			}
 		}
@@ -84,9 +79,9 @@
 	return out
 }
 
-func (v *View) holdsAny(service string, e *settings.Effective, g domain.Group, id vm.Identity) bool {
+func (v *View) holdsAny(e *settings.Effective, g domain.Group, id vm.Identity) bool {
 	for i := g.First; i < g.First+g.Leaves; i++ {
-		if slots, conns := v.Share(service, e, i, id); slots > 0 && conns > 0 {
+		if slots, conns := v.Share(e.Path, e, i, id); slots > 0 && conns > 0 {
 			return true
 		}
 	}
@@ -94,24 +89,24 @@
 }
 
 // placed returns the groups and homes that one membership alone gives.
-func (v *View) placed(service string, e *settings.Effective, m *vm.Membership) []Placed {
+func (v *View) placed(e *settings.Effective, m *vm.Membership) []Placed {
 	if m == nil || len(e.Leaves) == 0 {
 		return nil
 	}
 	if v.placements == nil {
-		return place(service, e, m)
+		return place(e, m)
 	}
-	key := epochKey{effective: e, service: service, epoch: m.Epoch}
+	key := epochKey{effective: e, epoch: m.Epoch}
 	if got, ok := v.placements.byEpoch.Load(key); ok {
 		return got.([]Placed)
 	}
-	got := place(service, e, m)
+	got := place(e, m)
 	v.placements.byEpoch.Store(key, got)
 	return got
 }
 
-func place(service string, e *settings.Effective, m *vm.Membership) []Placed {
-	groups := domain.Groups(service, e.Leaves, m)
+func place(e *settings.Effective, m *vm.Membership) []Placed {
+	groups := domain.Groups(e.Path, e.Leaves, m)
 	out := make([]Placed, len(groups))
 	for k, g := range groups {
 		out[k] = Placed{Group: g, Homes: domain.HomesIn(m, g.Key, g.Region, homeCount(e))}
@@ -124,3 +119,28 @@
 func homeCount(e *settings.Effective) int {
 	return max(1, min(e.Homes, e.LeafSlots, e.LeafConnections))
 }
+
+// ownerIn returns the service that declares the leaf address in a tree.
+func (v *View) ownerIn(t *settings.Tree, addr string) (string, bool) {
+	if v.placements == nil {
+		service, ok := ownersOf(t)[addr]
+		return service, ok
+	}
+	owners, ok := v.placements.owners.Load(t)
+	if !ok {
+		owners, _ = v.placements.owners.LoadOrStore(t, ownersOf(t))
+	}
+	service, ok := owners.(map[string]string)[addr]
+	return service, ok
+}
+
+func ownersOf(t *settings.Tree) map[string]string {
+	owners := make(map[string]string)
+	for _, service := range t.Services("") {
+		e, _ := t.Effective(service)
+		for i := range e.Leaves {
+			owners[e.Leaves[i].Addr] = service
+		}
+	}
+	return owners
+}
--- a/internal/relay/share.go
+++ b/internal/relay/share.go
@@ -1,7 +1,7 @@
 package relay
 
 import (
-	"math"
+	"github.com/cespare/xxhash/v2"
 
 	"pearmoor/internal/domain"
 	"pearmoor/internal/settings"
@@ -22,52 +22,78 @@
 // used its newest share at once, the shares of a leaf could sum to more than its
 // slots until the last daemon had followed, and the leaf would be overloaded. A
 // daemon therefore uses the least of its shares over every membership and
-// configuration that some daemon may still go by: whichever of these another
-// daemon uses, the sum over all daemons stays within that one's total.
-func (v *View) Share(service string, e *settings.Effective, leafIndex int, self vm.Identity) (slots, conns int) {
+// configuration that some daemon may still go by. The settled epoch and the
+// version in force everywhere are among these for every daemon with a lease, so
+// the sum over all of them stays within that version's total.
+func (v *View) Share(_ string, e *settings.Effective, leafIndex int, self vm.Identity) (slots, conns int) {
 	if v.Settled == nil || leafIndex < 0 || leafIndex >= len(e.Leaves) || !v.knowsOlder() {
 		return 0, 0
 	}
-	least := v.shareUnder(service, e, leafIndex, self)
+	least := v.shareUnder(e, leafIndex, self)
 	for i := len(v.Older) - 1; i >= 0 && least != (share{}); i-- {
-		older, ok := v.Older[i].Tree.Effective(service)
-		if ok && older != e {
-			least = least.min(v.olderShare(older, service, e.Leaves[leafIndex], self))
+		if older, index, ok := v.find(v.Older[i].Tree, e, leafIndex); ok {
+			least = least.min(v.shareUnder(older, index, self))
 		}
 	}
 	return least.slots, least.conns
 }
 
+// find returns where an older tree declares the leaf at leafIndex of e. A leaf
+// that it does not declare is used by nobody who goes by that tree.
+func (v *View) find(t *settings.Tree, e *settings.Effective, leafIndex int) (*settings.Effective, int, bool) {
+	addr := e.Leaves[leafIndex].Addr
+	older, ok := t.Effective(e.Path)
+	if ok && older == e {
+		return e, leafIndex, true
+	}
+	if ok {
+		if i, found := indexOf(older.Leaves, addr); found {
+			return older, i, true
+		}
+	}
+	service, ok := v.ownerIn(t, addr)
+	if !ok {
+		return nil, 0, false
+	}
+	older, _ = t.Effective(service)
+	i, found := indexOf(older.Leaves, addr)
+	return older, i, found
+}
+
+func indexOf(leaves []settings.Leaf, addr string) (int, bool) {
+	for i := range leaves {
+		if leaves[i].Addr == addr {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
 // shareUnder is the daemon's share under one configuration.
-func (v *View) shareUnder(service string, e *settings.Effective, leafIndex int, self vm.Identity) share {
-	least := v.epochShare(service, e, leafIndex, self, v.Settled)
+func (v *View) shareUnder(e *settings.Effective, leafIndex int, self vm.Identity) share {
+	least := v.epochShare(e, leafIndex, self, v.Settled)
 	if v.Pending != nil && least != (share{}) {
-		least = least.min(v.epochShare(service, e, leafIndex, self, v.Pending))
+		least = least.min(v.epochShare(e, leafIndex, self, v.Pending))
 	}
 	return least
 }
 
-func (v *View) epochShare(service string, e *settings.Effective, leafIndex int, self vm.Identity, m *vm.Membership) share {
-	groups := v.placed(service, e, m)
+func (v *View) epochShare(e *settings.Effective, leafIndex int, self vm.Identity, m *vm.Membership) share {
+	groups := v.placed(e, m)
 	homes := groups[domain.GroupIndex(len(e.Leaves), leafIndex)].Homes
 	for i := range homes {
 		if homes[i].Same(self) {
+			turn := rotation(e.Leaves[leafIndex].Name)
 			return share{
-				slots: domain.Share(e.LeafSlots, len(homes), i, leafIndex),
-				conns: domain.Share(e.LeafConnections, len(homes), i, leafIndex),
+				slots: domain.Share(e.LeafSlots, len(homes), i, turn),
+				conns: domain.Share(e.LeafConnections, len(homes), i, turn),
 			}
 		}
 	}
 	return share{}
 }
 
-// olderShare is the daemon's share of a leaf under an older configuration. A
-// leaf that was not declared then is not used by anyone who goes by that one.
-func (v *View) olderShare(older *settings.Effective, service string, leaf settings.Leaf, self vm.Identity) share {
-	for i := range older.Leaves {
-		if older.Leaves[i].Addr == leaf.Addr {
-			return v.shareUnder(service, older, i, self)
-		}
-	}
-	return share{slots: math.MaxInt, conns: math.MaxInt}
-}
+// rotation decides which homes get the remainder of a leaf's slots. It is a hash
+// of the leaf's name and not its place in the list, where a leaf added before it
+// would move the remainder to another home.
+func rotation(leaf string) int { return int(xxhash.Sum64String(leaf) >> 33) }
