--- /dev/null
+++ b/bench/baseline/policies.go
@@ -0,0 +1,97 @@
+package baseline
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// Naive picks any replica and never waits.
+type Naive struct{}
+
+// Acquire implements Policy.
+func (Naive) Acquire(_ context.Context, t *Target) (*Leaf, error) {
+	return t.Replicas[rand.IntN(len(t.Replicas))], nil
+}
+
+// Release implements Policy.
+func (Naive) Release(*Leaf, time.Duration, bool) {}
+
+// Oracle knows, over all clients, what every leaf has in flight. One Oracle is
+// shared by all clients, which no real set of processes can do for free.
+type Oracle struct{ limiter *limiter }
+
+// NewOracle returns an Oracle to share.
+func NewOracle() *Oracle {
+	return &Oracle{limiter: newLimiter(func(l *Leaf) int { return l.Slots })}
+}
+
+// Acquire implements Policy.
+func (o *Oracle) Acquire(ctx context.Context, t *Target) (*Leaf, error) {
+	return o.limiter.acquire(ctx, t)
+}
+
+// Release implements Policy.
+func (o *Oracle) Release(l *Leaf, _ time.Duration, _ bool) { o.limiter.release(l, nil) }
+
+// The constants of Adaptive, those customary for additive increase and
+// multiplicative decrease on latency.
+const (
+	adaptiveStart     = 1.0
+	adaptiveLeast     = 1.0
+	adaptiveMost      = 64.0
+	adaptiveBackoff   = 0.7
+	adaptiveTolerance = 2.0  // latency over the least seen that counts as congestion
+	adaptiveForget    = 1.01 // the least latency grows by this at each sample, so that it is learned anew
+)
+
+// Adaptive learns a limit per leaf from its own latencies and refusals, each
+// client for itself: up by one for a full window of good replies, down by a
+// factor on congestion.
+type Adaptive struct {
+	limiter *limiter
+	limits  map[*Leaf]*learned
+}
+
+type learned struct {
+	limit float64
+	least time.Duration
+}
+
+// NewAdaptive returns the policy of one client.
+func NewAdaptive() *Adaptive {
+	a := &Adaptive{limits: map[*Leaf]*learned{}}
+	a.limiter = newLimiter(func(l *Leaf) int { return int(a.of(l).limit) })
+	return a
+}
+
+func (a *Adaptive) of(l *Leaf) *learned {
+	x := a.limits[l]
+	if x == nil {
+		x = &learned{limit: adaptiveStart, least: math.MaxInt64}
+		a.limits[l] = x
+	}
+	return x
+}
+
+// Acquire implements Policy.
+func (a *Adaptive) Acquire(ctx context.Context, t *Target) (*Leaf, error) {
+	return a.limiter.acquire(ctx, t)
+}
+
+// Release implements Policy.
+func (a *Adaptive) Release(l *Leaf, took time.Duration, refused bool) {
+	a.limiter.release(l, func() {
+		x := a.of(l)
+		if x.least != math.MaxInt64 {
+			x.least = time.Duration(float64(x.least) * adaptiveForget)
+		}
+		x.least = min(x.least, took)
+		if refused || float64(took) > adaptiveTolerance*float64(x.least) {
+			x.limit = max(adaptiveLeast, x.limit*adaptiveBackoff)
+			return
+		}
+		x.limit = min(adaptiveMost, x.limit+1/x.limit)
+	})
+}
--- /dev/null
+++ b/bench/baseline/policies_test.go
@@ -0,0 +1,72 @@
+package baseline
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Many attempts at two leaves with two slots each come at once, and some give
+// up while they wait. The oracle must never have more than its slots out, and
+// must hand out every slot that came back, or the paired figures would mean
+// nothing.
+func TestOracleKeepsToTheSlots(t *testing.T) {
+	leaves := []*Leaf{{Slots: 2}, {Slots: 2}}
+	o := NewOracle()
+	target := &Target{Replicas: leaves}
+	var mu sync.Mutex
+	out := map[*Leaf]int{}
+	var wg sync.WaitGroup
+	for i := range 400 {
+		wg.Go(func() {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			if i%5 == 0 {
+				time.AfterFunc(time.Millisecond, cancel)
+			}
+			l, err := o.Acquire(ctx, target)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			out[l]++
+			if out[l] > l.Slots {
+				t.Errorf("%d out of %d slots", out[l], l.Slots)
+			}
+			mu.Unlock()
+			time.Sleep(100 * time.Microsecond)
+			mu.Lock()
+			out[l]--
+			mu.Unlock()
+			o.Release(l, 0, false)
+		})
+	}
+	wg.Wait()
+	for _, l := range leaves {
+		if n := o.limiter.flight[l]; n != 0 {
+			t.Errorf("%d slots were not given back", n)
+		}
+	}
+}
+
+func TestAdaptiveBacksOffOnRefusal(t *testing.T) {
+	a := NewAdaptive()
+	l := &Leaf{Slots: 2}
+	target := &Target{Replicas: []*Leaf{l}}
+	step := func(refused bool) {
+		got, err := a.Acquire(context.Background(), target)
+		if err != nil {
+			t.Fatal(err)
+		}
+		a.Release(got, time.Millisecond, refused)
+	}
+	for range 50 {
+		step(false)
+	}
+	grown := a.of(l).limit
+	step(true)
+	if shrunk := a.of(l).limit; grown <= adaptiveStart || shrunk >= grown {
+		t.Fatalf("limit %v, after a refusal %v", grown, shrunk)
+	}
+}
