Assemble the daemon: flags, operator port, shares, drain

Flags and PEARMOOR_ variables are validated together; homes turns agreed shares into permits, probes and connections; a drain leaves the address lists before it stops accepting.

--- /dev/null
+++ b/cmd/pearmoord/main.go
@@ -0,0 +1,176 @@
+// Command pearmoord is the pearmoor daemon: an entry VM that serves callers, a
+// control VM that holds the agreed state on its disk, or both.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+	"k8s.io/klog/v2"
+
+	"pearmoor/internal/contract"
+	"pearmoor/internal/daemon"
+	"pearmoor/internal/relay"
+)
+
+// version is set by the linker: -ldflags "-X main.version=…".
+var version = "development"
+
+const (
+	exitOK    = 0
+	exitFault = 1 // stopped by a fault while running
+	exitUsage = 2 // the settings given at start are wrong
+)
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	conf, verbosity, err := parse(args)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "pearmoord: %v; try --help\n", err)
+		return exitUsage
+	}
+	if err := conf.Validate(); err != nil {
+		reportFaults(err)
+		return exitUsage
+	}
+	startLog(verbosity)
+	defer klog.Flush()
+
+	stop, hurry, release := signals()
+	defer release()
+	d, err := daemon.New(*conf)
+	if err != nil {
+		klog.Errorf("daemon: did not start: %v", err)
+		return exitFault
+	}
+	if err := d.Run(stop, hurry); err != nil {
+		klog.Errorf("daemon: stopped: %v", err)
+		return exitFault
+	}
+	return exitOK
+}
+
+// parse reads flags and their PEARMOOR_ environment variables.
+func parse(args []string) (*daemon.Config, int, error) {
+	app := kingpin.New("pearmoord", "The pearmoor daemon. Every flag has an environment variable: --peer-listen is PEARMOOR_PEER_LISTEN.")
+	app.DefaultEnvars()
+	app.Version(version)
+	app.HelpFlag.Short('h')
+	conf := &daemon.Config{}
+	identityFlags(app, conf)
+	callerFlags(app, conf)
+	peerFlags(app, conf)
+	targetFlags(app, conf)
+	controlFlags(app, conf)
+	verbosity := app.Flag("verbosity", "Log level; 0 is for operators, 4 for developers.").Envar("PEARMOOR_VERBOSITY").Default("0").Int()
+	_, err := app.Parse(args)
+	conf.Control = splitLists(conf.Control)
+	return conf, *verbosity, err
+}
+
+// env names the environment variable of a flag.
+func env(flag string) string {
+	return "PEARMOOR_" + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
+}
+
+func stringFlag(app *kingpin.Application, into *string, name, help string) {
+	app.Flag(name, help).Envar(env(name)).StringVar(into)
+}
+
+func identityFlags(app *kingpin.Application, c *daemon.Config) {
+	stringFlag(app, &c.Name, "name", "This VM's name, unique in the tier.")
+	stringFlag(app, &c.Domain, "domain", "This VM's failure domain.")
+	stringFlag(app, &c.Region, "region", "This VM's region.")
+	stringFlag(app, &c.ReadyFile, "ready-file", "Write the bound addresses here as JSON once the daemon serves.")
+	app.Flag("operator-listen", "host:port of metrics, health and readiness.").Envar(env("operator-listen")).Default("127.0.0.1:7402").StringVar(&c.OperatorListen)
+}
+
+func callerFlags(app *kingpin.Application, c *daemon.Config) {
+	app.Flag("entry", "Serve callers; --no-entry on a VM set aside for control.").Envar(env("entry")).Default("true").BoolVar(&c.Entry)
+	app.Flag("caller-listen", "host:port callers connect to.").Envar(env("caller-listen")).Default("127.0.0.1:7400").StringVar(&c.CallerListen)
+	stringFlag(app, &c.CallerURL, "caller-url", "Base URL told to callers; default: http(s)://CALLER-LISTEN.")
+	stringFlag(app, &c.CallerCert, "caller-cert", "PEM certificate for callers; without it callers use plain HTTP.")
+	stringFlag(app, &c.CallerKey, "caller-key", "PEM key of --caller-cert.")
+}
+
+func peerFlags(app *kingpin.Application, c *daemon.Config) {
+	app.Flag("peer-listen", "host:port for other daemons and operators.").Envar(env("peer-listen")).Default("127.0.0.1:7401").StringVar(&c.PeerListen)
+	stringFlag(app, &c.PeerAddr, "peer-address", "host:port told to other daemons; default: PEER-LISTEN.")
+	stringFlag(app, &c.PeerCA, "peer-ca", "PEM authority of daemons and operators.")
+	stringFlag(app, &c.PeerCert, "peer-cert", "PEM certificate of this VM; its name must be --name.")
+	stringFlag(app, &c.PeerKey, "peer-key", "PEM key of --peer-cert.")
+	app.Flag("plaintext-peers", "No TLS between daemons; loopback addresses only.").Envar(env("plaintext-peers")).BoolVar(&c.PlaintextPeers)
+	app.Flag("sync-every", "Heartbeat interval.").Envar(env("sync-every")).Default("1s").DurationVar(&c.SyncEvery)
+	app.Flag("relay-above", "A tier of more daemons than this has relays.").Envar(env("relay-above")).Default(fmt.Sprint(relay.DefaultDirect)).IntVar(&c.Direct)
+	app.Flag("relay-fanout", "Daemons below one relay.").Envar(env("relay-fanout")).Default(fmt.Sprint(relay.DefaultFanout)).IntVar(&c.Fanout)
+}
+
+func targetFlags(app *kingpin.Application, c *daemon.Config) {
+	stringFlag(app, &c.LeafCA, "leaf-ca", "PEM authority of leaves that use TLS; default: the system's.")
+	stringFlag(app, &c.PlatformURL, "platform-url", "Base URL of the platform's VM list; empty: none.")
+	app.Flag("platform-every", "How often the platform's VM list is read.").Envar(env("platform-every")).Default("1s").DurationVar(&c.PlatformEvery)
+}
+
+func controlFlags(app *kingpin.Application, c *daemon.Config) {
+	app.Flag("control", "Peer addresses of the control VMs, separated by commas; may be repeated.").Envar(env("control")).StringsVar(&c.Control)
+	app.Flag("control-id", "Makes this a control VM with this id, which is never used again.").Envar(env("control-id")).Uint64Var(&c.ControlID)
+	stringFlag(app, &c.DataDir, "data-dir", "Data folder of a control VM.")
+	app.Flag("bootstrap", "Found a new control group; once in a tier's life.").Envar(env("bootstrap")).BoolVar(&c.Bootstrap)
+	app.Flag("bootstrap-voter", "id=host:port of a first voter, with --bootstrap; repeat for each.").Envar(env("bootstrap-voter")).StringsVar(&c.BootstrapVoters)
+}
+
+func splitLists(values []string) []string {
+	var out []string
+	for _, v := range values {
+		for _, part := range strings.Split(v, ",") {
+			if part = strings.TrimSpace(part); part != "" {
+				out = append(out, part)
+			}
+		}
+	}
+	return out
+}
+
+func reportFaults(err error) {
+	faults, ok := err.(contract.Faults)
+	if !ok {
+		fmt.Fprintf(os.Stderr, "pearmoord: %v\n", err)
+		return
+	}
+	fmt.Fprintf(os.Stderr, "pearmoord: %d settings are wrong:\n", len(faults))
+	for _, f := range faults {
+		fmt.Fprintf(os.Stderr, "  %s\n", f)
+	}
+}
+
+func startLog(verbosity int) {
+	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	flags.Set("logtostderr", "true")
+	flags.Set("v", fmt.Sprint(verbosity))
+}
+
+// signals returns a context ended by the first SIGTERM or SIGINT, which starts a
+// graceful shutdown, and one ended by the second, which cuts it short.
+func signals() (stop, hurry context.Context, release func()) {
+	stop, endStop := context.WithCancel(context.Background())
+	hurry, endHurry := context.WithCancel(context.Background())
+	ch := make(chan os.Signal, 2)
+	signal.Notify(ch, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-ch
+		endStop()
+		<-ch
+		endHurry()
+	}()
+	return stop, hurry, func() { signal.Stop(ch); endStop(); endHurry() }
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,307 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
+	"storj.io/drpc/drpcmux"
+
+	"pearmoor/internal/admit"
+	"pearmoor/internal/control"
+	"pearmoor/internal/entry"
+	"pearmoor/internal/link/leaf"
+	"pearmoor/internal/link/peer"
+	"pearmoor/internal/link/wire"
+	"pearmoor/internal/query"
+	"pearmoor/internal/relay"
+	"pearmoor/internal/vm"
+)
+
+// Daemon is one pearmoord process.
+type Daemon struct {
+	conf      Config
+	self      vm.Identity
+	listeners listeners
+	peerTLS   *peer.Reloader // nil: plain text
+	lifecycle lifecycle
+
+	// Heartbeats and queries have connections of their own, so that slow queries
+	// never hold up a heartbeat and cost the daemon its lease.
+	controlConns *peer.Pool
+	queryConns   *peer.Pool
+
+	control *control.Node // nil: not a control VM
+	client  *relay.Client // nil: no entry
+	engine  *query.Engine
+	entry   *entry.Server
+	sender  *leaf.Sender
+	prober  *leaf.Prober
+	homes   *homes
+}
+
+// New binds the daemon's ports and puts its parts together; nothing runs yet.
+func New(conf Config) (*Daemon, error) {
+	d := &Daemon{conf: conf}
+	var err error
+	if d.listeners, err = conf.listen(); err != nil {
+		return nil, err
+	}
+	if err = d.assemble(); err != nil {
+		d.listeners.close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Daemon) assemble() error {
+	c := &d.conf
+	d.self = vm.Identity{
+		Name:        c.Name,
+		Incarnation: vm.NewIncarnation(0),
+		Domain:      c.Domain,
+		Region:      c.Region,
+		PeerAddr:    c.peerAddr(d.listeners),
+		CallerAddr:  c.callerURL(d.listeners),
+	}
+	if err := d.openPeers(); err != nil {
+		return err
+	}
+	if err := d.openControl(); err != nil {
+		return err
+	}
+	if !c.Entry {
+		return nil
+	}
+	return d.openEntry()
+}
+
+func (d *Daemon) openPeers() error {
+	if !d.conf.PlaintextPeers {
+		files := peer.Files{CA: d.conf.PeerCA, Cert: d.conf.PeerCert, Key: d.conf.PeerKey}
+		r, err := files.Load()
+		if err != nil {
+			return err
+		}
+		if r.Identity().Name != d.conf.Name {
+			return errors.Newf("--peer-cert names %q, --name is %q: give each VM its own certificate", r.Identity().Name, d.conf.Name)
+		}
+		d.peerTLS = r
+	}
+	d.controlConns = peer.NewPool(d.clientTLS())
+	d.queryConns = peer.NewPool(d.clientTLS())
+	return nil
+}
+
+func (d *Daemon) clientTLS() *tls.Config {
+	if d.peerTLS == nil {
+		return nil
+	}
+	return d.peerTLS.ClientConfig()
+}
+
+func (d *Daemon) serverTLS() *tls.Config {
+	if d.peerTLS == nil {
+		return nil
+	}
+	return d.peerTLS.ServerConfig()
+}
+
+func (d *Daemon) openControl() error {
+	c := &d.conf
+	if !c.IsControl() {
+		return nil
+	}
+	voters, _ := c.voters() // validated before
+	node, err := control.Open(control.Config{
+		ID:        c.ControlID,
+		Name:      c.Name,
+		DataDir:   c.DataDir,
+		PeerAddr:  d.self.PeerAddr,
+		Bootstrap: c.Bootstrap,
+		Voters:    voters,
+		Conns:     d.controlConns,
+	})
+	if err != nil {
+		return err
+	}
+	d.control = node
+	return nil
+}
+
+// controlAddrs lists the control VMs to ask, this one first if it is one.
+func (d *Daemon) controlAddrs() []string {
+	if d.control == nil {
+		return d.conf.Control
+	}
+	return append([]string{d.self.PeerAddr}, d.conf.Control...)
+}
+
+func (d *Daemon) openEntry() error {
+	leafTLS, err := d.leafTLS()
+	if err != nil {
+		return err
+	}
+	d.client = relay.NewClient(relay.Config{
+		Self:     d.self,
+		Control:  d.controlAddrs(),
+		Conns:    d.controlConns,
+		Clock:    vm.Now,
+		Interval: d.conf.SyncEvery,
+		Direct:   d.conf.Direct,
+		Fanout:   d.conf.Fanout,
+	})
+	gates := admit.NewGates(vm.Now)
+	d.sender = leaf.NewSender(leaf.Config{Clock: vm.Now, TLS: leafTLS})
+	d.prober = leaf.NewProber(leaf.ProberConfig{
+		Sender: d.sender, Gates: gates, PlatformURL: d.conf.PlatformURL, Clock: vm.Now,
+	})
+	d.homes = &homes{
+		self: d.self, source: d.client, gates: gates, sender: d.sender, prober: d.prober, ack: d.client.Ack,
+	}
+	d.engine = query.New(query.Config{
+		Self: d.self, Source: d.client, Gates: gates, Sender: d.sender,
+		Catalog: catalog{d.prober}, Conns: d.queryConns, Clock: vm.Now,
+	})
+	d.entry, err = entry.New(entry.Config{
+		Self: d.self, Engine: d.engine, Source: d.client, Clock: vm.Now,
+		Draining: func() bool { return d.lifecycle.get() == phaseDraining },
+	})
+	return err
+}
+
+func (d *Daemon) leafTLS() (*tls.Config, error) {
+	if d.conf.LeafCA == "" {
+		return nil, nil
+	}
+	pem, err := os.ReadFile(d.conf.LeafCA)
+	if err != nil {
+		return nil, errors.Wrap(err, "--leaf-ca")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, errors.Newf("--leaf-ca %s holds no PEM certificate", d.conf.LeafCA)
+	}
+	return &tls.Config{RootCAs: pool}, nil
+}
+
+func (d *Daemon) register(mux *drpcmux.Mux) error {
+	if d.control != nil {
+		if err := d.control.Register(mux); err != nil {
+			return err
+		}
+	} else if err := wire.DRPCRegisterSpread(mux, d.client.Server()); err != nil {
+		return err
+	}
+	if d.engine == nil {
+		return nil
+	}
+	return wire.DRPCRegisterHome(mux, d.engine.Home())
+}
+
+// Run serves until stop ends, then shuts down gracefully; hurry cuts the
+// shutdown short. It returns nil after a planned stop.
+func (d *Daemon) Run(stop, hurry context.Context) error {
+	mux := drpcmux.New()
+	if err := d.register(mux); err != nil {
+		return err
+	}
+	// The peer and control parts go on until the entry has drained: a leaving
+	// daemon still renews its lease and answers other daemons.
+	base, endBase := context.WithCancel(context.WithoutCancel(stop))
+	defer endBase()
+	g, ctx := errgroup.WithContext(base)
+	d.startBase(g, ctx, mux)
+	callers, endCallers := context.WithCancel(ctx)
+	defer endCallers()
+	d.startEntry(g, ctx, callers)
+	if err := d.conf.writeReady(d.listeners); err != nil {
+		return err
+	}
+	d.lifecycle.set(phaseServing)
+	klog.Infof("daemon: %s serves; callers %s, peers %s, operators %s",
+		d.self.Name, d.self.CallerAddr, d.self.PeerAddr, d.listeners.operator.Addr())
+	g.Go(func() error {
+		defer endBase()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-stop.Done():
+		}
+		d.drain(hurry, endCallers)
+		return nil
+	})
+	err := g.Wait()
+	d.close()
+	klog.Infof("daemon: %s has stopped", d.self.Name)
+	return err
+}
+
+func (d *Daemon) startBase(g *errgroup.Group, ctx context.Context, mux *drpcmux.Mux) {
+	g.Go(func() error { return peer.Serve(ctx, d.listeners.peer, mux, d.serverTLS()) })
+	operator := newOperatorServer(d.ready, func() any { return d.status() })
+	g.Go(func() error { return operator.serve(ctx, d.listeners.operator) })
+	if d.control != nil {
+		g.Go(func() error { return d.control.Run(ctx) })
+	}
+}
+
+func (d *Daemon) startEntry(g *errgroup.Group, ctx, callers context.Context) {
+	if d.entry == nil {
+		return
+	}
+	g.Go(func() error { return ended(ctx, d.client.Run(ctx)) })
+	g.Go(func() error { return ended(ctx, d.prober.Run(ctx)) })
+	g.Go(func() error { d.homes.run(ctx); return nil })
+	g.Go(func() error { return d.entry.Serve(callers, d.listeners.caller, d.callerTLS()) })
+}
+
+// ended drops the error of a part that stopped because it was told to.
+func ended(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+func (d *Daemon) callerTLS() *tls.Config {
+	if d.conf.CallerCert == "" {
+		return nil
+	}
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			cert, err := tls.LoadX509KeyPair(d.conf.CallerCert, d.conf.CallerKey)
+			return &cert, errors.Wrap(err, "--caller-cert")
+		},
+	}
+}
+
+func (d *Daemon) close() {
+	if d.sender != nil {
+		d.sender.Close()
+	}
+	d.queryConns.Close()
+	d.controlConns.Close()
+	d.listeners.close()
+}
+
+// ready tells whether this daemon takes new work.
+func (d *Daemon) ready() (bool, string) {
+	if phase := d.lifecycle.get(); phase != phaseServing {
+		return false, phase.String()
+	}
+	if d.client == nil {
+		return true, "control only"
+	}
+	v := d.client.Current()
+	if left := v.Lease.Sub(vm.Now()); left <= 0 {
+		return false, "unconfirmed: the daemon lease ran out " + (-left).Round(time.Millisecond).String() + " ago"
+	}
+	return true, "serving"
+}
--- /dev/null
+++ b/internal/daemon/status.go
@@ -0,0 +1,37 @@
+package daemon
+
+import "pearmoor/internal/vm"
+
+// Status is what GET /status of the operator port shows.
+type Status struct {
+	Name          string   `json:"name"`
+	Domain        string   `json:"domain"`
+	Region        string   `json:"region"`
+	Incarnation   uint64   `json:"incarnation"`
+	Phase         string   `json:"phase"`
+	ConfigVersion uint64   `json:"config_version"`
+	InForce       uint64   `json:"in_force"`
+	SettledEpoch  uint64   `json:"settled_epoch"`
+	PendingEpoch  uint64   `json:"pending_epoch,omitempty"`
+	LeaseLeftMS   int64    `json:"lease_left_ms"`
+	InFlight      int      `json:"in_flight"`
+	Services      []string `json:"services"` // query services this daemon is a home of
+}
+
+func (d *Daemon) status() Status {
+	s := Status{
+		Name: d.self.Name, Domain: d.self.Domain, Region: d.self.Region,
+		Incarnation: d.self.Incarnation, Phase: d.lifecycle.get().String(),
+	}
+	if d.client == nil {
+		return s
+	}
+	v := d.client.Current()
+	key := keyOf(v)
+	s.ConfigVersion, s.InForce = key.config, key.inForce
+	s.SettledEpoch, s.PendingEpoch = key.settled, key.pending
+	s.LeaseLeftMS = max(0, v.Lease.Sub(vm.Now()).Milliseconds())
+	s.InFlight = d.engine.InFlight()
+	s.Services = d.homes.services()
+	return s
+}
