Answer callers over HTTP

GET /v1/addresses and POST /v1/query by iris. Every failure is a contract.Failure; 429 and 503 are given only with verdict not_run, since clients resend on them. A panic answers 500 with may_have_run. Stopping waits for requests under way.

--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,285 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"pearmoor/internal/contract"
+	"pearmoor/internal/relay"
+	"pearmoor/internal/settings"
+	"pearmoor/internal/vm"
+)
+
+const (
+	testNow  = vm.Instant(1000)
+	testWait = 20 * time.Second
+)
+
+type fakeEngine struct {
+	run func(ctx context.Context, id string, r *contract.Request) (*contract.Answer, error)
+}
+
+func (f *fakeEngine) Query(ctx context.Context, id string, r *contract.Request) (*contract.Answer, error) {
+	return f.run(ctx, id, r)
+}
+
+func (f *fakeEngine) IssueSession() string { return "session-1" }
+
+type fakeSource struct{ view *relay.View }
+
+func (f *fakeSource) Current() *relay.View     { return f.view }
+func (f *fakeSource) Changed() <-chan struct{} { return nil }
+
+func testView(t testing.TB) *relay.View {
+	tree, err := settings.New().Apply(1, []settings.Edit{
+		{Path: "/desk/a", Name: "leaves", Value: "l1=127.0.0.1:9001@hall-0"},
+		{Path: "/desk/a", Name: "body-limit", Value: "1KiB"},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := &vm.Membership{Epoch: 1}
+	for i := range 3 {
+		m.Members = append(m.Members, vm.Member{Phase: vm.Serving, Identity: vm.Identity{
+			Name: fmt.Sprintf("e%d", i), Incarnation: 1, Domain: fmt.Sprintf("hall-%d", i),
+			CallerAddr: fmt.Sprintf("http://127.0.0.1:%d", 7000+i),
+		}})
+	}
+	return &relay.View{ConfigVersion: 1, InForce: 1, Tree: tree, Settled: m, Lease: testNow + 1}
+}
+
+func testServer(t testing.TB, engine *fakeEngine, draining bool) *Server {
+	view := testView(t)
+	s, err := New(Config{
+		Self:     view.Settled.Members[0].Identity,
+		Engine:   engine,
+		Source:   &fakeSource{view: view},
+		Clock:    func() vm.Instant { return testNow },
+		Draining: func() bool { return draining },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func post(s *Server, body string) (*httptest.ResponseRecorder, contract.Failure) {
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, httptest.NewRequest(http.MethodPost, QueryPath, strings.NewReader(body)))
+	var f contract.Failure
+	_ = json.Unmarshal(w.Body.Bytes(), &f)
+	return w, f
+}
+
+const goodRequest = `{"path":"/desk/a","body":{"q":"x"}}`
+
+// A caller decides from status and verdict whether to send again. A 429 or 503
+// makes HTTP clients resend by themselves, so neither may stand over a request
+// that may have run, whatever the engine failed with.
+func TestFailures(t *testing.T) {
+	cases := []struct {
+		name    string
+		err     error
+		status  int
+		verdict contract.Verdict
+		retry   string
+	}{
+		{"faults", contract.Faults{{Field: "deadline_ms"}}, 400, contract.NotRun, ""},
+		{"unknown path", contract.Refuse(contract.ReasonUnknownPath, nil), 404, contract.NotRun, ""},
+		{"overload", &contract.Error{Verdict: contract.NotRun, Reason: contract.ReasonOverload, RetryAfter: 1200}, 429, contract.NotRun, "2"},
+		{"overload in doubt", &contract.Error{Reason: contract.ReasonOverload}, 502, contract.MayHaveRun, ""},
+		{"unconfirmed", contract.Refuse(contract.ReasonUnconfirmed, nil), 503, contract.NotRun, "1"},
+		{"home lost, not sent", contract.Refuse(contract.ReasonHomeLost, nil), 503, contract.NotRun, "1"},
+		{"home lost in doubt", &contract.Error{Reason: contract.ReasonHomeLost}, 502, contract.MayHaveRun, ""},
+		{"deadline", &contract.Error{Reason: contract.ReasonDeadline}, 504, contract.MayHaveRun, ""},
+		{"key in doubt", &contract.Error{Reason: contract.ReasonKeyInDoubt}, 409, contract.MayHaveRun, ""},
+		{"key in progress", contract.Refuse(contract.ReasonKeyInProgress, nil), 409, contract.NotRun, ""},
+		{"untyped", errors.New("unexpected"), 500, contract.MayHaveRun, ""},
+		{"wrapped", errors.Wrap(contract.Refuse(contract.ReasonDraining, nil), "home e2"), 503, contract.NotRun, "1"},
+	}
+	Convey("Each failure has its status, verdict and Retry-After", t, func() {
+		for _, c := range cases {
+			s := testServer(t, &fakeEngine{run: func(context.Context, string, *contract.Request) (*contract.Answer, error) {
+				return nil, c.err
+			}}, false)
+			w, f := post(s, goodRequest)
+			So(w.Code, ShouldEqual, c.status)
+			So(f.Verdict, ShouldEqual, c.verdict)
+			So(w.Header().Get("Retry-After"), ShouldEqual, c.retry)
+			So(f.RequestID, ShouldNotBeEmpty)
+			So(f.RequestID, ShouldEqual, w.Header().Get("X-Request-ID"))
+		}
+	})
+
+	// The engine panics in mid-request. net/http would drop the connection, which
+	// says nothing; the caller must hear that its request may have run.
+	Convey("A panic is answered with may_have_run", t, func() {
+		s := testServer(t, &fakeEngine{run: func(context.Context, string, *contract.Request) (*contract.Answer, error) {
+			panic("broken")
+		}}, false)
+		w, f := post(s, goodRequest)
+		So(w.Code, ShouldEqual, 500)
+		So(f.Verdict, ShouldEqual, contract.MayHaveRun)
+		So(f.Reason, ShouldEqual, contract.ReasonInternal)
+	})
+}
+
+func TestBadRequests(t *testing.T) {
+	ran := 0
+	s := testServer(t, &fakeEngine{run: func(context.Context, string, *contract.Request) (*contract.Answer, error) {
+		ran++
+		return &contract.Answer{}, nil
+	}}, false)
+	Convey("Bad requests never reach the engine and name the field", t, func() {
+		cases := []struct {
+			body, field string
+			status      int
+		}{
+			{``, "request", 400},
+			{`{"path":`, "request", 400},
+			{`[]`, "", 400},
+			{`{"path":"/desk/a","body":{},"colour":1}`, "colour", 400},
+			{`{"path":"/desk/a","body":{}} {}`, "request", 400},
+			{`{"path":7}`, "path", 400},
+			{`{"path":"/desk/a","body":"` + strings.Repeat("x", 2<<10) + `"}`, "body", 413},
+			{`{"path":"/desk/a","body":"` + strings.Repeat("x", 64<<10) + `"}`, "request", 413},
+		}
+		for _, c := range cases {
+			w, f := post(s, c.body)
+			So(w.Code, ShouldEqual, c.status)
+			So(f.Verdict, ShouldEqual, contract.NotRun)
+			So(len(f.Faults), ShouldBeGreaterThan, 0)
+			So(f.Faults[0].Field, ShouldEqual, c.field)
+		}
+		So(ran, ShouldEqual, 0)
+	})
+	Convey("Unknown routes and methods are answered in JSON", t, func() {
+		for target, status := range map[string]int{"/v2/query": 404, QueryPath: 405} {
+			w := httptest.NewRecorder()
+			s.ServeHTTP(w, httptest.NewRequest(http.MethodGet, target, nil))
+			var f contract.Failure
+			So(json.Unmarshal(w.Body.Bytes(), &f), ShouldBeNil)
+			So(w.Code, ShouldEqual, status)
+			So(f.Verdict, ShouldEqual, contract.NotRun)
+		}
+	})
+}
+
+func getAddresses(s *Server, path string) (int, contract.Addresses) {
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, httptest.NewRequest(http.MethodGet, AddressesPath+"?service="+path, nil))
+	var a contract.Addresses
+	_ = json.Unmarshal(w.Body.Bytes(), &a)
+	return w.Code, a
+}
+
+func TestAddresses(t *testing.T) {
+	Convey("The address list", t, func() {
+		Convey("has addresses, a lifetime and a session", func() {
+			status, a := getAddresses(testServer(t, nil, false), "/desk/a")
+			So(status, ShouldEqual, 200)
+			So(len(a.Addresses), ShouldEqual, 3)
+			So(a.LifetimeMS, ShouldBeBetweenOrEqual, 24000, 30000)
+			So(a.Session, ShouldEqual, "session-1")
+		})
+		Convey("of a draining daemon leaves it out and gives no session", func() {
+			status, a := getAddresses(testServer(t, nil, true), "/desk/a")
+			So(status, ShouldEqual, 200)
+			So(len(a.Addresses), ShouldEqual, 2)
+			So(a.Session, ShouldBeEmpty)
+			for _, each := range a.Addresses {
+				So(each.VM, ShouldNotEqual, "e0")
+			}
+		})
+		Convey("of an unknown path is a 404, and of none a 400", func() {
+			status, _ := getAddresses(testServer(t, nil, false), "/nowhere")
+			So(status, ShouldEqual, 404)
+			status, _ = getAddresses(testServer(t, nil, false), "")
+			So(status, ShouldEqual, 400)
+		})
+	})
+}
+
+// A planned stop begins while a query runs. Serve must wait for it, and the
+// caller must get its whole answer.
+func TestGracefulShutdown(t *testing.T) {
+	Convey("Serve finishes the request under way", t, func() {
+		entered, hold := make(chan struct{}), make(chan struct{})
+		s := testServer(t, &fakeEngine{run: func(context.Context, string, *contract.Request) (*contract.Answer, error) {
+			close(entered)
+			<-hold
+			hits := make([]contract.ServiceHit, 5000)
+			return &contract.Answer{Verdict: contract.Ran, Hits: hits}, nil
+		}}, false)
+		lis, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- s.Serve(ctx, lis, nil) }()
+		type outcome struct {
+			body []byte
+			err  error
+		}
+		got := make(chan outcome, 1)
+		go func() {
+			resp, err := http.Post("http://"+lis.Addr().String()+QueryPath, "application/json", strings.NewReader(goodRequest))
+			if err != nil {
+				got <- outcome{err: err}
+				return
+			}
+			defer resp.Body.Close()
+			raw, err := io.ReadAll(resp.Body)
+			got <- outcome{body: raw, err: err}
+		}()
+		<-entered
+		cancel()
+		close(hold)
+		out := <-got
+		So(out.err, ShouldBeNil)
+		var a contract.Answer
+		So(json.Unmarshal(out.body, &a), ShouldBeNil)
+		So(len(a.Hits), ShouldEqual, 5000)
+		select {
+		case err := <-done:
+			So(err, ShouldBeNil)
+		case <-time.After(testWait):
+			t.Fatal("Serve did not return")
+		}
+	})
+}
+
+// FuzzQuery sends any bytes as a request body: whatever they are, the answer is
+// JSON with a verdict, and the engine is asked only for a well-formed request.
+func FuzzQuery(f *testing.F) {
+	for _, seed := range []string{goodRequest, ``, `{`, `{"path":1}`, `null`, `{"path":"/desk/a","body":null,"deadline_ms":-1}`, "\xff\xfe{}"} {
+		f.Add([]byte(seed))
+	}
+	s := testServer(f, &fakeEngine{run: func(_ context.Context, id string, r *contract.Request) (*contract.Answer, error) {
+		return &contract.Answer{RequestID: id, Verdict: contract.Ran}, nil
+	}}, false)
+	f.Fuzz(func(t *testing.T, body []byte) {
+		w := httptest.NewRecorder()
+		s.ServeHTTP(w, httptest.NewRequest(http.MethodPost, QueryPath, bytes.NewReader(body)))
+		var out struct {
+			Verdict contract.Verdict `json:"verdict"`
+		}
+		if err := json.Unmarshal(w.Body.Bytes(), &out); err != nil {
+			t.Fatalf("status %d: %v", w.Code, err)
+		}
+		if (w.Code == http.StatusOK) != (out.Verdict == contract.Ran) {
+			t.Fatalf("status %d with verdict %v", w.Code, out.Verdict)
+		}
+	})
+}
--- /dev/null
+++ b/internal/entry/handle.go
@@ -0,0 +1,205 @@
+package entry
+
+import (
+	"io"
+	"net/http"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/kataras/iris/v12"
+	"k8s.io/klog/v2"
+
+	"pearmoor/internal/contract"
+	"pearmoor/internal/directory"
+	"pearmoor/internal/query"
+	"pearmoor/internal/relay"
+)
+
+// handler answers one request: body is sent as JSON with status 200 unless err is set.
+type handler func(r *http.Request, id string) (body any, err error)
+
+// handle gives each request an id, and answers whatever h returns, a panic too.
+func (s *Server) handle(h handler) iris.Handler {
+	return func(ctx iris.Context) {
+		began := time.Now()
+		id := s.ids.new()
+		w := ctx.ResponseWriter()
+		w.Header().Set("X-Request-ID", id)
+		if s.conf.Draining() {
+			// Callers open their next connection elsewhere while this daemon still
+			// answers. One that kept its connection until the listener closes could
+			// send into the closing and not know whether its request ran.
+			w.Header().Set("Connection", "close")
+		}
+		body, err := guard(h, ctx.Request(), id)
+		if err != nil {
+			writeFailure(w, id, err)
+		} else {
+			writeJSON(w, http.StatusOK, body)
+		}
+		requestTime.UpdateSince(began)
+	}
+}
+
+// guard turns a panic of h into an error whose verdict is may_have_run: nothing
+// is known of how far the request got.
+func guard(h handler, r *http.Request, id string) (body any, err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			panics.Inc(1)
+			klog.Errorf("entry: request %s panicked: %v\n%s", id, p, debug.Stack())
+			body = nil
+			err = &contract.Error{
+				Verdict: contract.MayHaveRun,
+				Reason:  contract.ReasonInternal,
+				Cause:   errors.New("the daemon failed on this request; its log has the request id"),
+			}
+		}
+	}()
+	return h(r, id)
+}
+
+func (s *Server) query(r *http.Request, id string) (any, error) {
+	view, err := s.view()
+	if err != nil {
+		return nil, err
+	}
+	raw, err := s.readBody(r, view)
+	if err != nil {
+		return nil, err
+	}
+	req, err := query.DecodeRequest(raw, 0)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkBodyLimit(view, req); err != nil {
+		return nil, err
+	}
+	answer, err := s.conf.Engine.Query(r.Context(), id, req)
+	if err != nil {
+		return nil, err
+	}
+	if answer == nil {
+		return nil, errors.AssertionFailedf("the engine returned neither an answer nor an error")
+	}
+	return answer, nil
+}
+
+// view returns the newest view, and refuses while there is none yet.
+func (s *Server) view() (*relay.View, error) {
+	v := s.conf.Source.Current()
+	if v == nil || v.Tree == nil {
+		return nil, &contract.Error{
+			Verdict:    contract.NotRun,
+			Reason:     contract.ReasonUnconfirmed,
+			RetryAfter: startupRetryMS,
+			Cause:      errors.New("this daemon has not yet learned the configuration"),
+		}
+	}
+	return v, nil
+}
+
+// startupRetryMS is when a caller may come back to a daemon that is starting.
+const startupRetryMS = 1000
+
+func (s *Server) readBody(r *http.Request, v *relay.View) ([]byte, error) {
+	limit := s.bodies.of(v)
+	if r.ContentLength > limit {
+		return nil, tooLarge("request", r.ContentLength, limit)
+	}
+	raw, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		return nil, contract.Refuse(contract.ReasonInvalid, errors.Wrap(err, "the request ended early"))
+	}
+	if int64(len(raw)) > limit {
+		return nil, tooLarge("request", int64(len(raw)), limit)
+	}
+	return raw, nil
+}
+
+// checkBodyLimit applies the limit of the path that the request names.
+func checkBodyLimit(v *relay.View, req *contract.Request) error {
+	e, ok := v.Tree.Effective(req.Path)
+	if ok && e.BodyLimit > 0 && len(req.Body) > e.BodyLimit {
+		return tooLarge("body", int64(len(req.Body)), int64(e.BodyLimit))
+	}
+	return nil
+}
+
+func (s *Server) addresses(r *http.Request, _ string) (any, error) {
+	path := r.URL.Query().Get("service")
+	if path == "" {
+		return nil, contract.Faults{{
+			Field: "service", Why: "it is missing",
+			Fix: "name a query service or a node above one, as in " + AddressesPath + "?service=/region/desk",
+		}}
+	}
+	view, err := s.view()
+	if err != nil {
+		return nil, err
+	}
+	now := s.conf.Clock()
+	list, err := directory.List(view, path, s.conf.Self, now)
+	if err != nil {
+		return nil, err
+	}
+	out := contract.Addresses{
+		Service:    path,
+		Addresses:  list,
+		LifetimeMS: directory.Lifetime(view.Tree.Tier()).Milliseconds(),
+	}
+	if s.conf.Draining() {
+		out.Addresses = without(list, s.conf.Self.Name)
+	} else if view.Confirmed(now) {
+		// A session dies with its daemon. One that is leaving or cut off would
+		// hand out sessions that nobody can honour soon after.
+		out.Session = s.conf.Engine.IssueSession()
+	}
+	if len(out.Addresses) == 0 {
+		return nil, &contract.Error{Verdict: contract.NotRun, Reason: contract.ReasonDraining, RetryAfter: startupRetryMS}
+	}
+	return out, nil
+}
+
+// without drops this daemon from a list while the agreed membership does not
+// know yet that it is leaving.
+func without(list []contract.Address, name string) []contract.Address {
+	var out []contract.Address
+	for _, a := range list {
+		if a.VM != name {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+func (s *Server) unknownRoute(r *http.Request, _ string) (any, error) {
+	return nil, &httpError{
+		status:   http.StatusNotFound,
+		Failure:  contract.Failure{Verdict: contract.NotRun, Reason: contract.ReasonInvalid},
+		location: r.URL.Path,
+		fix:      "use GET " + AddressesPath + " or POST " + QueryPath,
+	}
+}
+
+func (s *Server) unknownMethod(r *http.Request, _ string) (any, error) {
+	return nil, &httpError{
+		status:   http.StatusMethodNotAllowed,
+		Failure:  contract.Failure{Verdict: contract.NotRun, Reason: contract.ReasonInvalid},
+		location: r.Method + " " + r.URL.Path,
+		fix:      "use GET " + AddressesPath + " or POST " + QueryPath,
+	}
+}
+
+func tooLarge(field string, size, limit int64) error {
+	return &httpError{
+		status:   http.StatusRequestEntityTooLarge,
+		Failure:  contract.Failure{Verdict: contract.NotRun, Reason: contract.ReasonInvalid},
+		location: field,
+		value:    strconv.FormatInt(size, 10) + " bytes",
+		why:      "it is longer than the limit of " + strconv.FormatInt(limit, 10) + " bytes",
+		fix:      "send less, or have an operator raise body-limit",
+	}
+}
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,111 @@
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/kataras/iris/v12"
+	"k8s.io/klog/v2"
+
+	"pearmoor/internal/contract"
+	"pearmoor/internal/link/peer"
+	"pearmoor/internal/relay"
+	"pearmoor/internal/vm"
+)
+
+// Limits of a caller's connection. A caller that trickles its request in, or
+// never reads its answer, must not hold a connection for ever.
+const (
+	headerTimeout = 5 * time.Second
+	readTimeout   = 30 * time.Second
+	writeTimeout  = 30 * time.Second
+	idleTimeout   = 2 * time.Minute
+	maxHeader     = 16 << 10 // bytes
+)
+
+// The paths callers use.
+const (
+	AddressesPath = "/v1/addresses"
+	QueryPath     = "/v1/query"
+)
+
+// Engine runs queries. Its errors are contract.Faults or *contract.Error; the
+// verdict of any other is taken as may_have_run.
+type Engine interface {
+	Query(ctx context.Context, requestID string, r *contract.Request) (*contract.Answer, error)
+	// IssueSession returns a session for requests that are not repeatable, owned
+	// by this run of the daemon.
+	IssueSession() string
+}
+
+// Config is what a Server is made of.
+type Config struct {
+	Self     vm.Identity
+	Engine   Engine
+	Source   relay.Source
+	Clock    vm.Clock
+	Draining func() bool // set: the daemon is on its way out; nil: never
+}
+
+// Server is the caller port of a daemon. It is an http.Handler.
+type Server struct {
+	conf   Config
+	app    *iris.Application
+	ids    *requestIDs
+	bodies bodyLimit
+}
+
+// New returns a Server. It fails only on a fault in its own routes.
+func New(conf Config) (*Server, error) {
+	if conf.Draining == nil {
+		conf.Draining = func() bool { return false }
+	}
+	s := &Server{conf: conf, ids: newRequestIDs(conf.Self)}
+	app := iris.New()
+	app.Logger().SetLevel("disable")
+	app.Get(AddressesPath, s.handle(s.addresses))
+	app.Post(QueryPath, s.handle(s.query))
+	app.OnErrorCode(http.StatusNotFound, s.handle(s.unknownRoute))
+	app.OnErrorCode(http.StatusMethodNotAllowed, s.handle(s.unknownMethod))
+	app.Configure(iris.WithoutStartupLog, iris.WithFireMethodNotAllowed)
+	if err := app.Build(); err != nil {
+		return nil, errors.Wrap(err, "entry: routes")
+	}
+	s.app = app
+	return s, nil
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.app.ServeHTTP(w, r) }
+
+// Serve answers callers on lis until ctx ends; it then stops accepting, waits
+// for the requests under way and returns nil. tlsConf nil means plain HTTP.
+func (s *Server) Serve(ctx context.Context, lis net.Listener, tlsConf *tls.Config) error {
+	lis = peer.Watch(lis)
+	if tlsConf != nil {
+		lis = tls.NewListener(lis, tlsConf)
+	}
+	server := &http.Server{
+		Handler:           s,
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+		ErrorLog:          errorLog(),
+	}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(lis) }()
+	select {
+	case err := <-served:
+		return errors.Wrap(err, "entry: serve callers")
+	case <-ctx.Done():
+	}
+	klog.Infof("entry: waiting for requests under way")
+	err := server.Shutdown(context.WithoutCancel(ctx))
+	<-served
+	return errors.Wrap(err, "entry: stop serving callers")
+}
--- a/internal/link/peer/socket.go
+++ b/internal/link/peer/socket.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+	"k8s.io/klog/v2"
 )
 
 // A connection whose other side vanished without a reset looks open to both
@@ -54,3 +55,21 @@
 	}
 	return nil
 }
+
+// Watch returns lis with keep-alives and a user timeout on every connection it
+// accepts.
+func Watch(lis net.Listener) net.Listener { return watchedListener{lis} }
+
+type watchedListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l watchedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	if err := watchSocket(conn); err != nil {
+		klog.Warningf("%v", err) // it serves without the probes
+	}
+	return conn, nil
+}
