Answer queries: scatter over homes and leaves, pin versions, keys at most once

First working version of the query path: entry, home, scatter with hedging and retries from budgets, joint pinning of an index version, sessions and keys.

--- /dev/null
+++ b/internal/query/decode.go
@@ -0,0 +1,67 @@
+package query
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"pearmoor/internal/contract"
+)
+
+// maxShown bounds how much of a bad value an error repeats.
+const maxShown = 64
+
+// DecodeRequest reads the JSON body of a query of at most limit bytes. It fails
+// with contract.Faults: a field that is not known may be a setting the caller
+// relies on, so it is refused instead of dropped.
+func DecodeRequest(b []byte, limit int) (*contract.Request, error) {
+	if limit > 0 && len(b) > limit {
+		return nil, fault("body", fmt.Sprintf("%d bytes", len(b)),
+			fmt.Sprintf("the request is longer than the limit of %d bytes", limit), "send a shorter request or raise body-limit")
+	}
+	dec := json.NewDecoder(bytes.NewReader(b))
+	dec.DisallowUnknownFields()
+	var r contract.Request
+	if err := dec.Decode(&r); err != nil {
+		return nil, decodeFault(b, err)
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return nil, fault("request", shown(b[dec.InputOffset():]), "there is more after the JSON object", "send exactly one JSON object")
+	}
+	return &r, nil
+}
+
+// unknownField is how encoding/json starts its error, which has no type of its own.
+const unknownField = "json: unknown field "
+
+func decodeFault(b []byte, err error) error {
+	var typ *json.UnmarshalTypeError
+	var syntax *json.SyntaxError
+	switch {
+	case errors.As(err, &typ):
+		return fault(typ.Field, typ.Value, "it can't be read as "+typ.Type.String(), "send the type that the reference names")
+	case errors.As(err, &syntax):
+		return fault("request", shown(b), fmt.Sprintf("it is not JSON: %v at byte %d", syntax, syntax.Offset), "send one JSON object")
+	case strings.HasPrefix(err.Error(), unknownField):
+		name := strings.Trim(strings.TrimPrefix(err.Error(), unknownField), `"`)
+		return fault(name, "", "the field is not known", "remove it or mend its spelling")
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return fault("request", shown(b), "the JSON object is not complete", "send one JSON object")
+	}
+	return fault("request", shown(b), err.Error(), "send one JSON object")
+}
+
+func shown(b []byte) string {
+	if len(b) > maxShown {
+		return string(b[:maxShown]) + "..."
+	}
+	return string(b)
+}
+
+func fault(field, value, why, fix string) contract.Faults {
+	return contract.Faults{{Field: field, Value: value, Why: why, Fix: fix}}
+}
--- /dev/null
+++ b/internal/query/entry.go
@@ -0,0 +1,229 @@
+package query
+
+import (
+	"context"
+	"sync"
+
+	"pearmoor/internal/contract"
+	"pearmoor/internal/settings"
+)
+
+// maxRepins bounds how often a query starts over at another index version.
+const maxRepins = 2
+
+// execute scatters p over its services and merges the answer.
+func (e *Engine) execute(ctx context.Context, st state, p *plan) (*contract.Answer, *contract.Error) {
+	scopes := scopesOf(st, p)
+	outs := make([]*outcome, len(scopes))
+	var wg sync.WaitGroup
+	for i, targets := range scopes[1:] {
+		wg.Go(func() { outs[i+1] = e.runScope(ctx, st, p, targets) })
+	}
+	outs[0] = e.runScope(ctx, st, p, scopes[0])
+	wg.Wait()
+	return e.merge(st, p, outs)
+}
+
+// scopesOf groups the targets of p that have to share one index version.
+func scopesOf(st state, p *plan) [][]*target {
+	var scopes [][]*target
+	for _, service := range p.services {
+		ts := targetsOf(st, service)
+		if p.at.Snapshot == settings.Joint && len(scopes) > 0 {
+			scopes[0] = append(scopes[0], ts...)
+			continue
+		}
+		scopes = append(scopes, ts)
+	}
+	return scopes
+}
+
+// targetsOf returns the units of a service, at least one.
+func targetsOf(st state, service string) []*target {
+	eff, ok := st.Effective(service)
+	if !ok {
+		return []*target{{unit: unit{service: service}, eff: &settings.Effective{Path: service}}}
+	}
+	var ts []*target
+	for i, placed := range st.Placement(service, eff) {
+		ts = append(ts, &target{unit: unit{service, i}, eff: eff, placed: placed})
+	}
+	if len(ts) == 0 {
+		ts = append(ts, &target{unit: unit{service: service}, eff: eff})
+	}
+	return ts
+}
+
+// outcome is what the units of one scope came to, at one index version.
+type outcome struct {
+	targets []*target
+	parts   map[unit]*part
+	pin     uint64 // 0: the only unit chose itself
+	shards  map[string]uint32
+	split   map[unit][]uint32 // shards asked of each unit, of services with several
+}
+
+// scopeRun is one scope of a query under way.
+type scopeRun struct {
+	e       *Engine
+	st      state
+	p       *plan
+	targets []*target
+	out     *outcome
+	known   catalog
+	partial bool
+	round   int
+}
+
+func (e *Engine) runScope(ctx context.Context, st state, p *plan, targets []*target) *outcome {
+	s := &scopeRun{e: e, st: st, p: p, targets: targets}
+	s.reset(0)
+	if len(targets) == 1 {
+		s.out.parts[targets[0].unit] = e.ask(ctx, st, targets[0], s.subquery(targets[0]))
+		return s.out
+	}
+	s.known = e.known(ctx, targets)
+	pin, complete := s.known.pick()
+	s.partial = !complete || !p.req.IsRepeatable()
+	s.reset(pin)
+	for s.rounds(ctx) {
+	}
+	return s.out
+}
+
+// reset drops what was answered and starts over at pin.
+func (s *scopeRun) reset(pin uint64) {
+	s.out = &outcome{targets: s.targets, parts: make(map[unit]*part, len(s.targets)), pin: pin}
+	s.divide()
+}
+
+// rounds asks every unit that has no part yet and reports whether another round
+// is needed: a home could not serve the pin wholly.
+func (s *scopeRun) rounds(ctx context.Context) bool {
+	if s.round >= maxRepins {
+		s.partial = true
+	}
+	refused := s.askAll(ctx)
+	if len(refused) == 0 || ctx.Err() != nil || s.round >= maxRepins {
+		return false
+	}
+	s.round++
+	pin, complete := s.known.pick()
+	if complete && pin != s.out.pin {
+		meter.repinned.Inc(1)
+		s.reset(pin)
+		return true
+	}
+	s.partial = true
+	for _, u := range refused {
+		delete(s.out.parts, u)
+	}
+	return true
+}
+
+type unitDone struct {
+	t *target
+	p *part
+}
+
+// askAll asks the units that have no part in parallel and returns those that
+// can't serve the pin.
+func (s *scopeRun) askAll(ctx context.Context) []unit {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan unitDone, len(s.targets))
+	n := 0
+	for _, t := range s.targets {
+		if s.out.parts[t.unit] != nil || s.idle(t) {
+			continue
+		}
+		n++
+		go func() { done <- unitDone{t, s.e.ask(ctx, s.st, t, s.subquery(t))} }()
+	}
+	var refused []unit
+	for range n {
+		d := <-done
+		s.out.parts[d.t.unit] = d.p
+		if d.p.refusal != contract.ReasonNoSnapshot {
+			continue
+		}
+		refused = append(refused, d.t.unit)
+		s.known[d.t.unit] = d.p.versions
+		if s.willRepin() {
+			cancel() // what the others would answer is of a version that is given up
+		}
+	}
+	return refused
+}
+
+func (s *scopeRun) willRepin() bool {
+	if s.round >= maxRepins {
+		return false
+	}
+	pin, complete := s.known.pick()
+	return complete && pin != s.out.pin
+}
+
+func (s *scopeRun) subquery(t *target) *subquery {
+	r := s.p.req
+	q := &subquery{
+		unit: t.unit, id: s.p.id, body: r.Body, repeatable: r.IsRepeatable(),
+		pin: s.out.pin, partial: s.partial, shards: s.out.split[t.unit],
+		limit: s.p.limit(), attemptBase: uint32(s.round) * attemptStride * attemptStride,
+	}
+	if r.MinCoverage != nil {
+		q.minCoverage = max(*r.MinCoverage, leastCoverage)
+	}
+	return q
+}
+
+// leastCoverage stands for a caller that takes any coverage.
+const leastCoverage = 1e-9
+
+// limit returns the most hits of the answer; 0 means all.
+func (p *plan) limit() int {
+	if p.req.Limit == 0 || (p.at.HitLimit > 0 && p.at.HitLimit < p.req.Limit) {
+		return p.at.HitLimit
+	}
+	return p.req.Limit
+}
+
+// divide deals out the shards of the pinned version over the units of each
+// service that has several. A shard goes to exactly one unit, so that replicas in
+// two groups never answer for it twice.
+func (s *scopeRun) divide() {
+	s.out.shards = make(map[string]uint32)
+	s.out.split = make(map[unit][]uint32)
+	byService := make(map[string][]*target)
+	for _, t := range s.targets {
+		byService[t.service] = append(byService[t.service], t)
+	}
+	merged := s.known.byService()
+	for service, ts := range byService {
+		if len(ts) == 1 {
+			continue
+		}
+		v := merged[service][s.out.pin]
+		s.out.shards[service] = v.shards
+		for shard := range v.shards {
+			if t := holder(s.known, ts, s.out.pin, shard); t != nil {
+				s.out.split[t.unit] = append(s.out.split[t.unit], shard)
+			}
+		}
+	}
+}
+
+// idle reports whether t is one of several units of its service and has no shard.
+func (s *scopeRun) idle(t *target) bool {
+	_, several := s.out.shards[t.service]
+	return several && len(s.out.split[t.unit]) == 0
+}
+
+func holder(c catalog, ts []*target, pin uint64, shard uint32) *target {
+	for _, t := range ts {
+		if v := expected(c[t.unit], pin); v != nil && v.live.has(shard) {
+			return t
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/query/home.go
@@ -0,0 +1,264 @@
+package query
+
+import (
+	"context"
+	"math"
+	"sync/atomic"
+	"time"
+
+	"pearmoor/internal/admit"
+	"pearmoor/internal/contract"
+	"pearmoor/internal/domain"
+	"pearmoor/internal/link/leaf"
+	"pearmoor/internal/query/scatter"
+	"pearmoor/internal/settings"
+)
+
+// extraFloor is how many hedges or retries a second a service may send whatever
+// its traffic, so that one with little traffic can use any.
+const extraFloor = 1
+
+// home is what this daemon keeps for a service whose leaves it sends to.
+type home struct {
+	group      *scatter.Group
+	hedgeShare share
+	retryShare share
+	waiting    atomic.Int64 // shards that wait or run here
+}
+
+// share is a float64 that is read and written concurrently.
+type share struct{ bits atomic.Uint64 }
+
+func (s *share) set(v float64) { s.bits.Store(math.Float64bits(v)) }
+func (s *share) get() float64  { return math.Float64frombits(s.bits.Load()) }
+
+func (e *Engine) homeOf(service string, eff *settings.Effective) *home {
+	v, ok := e.homes.Load(service)
+	if !ok {
+		v, _ = e.homes.LoadOrStore(service, e.newHome())
+	}
+	h := v.(*home)
+	h.hedgeShare.set(eff.HedgeBudget)
+	h.retryShare.set(eff.RetryBudget)
+	return h
+}
+
+func (e *Engine) newHome() *home {
+	h := &home{}
+	hedges := admit.NewBudget(h.hedgeShare.get, extraFloor, e.Clock)
+	retries := admit.NewBudget(h.retryShare.get, extraFloor, e.Clock)
+	h.group = scatter.NewGroup(e.Gates, e.Sender, e.Clock, hedges, retries)
+	return h
+}
+
+// serve answers q from the leaves of its group, at the latest when ctx ends.
+func (e *Engine) serve(ctx context.Context, st state, q *subquery) *part {
+	if st == nil || !st.Confirmed(e.Clock()) {
+		return refusedPart(contract.ReasonUnconfirmed, unconfirmedWait)
+	}
+	eff, ok := st.Effective(q.service)
+	if !ok || len(eff.Leaves) == 0 {
+		return refusedPart(contract.ReasonUnknownPath, 0)
+	}
+	snaps := e.snapshots(q.unit, eff)
+	p := e.serveFrom(ctx, eff, snaps, q)
+	p.versions = states(snaps)
+	return p
+}
+
+func (e *Engine) serveFrom(ctx context.Context, eff *settings.Effective, snaps []leaf.Snapshot, q *subquery) *part {
+	snap := choose(snaps, q)
+	if snap == nil {
+		if q.pin == 0 {
+			return refusedPart(contract.ReasonNoReplica, eff.ProbeInterval)
+		}
+		return refusedPart(contract.ReasonNoSnapshot, 0)
+	}
+	if q.pin != 0 && !q.partial && !covers(snap, q.shards) {
+		return refusedPart(contract.ReasonNoSnapshot, 0)
+	}
+	h := e.homeOf(q.service, eff)
+	job := newJob(eff, snap, q)
+	n := int64(len(snap.Holders))
+	h.waiting.Add(n)
+	r := h.group.Run(ctx, job)
+	h.waiting.Add(-n)
+	p := newPart(job, r, q)
+	p.waiting = int(h.waiting.Load())
+	return p
+}
+
+func newJob(eff *settings.Effective, snap *leaf.Snapshot, q *subquery) *scatter.Job {
+	job := &scatter.Job{
+		ID: q.id, AttemptBase: q.attemptBase, Service: q.service,
+		Version: snap.Version, Holders: snap.Holders, Only: inside(q.shards, len(snap.Holders)),
+		Body: q.body, Repeatable: q.repeatable,
+		Priority: eff.Priority, Goal: eff.Goal,
+		HedgeAfter: eff.HedgeAfter, HedgeShare: eff.HedgeBudget,
+	}
+	if q.minCoverage > 0 && eff.EarlyCoverage > 0 {
+		job.EarlyAt = max(q.minCoverage, eff.EarlyCoverage)
+	}
+	return job
+}
+
+// inside drops shards that the version does not have.
+func inside(shards []uint32, n int) []uint32 {
+	kept := shards[:0:0]
+	for _, s := range shards {
+		if int(s) < n {
+			kept = append(kept, s)
+		}
+	}
+	return kept
+}
+
+// newPart turns the outcome of the shards into a part. It is a refusal when no
+// leaf ran anything.
+func newPart(job *scatter.Job, r *scatter.Result, q *subquery) *part {
+	p := &part{version: job.Version, shards: uint32(len(r.Shards)), extra: r.Extra, early: r.Early, retryAfter: r.RetryAfter}
+	nothingRan := true
+	eachWanted(job, func(shard uint32) {
+		out := &r.Shards[shard]
+		if out.Verdict != contract.NotRun {
+			nothingRan = false
+		}
+		if !out.Answered {
+			p.missing = append(p.missing, contract.Missing{Service: q.service, Shard: shard, Reason: out.Reason, Verdict: out.Verdict})
+			return
+		}
+		p.answered++
+		for _, hit := range out.Hits {
+			p.hits = append(p.hits, contract.ServiceHit{Service: q.service, Shard: shard, Hit: hit})
+		}
+	})
+	p.hits, p.omitted = top(p.hits, q.limit)
+	if nothingRan && len(p.missing) > 0 {
+		p.refusal = commonReason(p.missing)
+	}
+	return p
+}
+
+func eachWanted(job *scatter.Job, f func(shard uint32)) {
+	if len(job.Only) > 0 {
+		for _, s := range job.Only {
+			f(s)
+		}
+		return
+	}
+	for s := range job.Holders {
+		f(uint32(s))
+	}
+}
+
+// commonReason returns the reason that most of missing give, the first on a tie.
+func commonReason(missing []contract.Missing) contract.Reason {
+	n := make(map[contract.Reason]int, 2)
+	best := missing[0].Reason
+	for _, m := range missing {
+		n[m.Reason]++
+		if n[m.Reason] > n[best] {
+			best = m.Reason
+		}
+	}
+	return best
+}
+
+// snapshots returns the index versions of u's leaves, newest first.
+func (e *Engine) snapshots(u unit, eff *settings.Effective) []leaf.Snapshot {
+	snaps := e.Catalog.Snapshots(u.service)
+	if domain.GroupIndex(len(eff.Leaves), len(eff.Leaves)-1) == 0 {
+		return snaps
+	}
+	return ofGroup(snaps, u.group, eff)
+}
+
+// ofGroup keeps the holders that belong to one group of the service's leaves.
+func ofGroup(snaps []leaf.Snapshot, group int, eff *settings.Effective) []leaf.Snapshot {
+	member := make(map[string]bool)
+	for i, l := range eff.Leaves {
+		if domain.GroupIndex(len(eff.Leaves), i) == group {
+			member[l.Addr] = true
+		}
+	}
+	out := make([]leaf.Snapshot, len(snaps))
+	for i, s := range snaps {
+		out[i] = leaf.Snapshot{Version: s.Version, Shards: s.Shards, Holders: make([][]settings.Leaf, len(s.Holders))}
+		for shard, holders := range s.Holders {
+			for _, l := range holders {
+				if member[l.Addr] {
+					out[i].Holders[shard] = append(out[i].Holders[shard], l)
+				}
+			}
+		}
+	}
+	return out
+}
+
+// choose returns the snapshot q pins; without a pin the newest complete one, or
+// else the best covered, the newest of equals. nil means there is none.
+func choose(snaps []leaf.Snapshot, q *subquery) *leaf.Snapshot {
+	var best *leaf.Snapshot
+	most := -1.0
+	for i := range snaps {
+		s := &snaps[i]
+		if q.pin != 0 {
+			if s.Version == q.pin {
+				return s
+			}
+			continue
+		}
+		if f := covered(s); f > most || (f == most && s.Version > best.Version) {
+			best, most = s, f
+		}
+	}
+	return best
+}
+
+// covered returns the share of shards with a live replica.
+func covered(s *leaf.Snapshot) float64 {
+	if len(s.Holders) == 0 {
+		return 0
+	}
+	n := 0
+	for _, h := range s.Holders {
+		if len(h) > 0 {
+			n++
+		}
+	}
+	return float64(n) / float64(len(s.Holders))
+}
+
+// covers reports whether each of shards, or every shard, has a live replica.
+func covers(s *leaf.Snapshot, shards []uint32) bool {
+	if len(shards) == 0 {
+		return covered(s) == 1
+	}
+	for _, sh := range shards {
+		if int(sh) >= len(s.Holders) || len(s.Holders[sh]) == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func states(snaps []leaf.Snapshot) []versionState {
+	out := make([]versionState, len(snaps))
+	for i, s := range snaps {
+		v := versionState{version: s.Version, shards: uint32(len(s.Holders)), live: newShardSet(uint32(len(s.Holders)))}
+		for shard, holders := range s.Holders {
+			if len(holders) > 0 {
+				v.live.add(uint32(shard))
+			}
+		}
+		out[i] = v
+	}
+	return out
+}
+
+// hopMargin is kept free for a reply to come back from a home, but at most a
+// tenth of the time left.
+const hopMargin = 2 * time.Millisecond
+
+// hopLeft returns what of left a home may use.
+func hopLeft(left time.Duration) time.Duration { return left - min(hopMargin, left/10) }
--- /dev/null
+++ b/internal/query/keyed.go
@@ -0,0 +1,238 @@
+package query
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"pearmoor/internal/contract"
+	"pearmoor/internal/link/peer"
+	"pearmoor/internal/link/wire"
+	"pearmoor/internal/query/session"
+	"pearmoor/internal/vm"
+)
+
+const (
+	inProgressWait = 100 * time.Millisecond
+	longestKeyed   = time.Second // where the path says nothing
+)
+
+// keyed runs a request that is not repeatable, here if this run of the daemon
+// issued its session, else at the daemon that did.
+func (e *Engine) keyed(ctx context.Context, st state, id string, r *contract.Request) (*contract.Answer, *contract.Error) {
+	token, err := sessionOf(r)
+	if err != nil {
+		return nil, err
+	}
+	if e.issuer.Owns(token) {
+		return e.runKeyed(ctx, st, token, id, r, unlimited)
+	}
+	owner, ok := st.Member(token.Owner)
+	if !ok || owner.Incarnation != token.Incarnation {
+		return nil, inDoubt(errors.Newf("the run of daemon %s that issued the session has ended", token.Owner))
+	}
+	return e.passOn(ctx, st, owner, id, r)
+}
+
+// unlimited is the time of a request that came from the caller itself; its own
+// deadline holds.
+const unlimited = time.Duration(1<<63 - 1)
+
+// inDoubt answers for a key of which nothing can be known: its first attempt may
+// have run, so it is not run now.
+func inDoubt(cause error) *contract.Error {
+	return &contract.Error{Verdict: contract.MayHaveRun, Reason: contract.ReasonKeyInDoubt, Cause: cause}
+}
+
+// runKeyed runs r unless its key is remembered. What the table knows comes before
+// everything else that could be said of r: a resend that were refused as invalid,
+// or for a lost lease, would be told not_run of a request that ran.
+func (e *Engine) runKeyed(ctx context.Context, st state, token *session.Token, id string, r *contract.Request, left time.Duration) (*contract.Answer, *contract.Error) {
+	if !e.issuer.Verify(token) {
+		return nil, invalid(contract.ReasonInvalid, fault("session", shown([]byte(r.Session)),
+			"this daemon did not issue it", "take a session from GET /v1/addresses"))
+	}
+	key := session.Key{Nonce: token.Nonce, Key: r.Key}
+	now := e.Clock()
+	if s, o, ok := e.keys.Lookup(key, fingerprint(r), now); ok {
+		return remembered(s, o, r)
+	}
+	if err := mayStart(token, now); err != nil {
+		return nil, err
+	}
+	p, err := validate(st, id, r)
+	if err != nil {
+		return nil, err
+	}
+	p.timeout = min(p.timeout, left)
+	if s, o := e.keys.Begin(key, fingerprint(r), token.KeepUntil(), now); s != session.New {
+		return remembered(s, o, r)
+	}
+	// The caller's hanging up must not end the run: its resend is to find the
+	// outcome, not one more doubt.
+	a, err := e.confirmed(context.WithoutCancel(ctx), st, p)
+	e.keys.Finish(key, session.Outcome{Answer: a, Err: err})
+	return a, err
+}
+
+// mayStart refuses a key that is not remembered when its session has ended. Up to
+// the end of the resend window it is certain that the key has not run.
+func mayStart(token *session.Token, now vm.Instant) *contract.Error {
+	switch {
+	case now >= token.KeepUntil():
+		return inDoubt(errors.New("the session and its resend window have ended"))
+	case now >= token.Ends():
+		return invalid(contract.ReasonInvalid, fault("session", "", "it has ended, and the key has not run under it",
+			"take a new session from GET /v1/addresses"))
+	}
+	return nil
+}
+
+// remembered answers for a key that was seen before.
+func remembered(s session.State, o session.Outcome, r *contract.Request) (*contract.Answer, *contract.Error) {
+	switch s {
+	case session.Done:
+		if o.Err != nil {
+			return nil, o.Err
+		}
+		first := *o.Answer
+		return &first, nil
+	case session.Running:
+		return nil, &contract.Error{Verdict: contract.MayHaveRun, Reason: contract.ReasonKeyInProgress,
+			RetryAfter: inProgressWait.Milliseconds()}
+	case session.Mismatch:
+		return nil, invalid(contract.ReasonInvalid, fault("key", shown([]byte(r.Key)),
+			"it was used for another request under this session", "send a new key for a new request"))
+	}
+	return nil, &contract.Error{Verdict: contract.NotRun, Reason: contract.ReasonOverload, RetryAfter: unconfirmedWait.Milliseconds(),
+		Cause: errors.New("no more keys can be remembered")}
+}
+
+// fingerprint tells a resend from another request under the same key.
+func fingerprint(r *contract.Request) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(r.Path)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.Write(r.Body)
+	return d.Sum64()
+}
+
+// passOn sends r to the daemon that issued its session. Whatever goes wrong on
+// the way, an earlier send of the key may have run there, so the verdict is in
+// doubt even when this one provably never left.
+func (e *Engine) passOn(ctx context.Context, st state, owner vm.Member, id string, r *contract.Request) (*contract.Answer, *contract.Error) {
+	timeout := keyedTimeout(st, r)
+	ctx, cancel := context.WithTimeout(ctx, timeout-min(wayBack, timeout/10))
+	defer cancel()
+	raw, err := json.Marshal(r)
+	if err != nil {
+		return nil, &contract.Error{Verdict: contract.NotRun, Reason: contract.ReasonInternal, Cause: err}
+	}
+	conn, err := e.Conns.Conn(ctx, owner.PeerAddr)
+	if err != nil {
+		return nil, inDoubt(errors.Wrapf(err, "daemon %s can't be reached", owner.Name))
+	}
+	defer conn.Close()
+	left := hopLeft(timeout)
+	if at, ok := ctx.Deadline(); ok {
+		left = hopLeft(time.Until(at))
+	}
+	reply, err := wire.NewDRPCHomeClient(conn).Keyed(ctx, &wire.KeyedQuery{
+		RequestId: id, Request: raw, DeadlineMs: uint32(left.Milliseconds()), Incarnation: owner.Incarnation,
+	})
+	if err != nil {
+		if peer.NotSent(err) {
+			return nil, inDoubt(errors.Wrapf(err, "daemon %s can't be reached; this send did not run, an earlier one may have", owner.Name))
+		}
+		return nil, inDoubt(errors.Wrapf(err, "daemon %s did not answer", owner.Name))
+	}
+	return decodeKeyed(reply)
+}
+
+// keyedTimeout returns how long the owner of a session is waited for. The owner
+// checks the deadline; here it only has to be bounded.
+func keyedTimeout(st state, r *contract.Request) time.Duration {
+	longest := longestKeyed
+	if eff, ok := st.Effective(r.Path); ok {
+		longest = eff.DeadlineMax
+		if r.DeadlineMS <= 0 {
+			return eff.DeadlineDefault
+		}
+	}
+	return min(time.Duration(max(r.DeadlineMS, shortestDeadline.Milliseconds()))*time.Millisecond, longest)
+}
+
+func decodeKeyed(w *wire.KeyedAnswer) (*contract.Answer, *contract.Error) {
+	if len(w.Answer) > 0 {
+		var a contract.Answer
+		if err := json.Unmarshal(w.Answer, &a); err != nil {
+			return nil, inDoubt(err)
+		}
+		return &a, nil
+	}
+	var f contract.Failure
+	if err := json.Unmarshal(w.Failure, &f); err != nil {
+		return nil, inDoubt(err)
+	}
+	e := &contract.Error{Verdict: f.Verdict, Reason: f.Reason, RetryAfter: f.RetryAfterMS}
+	if len(f.Faults) > 0 {
+		e.Cause = contract.Faults(f.Faults)
+	} else if f.Message != "" {
+		e.Cause = errors.New(f.Message)
+	}
+	return nil, e
+}
+
+// serveKeyed answers a request that another daemon passed on.
+func (e *Engine) serveKeyed(ctx context.Context, w *wire.KeyedQuery) *wire.KeyedAnswer {
+	a, err := e.ownKeyed(ctx, w)
+	if err == nil {
+		raw, jsonErr := json.Marshal(a)
+		if jsonErr == nil {
+			return &wire.KeyedAnswer{Answer: raw}
+		}
+		err = &contract.Error{Verdict: a.Verdict, Reason: contract.ReasonInternal, Cause: jsonErr}
+	}
+	raw, _ := json.Marshal(failureOf(w.RequestId, err)) // plain fields always marshal
+	return &wire.KeyedAnswer{Failure: raw}
+}
+
+func (e *Engine) ownKeyed(ctx context.Context, w *wire.KeyedQuery) (*contract.Answer, *contract.Error) {
+	if w.Incarnation != e.Self.Incarnation {
+		return nil, inDoubt(errors.Newf("the run of daemon %s that issued the session has ended", e.Self.Name))
+	}
+	if !e.work.start() {
+		return nil, inDoubt(errors.Newf("daemon %s is ending", e.Self.Name))
+	}
+	defer e.work.end()
+	var r contract.Request
+	if err := json.Unmarshal(w.Request, &r); err != nil {
+		return nil, invalid(contract.ReasonInvalid, fault("request", "", err.Error(), "send one JSON object"))
+	}
+	st := e.view()
+	if st == nil {
+		return nil, inDoubt(errors.New("the daemon has no configuration"))
+	}
+	token, err := sessionOf(&r)
+	if err != nil {
+		return nil, err
+	}
+	if !e.issuer.Owns(token) {
+		return nil, inDoubt(errors.New("the session is not of this daemon"))
+	}
+	return e.runKeyed(ctx, st, token, w.RequestId, &r, time.Duration(w.DeadlineMs)*time.Millisecond)
+}
+
+// failureOf writes err as the failure that callers see.
+func failureOf(id string, err *contract.Error) *contract.Failure {
+	f := &contract.Failure{RequestID: id, Verdict: err.Verdict, Reason: err.Reason, RetryAfterMS: err.RetryAfter}
+	var faults contract.Faults
+	if errors.As(err.Cause, &faults) {
+		f.Faults = faults
+	}
+	f.Message = err.Error()
+	return f
+}
--- /dev/null
+++ b/internal/query/meters.go
@@ -0,0 +1,41 @@
+package query
+
+import (
+	"github.com/rcrowley/go-metrics"
+
+	"pearmoor/internal/contract"
+)
+
+var meter = struct {
+	latency    metrics.Timer
+	inFlight   metrics.Counter
+	full       metrics.Counter // answers of full coverage
+	partial    metrics.Counter
+	early      metrics.Counter
+	coverage   metrics.Histogram // percent
+	duplicates metrics.Counter
+	repinned   metrics.Counter
+	homeHedges metrics.Counter
+	homeRetry  metrics.Counter
+}{
+	latency:    metrics.GetOrRegisterTimer("query.latency", nil),
+	inFlight:   metrics.GetOrRegisterCounter("query.in_flight", nil),
+	full:       metrics.GetOrRegisterCounter("query.answers.full", nil),
+	partial:    metrics.GetOrRegisterCounter("query.answers.partial", nil),
+	early:      metrics.GetOrRegisterCounter("query.answers.early", nil),
+	coverage:   metrics.GetOrRegisterHistogram("query.coverage.percent", nil, metrics.NewExpDecaySample(1028, 0.015)),
+	duplicates: metrics.GetOrRegisterCounter("query.hits.duplicate", nil),
+	repinned:   metrics.GetOrRegisterCounter("query.pins.changed", nil),
+	homeHedges: metrics.GetOrRegisterCounter("query.homes.hedged", nil),
+	homeRetry:  metrics.GetOrRegisterCounter("query.homes.retried", nil),
+}
+
+// countRefusal counts a query that ended without an answer.
+func countRefusal(reason contract.Reason) {
+	metrics.GetOrRegisterCounter("query.refused."+string(reason), nil).Inc(1)
+}
+
+// countMissing counts a shard that an answer lacks.
+func countMissing(reason contract.Reason) {
+	metrics.GetOrRegisterCounter("query.missing."+string(reason), nil).Inc(1)
+}
--- /dev/null
+++ b/internal/query/part.go
@@ -0,0 +1,163 @@
+package query
+
+import (
+	"encoding/json"
+	"math/bits"
+	"time"
+
+	"pearmoor/internal/contract"
+	"pearmoor/internal/link/wire"
+	"pearmoor/internal/relay"
+	"pearmoor/internal/settings"
+)
+
+// unit is a group of a service's leaves: what one home is asked for.
+type unit struct {
+	service string
+	group   int
+}
+
+// target is a unit with the daemons that serve it.
+type target struct {
+	unit
+	eff    *settings.Effective
+	placed relay.Placed
+}
+
+// subquery is what a home is asked.
+type subquery struct {
+	unit
+	id          string
+	body        json.RawMessage
+	repeatable  bool
+	pin         uint64 // 0: the home chooses
+	partial     bool   // serve the pin although shards of it are missing
+	shards      []uint32
+	limit       int
+	minCoverage float64
+	attemptBase uint32
+}
+
+// part is what a home answered.
+type part struct {
+	refusal    contract.Reason // set when nothing was sent to any leaf
+	retryAfter time.Duration
+	version    uint64
+	shards     uint32 // size of the version's partition map
+	answered   int
+	missing    []contract.Missing
+	hits       []contract.ServiceHit
+	omitted    int
+	extra      int
+	early      bool
+	versions   []versionState
+	waiting    int
+}
+
+func refusedPart(reason contract.Reason, after time.Duration) *part {
+	return &part{refusal: reason, retryAfter: after}
+}
+
+// versionState is an index version as a home sees it.
+type versionState struct {
+	version uint64
+	shards  uint32
+	live    shardSet
+}
+
+// shardSet is a bitmap: bit s%8 of byte s/8 is set when shard s is in the set.
+type shardSet []byte
+
+func newShardSet(shards uint32) shardSet { return make(shardSet, (shards+7)/8) }
+
+func (s shardSet) add(shard uint32) { s[shard/8] |= 1 << (shard % 8) }
+
+func (s shardSet) has(shard uint32) bool {
+	return int(shard/8) < len(s) && s[shard/8]&(1<<(shard%8)) != 0
+}
+
+func (s shardSet) len() int {
+	n := 0
+	for _, b := range s {
+		n += bits.OnesCount8(b)
+	}
+	return n
+}
+
+// toWire encodes q; left is the time the home has.
+func (q *subquery) toWire(left time.Duration, config uint64, origin string) *wire.SubQuery {
+	return &wire.SubQuery{
+		QueryId: q.id, Service: q.service, Group: uint32(q.group), Body: q.body,
+		DeadlineMs: uint32(left.Milliseconds()), Repeatable: q.repeatable,
+		Pin: q.pin, Partial: q.partial, Shards: q.shards, Limit: uint32(q.limit),
+		MinCoverage: q.minCoverage, AttemptBase: q.attemptBase,
+		ConfigVersion: config, Origin: origin,
+	}
+}
+
+func subqueryFromWire(w *wire.SubQuery) *subquery {
+	return &subquery{
+		unit: unit{w.Service, int(w.Group)}, id: w.QueryId, body: w.Body,
+		repeatable: w.Repeatable, pin: w.Pin, partial: w.Partial, shards: w.Shards,
+		limit: int(w.Limit), minCoverage: w.MinCoverage, attemptBase: w.AttemptBase,
+	}
+}
+
+func (p *part) toWire(q *subquery) *wire.SubAnswer {
+	w := &wire.SubAnswer{
+		QueryId: q.id, Service: q.service, Refusal: string(p.refusal),
+		RetryAfterMs: uint32(p.retryAfter.Milliseconds()),
+		IndexVersion: p.version, Answered: uint32(p.answered), Total: p.shards,
+		ExtraAttempts: uint32(p.extra), Early: p.early, Waiting: uint32(p.waiting),
+		Versions: versionsToWire(p.versions), Omitted: uint32(p.omitted),
+	}
+	for _, m := range p.missing {
+		w.Missing = append(w.Missing, &wire.SubMissing{Shard: m.Shard, Reason: string(m.Reason), Verdict: uint32(m.Verdict)})
+	}
+	hits := make([]wire.SubHit, len(p.hits))
+	w.Hits = make([]*wire.SubHit, len(p.hits))
+	for i := range p.hits {
+		h := &p.hits[i]
+		hits[i].Shard, hits[i].Id, hits[i].Score, hits[i].Data = h.Shard, h.ID, h.Score, h.Data
+		w.Hits[i] = &hits[i]
+	}
+	return w
+}
+
+func partFromWire(w *wire.SubAnswer) *part {
+	p := &part{
+		refusal: contract.Reason(w.Refusal), retryAfter: time.Duration(w.RetryAfterMs) * time.Millisecond,
+		version: w.IndexVersion, shards: w.Total, answered: int(w.Answered),
+		omitted: int(w.Omitted), extra: int(w.ExtraAttempts), early: w.Early,
+		versions: versionsFromWire(w.Versions), waiting: int(w.Waiting),
+	}
+	for _, m := range w.Missing {
+		p.missing = append(p.missing, contract.Missing{
+			Service: w.Service, Shard: m.Shard, Reason: contract.Reason(m.Reason), Verdict: contract.Verdict(m.Verdict),
+		})
+	}
+	p.hits = make([]contract.ServiceHit, len(w.Hits))
+	for i, h := range w.Hits {
+		p.hits[i] = contract.ServiceHit{
+			Service: w.Service, Shard: h.Shard,
+			Hit: contract.Hit{ID: h.Id, Score: h.Score, Data: h.Data},
+		}
+	}
+	return p
+}
+
+func versionsToWire(vs []versionState) []*wire.VersionState {
+	out := make([]*wire.VersionState, len(vs))
+	for i, v := range vs {
+		out[i] = &wire.VersionState{Version: v.version, Shards: v.shards, Live: v.live}
+	}
+	return out
+}
+
+func versionsFromWire(ws []*wire.VersionState) []versionState {
+	out := make([]versionState, len(ws))
+	for i, w := range ws {
+		out[i] = versionState{version: w.Version, shards: w.Shards, live: w.Live}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/query/scatter/latency.go
@@ -0,0 +1,110 @@
+package scatter
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"pearmoor/internal/settings"
+)
+
+const (
+	latencyLowest   = 10 * time.Microsecond
+	latencyHighest  = time.Minute
+	latencyDigits   = 2
+	latencyMinimum  = 64   // samples before a threshold is learned
+	latencyRefresh  = 64   // samples between two computations of the threshold
+	latencyWindow   = 4096 // samples after which the older half is forgotten
+	hedgeFloor      = 500 * time.Microsecond
+	ceilingCoverage = 4 // times the median
+	ceilingTail     = 3
+)
+
+// Latency learns how long a service's leaves take to reply, over a sliding
+// window of one to two times latencyWindow samples. It is safe for concurrent use.
+type Latency struct {
+	mu        sync.Mutex
+	cur, prev *hdrhistogram.Histogram
+	since     int
+	share     float64
+	median    atomic.Int64
+	tail      atomic.Int64 // quantile 1 - share
+	coverage  atomic.Int64 // quantile 1 - share/2
+	samples   atomic.Int64
+}
+
+// NewLatency returns an empty Latency. share is the part of attempts that may be
+// hedged; the learned thresholds are the quantiles that spend it.
+func NewLatency(share float64) *Latency {
+	return &Latency{cur: newHistogram(), prev: newHistogram(), share: share}
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(int64(latencyLowest/time.Microsecond), int64(latencyHighest/time.Microsecond), latencyDigits)
+}
+
+// Observe adds the time one attempt took. An attempt that was cancelled is added
+// with the time it had taken: leaving it out would drop the slowest replies, and
+// the threshold would creep down until everything is hedged.
+func (l *Latency) Observe(d time.Duration) {
+	us := min(max(d, latencyLowest), latencyHighest) / time.Microsecond
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	_ = l.cur.RecordValue(int64(us)) // in range by the clamp
+	l.samples.Add(1)
+	l.since++
+	if l.since%latencyRefresh == 0 {
+		l.refresh()
+	}
+	if l.since >= latencyWindow {
+		l.cur, l.prev = l.prev, l.cur
+		l.cur.Reset()
+		l.since = 0
+	}
+}
+
+// SetShare changes the hedge budget that the thresholds are computed for.
+func (l *Latency) SetShare(share float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.share != share {
+		l.share = share
+		l.refresh()
+	}
+}
+
+func (l *Latency) refresh() {
+	h := newHistogram()
+	h.Merge(l.prev)
+	h.Merge(l.cur)
+	l.median.Store(h.ValueAtQuantile(50))
+	l.tail.Store(h.ValueAtQuantile(100 * (1 - l.share)))
+	l.coverage.Store(h.ValueAtQuantile(100 * (1 - l.share/2)))
+}
+
+// Median returns the learned median, 0 while too few samples are known.
+func (l *Latency) Median() time.Duration {
+	if l.samples.Load() < latencyMinimum {
+		return 0
+	}
+	return time.Duration(l.median.Load()) * time.Microsecond
+}
+
+// Threshold returns after how long an attempt counts as a straggler, and false
+// while too few samples are known. The ceiling keeps hedging at work when more
+// attempts straggle than the budget covers: the quantile alone would then lie
+// among the stragglers.
+func (l *Latency) Threshold(goal settings.Goal) (time.Duration, bool) {
+	median := l.Median()
+	if median == 0 {
+		return 0, false
+	}
+	quantile, ceiling := l.coverage.Load(), time.Duration(ceilingCoverage)
+	if goal == settings.Tail {
+		quantile, ceiling = l.tail.Load(), ceilingTail
+	}
+	d := min(time.Duration(quantile)*time.Microsecond, ceiling*median)
+	return max(d, hedgeFloor), true
+}
--- /dev/null
+++ b/internal/query/server.go
@@ -0,0 +1,46 @@
+package query
+
+import (
+	"context"
+	"time"
+
+	"pearmoor/internal/contract"
+	"pearmoor/internal/link/wire"
+)
+
+// homeServer serves the entries on other daemons.
+type homeServer struct{ e *Engine }
+
+// Home returns the service that other daemons call.
+func (e *Engine) Home() wire.DRPCHomeServer { return homeServer{e} }
+
+func (s homeServer) Query(ctx context.Context, w *wire.SubQuery) (*wire.SubAnswer, error) {
+	q := subqueryFromWire(w)
+	if !s.e.work.start() {
+		return refusedPart(contract.ReasonDraining, drainingWait).toWire(q), nil
+	}
+	defer s.e.work.end()
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(w.DeadlineMs)*time.Millisecond)
+	defer cancel()
+	return s.e.serve(ctx, s.e.view(), q).toWire(q), nil
+}
+
+func (s homeServer) Describe(_ context.Context, w *wire.DescribeRequest) (*wire.DescribeReply, error) {
+	reply := &wire.DescribeReply{}
+	st := s.e.view()
+	for _, g := range w.Groups {
+		versions := &wire.GroupVersions{}
+		if st != nil {
+			if eff, ok := st.Effective(g.Service); ok {
+				versions.Versions = versionsToWire(states(s.e.snapshots(unit{g.Service, int(g.Group)}, eff)))
+				versions.Waiting = uint32(s.e.homeOf(g.Service, eff).waiting.Load())
+			}
+		}
+		reply.Groups = append(reply.Groups, versions)
+	}
+	return reply, nil
+}
+
+func (s homeServer) Keyed(ctx context.Context, w *wire.KeyedQuery) (*wire.KeyedAnswer, error) {
+	return s.e.serveKeyed(ctx, w), nil
+}
--- /dev/null
+++ b/internal/query/validate.go
@@ -0,0 +1,121 @@
+package query
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pearmoor/internal/contract"
+	"pearmoor/internal/query/session"
+	"pearmoor/internal/settings"
+)
+
+const (
+	shortestDeadline = 5 * time.Millisecond
+	maxKeyBytes      = 256
+)
+
+// plan is a validated request.
+type plan struct {
+	req      *contract.Request
+	id       string
+	at       *settings.Effective // at the path asked
+	services []string
+	timeout  time.Duration
+}
+
+// invalid returns the refusal of a request that is itself at fault.
+func invalid(reason contract.Reason, fs contract.Faults) *contract.Error {
+	return contract.Refuse(reason, fs)
+}
+
+// validate checks r against the tree and reports every fault.
+func validate(st state, id string, r *contract.Request) (*plan, *contract.Error) {
+	at, ok := st.Effective(r.Path)
+	services := st.Services(r.Path)
+	if !ok || len(services) == 0 || r.Path == "" {
+		return nil, invalid(contract.ReasonUnknownPath, fault("path", r.Path,
+			"no query service is at or below it", "name a query service or a node above one; pearmoor get lists them"))
+	}
+	p := &plan{req: r, id: id, at: at, services: services}
+	var fs contract.Faults
+	fs = append(fs, p.checkDeadline()...)
+	fs = append(fs, p.checkLimits()...)
+	fs = append(fs, p.checkKey()...)
+	if len(fs) > 0 {
+		return nil, invalid(contract.ReasonInvalid, fs)
+	}
+	return p, nil
+}
+
+func (p *plan) checkDeadline() contract.Faults {
+	ms := p.req.DeadlineMS
+	value := strconv.FormatInt(ms, 10)
+	longest := p.at.DeadlineMax
+	if ms == 0 {
+		p.timeout = p.at.DeadlineDefault
+		return nil
+	}
+	if ms < shortestDeadline.Milliseconds() {
+		return fault("deadline_ms", value, fmt.Sprintf("it is shorter than %v", shortestDeadline),
+			"send the milliseconds you can wait, or leave it out")
+	}
+	if longest > 0 && ms > longest.Milliseconds() {
+		return fault("deadline_ms", value, fmt.Sprintf("it is longer than deadline-max, %v here", longest),
+			"send a shorter deadline, or leave it out")
+	}
+	p.timeout = time.Duration(ms) * time.Millisecond
+	return nil
+}
+
+func (p *plan) checkLimits() (fs contract.Faults) {
+	r := p.req
+	if len(r.Body) == 0 {
+		fs = append(fs, fault("body", "", "it is missing", "send the query that the targets are to run")...)
+	}
+	if p.at.BodyLimit > 0 && len(r.Body) > p.at.BodyLimit {
+		fs = append(fs, fault("body", fmt.Sprintf("%d bytes", len(r.Body)),
+			fmt.Sprintf("it is longer than body-limit, %d bytes here", p.at.BodyLimit), "send a shorter body")...)
+	}
+	if r.Limit < 0 {
+		fs = append(fs, fault("limit", strconv.Itoa(r.Limit), "it is negative", "send the most hits wanted, or 0 for all")...)
+	}
+	if m := r.MinCoverage; m != nil && !(*m >= 0 && *m <= 1) {
+		fs = append(fs, fault("min_coverage", strconv.FormatFloat(*m, 'g', -1, 64), "it is not between 0 and 1",
+			"send the share of shards from which an early answer will do")...)
+	}
+	return fs
+}
+
+// checkKey checks what only holds for a request that is not repeatable.
+func (p *plan) checkKey() contract.Faults {
+	r := p.req
+	if r.IsRepeatable() || (len(p.services) == 1 && p.services[0] == p.at.Path) {
+		return nil
+	}
+	return fault("path", r.Path, fmt.Sprintf("a request that is not repeatable must name one query service, and this names %d", len(p.services)),
+		"send one request to each query service")
+}
+
+// sessionOf checks what lets a request that is not repeatable run at most once.
+// It needs nothing of the tree: a resend must find its first outcome whatever has
+// changed there since.
+func sessionOf(r *contract.Request) (*session.Token, *contract.Error) {
+	var fs contract.Faults
+	if r.Key == "" {
+		fs = append(fs, fault("key", "", "a request that is not repeatable needs one", "send a key that is new for each request and the same on a resend")...)
+	}
+	if len(r.Key) > maxKeyBytes {
+		fs = append(fs, fault("key", shown([]byte(r.Key)), fmt.Sprintf("it is longer than %d bytes", maxKeyBytes), "send a shorter key")...)
+	}
+	token, err := session.Parse(r.Session)
+	if err != nil {
+		fs = append(fs, fault("session", shown([]byte(r.Session)), errors.UnwrapAll(err).Error(), "take a session from GET /v1/addresses")...)
+	}
+	if len(fs) > 0 {
+		return nil, invalid(contract.ReasonInvalid, fs)
+	}
+	return token, nil
+}
