--- /dev/null
+++ b/internal/admit/bench_test.go
@@ -0,0 +1,81 @@
+package admit
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"pearmoor/internal/settings"
+	"pearmoor/internal/vm"
+)
+
+func openGates(slots int) *Gates {
+	g := NewGates(vm.Now)
+	g.Fence(vm.Now().Add(time.Hour))
+	g.Configure(leafA, Limits{Slots: slots, Queue: 1 << 16})
+	return g
+}
+
+func BenchmarkAcquireRelease(b *testing.B) {
+	g := openGates(1)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Hour)
+	defer cancel()
+	b.ReportAllocs()
+	for b.Loop() {
+		p, err := g.Acquire(ctx, leafA, settings.Urgent)
+		if err != nil {
+			b.Fatal(err)
+		}
+		p.Done(Answered, 0)
+	}
+}
+
+// Each of many callers waits for one of two slots.
+func BenchmarkAcquireQueued(b *testing.B) {
+	g := openGates(2)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Hour)
+	defer cancel()
+	b.ReportAllocs()
+	b.SetParallelism(4)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			p, err := g.Acquire(ctx, leafA, settings.Urgent)
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			p.Done(Answered, 0)
+		}
+	})
+}
+
+func BenchmarkRefusal(b *testing.B) {
+	g := openGates(1)
+	g.Configure(leafA, Limits{Slots: 1, Queue: 0})
+	g.TryAcquire(leafA)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := g.Acquire(context.Background(), leafA, settings.Urgent); err == nil {
+			b.Fatal("not refused")
+		}
+	}
+}
+
+func BenchmarkCheck(b *testing.B) {
+	p, _ := openGates(1).TryAcquire(leafA)
+	b.ReportAllocs()
+	for b.Loop() {
+		if p.Check() != nil {
+			b.Fatal("refused")
+		}
+	}
+}
+
+func BenchmarkBudget(b *testing.B) {
+	bud := NewBudget(func() float64 { return 0.03 }, 1, vm.Now)
+	b.ReportAllocs()
+	for b.Loop() {
+		bud.Primary()
+		bud.Spend()
+	}
+}
--- a/internal/admit/gate.go
+++ b/internal/admit/gate.go
@@ -84,29 +84,32 @@
 		return nil, contract.Refuse(contract.ReasonDeadline, err)
 	}
 	now := g.set.clock()
-	deadline := deadlineOf(ctx, now)
+	p, w, err := g.ask(now, deadlineOf(ctx, now), pr)
+	if w == nil {
+		return p, err
+	}
+	return g.await(ctx, w)
+}
+
+// ask returns a permit, an error, or the waiter that will get one of them.
+func (g *gate) ask(now, deadline vm.Instant, pr settings.Priority) (*Permit, *waiter, error) {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	if err := g.closed(now); err != nil {
-		g.mu.Unlock()
-		return nil, err
+		return nil, nil, err
 	}
 	if g.queue.len() == 0 && g.room(now) && fits(now, 0, g.service.mean, deadline) {
-		p := g.grant(now)
-		g.mu.Unlock()
-		return p, nil
+		return g.grant(now), nil, nil
 	}
-	if !g.makePlace(pr) {
-		after := g.wait(now, g.queue.len())
-		g.mu.Unlock()
+	if !g.makePlace(now, pr) {
 		refusedFull.Inc(1)
-		return nil, errOverload(after, ErrQueueFull)
+		return nil, nil, errOverload(g.wait(now, g.queue.len()), ErrQueueFull)
 	}
 	w := &waiter{priority: class(pr), deadline: deadline, result: make(chan grant, 1)}
 	g.queue.push(w)
 	waiting.Inc(1)
 	g.dispatch(now)
-	g.mu.Unlock()
-	return g.await(ctx, w)
+	return nil, w, nil
 }
 
 // class maps an unknown priority to the nearest known one.
@@ -146,7 +149,7 @@
 // makePlace reports whether the queue can take one more. An urgent request
 // pushes out the last ordinary one: a flood of ordinary requests would
 // otherwise keep urgent ones out by filling the queue.
-func (g *gate) makePlace(pr settings.Priority) bool {
+func (g *gate) makePlace(now vm.Instant, pr settings.Priority) bool {
 	if g.queue.len() < g.limits.Queue {
 		return true
 	}
@@ -157,7 +160,7 @@
 	last := ordinary[len(ordinary)-1]
 	g.queue.remove(last)
 	refusedFull.Inc(1)
-	last.refuse(errOverload(g.wait(g.set.clock(), g.queue.len()), ErrQueueFull))
+	last.refuse(errOverload(g.wait(now, g.queue.len()), ErrQueueFull))
 	return true
 }
 
@@ -166,11 +169,16 @@
 	w.result <- grant{err: err}
 }
 
+// tryAcquire leaves a failing leaf alone: a hedge is not the request to find
+// out whether it has recovered.
 func (g *gate) tryAcquire() (*Permit, bool) {
 	now := g.set.clock()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.draining || now >= g.set.fence.end() || g.queue.len() > 0 || !g.room(now) {
+	if g.draining || now >= g.set.fence.end() || g.health.failing() {
+		return nil, false
+	}
+	if g.queue.len() > 0 || !g.room(now) {
 		return nil, false
 	}
 	return g.grant(now), true
@@ -277,8 +285,9 @@
 }
 
 // arm sets the timer for the next moment at which something changes without an
-// event: a block ends, a waiter's latest start passes, the lease ends. A timer
-// that is set for earlier stays; it finds nothing to do and sets the next.
+// event: a block ends, a permit that was expected back has not come, a waiter's
+// latest start passes, the lease ends. A timer that is set for earlier stays;
+// it finds nothing to do and sets the next.
 func (g *gate) arm(now vm.Instant) {
 	if g.queue.len() == 0 {
 		return
@@ -287,6 +296,9 @@
 	if d := g.health.blocked(now); d > 0 {
 		at = min(at, now.Add(d))
 	}
+	if d := g.recheckIn(now); d > 0 {
+		at = min(at, now.Add(d))
+	}
 	for _, c := range g.queue.class {
 		if len(c) > 0 && c[0].deadline != never {
 			at = min(at, c[0].deadline.Add(1-g.service.mean))
--- /dev/null
+++ b/internal/admit/health_test.go
@@ -0,0 +1,159 @@
+package admit
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"pearmoor/internal/settings"
+)
+
+// A leaf refuses with a time to come back. Nothing is sent to it until then, no
+// longer than the bound whatever it says, and homes do not return in step.
+func TestRefusalPausesTheLeaf(t *testing.T) {
+	Convey("After a refusal", t, func() {
+		w := newWorld()
+		w.Configure(leafA, Limits{Slots: 2, Queue: 4})
+		refuse := func(after time.Duration) {
+			p, ok := w.TryAcquire(leafA)
+			So(ok, ShouldBeTrue)
+			p.Done(Refused, after)
+		}
+		Convey("with a time, the leaf rests for it and at most a quarter more", func() {
+			refuse(2 * time.Second)
+			w.advance(2*time.Second - 1)
+			_, ok := w.TryAcquire(leafA)
+			So(ok, ShouldBeFalse)
+			w.advance(time.Second/2 + 1)
+			_, ok = w.TryAcquire(leafA)
+			So(ok, ShouldBeTrue)
+		})
+		Convey("with an absurd time, it rests no longer than the bound", func() {
+			refuse(24 * time.Hour)
+			w.advance(pauseMax + pauseMax/4)
+			_, ok := w.TryAcquire(leafA)
+			So(ok, ShouldBeTrue)
+		})
+		Convey("with none, the rest grows, and an answer ends its growth", func() {
+			refuse(0)
+			first := w.get(leafA).health.blocked(w.now)
+			So(first, ShouldBeBetweenOrEqual, pauseBase, pauseBase*5/4)
+			w.advance(first)
+			refuse(0)
+			So(w.get(leafA).health.blocked(w.now), ShouldBeGreaterThanOrEqualTo, 2*pauseBase)
+			w.advance(pauseMax)
+			p, _ := w.TryAcquire(leafA)
+			p.Done(Answered, 0)
+			refuse(0)
+			So(w.get(leafA).health.blocked(w.now), ShouldBeLessThanOrEqualTo, pauseBase*5/4)
+		})
+		Convey("what can't wait so long is refused at once, what can waits", func() {
+			refuse(time.Second)
+			_, x, _ := w.ask(500*ms, settings.Urgent)
+			r, ok := x.ended()
+			So(ok, ShouldBeTrue)
+			So(refusalOf(t, r.err).RetryAfter, ShouldBeGreaterThanOrEqualTo, 500)
+			_, y, _ := w.ask(5*time.Second, settings.Urgent)
+			w.advance(1250 * ms)
+			r, ok = y.ended()
+			So(ok, ShouldBeTrue)
+			So(r.permit, ShouldNotBeNil)
+		})
+	})
+}
+
+// A leaf fails three times in a row. Daemons that went on at full rate would
+// lose every request sent there; instead one request at a time finds out.
+func TestFailingLeafIsProbedByOneRequest(t *testing.T) {
+	Convey("A leaf that keeps failing", t, func() {
+		w := newWorld()
+		w.Configure(leafA, Limits{Slots: 4, Queue: 8, Ramp: 10 * time.Second})
+		w.teach(t, 10*ms)
+		for range failThreshold {
+			p, ok := w.TryAcquire(leafA)
+			So(ok, ShouldBeTrue)
+			p.Done(Failed, 0)
+		}
+		So(w.Load(leafA).Failing, ShouldBeTrue)
+		_, x, _ := w.ask(time.Minute, settings.Urgent)
+		_, y, _ := w.ask(time.Minute, settings.Urgent)
+		w.advance(backoffBase - 1)
+		_, ended := x.ended()
+		So(ended, ShouldBeFalse)
+		w.advance(backoffBase)
+		r, ended := x.ended()
+		So(ended, ShouldBeTrue)
+		_, ended = y.ended()
+		So(ended, ShouldBeFalse)
+		_, hedged := w.TryAcquire(leafA)
+		So(hedged, ShouldBeFalse)
+		Convey("fails again: the backoff doubles", func() {
+			r.permit.Done(Failed, 0)
+			So(w.get(leafA).health.blocked(w.now), ShouldBeGreaterThanOrEqualTo, 2*backoffBase)
+		})
+		Convey("answers: it ramps up from a tenth of its rate", func() {
+			w.advance(10 * ms)
+			r.permit.Done(Answered, 0)
+			So(w.Load(leafA).Failing, ShouldBeFalse)
+			So(w.get(leafA).limit(w.now), ShouldEqual, 1)
+			w.advance(10 * time.Second)
+			So(w.get(leafA).limit(w.now), ShouldEqual, 4)
+			So(w.get(leafA).health.blocked(w.now), ShouldEqual, 0)
+		})
+	})
+}
+
+// A cold leaf with one slot here can't be given less concurrency than one, so a
+// slow start spaces the starts out: about a tenth of the rate at first, half of
+// it over the ramp, all of it after.
+func TestSlowStartWithOneSlot(t *testing.T) {
+	w := newWorld()
+	w.Configure(leafA, Limits{Slots: 1, Queue: 8, Ramp: 10 * time.Second})
+	w.teach(t, 10*ms)
+	w.Ramp(leafA)
+	starts := func(d time.Duration) (n int) {
+		for end := w.now.Add(d); w.now < end; {
+			p, ok := w.TryAcquire(leafA)
+			if !ok {
+				w.advance(ms)
+				continue
+			}
+			n++
+			w.advance(10 * ms)
+			p.Done(Answered, 0)
+		}
+		return n
+	}
+	first := starts(time.Second)
+	rest := starts(9 * time.Second)
+	after := starts(time.Second)
+	if first < 8 || first > 15 {
+		t.Errorf("%d starts in the first second; a tenth of the full rate is 10", first)
+	}
+	if rest < 300 || rest > 600 {
+		t.Errorf("%d starts in the rest of the ramp; about half of the full rate is 480", rest)
+	}
+	if after < 95 {
+		t.Errorf("%d starts in the second after the ramp; the full rate is 100", after)
+	}
+}
+
+// A leaf reports that it is full, or idle, and may be wrong. Its word moves the
+// expected wait by at most half a service time, and is forgotten in seconds.
+func TestLoadReportsHaveBoundedEffect(t *testing.T) {
+	Convey("A report of an absurd load", t, func() {
+		w := newWorld()
+		w.Configure(leafA, Limits{Slots: 1, Queue: 8})
+		w.teach(t, 10*ms)
+		w.Hint(leafA, 1<<30, 1)
+		So(w.Load(leafA).Wait, ShouldEqual, 5*ms)
+		_, ok := w.TryAcquire(leafA)
+		So(ok, ShouldBeTrue)
+		w.advance(hintLife)
+		So(w.Load(leafA).Wait, ShouldBeGreaterThanOrEqualTo, 0)
+		Convey("does not count once it is old", func() {
+			So(w.get(leafA).hint.extra(w.now, 10*ms), ShouldEqual, 0)
+		})
+	})
+}
--- a/internal/admit/room.go
+++ b/internal/admit/room.go
@@ -46,3 +46,16 @@
 	}
 	return least
 }
+
+// overdueSteps is how often, while a permit is overdue, the waiters are looked
+// at again in the time by which its expected return moves on to double.
+const overdueSteps = 4
+
+// recheckIn is when the expected return of a permit is worth another look.
+func (g *gate) recheckIn(now vm.Instant) time.Duration {
+	free := g.freeIn(now)
+	if free > g.service.mean {
+		return free / overdueSteps
+	}
+	return free
+}
