--- a/internal/quorum/conf.go
+++ b/internal/quorum/conf.go
@@ -14,6 +14,10 @@
 // are bound by the group's first entry, votes and commits need all members, not
 // a majority, so that a member whose disk was lost in between can't be mistaken
 // for its old self. The driver stores the snapshot on a new disk before New.
+//
+// A group founded by a single member has nobody to object when that member's
+// disk is replaced and it founds the group once more. Founding must therefore be
+// an act of the operator's on that one start, never a standing start-up flag.
 func Bootstrap(members []*Member) (*Snapshot, error) {
 	c := &Conf{}
 	for _, b := range members {
--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -6,7 +6,7 @@
 // A member that was cut off for long thus can't depose a leader that the others
 // still hear when it comes back.
 func (m *Machine) campaign() {
-	if !isVoter(m.conf(), m.cfg.ID) {
+	if !m.mayLead() {
 		return
 	}
 	m.becomeFollower(m.hard.Term, 0)
@@ -19,6 +19,15 @@
 	m.askVotes(&Message{Kind: quorumpb.Kind_PRE_VOTE, Term: m.hard.Term + 1})
 }
 
+// mayLead reports whether this member may stand for election. One whose removal
+// is in its log but not committed still may: perhaps no voter of the new group
+// holds that entry, so that this member's log wins over theirs and they can
+// neither win its vote nor do without it. It then leads, without counting itself,
+// until the removal is committed.
+func (m *Machine) mayLead() bool {
+	return isVoter(m.conf(), m.cfg.ID) || isVoter(m.committedConf(), m.cfg.ID)
+}
+
 // elect enters a new term as candidate. transfer is true when the leader asked
 // for it, which lets voters pass over their promise to that leader.
 func (m *Machine) elect(transfer bool) {
--- a/internal/quorum/transfer.go
+++ b/internal/quorum/transfer.go
@@ -70,7 +70,7 @@
 }
 
 func (m *Machine) onTimeoutNow(msg *Message) {
-	if m.role == Leader || !isVoter(m.conf(), m.cfg.ID) {
+	if m.role == Leader || !m.mayLead() {
 		return
 	}
 	m.elect(true)
