--- /dev/null
+++ b/internal/control/deliver.go
@@ -0,0 +1,36 @@
+package control
+
+import (
+	"context"
+
+	"pearmoor/internal/link/wire"
+	"pearmoor/internal/quorum"
+)
+
+// quorumServer takes messages of the other control VMs.
+type quorumServer struct{ *Node }
+
+// Deliver implements wire.DRPCQuorumServer. What the driver can't keep up with is
+// dropped, as on any lossy link.
+func (s *quorumServer) Deliver(_ context.Context, in *wire.QuorumMessage) (*wire.QuorumAck, error) {
+	s.links.learn(in.From, in.FromAddr)
+	for _, b := range in.Payloads {
+		m, err := quorum.Decode(b)
+		if err != nil {
+			return nil, err
+		}
+		select {
+		case s.driver.inbox <- m:
+		default:
+		}
+	}
+	return &wire.QuorumAck{}, nil
+}
+
+// Hello implements wire.DRPCQuorumServer.
+func (s *quorumServer) Hello(context.Context, *wire.HelloRequest) (*wire.HelloReply, error) {
+	return &wire.HelloReply{
+		Id: s.cfg.ID, Disk: s.disk, Name: s.cfg.Name, PeerAddr: s.cfg.PeerAddr,
+		Member: addrOf(s.lead.Load().conf, s.cfg.ID) != "",
+	}, nil
+}
--- /dev/null
+++ b/internal/control/group.go
@@ -0,0 +1,133 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pearmoor/internal/link/wire"
+	"pearmoor/internal/quorum"
+)
+
+const (
+	confRetry    = 100 * time.Millisecond
+	helloTimeout = 2 * time.Second
+)
+
+// Group implements wire.DRPCControlServer: it changes the control group by one
+// VM. A request that was already carried out, sent again, is done at once.
+func (s *operatorServer) Group(ctx context.Context, req *wire.GroupRequest) (*wire.GroupReply, error) {
+	redirect, err := s.toLeader()
+	if err != nil || redirect != "" {
+		return &wire.GroupReply{Redirect: redirect}, err
+	}
+	switch req.Op {
+	case wire.GroupOp_GROUP_ADD:
+		err = s.addMember(ctx, req)
+	case wire.GroupOp_GROUP_REMOVE:
+		err = s.removeMember(ctx, req.Id)
+	default:
+		err = errors.Newf("control: op=%v is unknown; use GROUP_ADD or GROUP_REMOVE", req.Op)
+	}
+	reply := &wire.GroupReply{Done: err == nil, Group: s.lead.Load().group()}
+	if err != nil {
+		reply.Error = err.Error()
+		reply.Redirect, _ = s.toLeader()
+	}
+	return reply, nil
+}
+
+// addMember adds a learner and makes it a voter once it has caught up.
+func (n *Node) addMember(ctx context.Context, req *wire.GroupRequest) error {
+	m, err := n.askMember(ctx, req)
+	if err != nil {
+		return err
+	}
+	if have := memberOf(n.lead.Load().conf, m.Id); have == nil {
+		err = n.retryConf(ctx, quorum.ConfChange{Op: quorum.AddLearner, Member: m})
+	} else if have.Disk != m.Disk {
+		err = errors.Newf("control: id=%d is already in use by another disk; remove it and start the VM with a new id", m.Id)
+	} else if !have.Learner {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	return n.retryConf(ctx, quorum.ConfChange{Op: quorum.Promote, Member: m})
+}
+
+// askMember asks the VM to be added who it is: the group binds its id to its disk.
+func (n *Node) askMember(ctx context.Context, req *wire.GroupRequest) (*quorum.Member, error) {
+	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	conn, err := n.cfg.Conns.Conn(ctx, req.PeerAddr)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = conn.Close() }()
+	hello, err := wire.NewDRPCQuorumClient(conn).Hello(ctx, &wire.HelloRequest{})
+	if err != nil {
+		return nil, errors.Wrapf(err, "control: peer_addr=%s does not answer as a control VM", req.PeerAddr)
+	}
+	if req.Id != 0 && req.Id != hello.Id {
+		return nil, errors.Newf("control: id=%d, but the VM at %s calls itself %d; use its id", req.Id, req.PeerAddr, hello.Id)
+	}
+	name := req.Name
+	if name == "" {
+		name = hello.Name
+	}
+	return &quorum.Member{Id: hello.Id, Disk: hello.Disk, Name: name, PeerAddr: req.PeerAddr}, nil
+}
+
+func (n *Node) removeMember(ctx context.Context, id uint64) error {
+	conf := n.lead.Load().conf
+	if memberOf(conf, id) == nil {
+		if id <= conf.GetMaxId() {
+			return nil // removed before
+		}
+		return errors.Newf("control: id=%d is no member of the control group; see the status for those that are", id)
+	}
+	return n.retryConf(ctx, quorum.ConfChange{Op: quorum.Remove, Member: &quorum.Member{Id: id}})
+}
+
+// retryConf proposes a step until it is taken, as long as it is only too early.
+func (n *Node) retryConf(ctx context.Context, c quorum.ConfChange) error {
+	for {
+		err := n.proposeConf(ctx, c)
+		early := errors.Is(err, quorum.ErrNotCaughtUp) || errors.Is(err, quorum.ErrConfPending) || errors.Is(err, quorum.ErrNotReady)
+		if !early {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(err, "control: gave up; the step %v of member %d can be asked for again", c.Op, c.Member.GetId())
+		case <-time.After(confRetry):
+		}
+	}
+}
+
+func memberOf(conf *quorum.Conf, id uint64) *quorum.Member {
+	for _, m := range conf.GetMembers() {
+		if m.Id == id {
+			return m
+		}
+	}
+	return nil
+}
+
+// group returns the control group as this VM sees it.
+func (l *leadership) group() []*wire.ControlVm {
+	match := map[uint64]uint64{l.status.ID: l.status.LastIndex}
+	for _, p := range l.status.Peers {
+		match[p.ID] = p.Match
+	}
+	var out []*wire.ControlVm
+	for _, m := range l.conf.GetMembers() {
+		out = append(out, &wire.ControlVm{
+			Id: m.Id, Name: m.Name, PeerAddr: m.PeerAddr, Voter: !m.Learner,
+			Leader: m.Id == l.leader, MatchIndex: match[m.Id],
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/control/node.go
@@ -0,0 +1,177 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+	"storj.io/drpc"
+
+	"pearmoor/internal/audit"
+	"pearmoor/internal/control/presence"
+	"pearmoor/internal/control/state"
+	"pearmoor/internal/journal"
+	"pearmoor/internal/link/wire"
+	"pearmoor/internal/quorum"
+	"pearmoor/internal/relay"
+)
+
+// Node is one control VM.
+type Node struct {
+	cfg  Config
+	disk uint64
+
+	driver  *driver
+	links   *transport
+	trail   *audit.Trail
+	table   *presence.Table
+	history *relay.History
+	expand  relay.Expander
+	wake    chan struct{} // tells the leader's duties that something is new
+
+	mu    sync.RWMutex // guards state
+	state *state.State
+
+	lead    atomic.Pointer[leadership]
+	terms   atomic.Pointer[presence.Terms]
+	full    atomic.Bool
+	stopped chan struct{} // closed when Run ends
+}
+
+// Open reads the data folder and prepares the control VM. Nothing is sent or
+// answered before Run.
+func Open(cfg Config) (*Node, error) {
+	cfg = cfg.withDefaults()
+	if err := cfg.validate(); err != nil {
+		return nil, err
+	}
+	j, stored, err := journal.Open(cfg.DataDir, journal.Options{FS: cfg.FS})
+	if err != nil {
+		return nil, err
+	}
+	n, err := open(cfg, j, stored)
+	if err != nil {
+		_ = j.Close()
+		return nil, err
+	}
+	return n, nil
+}
+
+func open(cfg Config, j *journal.Journal, stored *journal.Stored) (*Node, error) {
+	if err := prepareDisk(&cfg, j, stored); err != nil {
+		return nil, err
+	}
+	machine, err := quorum.New(quorum.DefaultConfig(cfg.ID, rand.Uint64()), quorum.Stored{
+		HardState: stored.HardState, Snapshot: stored.Snapshot, Entries: stored.Entries,
+	})
+	if err != nil {
+		return nil, err
+	}
+	st, err := state.Decode(stored.Snapshot.GetData())
+	if err != nil {
+		return nil, err
+	}
+	trail, err := audit.Open(cfg.DataDir, cfg.FS)
+	if err != nil {
+		return nil, err
+	}
+	n := &Node{
+		cfg: cfg, disk: stored.Identity.Disk,
+		trail: trail, table: presence.New(), history: relay.NewHistory(),
+		wake: make(chan struct{}, 1), state: st, stopped: make(chan struct{}),
+	}
+	n.lead.Store(&leadership{})
+	n.terms.Store(&presence.Terms{Lease: st.Tree().Tier().DaemonLease})
+	n.links = newTransport(&n.cfg)
+	n.driver = newDriver(n, machine, j, stored.Snapshot.GetIndex())
+	n.recordInForce()
+	n.publishState(0)
+	return n, nil
+}
+
+// prepareDisk names an empty data folder, founds the group on it if asked to, and
+// refuses a folder that is another VM's.
+func prepareDisk(cfg *Config, j *journal.Journal, st *journal.Stored) error {
+	if st.Identity == nil {
+		st.Identity = &wire.DiskIdentity{Disk: rand.Uint64() | 1, Id: cfg.ID, Name: cfg.Name}
+		if err := j.WriteIdentity(st.Identity); err != nil {
+			return err
+		}
+	}
+	if st.Identity.Id != cfg.ID {
+		return errors.Newf("control: data folder %s is control VM %d's, this one is %d; use its own folder", cfg.DataDir, st.Identity.Id, cfg.ID)
+	}
+	if st.HardState != nil {
+		return nil
+	}
+	if cfg.Bootstrap {
+		var err error
+		if st.Snapshot, err = cfg.genesis(); err != nil {
+			return err
+		}
+	}
+	st.HardState = &quorum.HardState{Disk: st.Identity.Disk}
+	return j.Save(st.Snapshot, st.HardState, nil, true)
+}
+
+// Run drives the control VM until ctx ends, then hands leadership over and
+// closes the data folder. An error means that the process must end: what the
+// disk holds is unknown, or the log can't be applied.
+func (n *Node) Run(ctx context.Context) error {
+	defer close(n.stopped)
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	var wg sync.WaitGroup
+	wg.Go(func() { n.links.run(inner) })
+	wg.Go(func() { n.runDuties(inner) })
+	err := n.driver.run(ctx)
+	cancel()
+	wg.Wait()
+	err = errors.CombineErrors(err, n.trail.Close())
+	err = errors.CombineErrors(err, n.driver.journal.Close())
+	if err != nil {
+		klog.Errorf("control: stopped: %v", err)
+	}
+	return err
+}
+
+// Register adds the control VM's servers to mux.
+func (n *Node) Register(mux drpc.Mux) error {
+	if err := wire.DRPCRegisterControl(mux, &operatorServer{n}); err != nil {
+		return err
+	}
+	if err := wire.DRPCRegisterSpread(mux, &spreadServer{n}); err != nil {
+		return err
+	}
+	return wire.DRPCRegisterQuorum(mux, &quorumServer{n})
+}
+
+// publishState shows the newest state to daemons and waiting callers; after is
+// the version already shown.
+func (n *Node) publishState(after uint64) {
+	st := n.state
+	n.history.Advance(relay.State{
+		ConfigVersion: st.Version(), ConfigDigest: st.Tree().Digest(), Tree: st.Tree(),
+		InForce: st.InForce(), Settled: st.Settled(), Pending: st.Pending(),
+	}, st.Deltas(after))
+}
+
+// recordInForce passes the records of changes that have come into force to the
+// trail; those it already has are left out by it.
+func (n *Node) recordInForce() {
+	st := n.state
+	for v := max(n.trail.Last()+1, st.FirstRecord()); v <= st.InForce(); v++ {
+		if r := st.Record(v); r != nil {
+			n.trail.Append(r)
+		}
+	}
+}
+
+func (n *Node) wakeDuties() {
+	select {
+	case n.wake <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/control/node_test.go
@@ -0,0 +1,63 @@
+package control
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"pearmoor/internal/link/wire"
+	"pearmoor/internal/vm"
+)
+
+func serving(name string, incarnation uint64) *wire.Vm {
+	return &wire.Vm{Name: name, Incarnation: incarnation, PeerAddr: "127.0.0.1:1", Phase: uint32(vm.Serving)}
+}
+
+func TestOneControlVM(t *testing.T) {
+	Convey("Given one control VM that founded its group", t, func() {
+		v := startVM(t, Config{ID: 1, Name: "ctl-1", DataDir: t.TempDir(), Bootstrap: true}, listen(t, "127.0.0.1:0"))
+		eventually(t, "it leads", v.leads)
+		c := dialVM(t, v)
+
+		Convey("a change is accepted, in force, read back, and still there after a restart", func() {
+			So(c.change("c1", 0, "daemon-lease", "10s").Outcome, ShouldEqual, wire.Outcome_ACCEPTED)
+			f, err := c.control().InForce(callCtx(t), &wire.InForceRequest{Version: 1, WaitMs: 10_000})
+			So(err, ShouldBeNil)
+			So(f.InForce, ShouldBeTrue)
+			So(f.InForceUnixMs, ShouldBeGreaterThan, 0)
+
+			v = v.restart()
+			eventually(t, "it leads again", v.leads)
+			c = dialVM(t, v)
+			again := c.change("c1", 0, "daemon-lease", "10s")
+			So(again.Outcome, ShouldEqual, wire.Outcome_ACCEPTED)
+			So(again.Resend, ShouldBeTrue)
+			So(again.Version, ShouldEqual, 1)
+			So(c.change("c2", 0, "daemon-lease", "12s").Conflict.GetChangeId(), ShouldEqual, "c1")
+			a, err := c.control().Audit(callCtx(t), &wire.AuditRequest{})
+			So(err, ShouldBeNil)
+			So(len(a.Records), ShouldEqual, 1)
+			So(a.Records[0].Operator, ShouldEqual, "asha")
+			So(a.Records[0].Unauthenticated, ShouldBeTrue)
+		})
+
+		Convey("a daemon joins: it gets a lease, then an epoch that settles once it has acknowledged it", func() {
+			req := &wire.SyncRequest{Heartbeats: []*wire.Heartbeat{{Vm: serving("entry-1", 7)}}, WaitMs: 1000}
+			r, err := c.spread().Sync(callCtx(t), req)
+			So(err, ShouldBeNil)
+			So(r.Granted, ShouldBeTrue)
+			for r.PendingEpoch == 0 {
+				r, err = c.spread().Sync(callCtx(t), req)
+				So(err, ShouldBeNil)
+			}
+			So(r.SettledEpoch, ShouldEqual, 0)
+			req.HavePending = r.PendingEpoch
+			req.Heartbeats[0].AckedEpoch = r.PendingEpoch
+			for r.SettledEpoch == 0 {
+				r, err = c.spread().Sync(callCtx(t), req)
+				So(err, ShouldBeNil)
+			}
+			So(r.SettledEpoch, ShouldEqual, req.HavePending)
+		})
+	})
+}
--- /dev/null
+++ b/internal/control/operator.go
@@ -0,0 +1,191 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	"pearmoor/internal/control/state"
+	"pearmoor/internal/link/peer"
+	"pearmoor/internal/link/wire"
+	"pearmoor/internal/quorum"
+	"pearmoor/internal/settings"
+)
+
+// Bounds of one change.
+const (
+	maxEdits       = 100_000
+	maxChangeBytes = 8 << 20
+	maxNameBytes   = 256 // of a change id and an operator's name
+	maxReasonBytes = 4096
+)
+
+var (
+	acceptedMeter = metrics.GetOrRegisterMeter("control.changes.accepted", metrics.DefaultRegistry)
+	refusedMeter  = metrics.GetOrRegisterMeter("control.changes.refused", metrics.DefaultRegistry)
+	changeTimer   = metrics.GetOrRegisterTimer("control.changes.latency", metrics.DefaultRegistry)
+)
+
+// operatorServer answers operators' tools.
+type operatorServer struct{ *Node }
+
+// toLeader returns the address to ask instead, or an error if none is known; both
+// are empty on the leader.
+func (n *Node) toLeader() (redirect string, err error) {
+	l := n.lead.Load()
+	if l.self {
+		return "", nil
+	}
+	if l.addr == "" || l.leader == n.cfg.ID {
+		return "", errNoLeader
+	}
+	return l.addr, nil
+}
+
+// Change implements wire.DRPCControlServer.
+func (s *operatorServer) Change(ctx context.Context, req *wire.ChangeRequest) (*wire.ChangeReply, error) {
+	redirect, err := s.toLeader()
+	if err != nil || redirect != "" {
+		return &wire.ChangeReply{Redirect: redirect}, err
+	}
+	start := time.Now()
+	reply, err := s.change(ctx, req)
+	switch {
+	case err != nil:
+		return s.redirected(err)
+	case reply.Outcome == wire.Outcome_ACCEPTED && !req.DryRun:
+		acceptedMeter.Mark(1)
+		changeTimer.UpdateSince(start)
+	case reply.Outcome != wire.Outcome_ACCEPTED:
+		refusedMeter.Mark(1)
+	}
+	return reply, nil
+}
+
+// redirected turns a proposal that was lost to another leader into a redirect:
+// it is certain that nothing was accepted, so asking the other one is safe.
+func (s *operatorServer) redirected(err error) (*wire.ChangeReply, error) {
+	var not *quorum.NotLeaderError
+	if errors.As(err, &not) || errors.Is(err, errLost) || errors.Is(err, quorum.ErrTransferring) {
+		if redirect, _ := s.toLeader(); redirect != "" {
+			return &wire.ChangeReply{Redirect: redirect}, nil
+		}
+	}
+	return nil, err
+}
+
+func (s *operatorServer) change(ctx context.Context, req *wire.ChangeRequest) (*wire.ChangeReply, error) {
+	op, verified, err := operatorOf(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	if fs := checkRequest(req); len(fs) > 0 {
+		return &wire.ChangeReply{Outcome: wire.Outcome_INVALID, Faults: fs}, nil
+	}
+	req.Edits = settings.EditsToWire(settings.Canonical(settings.EditsFromWire(req.Edits)))
+	s.mu.RLock()
+	reply := s.state.Check(req)
+	s.mu.RUnlock()
+	if reply.Outcome == wire.Outcome_CONFLICT {
+		return s.withWinner(req, reply)
+	}
+	if reply.Outcome != wire.Outcome_ACCEPTED || reply.Resend || req.DryRun {
+		return reply, nil
+	}
+	if err := s.checkRoom(); err != nil {
+		return nil, err
+	}
+	res, err := s.propose(ctx, &wire.Command{Body: &wire.Command_Change{Change: &wire.ChangeCommand{
+		ChangeId: req.ChangeId, BaseVersion: req.BaseVersion, Edits: req.Edits, Reason: req.Reason,
+		Operator: op, Unauthenticated: !verified, UnixMs: time.Now().UnixMilli(),
+	}}})
+	if err != nil {
+		return nil, err
+	}
+	if res.Accepted != nil {
+		klog.Infof("control: version %d accepted from %q: %d edits, %s", res.Accepted.Version, op, len(req.Edits), req.Reason)
+	}
+	return res.Reply, nil
+}
+
+// withWinner completes a conflict from the trail on disk when the winner is no
+// longer kept in memory. The winner may be this very change, sent again after
+// its id was forgotten.
+func (s *operatorServer) withWinner(req *wire.ChangeRequest, reply *wire.ChangeReply) (*wire.ChangeReply, error) {
+	if reply.Conflict == nil {
+		recs, err := s.trail.Read(req.BaseVersion+1, 1)
+		if err != nil {
+			return nil, err
+		}
+		if len(recs) == 1 && recs[0].Version == req.BaseVersion+1 {
+			reply.Conflict = recs[0]
+		}
+	}
+	if c := reply.Conflict; c != nil && req.ChangeId != "" && c.ChangeId == req.ChangeId {
+		return state.Resend(c, req.ChangeId, req.BaseVersion, req.Edits), nil
+	}
+	return reply, nil
+}
+
+// operatorOf returns who asks: by certificate, or on a plain-text connection by
+// the caller's own word.
+func operatorOf(ctx context.Context, req *wire.ChangeRequest) (name string, verified bool, err error) {
+	id, ok := peer.FromContext(ctx)
+	if ok && id.Verified {
+		if id.Kind != peer.Operator {
+			return "", false, errors.Newf("control: %q is a %s certificate; changes need an operator's", id.Name, id.Kind)
+		}
+		return id.Name, true, nil
+	}
+	if ok && id.Name != "" {
+		return id.Name, false, nil
+	}
+	return req.Operator, false, nil
+}
+
+func checkRequest(req *wire.ChangeRequest) []*wire.Fault {
+	var fs []*wire.Fault
+	limit := func(field, value string, have, most int, fix string) {
+		if have > most {
+			fs = append(fs, &wire.Fault{Field: field, Value: value, Why: fmt.Sprintf("it has %d, at most %d are allowed", have, most), Fix: fix})
+		}
+	}
+	if len(req.Edits) == 0 {
+		fs = append(fs, &wire.Fault{Field: "edits", Why: "there is none", Fix: "state at least one edit"})
+	}
+	if req.ChangeId == "" && !req.DryRun {
+		fs = append(fs, &wire.Fault{Field: "change_id", Why: "a resend could not be recognised", Fix: "choose a random one for each change"})
+	}
+	limit("change_id", shorten(req.ChangeId), len(req.ChangeId), maxNameBytes, "choose a shorter one, in bytes")
+	limit("operator", shorten(req.Operator), len(req.Operator), maxNameBytes, "use a shorter name, in bytes")
+	limit("reason", shorten(req.Reason), len(req.Reason), maxReasonBytes, "shorten it, in bytes")
+	limit("edits", "", len(req.Edits), maxEdits, "split the change")
+	limit("edits", "", proto.Size(req), maxChangeBytes, "split the change, in bytes")
+	return fs
+}
+
+func shorten(s string) string {
+	const most = 64
+	if len(s) <= most {
+		return s
+	}
+	return s[:most] + "..."
+}
+
+// checkRoom refuses a change while there is still enough room on the disk for
+// what the group needs to go on: votes, epochs and snapshots.
+func (n *Node) checkRoom() error {
+	free, err := n.driver.journal.Free()
+	if err != nil {
+		return err
+	}
+	if free < n.cfg.ReserveBytes {
+		return errors.Wrapf(errFull, "%d bytes are free, %d are kept in reserve", free, n.cfg.ReserveBytes)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/control/presence/member.go
@@ -0,0 +1,114 @@
+package presence
+
+import (
+	"sort"
+
+	"pearmoor/internal/link/wire"
+	"pearmoor/internal/vm"
+)
+
+// Want returns the changes that turn the settled membership into the daemons
+// that are there now. A member leaves when its lease has run out, when it says
+// that it is gone, or when a newer run of it is heard.
+func (t *Table) Want(settled *vm.Membership, now vm.Instant) (upserts []*wire.Vm, removes []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i := range settled.Members {
+		old := &settled.Members[i]
+		m, ok := t.wanted(old.Name, now)
+		switch {
+		case !ok:
+			removes = append(removes, old.Name)
+		case m != *old:
+			upserts = append(upserts, vm.ToWire(m))
+		}
+	}
+	for name := range t.newest {
+		if _, ok := settled.Find(name); ok {
+			continue
+		}
+		if m, ok := t.wanted(name, now); ok && m.Phase == vm.Serving {
+			upserts = append(upserts, vm.ToWire(m))
+		}
+	}
+	sort.Slice(upserts, func(i, j int) bool { return upserts[i].Name < upserts[j].Name })
+	return upserts, removes
+}
+
+// wanted returns the newest run of a name if it should be a member.
+func (t *Table) wanted(name string, now vm.Instant) (vm.Member, bool) {
+	r := t.runs[key{name, t.newest[name]}]
+	if r == nil || !r.mayWork(now) || !takesWork(r.member.Phase) {
+		return vm.Member{}, false
+	}
+	return r.member, true
+}
+
+// Respected reports whether every member of the memberships respects the epoch's
+// smaller shares: it has acknowledged the epoch, is gone, or its lease has
+// provably run out. A run that is no longer known has run out.
+func (t *Table) Respected(epoch uint64, now vm.Instant, memberships ...*vm.Membership) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, ms := range memberships {
+		for i := range ms.Members {
+			r := t.runs[keyOf(&ms.Members[i])]
+			if r != nil && r.mayWork(now) && r.acked < epoch {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Confirmed returns the newest version, at most newest, that every daemon which
+// may take work has confirmed.
+func (t *Table) Confirmed(newest uint64, now vm.Instant) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.runs {
+		if r.config < newest && r.mayWork(now) && takesWork(r.member.Phase) {
+			newest = r.config
+		}
+	}
+	return newest
+}
+
+// Unconfirmed returns the names of the daemons that hold up a version, sorted.
+func (t *Table) Unconfirmed(version uint64, now vm.Instant) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []string
+	for _, r := range t.runs {
+		if r.config < version && r.mayWork(now) && takesWork(r.member.Phase) {
+			out = append(out, r.member.Name)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Daemons returns what is known of each run, sorted by name.
+func (t *Table) Daemons(now vm.Instant) []*wire.DaemonStatus {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]*wire.DaemonStatus, 0, len(t.runs))
+	for _, r := range t.runs {
+		out = append(out, &wire.DaemonStatus{
+			Vm: vm.ToWire(r.member), ConfigVersion: r.config, AckedEpoch: r.acked,
+			LeaseLeftMs: uint32(max(r.until.Sub(now), 0).Milliseconds()),
+		})
+	}
+	sort.Slice(out, func(i, j int) bool {
+		a, b := out[i].Vm, out[j].Vm
+		return a.Name < b.Name || a.Name == b.Name && a.Incarnation < b.Incarnation
+	})
+	return out
+}
+
+// Len returns the number of runs known.
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.runs)
+}
--- /dev/null
+++ b/internal/control/read.go
@@ -0,0 +1,172 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pearmoor/internal/link/wire"
+	"pearmoor/internal/settings"
+)
+
+const (
+	maxAuditRecords = 1_000
+	maxInForceWait  = 30 * time.Second
+)
+
+var errUnconfirmed = errors.New("control: this leader has not heard enough of its group to be sure that its state is the newest; try again")
+
+// confirm returns an error unless this VM is the leader beyond doubt, so that
+// what it is about to answer is the newest there is.
+func (n *Node) confirm() error {
+	if n.lead.Load().confirmed(n.cfg.Clock()) {
+		return nil
+	}
+	return errUnconfirmed
+}
+
+// Read implements wire.DRPCControlServer.
+func (s *operatorServer) Read(_ context.Context, req *wire.ReadRequest) (*wire.ReadReply, error) {
+	redirect, err := s.toLeader()
+	if err != nil || redirect != "" {
+		return &wire.ReadReply{Redirect: redirect}, err
+	}
+	tree, version, err := s.treeAt(req.Version)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.ReadReply{Version: version, Snapshot: tree.Encode()}, s.confirm()
+}
+
+// treeAt returns the tree of a version, 0 for the newest. An older one is built
+// by undoing the changes since; its values are those of the version, but they
+// are marked as stated by the changes that were undone.
+func (n *Node) treeAt(version uint64) (*settings.Tree, uint64, error) {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	st := n.state
+	if version == 0 || version == st.Version() {
+		return st.Tree(), st.Version(), nil
+	}
+	if version > st.Version() {
+		return nil, 0, errors.Newf("control: version=%d does not exist; the newest is %d", version, st.Version())
+	}
+	if first := st.FirstRecord(); version+1 < first {
+		return nil, 0, errors.Newf("control: version=%d is too old to be read; the oldest that can be is %d", version, first-1)
+	}
+	var undo []settings.Edit
+	for v := st.Version(); v > version; v-- {
+		undo = append(undo, settings.EditsFromWire(st.Record(v).Before)...)
+	}
+	return st.Tree().Replay(version, undo), version, nil
+}
+
+// Audit implements wire.DRPCControlServer.
+func (s *operatorServer) Audit(_ context.Context, req *wire.AuditRequest) (*wire.AuditReply, error) {
+	redirect, err := s.toLeader()
+	if err != nil || redirect != "" {
+		return &wire.AuditReply{Redirect: redirect}, err
+	}
+	limit := int(req.Limit)
+	if limit <= 0 || limit > maxAuditRecords {
+		limit = maxAuditRecords
+	}
+	s.mu.RLock()
+	newest := s.state.Version()
+	s.mu.RUnlock()
+	from := req.FromVersion
+	if from == 0 && newest > uint64(limit) {
+		from = newest - uint64(limit) + 1
+	}
+	records, err := s.records(max(from, 1), limit)
+	if err != nil {
+		return nil, err
+	}
+	if req.FromVersion == 0 {
+		slices.Reverse(records)
+	}
+	return &wire.AuditReply{Records: records}, s.confirm()
+}
+
+// records returns up to limit records from a version on, from the trail on disk
+// as far as they are no longer in memory.
+func (n *Node) records(from uint64, limit int) ([]*wire.AuditRecord, error) {
+	n.mu.RLock()
+	first := n.state.FirstRecord()
+	n.mu.RUnlock()
+	var out []*wire.AuditRecord
+	if first == 0 || from < first {
+		old, err := n.trail.Read(from, limit)
+		if err != nil {
+			return nil, err
+		}
+		out = old
+	}
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	if len(out) > 0 {
+		from = out[len(out)-1].Version + 1
+	}
+	for v := max(from, n.state.FirstRecord()); v <= n.state.Version() && len(out) < limit; v++ {
+		if r := n.state.Record(v); r != nil {
+			out = append(out, r)
+		}
+	}
+	return out, nil
+}
+
+// InForce implements wire.DRPCControlServer.
+func (s *operatorServer) InForce(ctx context.Context, req *wire.InForceRequest) (*wire.InForceReply, error) {
+	redirect, err := s.toLeader()
+	if err != nil || redirect != "" {
+		return &wire.InForceReply{Redirect: redirect}, err
+	}
+	timer := time.NewTimer(min(time.Duration(req.WaitMs)*time.Millisecond, maxInForceWait))
+	defer timer.Stop()
+	lost := s.lead.Load().lost
+	for {
+		st, changed := s.history.State()
+		if req.Version > st.ConfigVersion {
+			return nil, errors.Newf("control: version=%d does not exist; the newest is %d", req.Version, st.ConfigVersion)
+		}
+		if st.InForce >= req.Version {
+			return &wire.InForceReply{InForce: true, InForceUnixMs: s.inForceAt(req.Version)}, nil
+		}
+		select {
+		case <-changed:
+			continue
+		case <-timer.C:
+		case <-ctx.Done():
+		case <-lost:
+		}
+		return &wire.InForceReply{Unconfirmed: s.table.Unconfirmed(req.Version, s.cfg.Clock())}, s.confirm()
+	}
+}
+
+func (n *Node) inForceAt(version uint64) int64 {
+	records, err := n.records(max(version, 1), 1)
+	if err != nil || len(records) == 0 || records[0].Version != version {
+		return 0
+	}
+	return records[0].InForceUnixMs
+}
+
+// Status implements wire.DRPCControlServer. Every control VM answers with what
+// it knows; what it knows of daemons is empty unless it leads.
+func (s *operatorServer) Status(context.Context, *wire.StatusRequest) (*wire.StatusReply, error) {
+	l := s.lead.Load()
+	v := s.view()
+	out := &wire.StatusReply{
+		Redirect: l.redirect(), Term: l.term, Commit: l.status.Commit,
+		ConfigVersion: v.version, SettledEpoch: v.settled.Epoch, Group: l.group(),
+	}
+	if v.pending != nil {
+		out.PendingEpoch = v.pending.Epoch
+	}
+	if l.self {
+		out.Daemons = s.table.Daemons(s.cfg.Clock())
+	}
+	return out, nil
+}
--- a/internal/control/state/snapshot.go
+++ b/internal/control/state/snapshot.go
@@ -16,13 +16,10 @@
 	out := &wire.ControlState{
 		Version: s.version, Tree: s.tree.Encode(), Digest: s.tree.Digest(),
 		Settled: vm.MembershipToWire(s.settled), Pending: vm.MembershipToWire(s.pending),
-		LastEpoch: s.lastEpoch, Epochs: s.epochs.list,
-		InForce: s.inForce, LeaseBoundMs: uint32(s.leaseBound / time.Millisecond),
+		LastEpoch: s.lastEpoch,
+		InForce:   s.inForce, LeaseBoundMs: uint32(s.leaseBound / time.Millisecond),
 		LastUnixMs: s.lastUnixMS,
 	}
-	if s.epochs.pending != nil {
-		out.Epochs = append(out.Epochs[:len(out.Epochs):len(out.Epochs)], s.epochs.pending)
-	}
 	for _, st := range s.steps.list {
 		out.Steps = append(out.Steps, &wire.ChangeStep{Record: st.rec, Digest: st.digest})
 	}
@@ -52,10 +49,7 @@
 		s.settled = vm.MembershipFromWire(in.Settled)
 	}
 	s.pending = vm.MembershipFromWire(in.Pending)
-	s.lastEpoch, s.epochs.list = in.LastEpoch, in.Epochs
-	if n := len(in.Epochs); s.pending != nil && n > 0 {
-		s.epochs.pending, s.epochs.list = in.Epochs[n-1], in.Epochs[:n-1]
-	}
+	s.lastEpoch = in.LastEpoch
 	for _, st := range in.Steps {
 		s.steps.add(st.Record, st.Digest)
 	}
--- a/internal/control/state/state.go
+++ b/internal/control/state/state.go
@@ -21,7 +21,6 @@
 	settled   *vm.Membership
 	pending   *vm.Membership // nil when none
 	lastEpoch uint64
-	epochs    epochs
 
 	leaseBound time.Duration
 	lastUnixMS int64
--- /dev/null
+++ b/internal/control/sync.go
@@ -0,0 +1,83 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"pearmoor/internal/link/wire"
+	"pearmoor/internal/relay"
+)
+
+// maxHold bounds how long a Sync is held, so that relays and daemons notice a
+// lost link early.
+const maxHold = 5 * time.Second
+
+var (
+	syncMeter = metrics.GetOrRegisterMeter("control.sync.calls", metrics.DefaultRegistry)
+	beatMeter = metrics.GetOrRegisterMeter("control.sync.heartbeats", metrics.DefaultRegistry)
+)
+
+// spreadServer answers daemons and relays.
+type spreadServer struct{ *Node }
+
+// Sync implements wire.DRPCSpreadServer: it records heartbeats, waits until there
+// is something new, and confirms the daemons' leases.
+//
+// A lease is granted from the instant the heartbeat was handled at the latest,
+// and only if this VM still leads when the reply is written: a leader that was
+// cut off or paused in between would grant leases that its successor does not
+// wait for.
+func (s *spreadServer) Sync(ctx context.Context, req *wire.SyncRequest) (*wire.SyncReply, error) {
+	lead := s.lead.Load()
+	if !lead.confirmed(s.cfg.Clock()) {
+		return &wire.SyncReply{Redirect: lead.redirect()}, nil
+	}
+	st, changed := s.history.State()
+	hbs, unknown := s.expand.Expand(req, st.Settled, st.Pending)
+	terms := s.terms.Load()
+	refused, news := s.table.Beat(hbs, s.cfg.Clock(), terms)
+	syncMeter.Mark(1)
+	beatMeter.Mark(int64(len(hbs)))
+	if news {
+		s.wakeDuties()
+	}
+	if !unknown {
+		s.hold(ctx, req, st, changed)
+	}
+	reply := &wire.SyncReply{Refused: refused, Resend: unknown, Control: lead.controlAddrs()}
+	s.history.Fill(req, reply)
+	now := s.lead.Load()
+	if now.term == lead.term && now.confirmed(s.cfg.Clock()) {
+		reply.Granted = true
+		reply.LeaseMs = uint32(terms.Lease.Milliseconds())
+	} else {
+		reply.Redirect = now.redirect()
+	}
+	return reply, nil
+}
+
+// hold waits until the state has something that the caller lacks, the caller's
+// time is up, or this VM no longer leads.
+func (s *spreadServer) hold(ctx context.Context, req *wire.SyncRequest, st relay.State, changed <-chan struct{}) {
+	wait := min(time.Duration(req.WaitMs)*time.Millisecond, maxHold)
+	if wait <= 0 || st.HasNews(req) {
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	lost := s.lead.Load().lost
+	for !st.HasNews(req) {
+		select {
+		case <-changed:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		case <-lost:
+			return
+		}
+		st, changed = s.history.State()
+	}
+}
--- /dev/null
+++ b/internal/journal/file.go
@@ -0,0 +1,56 @@
+package journal
+
+import (
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+)
+
+const tempSuffix = ".tmp"
+
+// writeWhole replaces dir/name by one frame so that a crash leaves either the
+// old file or the new one.
+func writeWhole(fs FS, dir, name string, payload []byte) error {
+	path := filepath.Join(dir, name)
+	temp := path + tempSuffix
+	f, err := fs.Create(temp)
+	if err != nil {
+		return fullOr(err, path)
+	}
+	if _, err := f.Write(appendFrame(nil, 1, payload)); err != nil {
+		_ = f.Close()
+		_ = fs.Remove(temp)
+		return fullOr(err, path)
+	}
+	if err := errors.CombineErrors(f.Sync(), f.Close()); err != nil {
+		return &SyncError{path, err}
+	}
+	if err := fs.Rename(temp, path); err != nil {
+		return fullOr(err, path)
+	}
+	if err := fs.SyncDir(dir); err != nil {
+		return &SyncError{path, err}
+	}
+	return nil
+}
+
+func fullOr(err error, path string) error {
+	if isFull(err) {
+		return ErrFull
+	}
+	return &SyncError{path, err}
+}
+
+// readWhole returns what writeWhole wrote.
+func readWhole(fs FS, dir, name string) ([]byte, error) {
+	path := filepath.Join(dir, name)
+	b, err := fs.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	_, payload, size, ok := readFrame(b)
+	if !ok || size != len(b) {
+		return nil, &CorruptError{path, 0, "length or checksum is wrong"}
+	}
+	return payload, nil
+}
--- /dev/null
+++ b/internal/journal/replay.go
@@ -0,0 +1,77 @@
+package journal
+
+import (
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"pearmoor/internal/link/wire"
+	"pearmoor/internal/quorum"
+)
+
+// replay rebuilds hard state and entries from the batches of the log.
+type replay struct {
+	hard    *quorum.HardState
+	entries []*quorum.Entry
+	reset   uint64            // index of the snapshot that last voided the log
+	last    map[uint64]uint64 // highest entry index by log file
+}
+
+func (r *replay) visit(segment uint64, payload []byte) error {
+	var b wire.JournalBatch
+	if err := proto.Unmarshal(payload, &b); err != nil {
+		return err
+	}
+	if b.ResetIndex != 0 {
+		r.reset, r.entries = b.ResetIndex, nil
+	}
+	if len(b.HardState) > 0 {
+		r.hard = &quorum.HardState{}
+		if err := proto.Unmarshal(b.HardState, r.hard); err != nil {
+			return err
+		}
+	}
+	for i, data := range b.Entries {
+		e := &quorum.Entry{}
+		if err := proto.Unmarshal(data, e); err != nil {
+			return err
+		}
+		if i == 0 {
+			r.cut(e.Index)
+		}
+		if n := len(r.entries); n > 0 && e.Index != r.entries[n-1].Index+1 {
+			return errors.Newf("entry %d follows entry %d", e.Index, r.entries[n-1].Index)
+		}
+		r.entries = append(r.entries, e)
+		r.last[segment] = max(r.last[segment], e.Index)
+	}
+	return nil
+}
+
+// cut drops the entries at and above index.
+func (r *replay) cut(index uint64) {
+	if len(r.entries) == 0 {
+		return
+	}
+	first := r.entries[0].Index
+	if index <= first {
+		r.entries = nil
+		return
+	}
+	if keep := index - first; keep < uint64(len(r.entries)) {
+		r.entries = r.entries[:keep]
+	}
+}
+
+// follows reports whether the entries go with the snapshot: the log was reset to
+// it, or holds the snapshot's last entry.
+func (r *replay) follows(snap *quorum.Snapshot) bool {
+	if r.reset == snap.Index {
+		return true
+	}
+	for _, e := range r.entries {
+		if e.Index == snap.Index {
+			return e.Term == snap.Term
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/journal/segments.go
@@ -0,0 +1,247 @@
+package journal
+
+import (
+	"fmt"
+	"path/filepath"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Segments is an append-only log of frames over several files. It is not safe
+// for concurrent use, but for ReadSegment.
+type Segments struct {
+	fs     FS
+	dir    string
+	prefix string
+	list   []segment // oldest first
+	file   File      // the last of list; nil before the first frame after Open without one
+	seq    uint64    // of the last frame
+	failed error     // sticky: set by the first failed sync
+}
+
+type segment struct {
+	number uint64
+	size   int64
+}
+
+// Visit is called for each frame found by OpenSegments, oldest first.
+type Visit func(segment uint64, payload []byte) error
+
+// OpenSegments reads the files of that prefix in dir, cuts off a damaged end, and
+// opens the last one for appending.
+func OpenSegments(fs FS, dir, prefix string, visit Visit) (*Segments, error) {
+	s := &Segments{fs: fs, dir: dir, prefix: prefix}
+	names, err := fs.ReadDir(dir)
+	if err != nil {
+		return nil, err
+	}
+	for _, name := range names { // ReadDir sorts; numbers have a fixed width
+		if n, ok := s.parse(name); ok {
+			s.list = append(s.list, segment{number: n})
+		}
+	}
+	for i := range s.list {
+		if err := s.load(i, visit); err != nil {
+			return nil, err
+		}
+	}
+	if len(s.list) == 0 {
+		return s, nil
+	}
+	return s, s.reopen()
+}
+
+func (s *Segments) name(number uint64) string { return fmt.Sprintf("%s-%016x", s.prefix, number) }
+
+func (s *Segments) path(number uint64) string { return filepath.Join(s.dir, s.name(number)) }
+
+func (s *Segments) parse(name string) (number uint64, ok bool) {
+	hex, found := strings.CutPrefix(name, s.prefix+"-")
+	if !found || len(hex) != 16 {
+		return 0, false
+	}
+	_, err := fmt.Sscanf(hex, "%016x", &number)
+	return number, err == nil
+}
+
+// load reads segment i. In the last one a damaged end is what a crash left of a
+// frame that was never synced: nobody was told of it, and it is cut off. A whole
+// frame after the damage proves that the damaged one had been synced before.
+func (s *Segments) load(i int, visit Visit) error {
+	seg := &s.list[i]
+	path := s.path(seg.number)
+	b, err := s.fs.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	off := 0
+	for off < len(b) {
+		seq, payload, size, ok := readFrame(b[off:])
+		if ok && s.seq != 0 && seq != s.seq+1 {
+			return &CorruptError{path, int64(off), fmt.Sprintf("frame %d follows frame %d", seq, s.seq)}
+		}
+		if !ok {
+			if i < len(s.list)-1 {
+				return &CorruptError{path, int64(off), "a later file exists, so this frame had been synced"}
+			}
+			if at, found := findFrame(b[off:], s.seq); found {
+				return &CorruptError{path, int64(off), fmt.Sprintf("a whole frame follows at offset %d, so this one had been synced", off+at)}
+			}
+			break
+		}
+		if err := visit(seg.number, payload); err != nil {
+			return errors.Wrapf(err, "journal: %s, offset %d", path, off)
+		}
+		s.seq = seq
+		off += size
+	}
+	seg.size = int64(off)
+	return nil
+}
+
+func (s *Segments) reopen() error {
+	last := s.list[len(s.list)-1]
+	path := s.path(last.number)
+	f, err := s.fs.Append(path, last.size)
+	if err != nil {
+		return err
+	}
+	s.file = f
+	if err := f.Sync(); err != nil { // the cut must not come undone
+		return &SyncError{path, err}
+	}
+	return nil
+}
+
+// Append writes one frame and syncs it.
+func (s *Segments) Append(payload []byte) error {
+	if s.failed != nil {
+		return s.failed
+	}
+	if len(payload) > maxFrameSize {
+		return errors.Newf("journal: frame of %d bytes is larger than %d", len(payload), maxFrameSize)
+	}
+	if s.file == nil {
+		if err := s.Rotate(); err != nil {
+			return err
+		}
+	}
+	cur := &s.list[len(s.list)-1]
+	frame := appendFrame(nil, s.seq+1, payload)
+	if _, err := s.file.Write(frame); err != nil {
+		return s.undo(cur, err)
+	}
+	if err := s.file.Sync(); err != nil {
+		return s.fail(cur.number, err)
+	}
+	cur.size += int64(len(frame))
+	s.seq++
+	return nil
+}
+
+// undo takes back a write that the disk had no room for. It was not synced yet,
+// so cutting it off leaves the file as it was.
+func (s *Segments) undo(cur *segment, cause error) error {
+	if !isFull(cause) {
+		return s.fail(cur.number, cause)
+	}
+	if err := s.file.Truncate(cur.size); err != nil {
+		return s.fail(cur.number, err)
+	}
+	return ErrFull
+}
+
+func (s *Segments) fail(number uint64, cause error) error {
+	s.failed = &SyncError{s.path(number), cause}
+	return s.failed
+}
+
+// Rotate starts a new file; the frames before it keep their files.
+func (s *Segments) Rotate() error {
+	if s.failed != nil {
+		return s.failed
+	}
+	number := uint64(1)
+	if n := len(s.list); n > 0 {
+		number = s.list[n-1].number + 1
+	}
+	f, err := s.fs.Create(s.path(number))
+	if err != nil {
+		if isFull(err) {
+			return ErrFull
+		}
+		return s.fail(number, err)
+	}
+	if err := s.fs.SyncDir(s.dir); err != nil {
+		return s.fail(number, err)
+	}
+	if s.file != nil {
+		if err := s.file.Close(); err != nil {
+			return s.fail(number-1, err)
+		}
+	}
+	s.file = f
+	s.list = append(s.list, segment{number: number})
+	return nil
+}
+
+// RemoveBefore deletes the files before that number; the newest one stays.
+func (s *Segments) RemoveBefore(number uint64) error {
+	for len(s.list) > 1 && s.list[0].number < number {
+		if err := s.fs.Remove(s.path(s.list[0].number)); err != nil {
+			return err
+		}
+		s.list = s.list[1:]
+	}
+	return nil
+}
+
+// Current returns the number and size in bytes of the file being written; 0
+// before the first.
+func (s *Segments) Current() (number uint64, size int64) {
+	if len(s.list) == 0 {
+		return 0, 0
+	}
+	last := s.list[len(s.list)-1]
+	return last.number, last.size
+}
+
+// Size returns the bytes of all files.
+func (s *Segments) Size() int64 {
+	var sum int64
+	for _, seg := range s.list {
+		sum += seg.size
+	}
+	return sum
+}
+
+// ReadSegment visits the whole frames of one file again. It may run beside
+// Append: a frame that is just being written is left out.
+func (s *Segments) ReadSegment(number uint64, visit Visit) error {
+	b, err := s.fs.ReadFile(s.path(number))
+	if err != nil {
+		return err
+	}
+	for len(b) > 0 {
+		_, payload, size, ok := readFrame(b)
+		if !ok {
+			return nil
+		}
+		if err := visit(number, payload); err != nil {
+			return err
+		}
+		b = b[size:]
+	}
+	return nil
+}
+
+// Close closes the file being written.
+func (s *Segments) Close() error {
+	if s.file == nil {
+		return nil
+	}
+	f := s.file
+	s.file = nil
+	return f.Close()
+}
