--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -25,6 +25,7 @@
 func TestMain(m *testing.M) {
 	flag.Set("rapid.seed", "20261202")
 	flag.Set("rapid.checks", "1000")
+	flag.Set("rapid.nofailfile", "true")
 	os.Exit(m.Run())
 }
 
--- a/internal/admit/room.go
+++ b/internal/admit/room.go
@@ -51,11 +51,27 @@
 // at again in the time by which its expected return moves on to double.
 const overdueSteps = 4
 
-// recheckIn is when the expected return of a permit is worth another look.
+// recheckIn is when the expected return of a permit, or a step of a slow start,
+// is worth another look; 0 if neither is.
 func (g *gate) recheckIn(now vm.Instant) time.Duration {
 	free := g.freeIn(now)
 	if free > g.service.mean {
-		return free / overdueSteps
+		free = max(free/overdueSteps, minTimer)
 	}
-	return free
+	step := g.nextStep(now)
+	if free == 0 || step == 0 {
+		return max(free, step)
+	}
+	return min(free, step)
+}
+
+// nextStep is when a slow start lets one more be in flight, 0 if none is on.
+func (g *gate) nextStep(now vm.Instant) time.Duration {
+	limit := g.limit(now)
+	if !g.health.ramping || limit >= g.limits.Slots {
+		return 0
+	}
+	part := float64(limit) / float64(g.limits.Slots)
+	at := g.health.rampFrom.Add(time.Duration(part * float64(g.limits.Ramp)))
+	return max(minTimer, at.Sub(now)+1)
 }
