--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -48,6 +48,7 @@
 	hard  *quorum.HardState
 	last  map[uint64]uint64 // highest entry index by log file
 	snap  uint64            // index of the newest snapshot
+	fatal *SyncError        // first of them; every later write fails with it
 }
 
 // Open locks and reads a data folder, making it if need be.
@@ -138,22 +139,39 @@
 	if err != nil {
 		return err
 	}
-	return writeWhole(j.fs, j.dir, identityName, b)
+	return j.sticky(writeWhole(j.fs, j.dir, identityName, b))
+}
+
+// sticky remembers a SyncError.
+func (j *Journal) sticky(err error) error {
+	var failed *SyncError
+	if j.fatal == nil && errors.As(err, &failed) {
+		j.fatal = failed
+	}
+	return err
 }
 
 // Save makes durable what one quorum.Ready asks for. Without sync nothing is
 // written: the hard state then differs by its commit index only, a hint that goes
 // with the next frame. After ErrFull the same Save may be made again.
 func (j *Journal) Save(snap *quorum.Snapshot, hard *quorum.HardState, entries []*quorum.Entry, sync bool) error {
+	if j.fatal != nil {
+		return j.fatal
+	}
 	if hard != nil {
 		j.hard = hard
 	}
 	if snap != nil {
-		return j.replace(snap, entries)
+		return j.sticky(j.replace(snap, entries))
 	}
 	if !sync && len(entries) == 0 {
 		return nil
 	}
+	return j.sticky(j.extend(entries))
+}
+
+// extend writes a batch to the newest log file, or to a new one if that is full.
+func (j *Journal) extend(entries []*quorum.Entry) error {
 	if _, size := j.log.Current(); size >= j.limit {
 		if err := j.log.Rotate(); err != nil {
 			return err
@@ -190,10 +208,15 @@
 	return nil
 }
 
-// replace stores a snapshot that came from the leader. It is durable before the
-// log says that all earlier entries are void; load finishes what a crash between
-// the two broke off.
+// replace stores a snapshot that came from the leader, in three steps that are
+// each durable before the next: the hard state, so that the disk never holds a
+// snapshot of a later term than its own; the snapshot; and that all earlier
+// entries of the log are void. load finishes what a crash after the second step
+// broke off.
 func (j *Journal) replace(snap *quorum.Snapshot, entries []*quorum.Entry) error {
+	if err := j.extend(nil); err != nil {
+		return err
+	}
 	if err := j.writeSnapshot(snap); err != nil {
 		return err
 	}
@@ -208,7 +231,12 @@
 }
 
 // SaveSnapshot stores a snapshot of this VM's own applied state.
-func (j *Journal) SaveSnapshot(snap *quorum.Snapshot) error { return j.writeSnapshot(snap) }
+func (j *Journal) SaveSnapshot(snap *quorum.Snapshot) error {
+	if j.fatal != nil {
+		return j.fatal
+	}
+	return j.sticky(j.writeSnapshot(snap))
+}
 
 func (j *Journal) writeSnapshot(snap *quorum.Snapshot) error {
 	b, err := proto.Marshal(snap)
--- /dev/null
+++ b/internal/journal/journal_test.go
@@ -0,0 +1,384 @@
+package journal
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/protobuf/proto"
+
+	"pearmoor/internal/link/wire"
+	"pearmoor/internal/quorum"
+)
+
+// save is the arguments of one Save.
+type save struct {
+	snap    *quorum.Snapshot
+	hard    *quorum.HardState
+	entries []*quorum.Entry
+}
+
+func entries(term uint64, from, to uint64) []*quorum.Entry {
+	var es []*quorum.Entry
+	for i := from; i <= to; i++ {
+		es = append(es, &quorum.Entry{Index: i, Term: term, Data: fmt.Appendf(nil, "entry %d of term %d", i, term)})
+	}
+	return es
+}
+
+func hard(term, vote uint64) *quorum.HardState {
+	return &quorum.HardState{Term: term, Vote: vote, Disk: 9}
+}
+
+// script has appends, an overwritten suffix, votes, and a snapshot from a leader
+// that voids the log.
+func script() []save {
+	return []save{
+		{hard: hard(1, 1)},
+		{entries: entries(1, 1, 4)},
+		{hard: hard(2, 3), entries: entries(2, 3, 5)},
+		{entries: entries(2, 6, 6)},
+		{snap: &quorum.Snapshot{Index: 20, Term: 3, Data: []byte("state")}, hard: hard(3, 0)},
+		{entries: entries(3, 21, 23)},
+		{hard: hard(4, 2)},
+		{hard: hard(5, 2), entries: entries(5, 22, 24)},
+	}
+}
+
+// expected returns what a reader has to find after the first n saves.
+func expected(saves []save) *Stored {
+	st := &Stored{}
+	for _, s := range saves {
+		if s.hard != nil {
+			st.HardState = s.hard
+		}
+		if s.snap != nil {
+			st.Snapshot, st.Entries = s.snap, nil
+		}
+		for _, e := range s.entries {
+			for len(st.Entries) > 0 && st.Entries[len(st.Entries)-1].Index >= e.Index {
+				st.Entries = st.Entries[:len(st.Entries)-1]
+			}
+			st.Entries = append(st.Entries, e)
+		}
+	}
+	return st
+}
+
+// differs returns how got differs from want; empty if it does not.
+func differs(got, want *Stored) string {
+	if !proto.Equal(got.HardState, want.HardState) {
+		return fmt.Sprintf("hard state %v, want %v", got.HardState, want.HardState)
+	}
+	if !proto.Equal(got.Snapshot, want.Snapshot) {
+		return fmt.Sprintf("snapshot %v, want %v", got.Snapshot, want.Snapshot)
+	}
+	if len(got.Entries) != len(want.Entries) {
+		return fmt.Sprintf("%d entries, want %d", len(got.Entries), len(want.Entries))
+	}
+	for i := range got.Entries {
+		if !proto.Equal(got.Entries[i], want.Entries[i]) {
+			return fmt.Sprintf("entry %v, want %v", got.Entries[i], want.Entries[i])
+		}
+	}
+	return ""
+}
+
+func write(t *testing.T, dir string, o Options, saves []save) {
+	t.Helper()
+	j, _, err := Open(dir, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = j.Close() }()
+	for _, s := range saves {
+		if err := j.Save(s.snap, s.hard, s.entries, true); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func read(t *testing.T, dir string) *Stored {
+	t.Helper()
+	j, st, err := Open(dir, Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := j.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return st
+}
+
+// A crash can leave any part of the frame that was being written. The caller was
+// never told that it was stored, so it may be missing; everything synced before
+// has to be there, and the journal goes on from it.
+func TestCutAtEveryByteOfTheLastFrames(t *testing.T) {
+	Convey("A log cut anywhere reads back as the saves that are whole", t, func() {
+		saves := script()
+		dir := t.TempDir()
+		var sizes []int64 // of the last file after each save
+		for n := range saves {
+			write(t, dir, Options{}, saves[n:n+1])
+			sizes = append(sizes, lastFile(t, dir).Size())
+		}
+		const first = 5 // saves before the snapshot are in files that are gone
+		data, err := os.ReadFile(filepath.Join(dir, lastFile(t, dir).Name()))
+		So(err, ShouldBeNil)
+		for cut := int64(len(data)); cut >= sizes[first-1]; cut-- {
+			whole := first
+			for whole < len(saves) && sizes[whole] <= cut {
+				whole++
+			}
+			at := copyDir(t, dir)
+			path := filepath.Join(at, lastFile(t, dir).Name())
+			if err := os.WriteFile(path, data[:cut], 0o600); err != nil {
+				t.Fatal(err)
+			}
+			if why := differs(read(t, at), expected(saves[:whole])); why != "" {
+				t.Fatalf("cut at byte %d: %s", cut, why)
+			}
+			more := save{hard: hard(9, 1), entries: entries(9, 21, 21)}
+			write(t, at, Options{}, []save{more})
+			if why := differs(read(t, at), expected(append(saves[:whole:whole], more))); why != "" {
+				t.Fatalf("cut at byte %d, then written: %s", cut, why)
+			}
+		}
+	})
+}
+
+// A flipped bit in a frame that was synced must not be taken for a torn end: the
+// votes and entries after it, which others count on, would be dropped silently.
+func TestDamageBeforeTheEndIsReported(t *testing.T) {
+	Convey("Each byte of each frame but the last, flipped, is found with its file and offset", t, func() {
+		saves := script()[:4]
+		dir := t.TempDir()
+		var ends []int64
+		for n := range saves {
+			write(t, dir, Options{}, saves[n:n+1])
+			ends = append(ends, lastFile(t, dir).Size())
+		}
+		name := lastFile(t, dir).Name()
+		data, err := os.ReadFile(filepath.Join(dir, name))
+		So(err, ShouldBeNil)
+		start, frame := int64(0), 0
+		for i := int64(0); i < ends[len(ends)-2]; i++ {
+			if i >= ends[frame] {
+				start, frame = ends[frame], frame+1
+			}
+			at := copyDir(t, dir)
+			bad := append([]byte(nil), data...)
+			bad[i] ^= 0x40
+			if err := os.WriteFile(filepath.Join(at, name), bad, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			_, _, err := Open(at, Options{})
+			var corrupt *CorruptError
+			if !errors.As(err, &corrupt) || corrupt.Offset != start || filepath.Base(corrupt.File) != name {
+				t.Fatalf("byte %d flipped: %v, want damage at offset %d", i, err, start)
+			}
+		}
+	})
+
+	Convey("A damaged snapshot is found too", t, func() {
+		dir := t.TempDir()
+		write(t, dir, Options{}, script())
+		path := filepath.Join(dir, fmt.Sprintf("%s%016x", snapshotPrefix, 20))
+		data, err := os.ReadFile(path)
+		So(err, ShouldBeNil)
+		data[len(data)-1] ^= 1
+		So(os.WriteFile(path, data, 0o600), ShouldBeNil)
+		_, _, err = Open(dir, Options{})
+		var corrupt *CorruptError
+		So(errors.As(err, &corrupt), ShouldBeTrue)
+		So(corrupt.File, ShouldEqual, path)
+	})
+}
+
+// The power fails at any step of any save. What had been saved before is there
+// after the restart, and the save under way is there wholly or not at all. Only
+// the hard state of a leader's snapshot is stored ahead of it, on its own: a term
+// without a vote or an entry in it promises nothing that could be broken.
+func TestPowerCutAtEveryOperation(t *testing.T) {
+	Convey("Whatever operation is the last, each save is whole or absent", t, func() {
+		saves := script()
+		for at := 1; ; at++ {
+			dir := t.TempDir()
+			fs := &faultFS{at: at, fault: alwaysInjected, crash: true}
+			done := run(dir, Options{FS: fs, SegmentBytes: 64}, saves)
+			if done == len(saves) && fs.ops < at {
+				So(at, ShouldBeGreaterThan, 20)
+				return
+			}
+			got := read(t, dir)
+			before, after := expected(saves[:done]), expected(saves[:min(done+1, len(saves))])
+			whyOld, whyNew := differs(got, before), differs(got, after)
+			if done < len(saves) && saves[done].snap != nil && whyOld != "" {
+				before.HardState = saves[done].hard
+				whyOld = differs(got, before)
+			}
+			if whyOld != "" && whyNew != "" {
+				t.Fatalf("operation %d, in save %d: neither before (%s) nor after (%s)", at, done, whyOld, whyNew)
+			}
+			next := got.Snapshot.GetIndex() + 1
+			if n := len(got.Entries); n > 0 {
+				next = got.Entries[n-1].Index + 1
+			}
+			more := save{hard: hard(9, 1), entries: entries(9, next, next)}
+			write(t, dir, Options{}, []save{more})
+			got.HardState, got.Entries = more.hard, append(got.Entries, more.entries...)
+			if why := differs(read(t, dir), got); why != "" {
+				t.Fatalf("operation %d, in save %d, then written: %s", at, done, why)
+			}
+		}
+	})
+}
+
+// run makes saves until one fails and returns how many did not.
+func run(dir string, o Options, saves []save) int {
+	j, _, err := Open(dir, o)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = j.Close() }()
+	for n, s := range saves {
+		if j.Save(s.snap, s.hard, s.entries, true) != nil {
+			return n
+		}
+	}
+	return len(saves)
+}
+
+// A sync fails once and would succeed the second time, with the data gone from
+// the page cache. Were it tried again, the group would count an entry that this
+// disk does not hold; so every later call has to fail.
+func TestFailedSyncIsNeverRetried(t *testing.T) {
+	Convey("After any failed sync of the log each later save fails with the same error", t, func() {
+		failed := 0
+		for at := 1; at < 40; at++ {
+			fs := &faultFS{at: at, fault: func(op string) error {
+				if op == "sync" {
+					return errInjected
+				}
+				return nil
+			}}
+			j, _, err := Open(t.TempDir(), Options{FS: fs, SegmentBytes: 64})
+			So(err, ShouldBeNil)
+			for _, s := range script() {
+				if err = j.Save(s.snap, s.hard, s.entries, true); err != nil {
+					break
+				}
+			}
+			if err == nil {
+				continue
+			}
+			failed++
+			var sync *SyncError
+			So(errors.As(err, &sync), ShouldBeTrue)
+			for range 3 {
+				So(errors.As(j.Save(nil, hard(9, 9), entries(9, 90, 90), true), &sync), ShouldBeTrue)
+			}
+			So(j.Close(), ShouldBeNil)
+		}
+		So(failed, ShouldBeGreaterThan, 5)
+	})
+}
+
+// The disk is full in the middle of a save, then has room again. The save is
+// refused without a trace and can be made again.
+func TestFullDiskRefusesAndRecovers(t *testing.T) {
+	Convey("A save refused for want of room, made again, leaves what it would have left at once", t, func() {
+		saves := script()
+		refused := 0
+		for at := 1; at < 60; at++ {
+			dir := t.TempDir()
+			fs := &faultFS{at: at, fault: diskFull}
+			j, _, err := Open(dir, Options{FS: fs, SegmentBytes: 64})
+			So(err, ShouldBeNil)
+			for _, s := range saves {
+				err := j.Save(s.snap, s.hard, s.entries, true)
+				if errors.Is(err, ErrFull) {
+					refused++
+					err = j.Save(s.snap, s.hard, s.entries, true)
+				}
+				So(err, ShouldBeNil)
+			}
+			So(j.Close(), ShouldBeNil)
+			So(differs(read(t, dir), expected(saves)), ShouldBeEmpty)
+		}
+		So(refused, ShouldBeGreaterThan, 10)
+	})
+}
+
+func TestCompaction(t *testing.T) {
+	Convey("Given a log over many files", t, func() {
+		dir := t.TempDir()
+		j, _, err := Open(dir, Options{SegmentBytes: 256})
+		So(err, ShouldBeNil)
+		So(j.WriteIdentity(&wire.DiskIdentity{Disk: 9, Id: 1}), ShouldBeNil)
+		for i := uint64(1); i <= 100; i++ {
+			So(j.Save(nil, hard(1, 1), entries(1, i, i), true), ShouldBeNil)
+		}
+		before := j.Size()
+
+		Convey("a snapshot lets the files below it go, and the rest reads back", func() {
+			snap := &quorum.Snapshot{Index: 90, Term: 1, Data: []byte("s")}
+			So(j.SaveSnapshot(snap), ShouldBeNil)
+			So(j.DropBelow(90), ShouldBeNil)
+			So(j.Size(), ShouldBeLessThan, before/2)
+			So(j.Close(), ShouldBeNil)
+			st := read(t, dir)
+			So(proto.Equal(st.Snapshot, snap), ShouldBeTrue)
+			So(st.Entries[0].Index, ShouldBeLessThanOrEqualTo, 91)
+			So(st.Entries[len(st.Entries)-1].Index, ShouldEqual, 100)
+			So(st.Identity.Disk, ShouldEqual, 9)
+		})
+
+		Convey("a second process is kept out of the folder", func() {
+			_, _, err := Open(dir, Options{})
+			So(err, ShouldNotBeNil)
+			So(err.Error(), ShouldContainSubstring, "in use")
+			So(j.Close(), ShouldBeNil)
+		})
+	})
+}
+
+// lastFile returns the newest log file.
+func lastFile(t *testing.T, dir string) os.FileInfo {
+	t.Helper()
+	names, err := filepath.Glob(filepath.Join(dir, logPrefix+"-*"))
+	if err != nil || len(names) == 0 {
+		t.Fatalf("no log file: %v", err)
+	}
+	info, err := os.Stat(names[len(names)-1])
+	if err != nil {
+		t.Fatal(err)
+	}
+	return info
+}
+
+func copyDir(t *testing.T, dir string) string {
+	t.Helper()
+	to := t.TempDir()
+	if err := os.CopyFS(to, os.DirFS(dir)); err != nil {
+		t.Fatal(err)
+	}
+	return to
+}
+
+func FuzzReadFrame(f *testing.F) {
+	f.Add(appendFrame(nil, 1, []byte("payload")))
+	f.Add([]byte{0, 0, 0, 0})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		seq, payload, size, ok := readFrame(b)
+		if !ok {
+			return
+		}
+		if again := appendFrame(nil, seq, payload); len(again) != size || string(again) != string(b[:size]) {
+			t.Fatalf("frame read back differently")
+		}
+	})
+}
