bench: experiments on the query path with real processes, both sides in one run

Each experiment starts pearmoord and pearmoor-standin processes on free ports, runs the tier and its other side over leaves of their own with equal seeds, prints one table and the figures against their targets, and ends every process it started.

--- /dev/null
+++ b/bench/query/env.go
@@ -0,0 +1,244 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"text/tabwriter"
+	"time"
+
+	"pearmoor/bench/baseline"
+	"pearmoor/bench/tier"
+	"pearmoor/internal/load"
+	"pearmoor/internal/standin"
+)
+
+// The desk of most experiments: 20 services of two leaves with two slots each,
+// as in the brief, so a query goes to 40 shards and there are 80 slots.
+const (
+	deskPath   = "desk"
+	services   = 20
+	leavesEach = 2
+	slotsEach  = 2
+	shardsEach = 2
+	daemons    = 12
+	controls   = 3
+	processes  = 12 // clients of the naive and adaptive sides
+
+	latency     = 20 * time.Millisecond
+	connectCost = 6 * time.Millisecond
+	deadline    = time.Second
+)
+
+// capacity returns the queries a second that fill every slot, for runs of the
+// given mean time.
+func capacity(mean time.Duration) float64 {
+	const slots, shards = services * leavesEach * slotsEach, services * shardsEach
+	return slots / (shards * mean.Seconds())
+}
+
+// env is what all experiments share.
+type env struct {
+	quick bool
+	out   string
+	dir   string // binaries, logs, data
+	http  *http.Client
+}
+
+func newEnv(quick bool, out string) (*env, error) {
+	dir, err := os.MkdirTemp("", "pearmoor-bench-")
+	if err != nil {
+		return nil, err
+	}
+	e := &env{quick: quick, out: out, dir: dir, http: &http.Client{Transport: &http.Transport{}}}
+	fmt.Printf("logs: %s\n", dir)
+	return e, nil
+}
+
+// close keeps the logs and drops the binaries.
+func (e *env) close() {
+	e.http.CloseIdleConnections()
+	_ = os.RemoveAll(filepath.Join(e.dir, "bin"))
+}
+
+// span is long in a run to quote, and short in a quick one.
+func (e *env) span(quick, full time.Duration) time.Duration {
+	if e.quick {
+		return quick
+	}
+	return full
+}
+
+// rounds is how often sides take turns.
+func (e *env) rounds() int {
+	if e.quick {
+		return 1
+	}
+	return 3
+}
+
+func (e *env) tierConfig(standinFlags ...string) tier.Config {
+	return e.deskConfig(nil, standinFlags...)
+}
+
+func (e *env) deskConfig(desk map[string]string, standinFlags ...string) tier.Config {
+	values := map[string]string{
+		"leaf-slots":       fmt.Sprint(slotsEach),
+		"leaf-connections": "30",
+		"connect-cost":     connectCost.String(),
+		"ramp":             "1s",
+	}
+	for k, v := range desk {
+		values[k] = v
+	}
+	spec := tier.DeskSpec{Path: deskPath, Services: services, Leaves: leavesEach, Settings: values}
+	return tier.Config{
+		Dir:      e.dir,
+		Tree:     tier.Desk(spec, map[string]string{"address-lifetime": "2s"}),
+		Daemons:  daemons,
+		Controls: controls,
+		Domains:  tier.Domains,
+		Standin:  append([]string{"--latency=" + latency.String()}, standinFlags...),
+	}
+}
+
+// phase is one stretch of load.
+type phase struct {
+	rate     float64
+	span     time.Duration
+	deadline time.Duration // 0 takes the default
+	once     float64       // share of requests that are not repeatable
+	resend   float64
+	seed     uint64
+}
+
+func (p phase) config(standinURL string) load.Config {
+	c := load.Config{
+		Paths:         []string{deskPath},
+		Rate:          p.rate,
+		Duration:      p.span,
+		Deadline:      p.deadline,
+		NotRepeatable: p.once,
+		Resend:        p.resend,
+		Seed:          p.seed,
+		Standin:       standinURL,
+	}
+	if c.Deadline == 0 {
+		c.Deadline = deadline
+	}
+	if p.once > 0 {
+		// A not-repeatable request names one query service.
+		c.Paths = nil
+		for i := range services {
+			c.Paths = append(c.Paths, deskPath+"/"+tier.ServiceName(i))
+		}
+	}
+	return c
+}
+
+// tierSide runs a phase against the tier.
+func (e *env) tierSide(ctx context.Context, t *tier.Tier, p phase) (*load.Result, error) {
+	c := p.config(t.Leaves.URL)
+	c.Entries = t.Entries()
+	return load.Run(ctx, c)
+}
+
+// directSide runs a phase by clients that send to the leaves themselves.
+func (e *env) directSide(ctx context.Context, l *tier.Leaves, p phase, newPolicy func(int) baseline.Policy) (*load.Result, error) {
+	targets, err := baseline.Discover(ctx, e.http, l.URL, deskPath)
+	if err != nil {
+		return nil, err
+	}
+	clients := baseline.NewClients(processes, targets, newPolicy)
+	defer baseline.Close(clients)
+	c := p.config(l.URL)
+	c.Askers = baseline.Askers(clients)
+	return load.Run(ctx, c)
+}
+
+func naive(int) baseline.Policy    { return baseline.Naive{} }
+func adaptive(int) baseline.Policy { return baseline.NewAdaptive() }
+
+func oracle() func(int) baseline.Policy {
+	o := baseline.NewOracle()
+	return func(int) baseline.Policy { return o }
+}
+
+// command changes the behavior of stand-in leaves.
+func (e *env) command(ctx context.Context, l *tier.Leaves, c standin.Command) error {
+	return load.Command(ctx, e.http, l.URL, c)
+}
+
+// warm runs queries until the whole desk answers, so that connections are open
+// and slow starts are over.
+func (e *env) warm(ctx context.Context, t *tier.Tier) error {
+	const tries = 30
+	var last *load.Result
+	for range tries {
+		res, err := e.tierSide(ctx, t, phase{rate: 20, span: 2 * time.Second, seed: 7})
+		if err != nil {
+			return err
+		}
+		if last = res; res.Whole == res.Scheduled && res.Scheduled > 0 {
+			return nil
+		}
+	}
+	_ = last.WriteTable(os.Stdout)
+	return errNotWarm
+}
+
+// row is one line of a table.
+type row struct {
+	side string
+	res  *load.Result
+}
+
+// table prints rows of results side by side.
+func table(rows []row) {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "side\trate/s\tp50 ms\tp99 ms\tp99.9 ms\tgoodput/s\tcoverage %\trefused\tin doubt\tno reply\textra %\tin flight/slots\tconns/cap\tbad hits")
+	for _, r := range rows {
+		x, l := r.res, r.res.Leaves
+		c := x.Check
+		fmt.Fprintf(w, "%s\t%.0f\t%.1f\t%.1f\t%.1f\t%.1f\t%.3f\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\t%d\n",
+			r.side, x.Rate, x.Answers.P50, x.Answers.P99, x.Answers.P999, x.Goodput, x.Coverage*100,
+			x.Refused, x.InDoubt, x.Failed, extraShare(x)*100, l.MostOverSlots, l.MostOverCap,
+			c.Lost+c.Doubled+c.Mixed+c.Foreign+c.Coverage)
+	}
+	_ = w.Flush()
+}
+
+// extraShare is the runs beyond the first of each piece of work, over those.
+func extraShare(r *load.Result) float64 {
+	first := r.Leaves.Runs.Total - r.Leaves.Runs.Extra
+	if first == 0 {
+		return 0
+	}
+	return float64(r.Leaves.Runs.Extra) / float64(first)
+}
+
+// save writes results and plots below the output folder.
+func (e *env) save(name string, rows []row) error {
+	for _, r := range rows {
+		if err := r.res.WriteFiles(filepath.Join(e.out, name, r.side)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// figure prints one figure as JSON beside the tables, for machines to read.
+func figure(experiment, name string, value float64, target string) {
+	line, err := json.Marshal(struct {
+		Experiment string  `json:"experiment"`
+		Figure     string  `json:"figure"`
+		Value      float64 `json:"value"`
+		Target     string  `json:"target"`
+	}{experiment, name, value, target})
+	if err == nil {
+		fmt.Println(string(line))
+	}
+}
--- /dev/null
+++ b/bench/tier/leaves.go
@@ -0,0 +1,76 @@
+package tier
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+
+	"pearmoor/internal/settings"
+)
+
+// Leaves is a running pearmoor-standin process.
+type Leaves struct {
+	URL  string         // control and statistics
+	Tree *settings.Tree // with the real addresses
+	proc *process
+}
+
+// StartLeaves starts the stand-in leaves of cfg.Tree.
+func StartLeaves(ctx context.Context, cfg Config) (*Leaves, error) {
+	if err := Build(ctx, cfg.Dir, leavesProgram); err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp(cfg.Dir, "leaves-")
+	if err != nil {
+		return nil, err
+	}
+	in, out, ready := filepath.Join(dir, "tree.yaml"), filepath.Join(dir, "real.yaml"), filepath.Join(dir, "ready")
+	if err := os.WriteFile(in, []byte(cfg.Tree), logMode); err != nil {
+		return nil, err
+	}
+	l := &Leaves{proc: &process{
+		name: "leaves",
+		path: filepath.Join(cfg.Dir, "bin", leavesProgram),
+		args: append([]string{"leaves", "--tree=" + in, "--out=" + out, "--ready-file=" + ready}, cfg.Standin...),
+		env:  []string{memoryLimit, standinProcs},
+		log:  filepath.Join(dir, "leaves.log"),
+	}}
+	if err := l.proc.start(); err != nil {
+		return nil, err
+	}
+	if err := l.read(ctx, out, ready); err != nil {
+		l.proc.kill()
+		return nil, err
+	}
+	return l, nil
+}
+
+func (l *Leaves) read(ctx context.Context, out, ready string) error {
+	if err := poll(ctx, startLimit, func() (bool, error) { return fileExists(ready), alive(l.proc) }); err != nil {
+		return err
+	}
+	control, err := os.ReadFile(ready)
+	if err != nil {
+		return err
+	}
+	l.URL = strings.TrimSpace(string(control))
+	text, err := os.ReadFile(out)
+	if err != nil {
+		return err
+	}
+	l.Tree, err = settings.ParseFile(text)
+	return err
+}
+
+// Stop ends the leaves gracefully.
+func (l *Leaves) Stop() error {
+	if !l.proc.running() {
+		return nil
+	}
+	if err := l.proc.signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	return l.proc.wait(stopLimit)
+}
--- /dev/null
+++ b/bench/tier/process.go
@@ -0,0 +1,121 @@
+package tier
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Limits of each process, so that an experiment can't fill the machine.
+const (
+	memoryLimit  = "GOMEMLIMIT=512MiB"
+	daemonProcs  = "GOMAXPROCS=2" // a small VM
+	standinProcs = "GOMAXPROCS=8" // stands for many VMs
+	logMode      = 0o644
+	killWait     = 10 * time.Second
+	clockTicks   = 100 // per second in /proc/PID/stat on Linux
+)
+
+// process is one program with its log file; it may be started again.
+type process struct {
+	name string
+	path string
+	args []string
+	env  []string
+	log  string
+
+	cmd  *exec.Cmd
+	done chan struct{} // closed when the process has been waited for
+	err  error         // set before done is closed
+}
+
+func (p *process) start() error {
+	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, logMode)
+	if err != nil {
+		return err
+	}
+	defer out.Close()
+	cmd := exec.Command(p.path, p.args...)
+	cmd.Env = append(os.Environ(), p.env...)
+	cmd.Stdout, cmd.Stderr = out, out
+	// The child dies with the experiment, whatever ends it.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return errors.Wrap(err, p.name)
+	}
+	p.cmd = cmd
+	done := make(chan struct{})
+	p.done = done
+	go func() {
+		p.err = cmd.Wait()
+		close(done)
+	}()
+	return nil
+}
+
+func (p *process) running() bool {
+	if p.done == nil {
+		return false
+	}
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+func (p *process) signal(s os.Signal) error {
+	if !p.running() {
+		return errors.Newf("%s does not run", p.name)
+	}
+	return p.cmd.Process.Signal(s)
+}
+
+// wait returns the exit status, or an error after limit.
+func (p *process) wait(limit time.Duration) error {
+	select {
+	case <-p.done:
+		return p.err
+	case <-time.After(limit):
+		return errors.Newf("%s has not ended after %v; see %s", p.name, limit, p.log)
+	}
+}
+
+func (p *process) kill() {
+	if !p.running() {
+		return
+	}
+	_ = p.cmd.Process.Kill()
+	_ = p.wait(killWait)
+}
+
+// cpu returns the processor time the process has used.
+func (p *process) cpu() (time.Duration, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		return 0, err
+	}
+	// The name in parentheses may hold spaces; the fields count from after it.
+	_, rest, ok := strings.Cut(string(data), ") ")
+	fields := strings.Fields(rest)
+	const user, system = 11, 12
+	if !ok || len(fields) <= system {
+		return 0, errors.Newf("%s: unreadable stat", p.name)
+	}
+	var ticks int64
+	for _, f := range []string{fields[user], fields[system]} {
+		n, err := strconv.ParseInt(f, 10, 64)
+		if err != nil {
+			return 0, err
+		}
+		ticks += n
+	}
+	return time.Duration(ticks) * time.Second / clockTicks, nil
+}
--- /dev/null
+++ b/bench/tier/tier.go
@@ -0,0 +1,299 @@
+package tier
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pearmoor/internal/link/peer"
+)
+
+// Config describes a tier to start.
+type Config struct {
+	Dir      string // binaries, logs, data; must exist
+	Tree     string // YAML of the settings tree
+	Daemons  int    // all are entries
+	Controls int    // how many of them, from the first, are control VMs
+	Domains  []string
+	Standin  []string // further flags of pearmoor-standin leaves
+	Flags    []string // further flags of every pearmoord
+	Platform bool     // daemons read the stand-in's list of VMs
+}
+
+const (
+	startLimit = 60 * time.Second
+	stopLimit  = 90 * time.Second
+	pollEvery  = 20 * time.Millisecond
+	regionName = "experiment"
+
+	daemonProgram = "pearmoord"
+	leavesProgram = "pearmoor-standin"
+)
+
+// Tier is a running tier.
+type Tier struct {
+	Leaves *Leaves
+
+	dir     string
+	http    *http.Client
+	pool    *peer.Pool
+	daemons []*daemon
+}
+
+type daemon struct {
+	process
+	caller, peer, operator string // host:port
+	control                bool
+}
+
+// Build compiles a program of ./cmd into dir/bin, unless it is there.
+func Build(ctx context.Context, dir, program string) error {
+	bin := filepath.Join(dir, "bin", program)
+	if fileExists(bin) {
+		return nil
+	}
+	cmd := exec.CommandContext(ctx, "go", "build", "-o", bin, "./cmd/"+program)
+	cmd.Stdout, cmd.Stderr = os.Stderr, os.Stderr
+	return errors.Wrap(cmd.Run(), "go build")
+}
+
+// Start starts the leaves and the daemons, states the tree and waits until it
+// is in force.
+func Start(ctx context.Context, cfg Config) (*Tier, error) {
+	if err := Build(ctx, cfg.Dir, daemonProgram); err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp(cfg.Dir, "tier-")
+	if err != nil {
+		return nil, err
+	}
+	t := &Tier{
+		dir:  dir,
+		http: &http.Client{Transport: &http.Transport{}},
+		pool: peer.NewPool(nil),
+	}
+	if err := t.start(ctx, cfg); err != nil {
+		t.Kill()
+		return nil, errors.Wrapf(err, "see the logs in %s", dir)
+	}
+	return t, nil
+}
+
+func (t *Tier) start(ctx context.Context, cfg Config) error {
+	var err error
+	if t.Leaves, err = StartLeaves(ctx, cfg); err != nil {
+		return err
+	}
+	if err := t.startDaemons(cfg); err != nil {
+		return err
+	}
+	for i := range t.daemons {
+		if err := t.WaitReady(ctx, i); err != nil {
+			return err
+		}
+	}
+	return t.stateTree(ctx)
+}
+
+func alive(p *process) error {
+	if p.running() {
+		return nil
+	}
+	return errors.Newf("%s ended: %v", p.name, p.err)
+}
+
+func (t *Tier) startDaemons(cfg Config) error {
+	const portsEach = 3
+	ports, err := freePorts(cfg.Daemons * portsEach)
+	if err != nil {
+		return err
+	}
+	var control, voters []string
+	for i := range cfg.Controls {
+		control = append(control, ports[i*portsEach+1])
+		voters = append(voters, fmt.Sprintf("--bootstrap-voter=%d=%s", i+1, ports[i*portsEach+1]))
+	}
+	for i := range cfg.Daemons {
+		name := fmt.Sprintf("vm-%02d", i+1)
+		d := &daemon{caller: ports[i*portsEach], peer: ports[i*portsEach+1], operator: ports[i*portsEach+2], control: i < cfg.Controls}
+		args := []string{
+			"--name=" + name,
+			"--domain=" + cfg.Domains[i%len(cfg.Domains)],
+			"--region=" + regionName,
+			"--caller-listen=" + d.caller,
+			"--peer-listen=" + d.peer,
+			"--operator-listen=" + d.operator,
+			"--plaintext-peers",
+			"--control=" + strings.Join(control, ","),
+		}
+		if cfg.Platform {
+			args = append(args, "--platform-url="+t.Leaves.URL)
+		}
+		if d.control {
+			args = append(args, fmt.Sprintf("--control-id=%d", i+1), "--data-dir="+filepath.Join(t.dir, name), "--bootstrap")
+			args = append(args, voters...)
+		}
+		d.process = process{
+			name: name,
+			path: filepath.Join(cfg.Dir, "bin", daemonProgram),
+			args: append(args, cfg.Flags...),
+			env:  []string{memoryLimit, daemonProcs},
+			log:  filepath.Join(t.dir, name+".log"),
+		}
+		if err := d.start(); err != nil {
+			return err
+		}
+		t.daemons = append(t.daemons, d)
+	}
+	return nil
+}
+
+// Entries returns the base URLs for callers.
+func (t *Tier) Entries() []string {
+	out := make([]string, len(t.daemons))
+	for i, d := range t.daemons {
+		out[i] = "http://" + d.caller
+	}
+	return out
+}
+
+// Daemons returns how many daemons there are.
+func (t *Tier) Daemons() int { return len(t.daemons) }
+
+// IsControl reports whether daemon i is a control VM.
+func (t *Tier) IsControl(i int) bool { return t.daemons[i].control }
+
+// Name returns the VM name of daemon i.
+func (t *Tier) Name(i int) string { return t.daemons[i].name }
+
+// ByURL returns the number of the daemon with that caller URL, and -1 else.
+func (t *Tier) ByURL(url string) int {
+	for i, d := range t.daemons {
+		if url == "http://"+d.caller {
+			return i
+		}
+	}
+	return -1
+}
+
+// WaitReady waits until daemon i says on its operator port that it serves.
+func (t *Tier) WaitReady(ctx context.Context, i int) error {
+	d := t.daemons[i]
+	err := poll(ctx, startLimit, func() (bool, error) {
+		return t.status(ctx, "http://"+d.operator+"/healthz") == http.StatusOK, alive(&d.process)
+	})
+	return errors.Wrapf(err, "%s is not healthy", d.name)
+}
+
+// WaitServing waits until daemon i is ready for callers: it holds a lease.
+func (t *Tier) WaitServing(ctx context.Context, i int) error {
+	d := t.daemons[i]
+	err := poll(ctx, startLimit, func() (bool, error) {
+		return t.status(ctx, "http://"+d.operator+"/readyz") == http.StatusOK, alive(&d.process)
+	})
+	return errors.Wrapf(err, "%s is not ready", d.name)
+}
+
+func (t *Tier) status(ctx context.Context, url string) int {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0
+	}
+	resp, err := t.http.Do(r)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+// Signal sends s to daemon i.
+func (t *Tier) Signal(i int, s syscall.Signal) error { return t.daemons[i].signal(s) }
+
+// WaitExit waits for daemon i to end and returns how it did.
+func (t *Tier) WaitExit(i int, limit time.Duration) error { return t.daemons[i].wait(limit) }
+
+// Restart starts daemon i again at the same addresses. It must have ended.
+func (t *Tier) Restart(i int) error { return t.daemons[i].start() }
+
+// CPU returns the processor time all daemons have used.
+func (t *Tier) CPU() (time.Duration, error) {
+	var sum time.Duration
+	for _, d := range t.daemons {
+		if !d.running() {
+			continue
+		}
+		c, err := d.cpu()
+		if err != nil {
+			return 0, err
+		}
+		sum += c
+	}
+	return sum, nil
+}
+
+// Stop ends the tier gracefully, and by force what has not ended then. The
+// error names a process that did not end by itself with exit status 0.
+func (t *Tier) Stop() error {
+	var errs error
+	for _, d := range t.daemons {
+		if d.running() {
+			_ = d.signal(syscall.SIGCONT)
+			errs = errors.CombineErrors(errs, d.signal(syscall.SIGTERM))
+		}
+	}
+	for _, d := range t.daemons {
+		if d.done != nil {
+			errs = errors.CombineErrors(errs, d.wait(stopLimit))
+		}
+	}
+	if t.Leaves != nil {
+		errs = errors.CombineErrors(errs, t.Leaves.Stop())
+	}
+	t.Kill()
+	return errs
+}
+
+// Kill ends every process of the tier at once.
+func (t *Tier) Kill() {
+	for _, d := range t.daemons {
+		d.kill()
+	}
+	if t.Leaves != nil {
+		t.Leaves.proc.kill()
+	}
+	_ = t.pool.Close()
+	t.http.CloseIdleConnections()
+}
+
+func fileExists(path string) bool {
+	_, err := os.Stat(path)
+	return err == nil
+}
+
+// poll calls ok until it is true, it fails, or limit has passed.
+func poll(ctx context.Context, limit time.Duration, ok func() (bool, error)) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	tick := time.NewTicker(pollEvery)
+	defer tick.Stop()
+	for {
+		done, err := ok()
+		if done || err != nil {
+			return err
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return errors.Newf("nothing after %v", limit)
+		}
+	}
+}
--- a/internal/load/leaves.go
+++ b/internal/load/leaves.go
@@ -88,12 +88,21 @@
 	return nil
 }
 
+// Stats reads the statistics of stand-in leaves.
+func Stats(ctx context.Context, client *http.Client, control string) (*standin.FleetStats, error) {
+	return readStats(ctx, client, strings.TrimSuffix(strings.TrimSpace(control), "/")+standin.StatsPath)
+}
+
 func (w *watcher) read(ctx context.Context) (*standin.FleetStats, error) {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, w.url+standin.StatsPath+"?window=1", nil)
+	return readStats(ctx, w.http, w.url+standin.StatsPath+"?window=1")
+}
+
+func readStats(ctx context.Context, client *http.Client, url string) (*standin.FleetStats, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
 	}
-	resp, err := w.http.Do(r)
+	resp, err := client.Do(r)
 	if err != nil {
 		return nil, err
 	}
