--- a/bench/tier/tier.go
+++ b/bench/tier/tier.go
@@ -100,7 +100,15 @@
 			return err
 		}
 	}
-	return t.stateTree(ctx)
+	if err := t.stateTree(ctx); err != nil {
+		return err
+	}
+	for i := range t.daemons {
+		if err := t.WaitServing(ctx, i); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func alive(p *process) error {
@@ -241,24 +249,30 @@
 }
 
 // Stop ends the tier gracefully, and by force what has not ended then. The
-// error names a process that did not end by itself with exit status 0.
+// control VMs go last, since a leaving daemon tells them. The error names a
+// process that did not end by itself with exit status 0.
 func (t *Tier) Stop() error {
+	errs := t.stopDaemons(false)
+	errs = errors.CombineErrors(errs, t.stopDaemons(true))
+	errs = errors.CombineErrors(errs, t.Leaves.Stop())
+	t.Kill()
+	return errs
+}
+
+func (t *Tier) stopDaemons(control bool) error {
 	var errs error
+	var stopping []*daemon
 	for _, d := range t.daemons {
-		if d.running() {
-			_ = d.signal(syscall.SIGCONT)
-			errs = errors.CombineErrors(errs, d.signal(syscall.SIGTERM))
-		}
-	}
-	for _, d := range t.daemons {
-		if d.done != nil {
-			errs = errors.CombineErrors(errs, d.wait(stopLimit))
+		if d.control != control || !d.running() {
+			continue
 		}
+		_ = d.signal(syscall.SIGCONT)
+		errs = errors.CombineErrors(errs, d.signal(syscall.SIGTERM))
+		stopping = append(stopping, d)
 	}
-	if t.Leaves != nil {
-		errs = errors.CombineErrors(errs, t.Leaves.Stop())
+	for _, d := range stopping {
+		errs = errors.CombineErrors(errs, errors.Wrap(d.wait(stopLimit), d.name))
 	}
-	t.Kill()
 	return errs
 }
 
