--- a/internal/contract/answer.go
+++ b/internal/contract/answer.go
@@ -23,6 +23,7 @@
 	ReasonKeyInDoubt    Reason = "key_in_doubt"      // an earlier attempt under this key may have run
 	ReasonKeyInProgress Reason = "key_in_progress"   // an attempt under this key is running now
 	ReasonBudget        Reason = "budget"            // a retry would exceed the retry budget
+	ReasonAnswerNotKept Reason = "answer_not_kept"   // a resent key ran; its hits were too large to keep
 	ReasonInternal      Reason = "internal"          // a fault of the daemon itself
 )
 
@@ -88,8 +89,9 @@
 	ConfigVersion uint64            `json:"config_version"`
 	Coverage      Coverage          `json:"coverage"`
 	Hits          []ServiceHit      `json:"hits"`
-	Early         bool              `json:"early,omitempty"` // answered at minimum coverage, before the deadline
-	ServedBy      string            `json:"served_by"`       // VM name
+	HitsOmitted   int               `json:"hits_omitted,omitempty"` // hits cut by the caller's limit or the tree's
+	Early         bool              `json:"early,omitempty"`        // answered at minimum coverage, before the deadline
+	ServedBy      string            `json:"served_by"`              // VM name
 	ElapsedMS     float64           `json:"elapsed_ms"`
 	ExtraAttempts int               `json:"extra_attempts,omitempty"` // hedges and retries sent
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -166,7 +166,7 @@
 	}
 	d.engine = query.New(query.Config{
 		Self: d.self, Source: d.client, Gates: gates, Sender: d.sender,
-		Catalog: catalog{d.prober}, Conns: d.queryConns, Clock: vm.Now,
+		Catalog: d.prober, Conns: d.queryConns, Clock: vm.Now,
 	})
 	d.entry, err = entry.New(entry.Config{
 		Self: d.self, Engine: d.engine, Source: d.client, Clock: vm.Now,
