--- /dev/null
+++ b/internal/cli/app.go
@@ -0,0 +1,115 @@
+package cli
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/user"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	defaultTimeout = 15 * time.Second
+	defaultWait    = 10 * time.Second
+)
+
+// globals are the flags that every command takes.
+type globals struct {
+	control   []string
+	ca        string
+	cert      string
+	key       string
+	plaintext bool
+	operator  string
+	timeout   time.Duration
+	output    string
+}
+
+// app is one run of the tool.
+type app struct {
+	globals
+	ctx    context.Context
+	in     io.Reader
+	out    io.Writer
+	errOut io.Writer
+	client *client
+}
+
+// Run runs the command line args and returns the exit code.
+func Run(ctx context.Context, args []string, in io.Reader, out, errOut io.Writer, version string) int {
+	a := &app{ctx: ctx, in: in, out: out, errOut: errOut}
+	done := -1
+	k := kingpin.New("pearmoor", "Edits the tree of settings of a pearmoor tier, and shows what is in force.")
+	k.Version(version).UsageWriter(out).ErrorWriter(errOut).DefaultEnvars()
+	k.Terminate(func(code int) { done = code })
+	k.HelpFlag.Short('h').NoEnvar()
+	k.VersionFlag.NoEnvar()
+	a.declareGlobals(k)
+	a.declare(k)
+	chosen, err := k.Parse(args)
+	defer a.close()
+	switch {
+	case done >= 0: // help, version or a completion script was printed
+		return done
+	case err == nil:
+		return ExitOK
+	case chosen == "" || errors.Is(err, errUsage):
+		_, _ = io.WriteString(errOut, "pearmoor: "+err.Error()+"; try --help\n")
+		return ExitUsage
+	}
+	a.report(err)
+	return exitCode(err)
+}
+
+// errUsage marks an error that only shows once flags are read together.
+var errUsage = errors.New("usage")
+
+func usage(format string, args ...any) error {
+	return errors.Mark(errors.Newf(format, args...), errUsage)
+}
+
+func (a *app) declareGlobals(k *kingpin.Application) {
+	k.Flag("control", "Peer addresses of control VMs, host:port, separated by commas; any of them will do.").
+		Default("127.0.0.1:7401").SetValue((*commaList)(&a.control))
+	k.Flag("tls-ca", "PEM file of the authority that the tier's certificates come from.").StringVar(&a.ca)
+	k.Flag("tls-cert", "PEM file of the operator's certificate. Its name goes into the audit trail.").StringVar(&a.cert)
+	k.Flag("tls-key", "PEM file of the certificate's key.").StringVar(&a.key)
+	k.Flag("plaintext-peers", "Use no TLS; works with loopback addresses only.").BoolVar(&a.plaintext)
+	k.Flag("operator-name", "The operator's name where no certificate says it.").Default(userName()).StringVar(&a.operator)
+	k.Flag("timeout", "How long to try to get an answer.").Default(defaultTimeout.String()).DurationVar(&a.timeout)
+	k.Flag("output", "text for people, json for programs.").Default(outputText).EnumVar(&a.output, outputText, outputJSON)
+}
+
+func (a *app) declare(k *kingpin.Application) {
+	a.declareGet(k)
+	a.declareEdit(k)
+	a.declarePlan(k)
+	a.declareExplain(k)
+	a.declareTrail(k)
+	a.declareDiff(k)
+	a.declareRevert(k)
+	a.declareFile(k)
+	a.declareStatus(k)
+	a.declareGroup(k)
+	a.declareQuery(k)
+	a.declareReady(k)
+	a.declareDomains(k)
+	a.declareCerts(k)
+	a.declareLoad(k)
+}
+
+func (a *app) close() {
+	if a.client != nil {
+		a.client.close()
+	}
+}
+
+func userName() string {
+	if u, err := user.Current(); err == nil && u.Username != "" {
+		return u.Username
+	}
+	return os.Getenv("USER")
+}
--- /dev/null
+++ b/internal/cli/certs.go
@@ -0,0 +1,107 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
+
+	"pearmoor/internal/link/peer"
+)
+
+const (
+	authorityValidity = 10 * 365 * 24 * time.Hour
+	certValidity      = 90 * 24 * time.Hour
+
+	authorityCert = "ca.pem"
+	authorityKey  = "ca.key"
+
+	folderMode = 0o700
+)
+
+// issued names the files of a certificate.
+type issued struct {
+	CA   string `json:"ca"`
+	Cert string `json:"cert"`
+	Key  string `json:"key"`
+	URI  string `json:"uri,omitempty"` // who it was issued to
+}
+
+func (a *app) declareCerts(k *kingpin.Application) {
+	parent := k.Command("certs", "Make a development authority, and certificates for VMs and operators.")
+	var dir string
+	parent.Flag("dir", "Folder of the authority and the certificates.").Default("certs").StringVar(&dir)
+	var validity time.Duration
+	parent.Flag("valid", "How long a new certificate is valid.").Default(certValidity.String()).DurationVar(&validity)
+
+	c := parent.Command("init", `Make an authority. One that is there already is kept.
+
+Example: pearmoor certs --dir=certs init`)
+	c.Action(func(*kingpin.ParseContext) error { return a.certsInit(dir) })
+
+	var name string
+	var hosts []string
+	c = parent.Command("vm", `Make a certificate for a daemon. Run it again to renew: daemons read changed files by themselves.
+
+Example: pearmoor certs --dir=certs vm entry-1 --host=10.0.0.5`)
+	c.Arg("name", "The VM's name, as in its --name.").Required().StringVar(&name)
+	c.Flag("host", "IP numbers or names under which others reach the VM, separated by commas.").Required().SetValue((*commaList)(&hosts))
+	c.Action(func(*kingpin.ParseContext) error {
+		return a.certsIssue(dir, peer.Identity{Name: name, Kind: peer.VM}, hosts, validity)
+	})
+
+	var operator string
+	c = parent.Command("operator", `Make a certificate for an operator. Its name goes into the audit trail.
+
+Example: pearmoor certs --dir=certs operator asha`)
+	c.Arg("name", "The operator's name.").Required().StringVar(&operator)
+	c.Action(func(*kingpin.ParseContext) error {
+		return a.certsIssue(dir, peer.Identity{Name: operator, Kind: peer.Operator}, nil, validity)
+	})
+}
+
+func (a *app) certsInit(dir string) error {
+	out := &issued{CA: filepath.Join(dir, authorityCert), Cert: filepath.Join(dir, authorityCert), Key: filepath.Join(dir, authorityKey)}
+	// An authority is never replaced by accident: every certificate it issued
+	// would stop working at the next handshake.
+	for _, name := range []string{out.CA, out.Key} {
+		if _, err := os.Stat(name); err == nil {
+			return failWith(ExitFailed, "%s is there already; remove it to start a new authority", name)
+		}
+	}
+	if err := os.MkdirAll(dir, folderMode); err != nil {
+		return errors.Wrap(err, "make the folder")
+	}
+	authority, err := peer.NewAuthority(authorityValidity)
+	if err != nil {
+		return err
+	}
+	if err := authority.Save(out.CA, out.Key); err != nil {
+		return err
+	}
+	return a.print(out)
+}
+
+func (a *app) certsIssue(dir string, id peer.Identity, hosts []string, validity time.Duration) error {
+	authority, err := peer.LoadAuthority(filepath.Join(dir, authorityCert), filepath.Join(dir, authorityKey))
+	if err != nil {
+		return errors.Wrap(err, "make an authority with 'pearmoor certs init' first")
+	}
+	base := filepath.Join(dir, id.Kind.String()+"-"+id.Name)
+	out := &issued{CA: filepath.Join(dir, authorityCert), Cert: base + ".pem", Key: base + ".key", URI: id.URI().String()}
+	if err := authority.Issue(id, hosts, validity, out.Cert, out.Key); err != nil {
+		return err
+	}
+	return a.print(out)
+}
+
+func (i *issued) writeText(w io.Writer) {
+	if i.URI != "" {
+		fmt.Fprintf(w, "issued to %s\n", i.URI)
+	}
+	fmt.Fprintf(w, "authority %s\ncertificate %s\nkey %s\n", i.CA, i.Cert, i.Key)
+}
--- /dev/null
+++ b/internal/cli/change.go
@@ -0,0 +1,190 @@
+package cli
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
+
+	"pearmoor/internal/contract"
+	"pearmoor/internal/link/wire"
+	"pearmoor/internal/settings"
+)
+
+// changeFlags are the flags of every command that changes the tree.
+type changeFlags struct {
+	reason   string
+	base     optionalUint
+	changeID string
+	dryRun   bool
+	wait     time.Duration
+}
+
+func (f *changeFlags) declare(c *kingpin.CmdClause) {
+	c.Flag("reason", "Why; it goes into the audit trail.").Short('m').Required().StringVar(&f.reason)
+	c.Flag("base", "Version of the tree that the change was made for; another one accepted since refuses it. Left out: the newest.").SetValue(&f.base)
+	c.Flag("change-id", "Identifies the change when it is sent again after a lost reply.").StringVar(&f.changeID)
+	c.Flag("dry-run", "Show what would change and change nothing.").BoolVar(&f.dryRun)
+	c.Flag("wait", "How long to wait for the change to be in force everywhere; 0s does not wait.").
+		Default(defaultWait.String()).DurationVar(&f.wait)
+}
+
+// winner is the change that was accepted in place of the one asked for.
+type winner struct {
+	Version  uint64 `json:"version"`
+	Operator string `json:"operator"`
+	Reason   string `json:"reason"`
+}
+
+// changed is the outcome of a command that changes the tree.
+type changed struct {
+	Version     uint64            `json:"version"`
+	Accepted    bool              `json:"accepted"`
+	Resend      bool              `json:"resend,omitempty"` // the first outcome of a change sent before
+	DryRun      bool              `json:"dry_run,omitempty"`
+	ChangeID    string            `json:"change_id,omitempty"`
+	Edits       []settings.Edit   `json:"edits"`
+	Effects     []settings.Effect `json:"effects"`
+	InForce     bool              `json:"in_force"`
+	InForceMS   int64             `json:"in_force_ms,omitempty"` // from sending the change
+	Unconfirmed []string          `json:"unconfirmed,omitempty"` // VMs that have not confirmed it yet
+
+	waited bool
+}
+
+// change makes edits on the tree, shows what they do, and waits until they are in
+// force. old is the tree at base.
+func (a *app) change(f *changeFlags, old *settings.Tree, base uint64, edits []settings.Edit) error {
+	out := &changed{DryRun: f.dryRun, Version: base}
+	next, err := old.Apply(base+1, edits)
+	if err != nil {
+		return err
+	}
+	if len(settings.Diff(old, next)) == 0 {
+		return a.print(out)
+	}
+	out.Edits, out.Effects = edits, settings.Plan(old, next)
+	out.ChangeID = f.changeID
+	if out.ChangeID == "" {
+		out.ChangeID = rand.Text()
+	}
+	began := time.Now()
+	reply, err := a.sendChange(f, base, edits, out.ChangeID)
+	if err != nil {
+		return err
+	}
+	if f.dryRun {
+		return a.print(out)
+	}
+	out.Accepted, out.Version, out.Resend = true, reply.GetVersion(), reply.GetResend()
+	if f.wait <= 0 {
+		return a.print(out)
+	}
+	if a.output == outputText {
+		fmt.Fprintf(a.out, "accepted as version %d\n", out.Version)
+	}
+	err = a.awaitInForce(out, f.wait, began)
+	if printErr := a.print(out); printErr != nil {
+		return printErr
+	}
+	return err
+}
+
+// sendChange sends the change until a control VM settles it. It is sent under
+// one change id, so a try whose reply was lost can't make it happen twice.
+func (a *app) sendChange(f *changeFlags, base uint64, edits []settings.Edit, id string) (*wire.ChangeReply, error) {
+	c, err := a.connect()
+	if err != nil {
+		return nil, err
+	}
+	req := &wire.ChangeRequest{
+		ChangeId:    id,
+		BaseVersion: base,
+		Edits:       settings.EditsToWire(edits),
+		Reason:      f.reason,
+		DryRun:      f.dryRun,
+		Operator:    a.operator,
+	}
+	reply, sent, err := call(a.ctx, c, func(ctx context.Context, cc wire.DRPCControlClient) (*wire.ChangeReply, error) {
+		return cc.Change(ctx, req)
+	})
+	switch {
+	case err != nil && (!sent || f.dryRun):
+		return nil, &exitError{code: ExitUnreachable, cause: errors.Wrap(err, "no control VM answered; nothing was changed")}
+	case err != nil:
+		return nil, &exitError{code: ExitUnknown, cause: errors.Wrapf(err,
+			"the outcome is not known; repeat the command with --base=%d --change-id=%s to learn it without changing anything twice", base, id)}
+	}
+	return reply, outcomeError(reply)
+}
+
+func outcomeError(reply *wire.ChangeReply) error {
+	switch reply.GetOutcome() {
+	case wire.Outcome_ACCEPTED:
+		return nil
+	case wire.Outcome_CONFLICT:
+		c := reply.GetConflict()
+		return failWith(ExitConflict, "not accepted: %s",
+			conflictText(winner{Version: c.GetVersion(), Operator: c.GetOperator(), Reason: c.GetReason()}))
+	}
+	var faults contract.Faults
+	for _, f := range reply.GetFaults() {
+		faults = append(faults, contract.Fault{Field: f.GetField(), Value: f.GetValue(), Why: f.GetWhy(), Fix: f.GetFix()})
+	}
+	return &exitError{code: ExitInvalid, cause: faults}
+}
+
+func (c *changed) writeText(w io.Writer) {
+	switch {
+	case len(c.Edits) == 0:
+		fmt.Fprintf(w, "nothing to change: the tree at version %d is as asked\n", c.Version)
+		return
+	case c.DryRun:
+		fmt.Fprintf(w, "nothing changed; at version %d this would do:\n", c.Version)
+	case !c.waited:
+		fmt.Fprintf(w, "accepted as version %d\n", c.Version)
+	}
+	if c.Resend {
+		fmt.Fprintln(w, "it had been accepted before; this is its first outcome")
+	}
+	writeEffects(w, c.Effects)
+	c.writeInForce(w)
+}
+
+func (c *changed) writeInForce(w io.Writer) {
+	switch {
+	case !c.waited:
+	case c.InForce:
+		fmt.Fprintf(w, "in force everywhere after %d ms\n", c.InForceMS)
+	case len(c.Unconfirmed) > 0:
+		fmt.Fprintf(w, "accepted, and not yet in force on %s:\n", plural(len(c.Unconfirmed), "VM"))
+		for _, name := range c.Unconfirmed {
+			fmt.Fprintf(w, "  %s\n", name)
+		}
+	default:
+		fmt.Fprintln(w, "accepted; whether it is in force everywhere is not known")
+	}
+}
+
+func writeEffects(w io.Writer, effects []settings.Effect) {
+	rows := make([][]string, len(effects))
+	for i, e := range effects {
+		rows[i] = []string{e.Service, e.Name, orDash(e.Before), orDash(e.After)}
+	}
+	if len(rows) == 0 {
+		fmt.Fprintln(w, "no query service is affected")
+		return
+	}
+	table(w, "QUERY SERVICE|SETTING|BEFORE|AFTER", rows)
+}
+
+func orDash(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return s
+}
--- /dev/null
+++ b/internal/cli/domains.go
@@ -0,0 +1,78 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"pearmoor/internal/settings"
+)
+
+type names struct {
+	Names []string `json:"names"`
+}
+
+func (a *app) declareDomains(k *kingpin.Application) {
+	var file string
+	var region, desks bool
+	c := k.Command("domains", `List the failure domains of the leaves that a tree in a file declares.
+
+Example: pearmoor domains --file=examples/bagmati.yaml`)
+	c.Flag("file", "The file; - is the standard input.").Required().StringVar(&file)
+	c.Flag("region", "List the nodes right below the root instead.").Envar("PEARMOOR_DOMAINS_REGION").BoolVar(&region)
+	c.Flag("desks", "List the nodes of the second level instead.").BoolVar(&desks)
+	c.Action(func(*kingpin.ParseContext) error {
+		text, err := a.readFile(file)
+		if err != nil {
+			return err
+		}
+		tree, err := settings.ParseFile(text)
+		if err != nil {
+			return err
+		}
+		switch {
+		case region:
+			return a.print(&names{Names: ancestors(tree, 1)})
+		case desks:
+			return a.print(&names{Names: ancestors(tree, 2)})
+		}
+		return a.print(&names{Names: failureDomains(tree)})
+	})
+}
+
+func failureDomains(tree *settings.Tree) []string {
+	var out []string
+	for _, service := range tree.Services(settings.Root) {
+		e, ok := tree.Effective(service)
+		if !ok {
+			continue
+		}
+		for _, leaf := range e.Leaves {
+			out = append(out, leaf.Domain)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// ancestors returns the nodes of a level that have query services at or below them.
+func ancestors(tree *settings.Tree, level int) []string {
+	var out []string
+	for _, service := range tree.Services(settings.Root) {
+		segments := strings.Split(strings.Trim(service, settings.Root), settings.Root)
+		if len(segments) >= level {
+			out = append(out, strings.Join(segments[:level], settings.Root))
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+func (n *names) writeText(w io.Writer) {
+	for _, name := range n.Names {
+		fmt.Fprintln(w, name)
+	}
+}
--- /dev/null
+++ b/internal/cli/edit.go
@@ -0,0 +1,134 @@
+package cli
+
+import (
+	"os"
+	"strings"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"pearmoor/internal/settings"
+)
+
+// settingFlag is the flag of one setting, made from the schema.
+type settingFlag struct {
+	setting settings.Setting
+	text    string
+	given   bool
+}
+
+// declareEdit declares set, unset and remove.
+func (a *app) declareEdit(k *kingpin.Application) {
+	a.declareSet(k)
+	a.declareUnset(k)
+	a.declareRemove(k)
+}
+
+func (a *app) declareSet(k *kingpin.Application) {
+	var path string
+	var flags changeFlags
+	c := k.Command("set", `State settings at a node of the tree.
+
+Example: pearmoor set /kathmandu-valley/counter-desk --hedge-after=20ms --reason="tail of counter searches"`)
+	c.Arg("path", "The node; it is made if need be.").Required().HintAction(a.completePath).StringVar(&path)
+	flags.declare(c)
+	stated := declareSettings(c)
+	c.Action(func(*kingpin.ParseContext) error {
+		var edits []settings.Edit
+		for _, s := range stated {
+			if s.isStated() {
+				edits = append(edits, settings.Edit{Path: path, Name: s.setting.Name, Value: s.text, Op: settings.Set})
+			}
+		}
+		if len(edits) == 0 {
+			return usage("set states no setting; add one, such as --hedge-after=20ms")
+		}
+		return a.edit(&flags, edits)
+	})
+}
+
+// declareSettings adds a flag for each setting of the schema.
+func declareSettings(c *kingpin.CmdClause) []*settingFlag {
+	var out []*settingFlag
+	for _, s := range settings.Schema() {
+		f := &settingFlag{setting: s}
+		c.Flag(s.Name, settingHelp(s)).Envar(s.Env()).PlaceHolder(strings.ToUpper(s.Unit)).
+			HintOptions(s.Choices...).IsSetByUser(&f.given).StringVar(&f.text)
+		out = append(out, f)
+	}
+	return out
+}
+
+func settingHelp(s settings.Setting) string {
+	help := s.Doc
+	switch {
+	case len(s.Choices) > 0:
+		help += " One of " + strings.Join(s.Choices, ", ") + "."
+	case s.Min != "" || s.Max != "":
+		help += " From " + s.Min + " to " + s.Max + "."
+	}
+	if s.Default != "" {
+		help += " Default " + s.Default + "."
+	}
+	if s.RootOnly {
+		help += " Stated at / only."
+	}
+	return help
+}
+
+// isStated reports whether the flag or its environment variable is given.
+func (f *settingFlag) isStated() bool {
+	return f.given || os.Getenv(f.setting.Env()) != ""
+}
+
+func (a *app) declareUnset(k *kingpin.Application) {
+	var path string
+	var names []string
+	var flags changeFlags
+	c := k.Command("unset", `State settings no longer; what is inherited holds again.
+
+Example: pearmoor unset /kathmandu-valley/counter-desk hedge-after --reason="back to learned"`)
+	c.Arg("path", "The node.").Required().HintAction(a.completePath).StringVar(&path)
+	c.Arg("setting", "Names of settings.").Required().HintAction(settingNames).StringsVar(&names)
+	flags.declare(c)
+	c.Action(func(*kingpin.ParseContext) error {
+		var edits []settings.Edit
+		for _, name := range names {
+			edits = append(edits, settings.Edit{Path: path, Name: name, Op: settings.Unset})
+		}
+		return a.edit(&flags, edits)
+	})
+}
+
+func (a *app) declareRemove(k *kingpin.Application) {
+	var path string
+	var flags changeFlags
+	c := k.Command("remove", `Drop a node with all below it.
+
+Example: pearmoor remove /kathmandu-valley/old-desk --reason="closed in March"`)
+	c.Arg("path", "The node.").Required().HintAction(a.completePath).StringVar(&path)
+	flags.declare(c)
+	c.Action(func(*kingpin.ParseContext) error {
+		return a.edit(&flags, []settings.Edit{{Path: path, Op: settings.Remove}})
+	})
+}
+
+// edit makes edits on the newest tree, or on the one of --base.
+func (a *app) edit(f *changeFlags, edits []settings.Edit) error {
+	base := f.base.value
+	if !f.base.given {
+		base = 0
+	}
+	old, version, err := a.readTree(base)
+	if err != nil {
+		return err
+	}
+	return a.change(f, old, version, settings.Canonical(edits))
+}
+
+func settingNames() []string {
+	var names []string
+	for _, s := range settings.Schema() {
+		names = append(names, s.Name)
+	}
+	return names
+}
--- /dev/null
+++ b/internal/cli/exit.go
@@ -0,0 +1,64 @@
+package cli
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+
+	"pearmoor/internal/contract"
+)
+
+// The exit codes. They are part of the tool's interface: scripts rely on them.
+const (
+	ExitOK          = 0
+	ExitFailed      = 1  // a fault of the tool or its surroundings, such as an unreadable file
+	ExitUsage       = 2  // the command line itself is at fault
+	ExitInvalid     = 3  // the change was refused; nothing changed
+	ExitConflict    = 4  // another change won; nothing changed
+	ExitUnreachable = 5  // no control VM answered; nothing changed
+	ExitUnknown     = 6  // the reply to a change was lost; it may have been accepted
+	ExitUnconfirmed = 7  // accepted, and not in force everywhere within --wait
+	ExitNotRun      = 8  // a query was not run
+	ExitInDoubt     = 9  // a query may have run
+	ExitPartial     = 10 // a query was answered with less than --require-coverage
+)
+
+// exitError is an error with the exit code it stands for.
+type exitError struct {
+	code  int
+	cause error
+}
+
+// Error implements error.
+func (e *exitError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *exitError) Unwrap() error { return e.cause }
+
+func failWith(code int, format string, args ...any) error {
+	return &exitError{code: code, cause: errors.Newf(format, args...)}
+}
+
+// exitCode returns the code of err.
+func exitCode(err error) int {
+	var coded *exitError
+	var faults contract.Faults
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &coded):
+		return coded.code
+	case errors.As(err, &faults):
+		return ExitInvalid
+	}
+	return ExitFailed
+}
+
+// conflictText tells who won a race, and what to do.
+func conflictText(w winner) string {
+	if w.Version == 0 {
+		return "the tree has changed since the base version; read it again with 'pearmoor get' and repeat the command"
+	}
+	return fmt.Sprintf("change %d by %s won (%q); look at it with 'pearmoor audit --from=%d --limit=1', and repeat the command if it still applies",
+		w.Version, w.Operator, w.Reason, w.Version)
+}
--- /dev/null
+++ b/internal/cli/file.go
@@ -0,0 +1,103 @@
+package cli
+
+import (
+	"io"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
+
+	"pearmoor/internal/settings"
+)
+
+func (a *app) declareFile(k *kingpin.Application) {
+	var version uint64
+	c := k.Command("export", `Write the tree as YAML, to keep in version control. It records its version as the base for 'apply'.
+
+Example: pearmoor export > tree.yaml`)
+	c.Flag("at", "Version of the tree; 0 is the newest.").Uint64Var(&version)
+	c.Action(func(*kingpin.ParseContext) error {
+		tree, at, err := a.readTree(version)
+		if err != nil {
+			return err
+		}
+		_, err = a.out.Write(tree.ExportFileAt(at))
+		return errors.Wrap(err, "write the tree")
+	})
+
+	var file string
+	var flags changeFlags
+	c = k.Command("apply", `Make the tree as a file says. Applying a file twice changes nothing the second time.
+
+A file that 'export' wrote names the version it was made from. If the tree has
+changed since, the file would undo that unseen and is refused: export again and
+merge, or give --base with the newest version to say that you have looked.
+
+Example: pearmoor apply tree.yaml --reason="release 42"
+
+Example: pearmoor apply tree.yaml --dry-run --reason=-`)
+	c.Arg("file", "The file; - is the standard input.").Required().StringVar(&file)
+	flags.declare(c)
+	c.Action(func(*kingpin.ParseContext) error { return a.apply(file, &flags) })
+}
+
+func (a *app) apply(file string, f *changeFlags) error {
+	text, err := a.readFile(file)
+	if err != nil {
+		return err
+	}
+	wanted, err := settings.ParseFile(text)
+	if err != nil {
+		return err
+	}
+	if !f.base.given {
+		f.base.value, f.base.given, err = settings.FileBase(text)
+		if err != nil {
+			return err
+		}
+	}
+	if f.changeID != "" && f.base.given {
+		return a.applyAt(f, wanted, f.base.value)
+	}
+	now, version, err := a.readTree(0)
+	if err != nil {
+		return err
+	}
+	edits := settings.Diff(now, wanted)
+	if f.base.given && f.base.value != version && len(edits) > 0 {
+		return a.staleBase(f.base.value, version)
+	}
+	return a.change(f, now, version, edits)
+}
+
+// applyAt repeats an apply whose reply was lost: the edits must be those of the
+// first time, so they are made from the base and not from the newest tree.
+func (a *app) applyAt(f *changeFlags, wanted *settings.Tree, base uint64) error {
+	old, version, err := a.readTree(base)
+	if err != nil {
+		return err
+	}
+	return a.change(f, old, version, settings.Diff(old, wanted))
+}
+
+func (a *app) staleBase(base, newest uint64) error {
+	rec, err := a.auditRecord(base + 1)
+	if err != nil {
+		return err
+	}
+	var w winner
+	if rec != nil {
+		w = winner{Version: rec.Version, Operator: rec.Operator, Reason: rec.Reason}
+	}
+	return failWith(ExitConflict, "not applied: the file is based on version %d, the newest is %d; %s; see 'pearmoor diff %d', then export again and merge, or give --base=%d",
+		base, newest, conflictText(w), base, newest)
+}
+
+func (a *app) readFile(name string) ([]byte, error) {
+	if name == "-" {
+		text, err := io.ReadAll(io.LimitReader(a.in, settings.MaxFile+1))
+		return text, errors.Wrap(err, "read the standard input")
+	}
+	text, err := os.ReadFile(name)
+	return text, errors.Wrap(err, "read the file")
+}
--- /dev/null
+++ b/internal/cli/get.go
@@ -0,0 +1,116 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"pearmoor/internal/settings"
+)
+
+// node is one node with what it states itself, or with what holds there.
+type node struct {
+	Path   string            `json:"path"`
+	Values map[string]string `json:"values"`
+
+	order []string
+}
+
+type gotten struct {
+	Version uint64 `json:"version"`
+	Nodes   []node `json:"nodes"`
+}
+
+func (a *app) declareGet(k *kingpin.Application) {
+	var path string
+	var version uint64
+	var effective bool
+	c := k.Command("get", `Show what is stated at a node and below it.
+
+Example: pearmoor get /kathmandu-valley
+
+Example: pearmoor get /kathmandu-valley/counter-desk --effective`)
+	c.Arg("path", "The node.").Default(settings.Root).HintAction(a.completePath).StringVar(&path)
+	c.Flag("at", "Version of the tree; 0 is the newest.").Uint64Var(&version)
+	c.Flag("effective", "Show every value that holds at the node, also the inherited ones.").BoolVar(&effective)
+	c.Action(func(*kingpin.ParseContext) error {
+		tree, at, err := a.readTree(version)
+		if err != nil {
+			return err
+		}
+		nodes, err := statedNodes(tree, path)
+		if effective {
+			nodes, err = effectiveNode(tree, path)
+		}
+		if err != nil {
+			return err
+		}
+		return a.print(&gotten{Version: at, Nodes: nodes})
+	})
+}
+
+func effectiveNode(tree *settings.Tree, path string) ([]node, error) {
+	explained, err := tree.Explain(path)
+	if err != nil {
+		return nil, err
+	}
+	n := node{Path: path, Values: make(map[string]string)}
+	for _, e := range explained {
+		if !e.Obsolete {
+			n.Values[e.Name] = e.Value
+			n.order = append(n.order, e.Name)
+		}
+	}
+	return []node{n}, nil
+}
+
+// statedNodes returns the nodes at and below path that state something. What a
+// tree states is what it differs in from an empty one.
+func statedNodes(tree *settings.Tree, path string) ([]node, error) {
+	if _, ok := tree.Effective(path); !ok {
+		return nil, failWith(ExitInvalid, "there is no node %q; 'pearmoor get /' lists them", path)
+	}
+	var nodes []node
+	for _, e := range settings.Diff(settings.New(), tree) {
+		if e.Op != settings.Set || !within(e.Path, path) {
+			continue
+		}
+		if len(nodes) == 0 || nodes[len(nodes)-1].Path != e.Path {
+			nodes = append(nodes, node{Path: e.Path, Values: make(map[string]string)})
+		}
+		n := &nodes[len(nodes)-1]
+		n.Values[e.Name] = e.Value
+		n.order = append(n.order, e.Name)
+	}
+	return nodes, nil
+}
+
+// within reports whether path is at or below root.
+func within(path, root string) bool {
+	path, root = strings.Trim(path, settings.Root), strings.Trim(root, settings.Root)
+	return root == "" || path == root || strings.HasPrefix(path, root+settings.Root)
+}
+
+func allPaths(tree *settings.Tree) []string {
+	nodes, err := statedNodes(tree, settings.Root)
+	if err != nil {
+		return nil
+	}
+	paths := make([]string, len(nodes))
+	for i, n := range nodes {
+		paths[i] = n.Path
+	}
+	return paths
+}
+
+func (g *gotten) writeText(w io.Writer) {
+	fmt.Fprintf(w, "version %d\n", g.Version)
+	for _, n := range g.Nodes {
+		fmt.Fprintf(w, "%s\n", n.Path)
+		for _, name := range n.order {
+			fmt.Fprintf(w, "  %s=%s\n", name, n.Values[name])
+		}
+	}
+}
--- /dev/null
+++ b/internal/cli/group.go
@@ -0,0 +1,157 @@
+package cli
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
+
+	"pearmoor/internal/link/wire"
+)
+
+// member names a control VM to add.
+type member struct {
+	id   uint64
+	name string
+	addr string
+}
+
+func (m *member) declare(c *kingpin.CmdClause) {
+	c.Arg("id", "Its --control-id, which no control VM has ever had.").Required().Uint64Var(&m.id)
+	c.Arg("name", "Its name.").Required().StringVar(&m.name)
+	c.Arg("address", "Its peer address, host:port.").Required().StringVar(&m.addr)
+}
+
+// voterWait is how long a new control VM may take to catch up before 'replace'
+// gives up on removing the old one.
+const voterWait = time.Minute
+
+type groupChange struct {
+	Done  string      `json:"done"`
+	Group []controlVM `json:"control"`
+}
+
+func (a *app) declareGroup(k *kingpin.Application) {
+	parent := k.Command("control", "Change the control group, one VM at a time.")
+
+	var added member
+	var changeID string
+	c := parent.Command("add", `Add a control VM. It learns the log first and votes once it has caught up.
+
+Example: pearmoor control add 4 control-4 10.0.2.7:7401`)
+	added.declare(c)
+	c.Flag("change-id", "Identifies the change when it is sent again after a lost reply.").StringVar(&changeID)
+	c.Action(func(*kingpin.ParseContext) error {
+		return a.group(addRequest(added, changeID), fmt.Sprintf("control VM %d is added", added.id))
+	})
+
+	var removed uint64
+	var removeID string
+	c = parent.Command("remove", `Remove a control VM. Its id is never used again.
+
+Example: pearmoor control remove 2`)
+	c.Arg("id", "Its id.").Required().Uint64Var(&removed)
+	c.Flag("change-id", "Identifies the change when it is sent again after a lost reply.").StringVar(&removeID)
+	c.Action(func(*kingpin.ParseContext) error {
+		return a.group(removeRequest(removed, removeID), fmt.Sprintf("control VM %d is removed", removed))
+	})
+
+	var old uint64
+	var fresh member
+	var wait time.Duration
+	c = parent.Command("replace", `Replace a control VM, as after the loss of its disk: add the new one, wait until it votes, then remove the old one.
+
+Example: pearmoor control replace 2 5 control-5 10.0.2.9:7401`)
+	c.Arg("old", "Id of the control VM that goes.").Required().Uint64Var(&old)
+	fresh.declare(c)
+	c.Flag("wait", "How long the new one may take to catch up.").Default(voterWait.String()).DurationVar(&wait)
+	c.Action(func(*kingpin.ParseContext) error { return a.replace(old, fresh, wait) })
+}
+
+func addRequest(m member, changeID string) *wire.GroupRequest {
+	return &wire.GroupRequest{Op: wire.GroupOp_GROUP_ADD, Id: m.id, Name: m.name, PeerAddr: m.addr, ChangeId: orNewID(changeID)}
+}
+
+func removeRequest(id uint64, changeID string) *wire.GroupRequest {
+	return &wire.GroupRequest{Op: wire.GroupOp_GROUP_REMOVE, Id: id, ChangeId: orNewID(changeID)}
+}
+
+func orNewID(id string) string {
+	if id == "" {
+		return rand.Text()
+	}
+	return id
+}
+
+func (a *app) group(req *wire.GroupRequest, done string) error {
+	group, err := a.sendGroup(req)
+	if err != nil {
+		return err
+	}
+	return a.print(&groupChange{Done: done, Group: group})
+}
+
+func (a *app) sendGroup(req *wire.GroupRequest) ([]controlVM, error) {
+	c, err := a.connect()
+	if err != nil {
+		return nil, err
+	}
+	reply, sent, err := call(a.ctx, c, func(ctx context.Context, cc wire.DRPCControlClient) (*wire.GroupReply, error) {
+		return cc.Group(ctx, req)
+	})
+	switch {
+	case err != nil && !sent:
+		return nil, &exitError{code: ExitUnreachable, cause: errors.Wrap(err, "no control VM answered; nothing was changed")}
+	case err != nil:
+		return nil, &exitError{code: ExitUnknown, cause: errors.Wrapf(err,
+			"the outcome is not known; look at 'pearmoor status', or repeat the command with --change-id=%s", req.GetChangeId())}
+	case !reply.GetDone():
+		return nil, failWith(ExitInvalid, "not done: %s", reply.GetError())
+	}
+	return groupOf(reply.GetGroup()), nil
+}
+
+// replace adds before it removes. Removing first would leave a group of three
+// with two, where one more loss stops all changes; and a voter that has not
+// caught up would count towards a majority it can't help to form.
+func (a *app) replace(old uint64, fresh member, wait time.Duration) error {
+	if _, err := a.sendGroup(addRequest(fresh, "")); err != nil {
+		return err
+	}
+	if err := a.awaitVoter(fresh.id, wait); err != nil {
+		return err
+	}
+	return a.group(removeRequest(old, ""), fmt.Sprintf("control VM %d is replaced by %d", old, fresh.id))
+}
+
+func (a *app) awaitVoter(id uint64, wait time.Duration) error {
+	deadline := time.Now().Add(wait)
+	for {
+		reply, err := read(a, func(ctx context.Context, c wire.DRPCControlClient) (*wire.StatusReply, error) {
+			return c.Status(ctx, &wire.StatusRequest{})
+		})
+		if err != nil {
+			return err
+		}
+		for _, m := range reply.GetGroup() {
+			if m.GetId() == id && m.GetVoter() {
+				return nil
+			}
+		}
+		if time.Now().After(deadline) {
+			return failWith(ExitUnconfirmed, "control VM %d is added and did not catch up within %v; the old one is kept: once 'pearmoor status' shows %d as a voter, run 'pearmoor control remove'", id, wait, id)
+		}
+		if !sleep(a.ctx, retryPause) {
+			return a.ctx.Err()
+		}
+	}
+}
+
+func (g *groupChange) writeText(w io.Writer) {
+	fmt.Fprintln(w, g.Done)
+	writeGroup(w, g.Group)
+}
--- /dev/null
+++ b/internal/cli/inforce.go
@@ -0,0 +1,45 @@
+package cli
+
+import (
+	"context"
+	"time"
+
+	"pearmoor/internal/link/wire"
+)
+
+// inForceHold is how long a control VM may hold one answer back.
+const inForceHold = time.Second
+
+// awaitInForce asks until the version is in force everywhere or wait is over,
+// and fills in what is known then.
+func (a *app) awaitInForce(out *changed, wait time.Duration, began time.Time) error {
+	out.waited = true
+	deadline := time.Now().Add(wait)
+	for {
+		hold := max(0, min(inForceHold, time.Until(deadline)))
+		reply, err := a.inForce(out.Version, hold)
+		if err != nil {
+			return &exitError{code: ExitUnconfirmed, cause: err}
+		}
+		if reply.GetInForce() {
+			out.InForce, out.InForceMS = true, time.Since(began).Milliseconds()
+			out.Unconfirmed = nil
+			return nil
+		}
+		out.Unconfirmed = reply.GetUnconfirmed()
+		if time.Now().After(deadline) {
+			return failWith(ExitUnconfirmed, "version %d is accepted and will come into force; it was not in force everywhere within %v", out.Version, wait)
+		}
+		sleep(a.ctx, retryPause)
+		if a.ctx.Err() != nil {
+			return &exitError{code: ExitUnconfirmed, cause: a.ctx.Err()}
+		}
+	}
+}
+
+func (a *app) inForce(version uint64, hold time.Duration) (*wire.InForceReply, error) {
+	req := &wire.InForceRequest{Version: version, WaitMs: uint32(hold.Milliseconds())}
+	return read(a, func(ctx context.Context, c wire.DRPCControlClient) (*wire.InForceReply, error) {
+		return c.InForce(ctx, req)
+	})
+}
--- /dev/null
+++ b/internal/cli/load.go
@@ -0,0 +1,66 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"pearmoor/internal/load"
+)
+
+func (a *app) declareLoad(k *kingpin.Application) {
+	var conf load.Config
+	var dir string
+	c := k.Command("load", `Put open-loop load on a tier with stand-in leaves, and measure latency, coverage and the load on the leaves.
+
+Example: pearmoor load --entry=http://127.0.0.1:7400 --path=/kathmandu-valley/counter-desk --rate=200 --duration=30s --out=results`)
+	entryFlag(c, &conf.Entries)
+	c.Flag("path", "Nodes to query in turn, separated by commas.").Required().SetValue((*commaList)(&conf.Paths))
+	c.Flag("rate", "Requests a second, over all paths.").Default("50").FloatVar(&conf.Rate)
+	c.Flag("duration", "How long new requests start.").Default("10s").DurationVar(&conf.Duration)
+	c.Flag("deadline", "Deadline of each request.").Default(load.DefaultDeadline.String()).DurationVar(&conf.Deadline)
+	c.Flag("arrivals", "poisson or constant.").Default(string(load.Poisson)).EnumVar((*string)(&conf.Arrivals), string(load.Poisson), string(load.Constant))
+	c.Flag("not-repeatable", "Share of requests sent as not repeatable, 0 to 1.").FloatVar(&conf.NotRepeatable)
+	c.Flag("resend", "Share of those sent a second time under the same key, 0 to 1.").FloatVar(&conf.Resend)
+	c.Flag("callers", "Callers, each with its own address lists.").Default(fmt.Sprint(load.DefaultCallers)).IntVar(&conf.Callers)
+	c.Flag("outstanding", "Most requests under way; arrivals beyond are skipped and counted.").Default(fmt.Sprint(load.DefaultOutstanding)).IntVar(&conf.Outstanding)
+	c.Flag("window", "Width of a point in the plots.").Default(load.DefaultWindow.String()).DurationVar(&conf.Window)
+	c.Flag("seed", "Seed of the arrivals.").Default("1").Uint64Var(&conf.Seed)
+	c.Flag("standin", "Control URL of the stand-in leaves, to measure their load.").StringVar(&conf.Standin)
+	c.Flag("out", "Folder for result.json and the plots; left out: none.").StringVar(&dir)
+	c.Action(func(*kingpin.ParseContext) error { return a.load(conf, dir) })
+}
+
+func (a *app) load(conf load.Config, dir string) error {
+	ctx, stop := signal.NotifyContext(a.ctx, os.Interrupt)
+	defer stop()
+	began := time.Now()
+	result, err := load.Run(ctx, conf)
+	if err != nil {
+		return err
+	}
+	if dir != "" {
+		if err := result.WriteFiles(dir); err != nil {
+			return err
+		}
+	}
+	return a.print(&loaded{Result: result, dir: dir, took: time.Since(began)})
+}
+
+type loaded struct {
+	*load.Result
+	dir  string
+	took time.Duration
+}
+
+func (l *loaded) writeText(w io.Writer) {
+	_ = l.WriteTable(w)
+	fmt.Fprintf(w, "took %v\n", l.took.Round(time.Millisecond))
+	if l.dir != "" {
+		fmt.Fprintf(w, "results in %s\n", l.dir)
+	}
+}
--- /dev/null
+++ b/internal/cli/output.go
@@ -0,0 +1,82 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pearmoor/internal/contract"
+)
+
+// The forms of output.
+const (
+	outputText = "text"
+	outputJSON = "json"
+)
+
+// printable is what a command shows: itself as JSON, or text for people.
+type printable interface {
+	writeText(w io.Writer)
+}
+
+func (a *app) print(p printable) error {
+	if a.output == outputJSON {
+		enc := json.NewEncoder(a.out)
+		enc.SetIndent("", "  ")
+		return errors.Wrap(enc.Encode(p), "write output")
+	}
+	p.writeText(a.out)
+	return nil
+}
+
+// failure is an error in the JSON form.
+type failure struct {
+	Error  string           `json:"error"`
+	Exit   int              `json:"exit"`
+	Faults []contract.Fault `json:"faults,omitempty"`
+}
+
+// report writes an error: to the error output as text, or as JSON to the output.
+func (a *app) report(err error) {
+	var faults contract.Faults
+	_ = errors.As(err, &faults)
+	if a.output == outputJSON {
+		enc := json.NewEncoder(a.out)
+		enc.SetIndent("", "  ")
+		_ = enc.Encode(failure{Error: err.Error(), Exit: exitCode(err), Faults: faults})
+		return
+	}
+	fmt.Fprintf(a.errOut, "pearmoor: %s\n", strings.ReplaceAll(err.Error(), "\n", "\n  "))
+}
+
+// table writes aligned columns, or nothing for no rows.
+func table(w io.Writer, header string, rows [][]string) {
+	if len(rows) == 0 {
+		return
+	}
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(tw, strings.ReplaceAll(header, "|", "\t"))
+	for _, row := range rows {
+		fmt.Fprintln(tw, strings.Join(row, "\t"))
+	}
+	_ = tw.Flush()
+}
+
+func showTime(unixMS int64) string {
+	if unixMS == 0 {
+		return "-"
+	}
+	return time.UnixMilli(unixMS).Format(time.DateTime)
+}
+
+func plural(n int, one string) string {
+	if n == 1 {
+		return "1 " + one
+	}
+	return fmt.Sprintf("%d %ss", n, one)
+}
--- /dev/null
+++ b/internal/cli/query.go
@@ -0,0 +1,266 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
+
+	"pearmoor/internal/contract"
+)
+
+// maxShownHits and maxShownMissing bound what is printed as text.
+const (
+	maxShownHits    = 20
+	maxShownMissing = 20
+	maxShownData    = 80 // characters of a hit's data
+)
+
+// queryFlags make up a request.
+type queryFlags struct {
+	entries    []string
+	path       string
+	body       string
+	deadline   time.Duration
+	limit      int
+	once       bool
+	key        string
+	session    string
+	minCover   float64
+	earlyGiven bool
+	require    float64
+}
+
+func (a *app) declareQuery(k *kingpin.Application) {
+	var f queryFlags
+	c := k.Command("query", `Ask a query as a caller would: get the addresses for the path, then query the first that answers.
+
+Example: pearmoor query --entry=http://10.0.0.5:7400 /kathmandu-valley/counter-desk --body='{"q":"letter"}' --limit=3`)
+	entryFlag(c, &f.entries)
+	c.Arg("path", "A query service, or a node above several.").Required().StringVar(&f.path)
+	c.Flag("body", "What the targets are asked, as JSON; - reads the standard input.").Required().StringVar(&f.body)
+	c.Flag("deadline", "The request's deadline; left out, the tree's deadline-default.").DurationVar(&f.deadline)
+	c.Flag("limit", "Most hits wanted; 0 is all.").IntVar(&f.limit)
+	c.Flag("once", "Send it as not repeatable: it runs at most once.").BoolVar(&f.once)
+	c.Flag("key", "Request key of --once; the same key on a resend. Left out: a new one.").StringVar(&f.key)
+	c.Flag("session", "Session of --once; needed, with --key, to resend. Left out: a new one.").StringVar(&f.session)
+	c.Flag("min-coverage", "Accept an early answer from this coverage on, 0 to 1, where the tree allows it.").IsSetByUser(&f.earlyGiven).FloatVar(&f.minCover)
+	c.Flag("require-coverage", "Exit with 10 if the answer covers less than this, 0 to 1.").FloatVar(&f.require)
+	c.Action(func(*kingpin.ParseContext) error { return a.query(&f) })
+
+	var entries []string
+	var path string
+	c = k.Command("addresses", `Show which entry addresses a caller of a path is told to use, and for how long.
+
+Example: pearmoor addresses --entry=http://10.0.0.5:7400 /kathmandu-valley/counter-desk`)
+	entryFlag(c, &entries)
+	c.Arg("path", "A query service, or a node above several.").Required().StringVar(&path)
+	c.Action(func(*kingpin.ParseContext) error {
+		list, err := a.askAddresses(newCaller(a.timeout), entries, path)
+		if err != nil {
+			return err
+		}
+		return a.print((*addressList)(list))
+	})
+}
+
+func entryFlag(c *kingpin.CmdClause, entries *[]string) {
+	c.Flag("entry", "Base URLs of daemons to ask for addresses, separated by commas.").Required().
+		Envar("PEARMOOR_ENTRIES").SetValue((*commaList)(entries))
+}
+
+// askAddresses asks the entries in turn.
+func (a *app) askAddresses(c *caller, entries []string, path string) (*contract.Addresses, error) {
+	var last error
+	for _, e := range entries {
+		list, err := c.addresses(a.ctx, e, path)
+		if err == nil {
+			return list, nil
+		}
+		last = err
+	}
+	return nil, queryError(last, nil)
+}
+
+func (f *queryFlags) request(in io.Reader) (*contract.Request, error) {
+	raw := []byte(f.body)
+	if f.body == "-" {
+		var err error
+		if raw, err = io.ReadAll(in); err != nil {
+			return nil, errors.Wrap(err, "read the standard input")
+		}
+	}
+	if !json.Valid(raw) {
+		return nil, usage("--body is not JSON")
+	}
+	r := &contract.Request{Path: f.path, Body: raw, DeadlineMS: f.deadline.Milliseconds(), Limit: f.limit}
+	if f.earlyGiven {
+		r.MinCoverage = &f.minCover
+	}
+	if f.once {
+		repeatable := false
+		r.Repeatable, r.Key, r.Session = &repeatable, orNewID(f.key), f.session
+	}
+	return r, nil
+}
+
+func (a *app) query(f *queryFlags) error {
+	r, err := f.request(a.in)
+	if err != nil {
+		return err
+	}
+	c := newCaller(a.timeout)
+	list, err := a.askAddresses(c, f.entries, f.path)
+	if err != nil {
+		return err
+	}
+	if f.once && r.Session == "" {
+		r.Session = list.Session
+	}
+	answer, err := tryAddresses(a.ctx, c, list.Addresses, r)
+	if err != nil {
+		return queryError(err, r)
+	}
+	if err := a.print(&answered{Answer: answer, limited: r.Limit > 0}); err != nil {
+		return err
+	}
+	if got := answer.Coverage.Fraction(); got < f.require {
+		return failWith(ExitPartial, "the answer covers %.1f%%, less than --require-coverage", 100*got)
+	}
+	return nil
+}
+
+// tryAddresses goes down the list while it is certain that the request was not
+// run, or while running it again does no harm.
+func tryAddresses(ctx context.Context, c *caller, list []contract.Address, r *contract.Request) (*contract.Answer, error) {
+	err := error(failWith(ExitNotRun, "the list of addresses is empty"))
+	verdict := contract.NotRun
+	for _, address := range list {
+		var answer *contract.Answer
+		answer, err = c.query(ctx, address.URL, r)
+		if err == nil {
+			return answer, nil
+		}
+		verdict = verdict.Join(verdictOf(err))
+		if final(err) || verdict != contract.NotRun && !r.IsRepeatable() {
+			break
+		}
+	}
+	return nil, &exitError{code: verdictExit(verdict), cause: err}
+}
+
+// final reports whether every other daemon would refuse the request as well.
+func final(err error) bool {
+	var refused *refusal
+	if !errors.As(err, &refused) {
+		return false
+	}
+	return refused.Reason == contract.ReasonInvalid || refused.Reason == contract.ReasonUnknownPath
+}
+
+func verdictExit(v contract.Verdict) int {
+	if v == contract.NotRun {
+		return ExitNotRun
+	}
+	return ExitInDoubt
+}
+
+// queryError tells the verdict, and how to resend without running twice.
+func queryError(err error, r *contract.Request) error {
+	code := verdictExit(verdictOf(err))
+	var coded *exitError
+	if errors.As(err, &coded) {
+		code = coded.code
+	}
+	verdict := "the request was not run"
+	if code == ExitInDoubt {
+		verdict = "the request may have run"
+		if r != nil && !r.IsRepeatable() {
+			verdict += fmt.Sprintf("; learn its outcome with --key=%s --session=%s", r.Key, r.Session)
+		}
+	}
+	return &exitError{code: code, cause: errors.Wrap(err, verdict)}
+}
+
+type addressList contract.Addresses
+
+func (l *addressList) writeText(w io.Writer) {
+	fmt.Fprintf(w, "%s: keep this list for %.1f s\n", l.Service, float64(l.LifetimeMS)/1000)
+	rows := make([][]string, len(l.Addresses))
+	for i, a := range l.Addresses {
+		rows[i] = []string{a.URL, a.VM, a.Domain}
+	}
+	table(w, "ADDRESS|VM|DOMAIN", rows)
+}
+
+type answered struct {
+	*contract.Answer
+	limited bool
+}
+
+func (a *answered) writeText(w io.Writer) {
+	fmt.Fprintf(w, "request %s: %s, answered by %s in %.1f ms at configuration %d\n",
+		a.RequestID, a.Verdict, a.ServedBy, a.ElapsedMS, a.ConfigVersion)
+	early := ""
+	if a.Early {
+		early = ", early"
+	}
+	fmt.Fprintf(w, "coverage %d of %d shards (%.1f%%)%s\n", a.Coverage.Answered, a.Coverage.Total, 100*a.Coverage.Fraction(), early)
+	a.writeVersions(w)
+	a.writeMissing(w)
+	a.writeHits(w)
+}
+
+// writeVersions names the index version once where all services have the same.
+func (a *answered) writeVersions(w io.Writer) {
+	var services []string
+	versions := make(map[uint64]bool)
+	for service, v := range a.IndexVersions {
+		services = append(services, service)
+		versions[v] = true
+	}
+	slices.Sort(services)
+	if len(versions) == 1 {
+		fmt.Fprintf(w, "index version %d over %s\n", a.IndexVersions[services[0]], plural(len(services), "service"))
+		return
+	}
+	for _, service := range services {
+		fmt.Fprintf(w, "index version %d of %s\n", a.IndexVersions[service], service)
+	}
+}
+
+func (a *answered) writeMissing(w io.Writer) {
+	var rows [][]string
+	for _, m := range a.Coverage.Missing[:min(len(a.Coverage.Missing), maxShownMissing)] {
+		rows = append(rows, []string{m.Service, fmt.Sprint(m.Shard), string(m.Reason), m.Verdict.String()})
+	}
+	table(w, "MISSING|SHARD|REASON|VERDICT", rows)
+	if more := len(a.Coverage.Missing) - len(rows); more > 0 {
+		fmt.Fprintf(w, "and %d more\n", more)
+	}
+}
+
+func (a *answered) writeHits(w io.Writer) {
+	fmt.Fprintln(w, plural(len(a.Hits), "hit"))
+	var rows [][]string
+	for _, h := range a.Hits[:min(len(a.Hits), maxShownHits)] {
+		rows = append(rows, []string{h.ID, fmt.Sprintf("%.4g", h.Score), h.Service, fmt.Sprint(h.Shard), shorten(string(h.Data))})
+	}
+	table(w, "HIT|SCORE|SERVICE|SHARD|DATA", rows)
+	if more := len(a.Hits) - len(rows); more > 0 {
+		fmt.Fprintf(w, "and %d more; --output=json shows all\n", more)
+	}
+}
+
+func shorten(s string) string {
+	runes := []rune(s)
+	if len(runes) <= maxShownData {
+		return s
+	}
+	return string(runes[:maxShownData]) + "..."
+}
--- /dev/null
+++ b/internal/cli/status.go
@@ -0,0 +1,166 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"pearmoor/internal/link/wire"
+	"pearmoor/internal/vm"
+)
+
+// controlVM is one member of the control group.
+type controlVM struct {
+	ID       uint64 `json:"id"`
+	Name     string `json:"name"`
+	PeerAddr string `json:"peer_addr"`
+	Voter    bool   `json:"voter"`
+	Leader   bool   `json:"leader"`
+	Match    uint64 `json:"match_index"` // last log entry known to be on its disk
+}
+
+// daemonState is one daemon as the leader sees it.
+type daemonState struct {
+	Name       string `json:"name"`
+	Domain     string `json:"domain"`
+	Region     string `json:"region"`
+	PeerAddr   string `json:"peer_addr"`
+	CallerAddr string `json:"caller_addr,omitempty"`
+	Phase      string `json:"phase"`
+	Config     uint64 `json:"config_version"`
+	Epoch      uint64 `json:"acked_epoch"`
+	LeaseMS    uint32 `json:"lease_left_ms"`
+}
+
+type status struct {
+	Term    uint64        `json:"term"`
+	Commit  uint64        `json:"commit"`
+	Config  uint64        `json:"config_version"`
+	Settled uint64        `json:"settled_epoch"`
+	Pending uint64        `json:"pending_epoch,omitempty"`
+	Group   []controlVM   `json:"control"`
+	Daemons []daemonState `json:"daemons"`
+	Behind  []string      `json:"unconfirmed"` // daemons that have not confirmed the newest version
+	InForce bool          `json:"in_force"`    // the newest version is in force everywhere
+}
+
+func (a *app) declareStatus(k *kingpin.Application) {
+	c := k.Command("status", `Show the control group, the daemons, and whether the newest version is in force everywhere.
+
+Example: pearmoor status`)
+	c.Action(func(*kingpin.ParseContext) error { return a.status() })
+}
+
+func (a *app) status() error {
+	reply, err := read(a, func(ctx context.Context, c wire.DRPCControlClient) (*wire.StatusReply, error) {
+		return c.Status(ctx, &wire.StatusRequest{})
+	})
+	if err != nil {
+		return err
+	}
+	force, err := a.inForce(reply.GetConfigVersion(), 0)
+	if err != nil {
+		return err
+	}
+	out := &status{
+		Term:    reply.GetTerm(),
+		Commit:  reply.GetCommit(),
+		Config:  reply.GetConfigVersion(),
+		Settled: reply.GetSettledEpoch(),
+		Pending: reply.GetPendingEpoch(),
+		Group:   groupOf(reply.GetGroup()),
+		Behind:  force.GetUnconfirmed(),
+		InForce: force.GetInForce(),
+	}
+	for _, d := range reply.GetDaemons() {
+		out.Daemons = append(out.Daemons, newDaemonState(d))
+	}
+	return a.print(out)
+}
+
+func groupOf(ws []*wire.ControlVm) []controlVM {
+	out := make([]controlVM, len(ws))
+	for i, w := range ws {
+		out[i] = controlVM{
+			ID:       w.GetId(),
+			Name:     w.GetName(),
+			PeerAddr: w.GetPeerAddr(),
+			Voter:    w.GetVoter(),
+			Leader:   w.GetLeader(),
+			Match:    w.GetMatchIndex(),
+		}
+	}
+	return out
+}
+
+var phaseNames = map[vm.Phase]string{vm.Starting: "starting", vm.Serving: "serving", vm.Draining: "draining", vm.Gone: "gone"}
+
+func newDaemonState(d *wire.DaemonStatus) daemonState {
+	m := vm.FromWire(d.GetVm())
+	return daemonState{
+		Name:       m.Name,
+		Domain:     m.Domain,
+		Region:     m.Region,
+		PeerAddr:   m.PeerAddr,
+		CallerAddr: m.CallerAddr,
+		Phase:      phaseNames[m.Phase],
+		Config:     d.GetConfigVersion(),
+		Epoch:      d.GetAckedEpoch(),
+		LeaseMS:    d.GetLeaseLeftMs(),
+	}
+}
+
+func (s *status) writeText(w io.Writer) {
+	fmt.Fprintf(w, "configuration %d, %s\n", s.Config, s.inForceText())
+	fmt.Fprintf(w, "membership epoch %d%s\n", s.Settled, s.pendingText())
+	fmt.Fprintf(w, "control group in term %d, %d entries agreed\n\n", s.Term, s.Commit)
+	writeGroup(w, s.Group)
+	fmt.Fprintln(w)
+	rows := make([][]string, len(s.Daemons))
+	for i, d := range s.Daemons {
+		rows[i] = []string{d.Name, d.Domain, d.Phase, fmt.Sprint(d.Config), fmt.Sprint(d.Epoch), leaseText(d.LeaseMS), orDash(d.CallerAddr)}
+	}
+	table(w, "DAEMON|DOMAIN|PHASE|CONFIGURATION|EPOCH|LEASE LEFT|CALLERS USE", rows)
+}
+
+func (s *status) inForceText() string {
+	switch {
+	case s.InForce:
+		return "in force everywhere"
+	case len(s.Behind) > 0:
+		return "not yet in force on " + strings.Join(s.Behind, ", ")
+	}
+	return "not yet in force everywhere"
+}
+
+func (s *status) pendingText() string {
+	if s.Pending == 0 {
+		return ""
+	}
+	return fmt.Sprintf(", %d pending", s.Pending)
+}
+
+func leaseText(ms uint32) string {
+	if ms == 0 {
+		return "none"
+	}
+	return fmt.Sprintf("%.1f s", float64(ms)/1000)
+}
+
+func writeGroup(w io.Writer, group []controlVM) {
+	rows := make([][]string, len(group))
+	for i, m := range group {
+		role := "learner"
+		if m.Voter {
+			role = "voter"
+		}
+		if m.Leader {
+			role = "leader"
+		}
+		rows[i] = []string{fmt.Sprint(m.ID), m.Name, m.PeerAddr, role, fmt.Sprint(m.Match)}
+	}
+	table(w, "CONTROL VM|NAME|ADDRESS|ROLE|LOG", rows)
+}
--- /dev/null
+++ b/internal/cli/trail.go
@@ -0,0 +1,213 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"pearmoor/internal/link/wire"
+	"pearmoor/internal/settings"
+)
+
+// auditPage is how many records are asked for at once.
+const auditPage = 200
+
+// record is one accepted change.
+type record struct {
+	Version    uint64          `json:"version"`
+	Base       uint64          `json:"base_version"`
+	ChangeID   string          `json:"change_id"`
+	Operator   string          `json:"operator"`
+	Verified   bool            `json:"verified"` // a certificate vouches for the operator's name
+	Reason     string          `json:"reason"`
+	AcceptedMS int64           `json:"accepted_unix_ms"`
+	InForceMS  int64           `json:"in_force_unix_ms,omitempty"` // 0: not yet in force everywhere
+	Edits      []settings.Edit `json:"edits"`
+	Before     []settings.Edit `json:"before"` // the edits that would undo it
+}
+
+func newRecord(w *wire.AuditRecord) record {
+	return record{
+		Version:    w.GetVersion(),
+		Base:       w.GetBaseVersion(),
+		ChangeID:   w.GetChangeId(),
+		Operator:   w.GetOperator(),
+		Verified:   !w.GetUnauthenticated(),
+		Reason:     w.GetReason(),
+		AcceptedMS: w.GetAcceptedUnixMs(),
+		InForceMS:  w.GetInForceUnixMs(),
+		Edits:      settings.EditsFromWire(w.GetEdits()),
+		Before:     settings.EditsFromWire(w.GetBefore()),
+	}
+}
+
+func (r *record) touches(path string) bool {
+	for _, e := range r.Edits {
+		if within(e.Path, path) || e.Op == settings.Remove && within(path, e.Path) {
+			return true
+		}
+	}
+	return false
+}
+
+// auditPageFrom returns records: from a version on, or the newest first if from is 0.
+func (a *app) auditPageFrom(from uint64, limit uint32) ([]record, error) {
+	reply, err := read(a, func(ctx context.Context, c wire.DRPCControlClient) (*wire.AuditReply, error) {
+		return c.Audit(ctx, &wire.AuditRequest{FromVersion: from, Limit: limit})
+	})
+	if err != nil {
+		return nil, err
+	}
+	out := make([]record, len(reply.GetRecords()))
+	for i, r := range reply.GetRecords() {
+		out[i] = newRecord(r)
+	}
+	return out, nil
+}
+
+// auditRecord returns the record of one change, nil if it is not kept any more.
+func (a *app) auditRecord(version uint64) (*record, error) {
+	records, err := a.auditPageFrom(version, 1)
+	if err != nil || len(records) == 0 || records[0].Version != version {
+		return nil, err
+	}
+	return &records[0], nil
+}
+
+type trail struct {
+	Records []record `json:"records"`
+	detail  bool
+}
+
+// trailFlags choose records.
+type trailFlags struct {
+	path     string
+	operator string
+	from     uint64
+	limit    int
+}
+
+func (a *app) declareTrail(k *kingpin.Application) {
+	var f trailFlags
+	c := k.Command("history", `List the changes of a node and what is below it, the newest first.
+
+Example: pearmoor history /kathmandu-valley/counter-desk`)
+	c.Arg("path", "The node.").Default(settings.Root).HintAction(a.completePath).StringVar(&f.path)
+	c.Flag("limit", "Most changes listed.").Default("20").IntVar(&f.limit)
+	c.Action(func(*kingpin.ParseContext) error { return a.trail(f, false) })
+
+	var d trailFlags
+	c = k.Command("audit", `Show the audit trail: who changed what, from which value to which, when, why, and when it was in force everywhere.
+
+Example: pearmoor audit --limit=5
+
+Example: pearmoor audit --from=120 --by=asha --output=json`)
+	c.Flag("path", "Changes at this node and below it only.").Default(settings.Root).StringVar(&d.path)
+	c.Flag("by", "Changes of this operator only.").StringVar(&d.operator)
+	c.Flag("from", "First version shown, upwards; left out: the newest first.").Uint64Var(&d.from)
+	c.Flag("limit", "Most changes shown.").Default("20").IntVar(&d.limit)
+	c.Action(func(*kingpin.ParseContext) error { return a.trail(d, true) })
+}
+
+func (a *app) trail(f trailFlags, detail bool) error {
+	if f.limit <= 0 {
+		return usage("--limit is 1 or more")
+	}
+	out := &trail{detail: detail, Records: []record{}}
+	var err error
+	if f.from > 0 {
+		err = a.upwards(f, out)
+	} else {
+		err = a.downwards(f, out)
+	}
+	if err != nil {
+		return err
+	}
+	return a.print(out)
+}
+
+func (f *trailFlags) add(out *trail, records []record) (full bool) {
+	for _, r := range records {
+		if len(out.Records) == f.limit {
+			return true
+		}
+		if r.touches(f.path) && (f.operator == "" || r.Operator == f.operator) {
+			out.Records = append(out.Records, r)
+		}
+	}
+	return len(out.Records) == f.limit
+}
+
+func (a *app) upwards(f trailFlags, out *trail) error {
+	for from := f.from; ; {
+		records, err := a.auditPageFrom(from, auditPage)
+		if err != nil || len(records) == 0 || f.add(out, records) {
+			return err
+		}
+		from = records[len(records)-1].Version + 1
+	}
+}
+
+// downwards pages from the newest change back. Only the first page can be asked
+// for newest first; the ones before it are read upwards and turned round.
+func (a *app) downwards(f trailFlags, out *trail) error {
+	records, err := a.auditPageFrom(0, auditPage)
+	for {
+		if err != nil || len(records) == 0 || f.add(out, records) {
+			return err
+		}
+		oldest := records[len(records)-1].Version
+		if oldest <= 1 {
+			return nil
+		}
+		records, err = a.pageBefore(oldest)
+	}
+}
+
+func (a *app) pageBefore(version uint64) ([]record, error) {
+	from, limit := uint64(1), version-1
+	if limit > auditPage {
+		from, limit = version-auditPage, auditPage
+	}
+	page, err := a.auditPageFrom(from, uint32(limit))
+	var out []record
+	for i := len(page) - 1; i >= 0; i-- {
+		if page[i].Version < version {
+			out = append(out, page[i])
+		}
+	}
+	return out, err
+}
+
+func (t *trail) writeText(w io.Writer) {
+	if t.detail {
+		for i := range t.Records {
+			t.Records[i].writeDetail(w)
+		}
+		return
+	}
+	rows := make([][]string, len(t.Records))
+	for i, r := range t.Records {
+		rows[i] = []string{fmt.Sprint(r.Version), showTime(r.AcceptedMS), showOperator(r.Operator, r.Verified),
+			plural(len(r.Edits), "edit"), r.Reason}
+	}
+	table(w, "VERSION|WHEN|BY|WHAT|WHY", rows)
+}
+
+func (r *record) writeDetail(w io.Writer) {
+	fmt.Fprintf(w, "version %d by %s, %s\n", r.Version, showOperator(r.Operator, r.Verified), showTime(r.AcceptedMS))
+	fmt.Fprintf(w, "  why: %s\n", r.Reason)
+	if r.InForceMS > 0 {
+		fmt.Fprintf(w, "  in force everywhere after %d ms\n", r.InForceMS-r.AcceptedMS)
+	} else {
+		fmt.Fprintln(w, "  not yet in force everywhere")
+	}
+	for _, e := range r.Edits {
+		fmt.Fprintf(w, "  %s\n", showEdit(e))
+	}
+	for _, e := range r.Before {
+		fmt.Fprintf(w, "  undone by: %s\n", showEdit(e))
+	}
+}
--- a/internal/link/peer/authorize.go
+++ b/internal/link/peer/authorize.go
@@ -4,8 +4,16 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+	"storj.io/drpc/drpcerr"
 )
 
+// codeDenied marks, on the wire, a call refused for the caller's certificate.
+const codeDenied = 4031
+
+// Denied reports whether the other side refused a call for the kind of this
+// side's certificate. Another process of the tier would refuse it as well.
+func Denied(err error) bool { return drpcerr.Code(err) == codeDenied }
+
 // rpcKinds says which kind of certificate each drpc service is open to. A
 // service that is not listed is closed to everybody.
 var rpcKinds = map[string]Kind{
@@ -22,10 +30,11 @@
 	service := rpc[:strings.LastIndexByte(rpc, '/')+1]
 	want, known := rpcKinds[service]
 	if !known {
-		return errors.Newf("peer: unknown call %q", rpc)
+		return drpcerr.WithCode(errors.Newf("peer: unknown call %q", rpc), codeDenied)
 	}
 	if id.Kind != want {
-		return errors.Newf("peer: %s is open to a certificate of kind %s; %q is of kind %s", rpc, want, id.Name, id.Kind)
+		err := errors.Newf("peer: %s is open to a certificate of kind %s; %q is of kind %s", rpc, want, id.Name, id.Kind)
+		return drpcerr.WithCode(err, codeDenied)
 	}
 	return nil
 }
--- a/internal/link/peer/peer_test.go
+++ b/internal/link/peer/peer_test.go
@@ -152,6 +152,7 @@
 			defer pool.Close()
 			_, err := read(pool, server.addr)
 			So(err, ShouldNotBeNil)
+			So(Denied(err), ShouldBeTrue)
 			So(err.Error(), ShouldContainSubstring, `"e1" is of kind vm`)
 		})
 
