--- a/internal/quorum/chaos_test.go
+++ b/internal/quorum/chaos_test.go
@@ -31,6 +31,8 @@
 			"elect":    w.actElect,
 			"network":  w.actNetwork,
 			"cut":      w.actCut,
+			"split":    w.actSplit,
+			"deliver":  w.actDeliver,
 			"propose":  w.actPropose,
 			"read":     w.actRead,
 			"crash":    w.actCrash,
@@ -83,6 +85,7 @@
 func (w *world) actNetwork(t *rapid.T) {
 	w.loss = rapid.SampledFrom([]float64{0, 0, 0.1, 0.4}).Draw(t, "loss")
 	w.repeat = rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "repeat")
+	w.eager = rapid.SampledFrom([]float64{0, 0.5}).Draw(t, "eager")
 	w.delay = rapid.SampledFrom([]float64{0, 0.3, 0.8}).Draw(t, "delay")
 }
 
@@ -98,6 +101,28 @@
 	}
 }
 
+// actSplit parts the VMs into two sides that can't reach each other.
+func (w *world) actSplit(t *rapid.T) {
+	side := rapid.Uint64().Draw(t, "side")
+	for i, a := range w.sorted() {
+		for j, b := range w.sorted() {
+			w.cut[[2]uint64{a.disk, b.disk}] = side>>i&1 != side>>j&1
+		}
+	}
+}
+
+// actDeliver hands over some messages while no clock goes on.
+func (w *world) actDeliver(t *rapid.T) {
+	for range rapid.IntRange(1, 10).Draw(t, "n") {
+		if n := len(w.wire); n > 0 {
+			i := w.rng.IntN(n)
+			b := w.wire[i]
+			w.wire = append(w.wire[:i], w.wire[i+1:]...)
+			w.handOver(b)
+		}
+	}
+}
+
 func (w *world) actPropose(t *rapid.T) {
 	h := w.pickLeader(t)
 	for range rapid.IntRange(1, 8).Draw(t, "n") {
--- /dev/null
+++ b/internal/quorum/fuzz_test.go
@@ -0,0 +1,46 @@
+package quorum
+
+import (
+	"testing"
+
+	"pearmoor/internal/quorum/quorumpb"
+)
+
+// Whatever bytes come from outside, a machine refuses or takes them without
+// failing, keeps what it committed and never goes back to an older term.
+func FuzzStep(f *testing.F) {
+	for kind := range quorumpb.Kind_name {
+		msg := &Message{
+			Kind: quorumpb.Kind(kind), From: 2, FromDisk: 1002, To: 1, ToDisk: 1001, Term: 2, Index: 1, LogTerm: 1,
+			Entries: []*Entry{{Index: 2, Term: 2, Data: command(0, 1, 0)}}, Commit: 2, HintIndex: 1, Round: 1, SentTick: 1,
+			Snapshot: &Snapshot{Index: 9, Term: 2, Conf: &Conf{Members: []*Member{{Id: 1, Disk: 1001}}, MaxId: 1}}, LastPiece: true,
+		}
+		b, err := Encode(msg)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b, b)
+	}
+	f.Fuzz(func(t *testing.T, one, two []byte) {
+		c := newCluster(t, 1, 3)
+		c.rounds(40)
+		for _, h := range c.up() {
+			for _, b := range [][]byte{one, two} {
+				msg, err := Decode(b)
+				if err != nil {
+					continue
+				}
+				term, commit := h.m.hard.Term, h.m.log.commit
+				_ = h.m.Step(msg)
+				h.m.Tick()
+				for h.m.HasReady() {
+					h.m.Ready()
+					h.m.Advance()
+				}
+				if h.m.hard.Term < term || h.m.log.commit < commit {
+					t.Fatalf("term %d to %d, commit %d to %d", term, h.m.hard.Term, commit, h.m.log.commit)
+				}
+			}
+		}
+	})
+}
