--- /dev/null
+++ b/internal/control/duties_test.go
@@ -0,0 +1,160 @@
+package control
+
+import (
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"pearmoor/internal/link/wire"
+	"pearmoor/internal/vm"
+)
+
+// skipClock is the real clock plus the time that a test has skipped.
+type skipClock struct{ skipped atomic.Int64 }
+
+func (c *skipClock) now() vm.Instant { return vm.Now().Add(time.Duration(c.skipped.Load())) }
+
+func (c *skipClock) skip(d time.Duration) { c.skipped.Add(int64(d)) }
+
+// fakeDaemon heartbeats by hand.
+type fakeDaemon struct {
+	c   *client
+	req *wire.SyncRequest
+}
+
+func newFakeDaemon(c *client, name string) *fakeDaemon {
+	return &fakeDaemon{c, &wire.SyncRequest{Heartbeats: []*wire.Heartbeat{{Vm: serving(name, 1)}}}}
+}
+
+// beat syncs once. It takes the epochs of the reply as known, and acknowledges
+// and confirms them if follow is set.
+func (d *fakeDaemon) beat(follow bool) *wire.SyncReply {
+	d.c.t.Helper()
+	var r *wire.SyncReply
+	eventually(d.c.t, "an answer from the leader", func() bool {
+		var err error
+		r, err = d.c.spread().Sync(callCtx(d.c.t), d.req)
+		return err == nil && r.Redirect == "" && (r.Granted || len(r.Refused) > 0)
+	})
+	if follow {
+		hb := d.req.Heartbeats[0]
+		hb.AckedEpoch, hb.ConfigVersion = max(r.PendingEpoch, r.SettledEpoch), r.ConfigVersion
+	}
+	return r
+}
+
+// settle beats until both daemons are settled members and holds no epoch pending.
+func settle(t *testing.T, ds ...*fakeDaemon) uint64 {
+	t.Helper()
+	var last *wire.SyncReply
+	eventually(t, "the epoch settles", func() bool {
+		for _, d := range ds {
+			last = d.beat(true)
+		}
+		members := 0
+		for _, u := range last.Settled.GetUpserts() {
+			if u.Phase == uint32(vm.Serving) {
+				members++
+			}
+		}
+		return last.PendingEpoch == 0 && members == len(ds)
+	})
+	return last.SettledEpoch
+}
+
+// stays holds that ok is true for a while: long enough for many rounds of the
+// leader's duties.
+func stays(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(250 * time.Millisecond); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if !ok() {
+			t.Fatalf("no longer: %s", what)
+		}
+	}
+}
+
+func TestEpochsWaitForAcksAndLeases(t *testing.T) {
+	Convey("Given a control VM and two daemons that are settled members", t, func() {
+		clock := &skipClock{}
+		v := startVM(t, Config{ID: 1, Name: "ctl-1", DataDir: t.TempDir(), Bootstrap: true, Clock: clock.now}, listen(t, "127.0.0.1:0"))
+		Reset(func() { v.stop() })
+		eventually(t, "it leads", v.leads)
+		c := dialVM(t, v)
+		a, b := newFakeDaemon(c, "a"), newFakeDaemon(c, "b")
+		epoch := settle(t, a, b)
+		lease := v.node.view().lease
+
+		// b is cut off without a word. Until its lease has run out it may still be
+		// sending to leaves; and a's own requests may not yet fit the shares that
+		// the next epoch gives it.
+		Convey("the silent one's share moves on only after its lease, and only once the other has acknowledged", func() {
+			clock.skip(lease - time.Second)
+			stays(t, "b is a member", func() bool {
+				r := a.beat(true)
+				return r.SettledEpoch == epoch && r.PendingEpoch == 0
+			})
+			clock.skip(time.Second)
+			eventually(t, "an epoch without b is pending", func() bool { return a.beat(false).PendingEpoch > epoch })
+			stays(t, "it is not settled", func() bool { return a.beat(false).SettledEpoch == epoch })
+			a.beat(true)
+			eventually(t, "it settles", func() bool { return a.beat(true).SettledEpoch > epoch })
+		})
+
+		// The control VM restarts right after b fell silent. The new leader does
+		// not know when b's lease was granted, so it has to assume the latest.
+		Convey("a new leader waits for every lease that its predecessor may have granted", func() {
+			v = v.restart()
+			eventually(t, "it leads again", v.leads)
+			c = dialVM(t, v)
+			a.c = c
+			r := c.change("x", 0, "deadline-max", "3s")
+			So(r.Outcome, ShouldEqual, wire.Outcome_ACCEPTED)
+			clock.skip(lease - time.Second)
+			stays(t, "b is a member and holds the change up", func() bool {
+				r := a.beat(true)
+				f, err := c.control().InForce(callCtx(t), &wire.InForceRequest{Version: 1})
+				return r.SettledEpoch == epoch && r.PendingEpoch == 0 && r.InForce == 0 &&
+					err == nil && !f.InForce && len(f.Unconfirmed) > 0 && f.Unconfirmed[len(f.Unconfirmed)-1] == "b"
+			})
+			clock.skip(2 * time.Second)
+			eventually(t, "b leaves and the change is in force", func() bool {
+				r := a.beat(true)
+				return r.SettledEpoch > epoch && r.InForce == 1
+			})
+			f, err := c.control().InForce(callCtx(t), &wire.InForceRequest{Version: 1})
+			So(err, ShouldBeNil)
+			So(f.InForceUnixMs, ShouldBeGreaterThan, 0)
+		})
+
+		// b stops in good order: it has said that it is gone, so nothing waits for
+		// its lease.
+		Convey("a daemon that says it is gone frees its share without waiting for its lease", func() {
+			b.req.Heartbeats[0].Vm.Phase = uint32(vm.Gone)
+			_, err := c.spread().Sync(callCtx(t), b.req)
+			So(err, ShouldBeNil)
+			eventually(t, "an epoch without b settles", func() bool { return a.beat(true).SettledEpoch > epoch })
+			So(time.Duration(clock.skipped.Load()), ShouldEqual, 0)
+		})
+
+		// b is restarted under its name at once. Its old run's requests may still be
+		// with the leaves.
+		Convey("a restarted daemon gets its share back only after its old run's lease", func() {
+			b.req.Heartbeats[0].Vm.Incarnation = 2
+			eventually(t, "an epoch with the new run is pending", func() bool {
+				b.beat(true)
+				return a.beat(true).PendingEpoch > epoch
+			})
+			stays(t, "it is not settled", func() bool {
+				b.beat(true)
+				return a.beat(true).SettledEpoch == epoch
+			})
+			clock.skip(lease)
+			eventually(t, "it settles", func() bool {
+				b.beat(true)
+				return a.beat(true).SettledEpoch > epoch
+			})
+		})
+	})
+}
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -18,15 +18,42 @@
 
 // testVM is a control VM that answers on a loopback port.
 type testVM struct {
-	t      *testing.T
+	t      testing.TB
 	cfg    Config
 	node   *Node
+	links  *cutConns
 	cancel context.CancelFunc
 	done   sync.WaitGroup
 	err    error
 }
 
-func listen(t *testing.T, addr string) net.Listener {
+// cutConns are connections that can be cut silently, by address: a call then gets
+// no answer and no refusal.
+type cutConns struct {
+	*peer.Pool
+	mu  sync.Mutex
+	cut map[string]bool
+}
+
+func (c *cutConns) set(addr string, cut bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut[addr] = cut
+}
+
+// Conn implements relay.Conns.
+func (c *cutConns) Conn(ctx context.Context, addr string) (drpc.Conn, error) {
+	c.mu.Lock()
+	cut := c.cut[addr]
+	c.mu.Unlock()
+	if cut {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return c.Pool.Conn(ctx, addr)
+}
+
+func listen(t testing.TB, addr string) net.Listener {
 	t.Helper()
 	lis, err := net.Listen("tcp", addr)
 	if err != nil {
@@ -36,10 +63,13 @@
 }
 
 // startVM opens and runs a control VM on lis.
-func startVM(t *testing.T, cfg Config, lis net.Listener) *testVM {
+func startVM(t testing.TB, cfg Config, lis net.Listener) *testVM {
 	t.Helper()
-	pool := peer.NewPool(nil)
-	cfg.Conns, cfg.PeerAddr, cfg.Tick = pool, lis.Addr().String(), 20*time.Millisecond
+	pool := &cutConns{Pool: peer.NewPool(nil), cut: make(map[string]bool)}
+	cfg.Conns, cfg.PeerAddr = pool, lis.Addr().String()
+	if cfg.Tick == 0 {
+		cfg.Tick = 20 * time.Millisecond
+	}
 	n, err := Open(cfg)
 	if err != nil {
 		t.Fatal(err)
@@ -49,10 +79,12 @@
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	v := &testVM{t: t, cfg: cfg, node: n, cancel: cancel}
-	v.done.Go(func() { v.err = n.Run(ctx) })
+	v := &testVM{t: t, cfg: cfg, node: n, links: pool, cancel: cancel}
+	v.done.Go(func() {
+		v.err = n.Run(ctx)
+		_ = pool.Close()
+	})
 	v.done.Go(func() { _ = peer.Serve(ctx, lis, mux, nil) })
-	v.done.Go(func() { <-ctx.Done(); _ = pool.Close() })
 	t.Cleanup(v.stop)
 	return v
 }
@@ -70,7 +102,7 @@
 }
 
 // eventually waits until ok holds.
-func eventually(t *testing.T, what string, ok func() bool) {
+func eventually(t testing.TB, what string, ok func() bool) {
 	t.Helper()
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
 		if ok() {
@@ -84,12 +116,12 @@
 
 // client is an operator or a daemon that talks to one control VM.
 type client struct {
-	t    *testing.T
+	t    testing.TB
 	pool *peer.Pool
 	conn drpc.Conn
 }
 
-func dialVM(t *testing.T, v *testVM) *client {
+func dialVM(t testing.TB, v *testVM) *client {
 	t.Helper()
 	pool := peer.NewPool(nil)
 	conn, err := pool.Conn(context.Background(), v.cfg.PeerAddr)
@@ -121,7 +153,7 @@
 	}
 }
 
-func callCtx(t *testing.T) context.Context {
+func callCtx(t testing.TB) context.Context {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	t.Cleanup(cancel)
 	return ctx
--- a/internal/control/node_test.go
+++ b/internal/control/node_test.go
@@ -16,6 +16,7 @@
 func TestOneControlVM(t *testing.T) {
 	Convey("Given one control VM that founded its group", t, func() {
 		v := startVM(t, Config{ID: 1, Name: "ctl-1", DataDir: t.TempDir(), Bootstrap: true}, listen(t, "127.0.0.1:0"))
+		Reset(func() { v.stop() })
 		eventually(t, "it leads", v.leads)
 		c := dialVM(t, v)
 
