Test the command-line tool against a control VM

Lost replies, races, stale files and reverts, each with what the operator sees. Errors carry marks from handler to caller: not done, permanent, denied.

--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -41,22 +41,26 @@
 // Run runs the command line args and returns the exit code.
 func Run(ctx context.Context, args []string, in io.Reader, out, errOut io.Writer, version string) int {
 	a := &app{ctx: ctx, in: in, out: out, errOut: errOut}
-	done := -1
+	done, parsed := -1, false
 	k := kingpin.New("pearmoor", "Edits the tree of settings of a pearmoor tier, and shows what is in force.")
 	k.Version(version).UsageWriter(out).ErrorWriter(errOut).DefaultEnvars()
 	k.Terminate(func(code int) { done = code })
 	k.HelpFlag.Short('h').NoEnvar()
 	k.VersionFlag.NoEnvar()
+	k.Action(func(*kingpin.ParseContext) error { // before the command's own
+		parsed = true
+		return nil
+	})
 	a.declareGlobals(k)
 	a.declare(k)
-	chosen, err := k.Parse(args)
+	_, err := k.Parse(args)
 	defer a.close()
 	switch {
 	case done >= 0: // help, version or a completion script was printed
 		return done
 	case err == nil:
 		return ExitOK
-	case chosen == "" || errors.Is(err, errUsage):
+	case !parsed || errors.Is(err, errUsage):
 		_, _ = io.WriteString(errOut, "pearmoor: "+err.Error()+"; try --help\n")
 		return ExitUsage
 	}
--- a/internal/cli/change.go
+++ b/internal/cli/change.go
@@ -109,10 +109,13 @@
 		DryRun:      f.dryRun,
 		Operator:    a.operator,
 	}
-	reply, sent, err := call(a.ctx, c, func(ctx context.Context, cc wire.DRPCControlClient) (*wire.ChangeReply, error) {
+	reply, sent, err := call(a.ctx, c, callTimeout, func(ctx context.Context, cc wire.DRPCControlClient) (*wire.ChangeReply, error) {
 		return cc.Change(ctx, req)
 	})
+	var coded *exitError
 	switch {
+	case errors.As(err, &coded):
+		return nil, err
 	case err != nil && (!sent || f.dryRun):
 		return nil, &exitError{code: ExitUnreachable, cause: errors.Wrap(err, "no control VM answered; nothing was changed")}
 	case err != nil:
--- /dev/null
+++ b/internal/cli/cli_test.go
@@ -0,0 +1,252 @@
+package cli
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"storj.io/drpc"
+
+	"pearmoor/internal/settings"
+)
+
+const oneLeaf = "l1=127.0.0.1:9001@hall-0"
+
+// outcome is what a test reads of the JSON of a change.
+type outcome struct {
+	Version uint64 `json:"version"`
+	Resend  bool   `json:"resend"`
+}
+
+func version(c *tier) uint64 {
+	var got gotten
+	c.must("--output=json", "get").decode(c.t, &got)
+	return got.Version
+}
+
+// The control VM accepts a change and its reply is lost: the operator's tool
+// sees a dead connection and can't know. It sends the change again under the
+// same change id, gets the first outcome, and the tree has changed once.
+func TestLostReply(t *testing.T) {
+	Convey("A change whose reply was lost is accepted once", t, func() {
+		c := startTier(t)
+		c.must("set", "/desk/a", "--leaves="+oneLeaf, "--reason=first")
+		var changes atomic.Int32
+		c.setHook(func(rpc string) func(drpc.Stream) {
+			if rpc == changeRPC && changes.Add(1) == 1 {
+				return loseReply
+			}
+			return nil
+		})
+		var got outcome
+		c.must("--output=json", "set", "/desk", "--hedge-after=20ms", "--reason=tail").decode(t, &got)
+		So(changes.Load(), ShouldEqual, 2)
+		So(got.Resend, ShouldBeTrue)
+		So(got.Version, ShouldEqual, 2)
+		So(version(c), ShouldEqual, 2)
+	})
+
+	// Every reply is lost until the tool gives up. The operator repeats the
+	// command as the message says, and learns that it had been accepted.
+	Convey("An operator learns the outcome after the tool gave up", t, func() {
+		c := startTier(t)
+		c.must("set", "/desk/a", "--leaves="+oneLeaf, "--reason=first")
+		c.setHook(func(rpc string) func(drpc.Stream) {
+			if rpc == changeRPC {
+				return loseReply
+			}
+			return nil
+		})
+		args := []string{"set", "/desk", "--hedge-after=20ms", "--reason=tail", "--change-id=c-1", "--base=1"}
+		r := c.run(append([]string{"--timeout=1s"}, args...)...)
+		So(r.code, ShouldEqual, ExitUnknown)
+		So(r.err, ShouldContainSubstring, "--base=1 --change-id=c-1")
+		c.setHook(nil)
+		var got outcome
+		c.must(append([]string{"--output=json"}, args...)...).decode(t, &got)
+		So(got.Resend, ShouldBeTrue)
+		So(got.Version, ShouldEqual, 2)
+		So(version(c), ShouldEqual, 2)
+	})
+}
+
+// Two operators read version 1. One changes the tree before the other's change
+// arrives: the second is refused, told who won and why, and nothing of it is in
+// the tree.
+func TestRace(t *testing.T) {
+	Convey("The loser of a race is told who won", t, func() {
+		c := startTier(t)
+		c.must("set", "/desk/a", "--leaves="+oneLeaf, "--reason=first")
+		var raced atomic.Bool
+		c.setHook(func(rpc string) func(drpc.Stream) {
+			if rpc == changeRPC && raced.CompareAndSwap(false, true) {
+				c.must("--operator-name=ravi", "set", "/desk", "--hedge-budget=0.05", "--reason=dawn vans")
+			}
+			return nil
+		})
+		r := c.run("set", "/desk", "--hedge-after=20ms", "--reason=tail")
+		So(r.code, ShouldEqual, ExitConflict)
+		So(r.err, ShouldContainSubstring, "change 2 by ravi")
+		So(r.err, ShouldContainSubstring, "dawn vans")
+		So(c.must("get", "/desk").out, ShouldNotContainSubstring, "hedge-after")
+	})
+}
+
+// A file is exported, somebody else changes the tree, and the old file is
+// applied: it would undo the change in between without anyone having seen it.
+func TestApply(t *testing.T) {
+	Convey("With an exported file", t, func() {
+		c := startTier(t)
+		c.must("set", "/desk/a", "--leaves="+oneLeaf, "--reason=first")
+		file := filepath.Join(t.TempDir(), "tree.yaml")
+		export := func() { So(os.WriteFile(file, []byte(c.must("export").out), 0o600), ShouldBeNil) }
+		export()
+
+		Convey("applying it changes nothing", func() {
+			r := c.must("apply", file, "--reason=again")
+			So(r.out, ShouldContainSubstring, "nothing to change")
+			So(version(c), ShouldEqual, 1)
+		})
+		Convey("a stale base is refused and the change in between is named", func() {
+			c.must("--operator-name=ravi", "set", "/desk", "--hedge-budget=0.05", "--reason=dawn vans")
+			r := c.run("apply", file, "--reason=stale")
+			So(r.code, ShouldEqual, ExitConflict)
+			So(r.err, ShouldContainSubstring, "change 2 by ravi")
+			So(version(c), ShouldEqual, 2)
+
+			c.must("apply", file, "--reason=seen", "--base=2")
+			So(version(c), ShouldEqual, 3)
+			So(c.must("get", "/desk").out, ShouldNotContainSubstring, "hedge-budget")
+		})
+		Convey("an edited file is applied with its plan shown", func() {
+			text, err := os.ReadFile(file)
+			So(err, ShouldBeNil)
+			edited := strings.Replace(string(text), "leaves:", "hedge-after: 30ms\n          leaves:", 1)
+			So(edited, ShouldNotEqual, string(text))
+			So(os.WriteFile(file, []byte(edited), 0o600), ShouldBeNil)
+			dry := c.run("apply", file, "--reason=-", "--dry-run")
+			So(dry.code, ShouldEqual, ExitOK)
+			So(version(c), ShouldEqual, 1)
+			So(dry.out, ShouldContainSubstring, "hedge-after")
+			r := c.must("apply", file, "--reason=slower hedges")
+			So(r.out, ShouldContainSubstring, "accepted as version 2")
+			So(r.out, ShouldContainSubstring, "in force everywhere after")
+			So(c.must("apply", file, "--reason=twice").out, ShouldContainSubstring, "nothing to change")
+		})
+		Convey("a file with an unknown setting is refused with its name", func() {
+			So(os.WriteFile(file, []byte("settings:\n  hedge-aftr: 3ms\n"), 0o600), ShouldBeNil)
+			r := c.run("apply", file, "--reason=typo")
+			So(r.code, ShouldEqual, ExitInvalid)
+			So(r.err, ShouldContainSubstring, "hedge-aftr")
+		})
+	})
+}
+
+func TestExplainAndRevert(t *testing.T) {
+	Convey("With three changes", t, func() {
+		c := startTier(t)
+		c.must("set", "/desk/a", "--leaves="+oneLeaf, "--reason=first")
+		c.must("set", "/desk", "--hedge-after=20ms", "--reason=tail of counters")
+		c.must("--operator-name=ravi", "set", "/desk/a", "--hedge-budget=0.05", "--reason=dawn vans")
+
+		Convey("they can be read: the stating node, who, when and why", func() {
+			var got explanation
+			c.must("--output=json", "explain", "/desk/a").decode(t, &got)
+			found := map[string]reason{}
+			for _, v := range got.Values {
+				found[v.Name] = v
+			}
+			So(found["hedge-after"].StatedAt, ShouldEqual, "desk")
+			So(found["hedge-after"].Operator, ShouldEqual, "asha")
+			So(found["hedge-after"].Why, ShouldEqual, "tail of counters")
+			So(found["hedge-budget"].Operator, ShouldEqual, "ravi")
+			So(found["hedge-budget"].AcceptedMS, ShouldBeGreaterThan, 0)
+			So(found["goal"].StatedAt, ShouldEqual, settings.StatedAtDefault)
+
+			So(c.must("history", "/desk/a").out, ShouldNotContainSubstring, "tail of counters")
+			So(c.must("history", "/desk").out, ShouldContainSubstring, "tail of counters")
+			r := c.must("audit", "--by=ravi")
+			So(r.out, ShouldContainSubstring, "version 3 by ravi")
+			So(r.out, ShouldNotContainSubstring, "asha")
+
+			So(c.must("diff", "1", "2").out, ShouldContainSubstring, "desk/a")
+			So(c.must("plan", "/", "--hedge-after=1ms").out, ShouldContainSubstring, "no query service is affected")
+			So(c.must("plan", "/desk", "--goal=tail").out, ShouldContainSubstring, "desk/a")
+			So(version(c), ShouldEqual, 3)
+
+			r = c.must("status")
+			So(r.out, ShouldContainSubstring, "configuration 3, in force everywhere")
+			So(r.out, ShouldContainSubstring, "leader")
+		})
+		Convey("revert undoes a change by a new version", func() {
+			c.must("revert", "2", "--reason=worse")
+			So(version(c), ShouldEqual, 4)
+			out := c.must("get", "/").out
+			So(out, ShouldNotContainSubstring, "hedge-after")
+			So(out, ShouldContainSubstring, "hedge-budget=0.05")
+		})
+		Convey("revert refuses where the value was changed since", func() {
+			c.must("set", "/desk", "--hedge-after=40ms", "--reason=slower")
+			r := c.run("revert", "2", "--reason=worse")
+			So(r.code, ShouldEqual, ExitConflict)
+			So(version(c), ShouldEqual, 4)
+		})
+		Convey("revert --whole-tree restores the values of a version", func() {
+			c.must("revert", "1", "--whole-tree", "--reason=back")
+			So(version(c), ShouldEqual, 4)
+			So(c.must("diff", "1").out, ShouldContainSubstring, "no query service is affected")
+		})
+	})
+}
+
+func TestEdits(t *testing.T) {
+	Convey("With a tree", t, func() {
+		c := startTier(t)
+		c.must("set", "/desk/a", "--leaves="+oneLeaf, "--reason=first")
+
+		Convey("an environment variable states a setting", func() {
+			So(os.Setenv("PEARMOOR_HEDGE_AFTER", "25ms"), ShouldBeNil)
+			defer os.Unsetenv("PEARMOOR_HEDGE_AFTER")
+			c.must("set", "/desk", "--reason=env")
+			So(c.must("get", "/desk").out, ShouldContainSubstring, "hedge-after=25ms")
+		})
+		Convey("a dry run and a bad value change nothing", func() {
+			So(c.must("set", "/desk", "--hedge-after=20ms", "--reason=-", "--dry-run").out, ShouldContainSubstring, "desk/a")
+			r := c.run("set", "/desk", "--hedge-after=20", "--reason=unit")
+			So(r.code, ShouldEqual, ExitInvalid)
+			So(r.err, ShouldContainSubstring, "hedge-after")
+			So(version(c), ShouldEqual, 1)
+		})
+		Convey("stating what is stated changes nothing", func() {
+			So(c.must("set", "/desk/a", "--leaves="+oneLeaf, "--reason=same").out, ShouldContainSubstring, "nothing to change")
+			So(version(c), ShouldEqual, 1)
+		})
+		Convey("unset and remove take back", func() {
+			c.must("set", "/desk", "--hedge-after=20ms", "--reason=tail")
+			c.must("unset", "/desk", "hedge-after", "--reason=back")
+			So(c.must("get", "/").out, ShouldNotContainSubstring, "hedge-after")
+			c.must("remove", "/desk/a", "--reason=closed")
+			So(c.must("get", "/").out, ShouldNotContainSubstring, "leaves")
+		})
+		Convey("a change without a reason is a usage error", func() {
+			So(c.run("set", "/desk", "--hedge-after=20ms").code, ShouldEqual, ExitUsage)
+		})
+	})
+}
+
+// No control VM listens. Nothing has left the tool, so it says that nothing was
+// changed and does not leave the operator in doubt.
+func TestUnreachable(t *testing.T) {
+	Convey("An unreachable group changes nothing, and the exit code says so", t, func() {
+		c := &tier{t: t, addr: "127.0.0.1:1"}
+		So(c.run("--timeout=200ms", "get").code, ShouldEqual, ExitUnreachable)
+	})
+	Convey("The next address is tried", t, func() {
+		c := startTier(t)
+		r := c.runWith(nil, "--control=127.0.0.1:1,"+c.addr, "get")
+		So(r.code, ShouldEqual, ExitOK)
+	})
+}
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -72,13 +72,14 @@
 // call tries the control VMs in turn until one answers, following redirects. It
 // may send a request more than once, so requests are reads or carry a change id.
 // sent reports whether any try may have reached a control VM.
-func call[R redirected](ctx context.Context, c *client, do func(context.Context, wire.DRPCControlClient) (R, error)) (reply R, sent bool, err error) {
+func call[R redirected](ctx context.Context, c *client, perTry time.Duration, do func(context.Context, wire.DRPCControlClient) (R, error)) (reply R, sent bool, err error) {
 	ctx, cancel := context.WithTimeout(peer.WithOperator(ctx, c.operator), c.timeout)
 	defer cancel()
 	addr, redirects := c.addrs[c.next], 0
+	var last error
 	for {
 		var one R
-		one, err = callOne(ctx, c, addr, do)
+		one, err = callOne(ctx, c, addr, perTry, do)
 		if err == nil {
 			leader := one.GetRedirect()
 			if leader == "" {
@@ -89,22 +90,25 @@
 				addr = leader
 				continue
 			}
-		} else if peer.Denied(err) {
-			return reply, sent, err
-		} else if !peer.NotSent(err) {
+		} else if peer.Denied(err) || peer.IsPermanent(err) {
+			return reply, sent, &exitError{code: ExitInvalid, cause: err}
+		} else if !peer.NotSent(err) && !peer.IsNotDone(err) {
 			sent = true
 		}
 		redirects = 0
 		c.next = (c.next + 1) % len(c.addrs)
 		addr = c.addrs[c.next]
+		if last == nil || ctx.Err() == nil {
+			last = err // what the end of the whole time brings says nothing
+		}
 		if !sleep(ctx, retryPause) {
-			return reply, sent, err
+			return reply, sent, last
 		}
 	}
 }
 
-func callOne[R redirected](ctx context.Context, c *client, addr string, do func(context.Context, wire.DRPCControlClient) (R, error)) (R, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+func callOne[R redirected](ctx context.Context, c *client, addr string, perTry time.Duration, do func(context.Context, wire.DRPCControlClient) (R, error)) (R, error) {
+	ctx, cancel := context.WithTimeout(ctx, perTry)
 	defer cancel()
 	var none R
 	conn, err := c.pool.Conn(ctx, addr)
@@ -133,7 +137,11 @@
 		var none R
 		return none, err
 	}
-	reply, _, err := call(a.ctx, c, do)
+	reply, _, err := call(a.ctx, c, callTimeout, do)
+	var coded *exitError
+	if errors.As(err, &coded) {
+		return reply, err
+	}
 	if err != nil {
 		return reply, &exitError{code: ExitUnreachable, cause: errors.Wrapf(err, "no control VM of %v answered within %v", c.addrs, c.timeout)}
 	}
--- a/internal/cli/group.go
+++ b/internal/cli/group.go
@@ -100,10 +100,13 @@
 	if err != nil {
 		return nil, err
 	}
-	reply, sent, err := call(a.ctx, c, func(ctx context.Context, cc wire.DRPCControlClient) (*wire.GroupReply, error) {
+	reply, sent, err := call(a.ctx, c, c.timeout, func(ctx context.Context, cc wire.DRPCControlClient) (*wire.GroupReply, error) {
 		return cc.Group(ctx, req)
 	})
+	var coded *exitError
 	switch {
+	case errors.As(err, &coded):
+		return nil, err
 	case err != nil && !sent:
 		return nil, &exitError{code: ExitUnreachable, cause: errors.Wrap(err, "no control VM answered; nothing was changed")}
 	case err != nil:
--- /dev/null
+++ b/internal/cli/harness_test.go
@@ -0,0 +1,152 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcctx"
+	"storj.io/drpc/drpcmux"
+
+	"pearmoor/internal/control"
+	"pearmoor/internal/link/peer"
+)
+
+const changeRPC = "/pearmoor.wire.Control/Change"
+
+func TestMain(m *testing.M) {
+	// The library's one ticker for all meters runs as long as the process.
+	goleak.VerifyTestMain(m, goleak.IgnoreTopFunction("github.com/rcrowley/go-metrics.(*meterArbiter).tick"))
+}
+
+// tier is a control VM, alone in its group, on a loopback port. hook sees each
+// call before it is answered; what it returns is done after the handler ran.
+type tier struct {
+	t    *testing.T
+	addr string
+
+	mu   sync.Mutex
+	hook func(rpc string) (after func(drpc.Stream))
+}
+
+func (c *tier) setHook(h func(rpc string) func(drpc.Stream)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hook = h
+}
+
+// hooked wraps the control VM's handler.
+type hooked struct {
+	tier  *tier
+	inner drpc.Handler
+}
+
+// HandleRPC implements drpc.Handler.
+func (h hooked) HandleRPC(stream drpc.Stream, rpc string) error {
+	h.tier.mu.Lock()
+	hook := h.tier.hook
+	h.tier.mu.Unlock()
+	var after func(drpc.Stream)
+	if hook != nil {
+		after = hook(rpc)
+	}
+	if after == nil {
+		return h.inner.HandleRPC(stream, rpc)
+	}
+	return h.inner.HandleRPC(&afterStream{Stream: stream, after: after}, rpc)
+}
+
+// afterStream runs after in place of sending the reply.
+type afterStream struct {
+	drpc.Stream
+	after func(drpc.Stream)
+}
+
+// MsgSend implements drpc.Stream.
+func (s *afterStream) MsgSend(msg drpc.Message, enc drpc.Encoding) error {
+	s.after(s.Stream)
+	return s.Stream.MsgSend(msg, enc)
+}
+
+// loseReply cuts the connection after the handler has run.
+func loseReply(stream drpc.Stream) {
+	if tr, ok := drpcctx.Transport(stream.Context()); ok {
+		_ = tr.Close()
+	}
+}
+
+func startTier(t *testing.T) *tier {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := peer.NewPool(nil)
+	n, err := control.Open(control.Config{
+		ID: 1, Name: "c1", DataDir: t.TempDir(), PeerAddr: lis.Addr().String(), Bootstrap: true,
+		Conns: pool, Tick: 10 * time.Millisecond,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	mux := drpcmux.New()
+	if err := n.Register(mux); err != nil {
+		t.Fatal(err)
+	}
+	c := &tier{t: t, addr: lis.Addr().String()}
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	done.Go(func() { _ = n.Run(ctx) })
+	done.Go(func() { _ = peer.Serve(ctx, lis, hooked{tier: c, inner: mux}, nil) })
+	t.Cleanup(func() {
+		cancel()
+		done.Wait()
+		_ = pool.Close()
+	})
+	return c
+}
+
+// result is one run of the tool.
+type result struct {
+	code     int
+	out, err string
+}
+
+func (r result) decode(t *testing.T, into any) {
+	t.Helper()
+	if err := json.Unmarshal([]byte(r.out), into); err != nil {
+		t.Fatalf("%v in %q, error output %q", err, r.out, r.err)
+	}
+}
+
+// run runs the tool as operator asha, or as the one that args name.
+func (c *tier) run(args ...string) result {
+	return c.runWith(nil, append([]string{"--control=" + c.addr}, args...)...)
+}
+
+func (c *tier) runWith(in []byte, args ...string) result {
+	var out, errOut bytes.Buffer
+	if !strings.Contains(strings.Join(args, " "), "--operator-name") {
+		args = append([]string{"--operator-name=asha"}, args...)
+	}
+	args = append([]string{"--plaintext-peers"}, args...)
+	code := Run(context.Background(), args, bytes.NewReader(in), &out, &errOut, "test")
+	return result{code: code, out: out.String(), err: errOut.String()}
+}
+
+// must runs the tool and fails the test unless it succeeds.
+func (c *tier) must(args ...string) result {
+	c.t.Helper()
+	r := c.run(args...)
+	if r.code != ExitOK {
+		c.t.Fatalf("pearmoor %v: exit %d: %s%s", args, r.code, r.out, r.err)
+	}
+	return r
+}
--- a/internal/cli/query.go
+++ b/internal/cli/query.go
@@ -246,7 +246,11 @@
 }
 
 func (a *answered) writeHits(w io.Writer) {
-	fmt.Fprintln(w, plural(len(a.Hits), "hit"))
+	fmt.Fprint(w, plural(len(a.Hits), "hit"))
+	if a.HitsOmitted > 0 {
+		fmt.Fprintf(w, ", %d more were left out by the limit", a.HitsOmitted)
+	}
+	fmt.Fprintln(w)
 	var rows [][]string
 	for _, h := range a.Hits[:min(len(a.Hits), maxShownHits)] {
 		rows = append(rows, []string{h.ID, fmt.Sprintf("%.4g", h.Score), h.Service, fmt.Sprint(h.Shard), shorten(string(h.Data))})
--- a/internal/link/peer/authorize.go
+++ b/internal/link/peer/authorize.go
@@ -7,13 +7,6 @@
 	"storj.io/drpc/drpcerr"
 )
 
-// codeDenied marks, on the wire, a call refused for the caller's certificate.
-const codeDenied = 4031
-
-// Denied reports whether the other side refused a call for the kind of this
-// side's certificate. Another process of the tier would refuse it as well.
-func Denied(err error) bool { return drpcerr.Code(err) == codeDenied }
-
 // rpcKinds says which kind of certificate each drpc service is open to. A
 // service that is not listed is closed to everybody.
 var rpcKinds = map[string]Kind{
