--- a/internal/settings/edit.go
+++ b/internal/settings/edit.go
@@ -1,6 +1,12 @@
 package settings
 
-import "pearmoor/internal/link/wire"
+import (
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"pearmoor/internal/link/wire"
+)
 
 // Op is what an edit does.
 type Op uint8
@@ -33,6 +39,16 @@
 // MarshalText implements encoding.TextMarshaler.
 func (o Op) MarshalText() ([]byte, error) { return []byte(o.String()), nil }
 
+// UnmarshalText implements encoding.TextUnmarshaler; an unknown name is an error.
+func (o *Op) UnmarshalText(text []byte) error {
+	i := slices.Index(opNames[:], string(text))
+	if i < 0 {
+		return errors.Newf("operation %q is unknown; use set, unset or remove", text)
+	}
+	*o = Op(i)
+	return nil
+}
+
 // EditsToWire returns the messages that carry edits.
 func EditsToWire(edits []Edit) []*wire.Edit {
 	out := make([]*wire.Edit, len(edits))
--- /dev/null
+++ b/internal/settings/examples_test.go
@@ -0,0 +1,74 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// desk is a desk of an example: as many query services, leaves in each, and
+// slots and connections of each leaf.
+type desk struct {
+	path                           string
+	services, leaves, slots, conns int
+	connectCost                    string
+	priority                       Priority
+}
+
+func TestExamples(t *testing.T) {
+	Convey("The examples hold both deployments at their sizes", t, func() {
+		checkExample(t, "bagmati", Coverage, []string{"lalitpur-hall", "sundhara-hall", "bhaktapur-hall"}, []desk{
+			{"kathmandu-valley/counter-desk", 20, 2, 2, 30, "6ms", Urgent},
+			{"kathmandu-valley/abroad-inbox", 30, 2, 2, 30, "6ms", Urgent},
+			{"kathmandu-valley/legal-pull", 1, 7, 3, 130, "1ms", Ordinary},
+			{"kathmandu-valley/billing-ledger", 1, 3, 3, 130, "1ms", Ordinary},
+		})
+		checkExample(t, "khetbazaar", Tail, []string{"anand-hall", "vadodara-a", "vadodara-b", "kheda-rack"}, []desk{
+			{"gj-west/storefront", 20, 2, 2, 30, "6ms", Urgent},
+			{"gj-west/farmer-portal", 30, 2, 2, 30, "6ms", Ordinary},
+			{"gj-west/ledger-desk", 1, 4, 4, 50, "1ms", Ordinary},
+			{"gj-west/route-plan", 1, 4, 4, 50, "1ms", Urgent},
+		})
+	})
+}
+
+func checkExample(t *testing.T, name string, goal Goal, domains []string, desks []desk) {
+	text, err := os.ReadFile(filepath.Join("..", "..", "examples", name+".yaml"))
+	So(err, ShouldBeNil)
+	tree, err := ParseFile(text)
+	So(err, ShouldBeNil)
+
+	total := 0
+	for _, d := range desks {
+		services := tree.Services(d.path)
+		So(services, ShouldHaveLength, d.services)
+		total += len(services)
+		for _, path := range services {
+			e, _ := tree.Effective(path)
+			So(e.Leaves, ShouldHaveLength, d.leaves)
+			So(spread(e.Leaves), ShouldEqual, min(d.leaves, len(domains)))
+			So(e.LeafSlots, ShouldEqual, d.slots)
+			So(e.LeafConnections, ShouldEqual, d.conns)
+			So(e.ConnectCost.String(), ShouldEqual, d.connectCost)
+			So(e.Priority, ShouldEqual, d.priority)
+			So(e.Goal, ShouldEqual, goal)
+			for _, l := range e.Leaves {
+				So(domains, ShouldContain, l.Domain)
+				So(strings.HasPrefix(l.Addr, "10."), ShouldBeTrue)
+			}
+		}
+	}
+	So(tree.Services(""), ShouldHaveLength, total)
+}
+
+// spread returns how many failure domains leaves are in.
+func spread(leaves []Leaf) int {
+	seen := map[string]bool{}
+	for _, l := range leaves {
+		seen[l.Domain] = true
+	}
+	return len(seen)
+}
--- a/internal/settings/file.go
+++ b/internal/settings/file.go
@@ -20,7 +20,7 @@
 )
 
 // MaxFile is the largest file that ParseFile reads, in bytes.
-const MaxFile = 64 << 20
+const MaxFile = 16 << 20
 
 // ParseFile reads a tree in the YAML form kept in version control. The error is
 // contract.Faults with every fault found. The base that a file may name is left
@@ -148,7 +148,7 @@
 	case *ast.NullNode:
 		return nil
 	}
-	r.fault(field, short(body.String()), "it is no mapping", "write keys and values")
+	r.fault(field, short(body.GetToken().Value), "it is no mapping", "write keys and values")
 	return nil
 }
 
@@ -180,7 +180,7 @@
 	case *ast.IntegerNode, *ast.FloatNode, *ast.BoolNode:
 		return body.GetToken().Value, true
 	}
-	r.fault(field, short(body.String()), "it is no plain value", "write a word, a number or a list of words, without anchors and tags")
+	r.fault(field, short(body.GetToken().Value), "it is no plain value", "write a word, a number or a list of words, without anchors and tags")
 	return "", false
 }
 
