--- /dev/null
+++ b/internal/control/disk_test.go
@@ -0,0 +1,117 @@
+package control
+
+import (
+	"errors"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"golang.org/x/sys/unix"
+
+	"pearmoor/internal/journal"
+	"pearmoor/internal/link/wire"
+)
+
+// badDisk is the machine's file system with faults that a test switches on.
+type badDisk struct {
+	journal.OS
+	full     atomic.Bool // writes fail
+	low      atomic.Bool // little room is left
+	failSync atomic.Bool
+}
+
+func (d *badDisk) Free(dir string) (uint64, error) {
+	if d.low.Load() {
+		return 1 << 20, nil
+	}
+	return 1 << 40, nil
+}
+
+func (d *badDisk) Create(path string) (journal.File, error) {
+	f, err := d.OS.Create(path)
+	return &badFile{f, d}, err
+}
+
+func (d *badDisk) Append(path string, size int64) (journal.File, error) {
+	f, err := d.OS.Append(path, size)
+	return &badFile{f, d}, err
+}
+
+type badFile struct {
+	journal.File
+	disk *badDisk
+}
+
+func (f *badFile) Write(b []byte) (int, error) {
+	if f.disk.full.Load() {
+		n, _ := f.File.Write(b[:len(b)/2])
+		return n, unix.ENOSPC
+	}
+	return f.File.Write(b)
+}
+
+func (f *badFile) Sync() error {
+	if f.disk.failSync.Load() {
+		return unix.EIO
+	}
+	return f.File.Sync()
+}
+
+func TestDiskFaults(t *testing.T) {
+	Convey("Given a control VM whose disk fails on demand", t, func() {
+		disk := &badDisk{}
+		v := startVM(t, Config{ID: 1, Name: "ctl-1", DataDir: t.TempDir(), Bootstrap: true, FS: disk}, listen(t, "127.0.0.1:0"))
+		Reset(func() { v.stop() })
+		eventually(t, "it leads", v.leads)
+		c := dialVM(t, v)
+		So(c.change("a", 0, "daemon-lease", "10s").Version, ShouldEqual, 1)
+
+		// The disk is nearly full. A change could still be written, but then there
+		// might be no room left for votes and snapshots.
+		Convey("with little room left a change is refused and said to be refused, until there is room", func() {
+			disk.low.Store(true)
+			_, err := tryChange(t, v, changeRequest("b", 1, "daemon-lease", "11s"))
+			So(err, ShouldNotBeNil)
+			So(err.Error(), ShouldContainSubstring, "not accepted")
+			disk.low.Store(false)
+			So(c.change("b", 1, "daemon-lease", "11s").Version, ShouldEqual, 2)
+		})
+
+		// The disk fills up while a change is being written. The operator can't be
+		// told an outcome; sent again later, the change is made once.
+		Convey("a change caught by a full disk is made once when it is resent after there is room", func() {
+			disk.full.Store(true)
+			_, err := tryChange(t, v, changeRequest("b", 1, "daemon-lease", "11s"))
+			So(err, ShouldNotBeNil)
+			eventually(t, "new ones are refused", func() bool {
+				_, err := tryChange(t, v, changeRequest("c", 1, "daemon-lease", "12s"))
+				return err != nil && v.node.full.Load()
+			})
+			disk.full.Store(false)
+			eventually(t, "the change is made", func() bool {
+				r, err := tryChange(t, v, changeRequest("b", 1, "daemon-lease", "11s"))
+				return err == nil && r.Redirect == "" && r.Outcome == wire.Outcome_ACCEPTED && r.Version == 2
+			})
+			v = v.restart()
+			eventually(t, "it leads again", v.leads)
+			again := dialVM(t, v).change("b", 1, "daemon-lease", "11s")
+			So(again.Resend, ShouldBeTrue)
+			So(again.Version, ShouldEqual, 2)
+		})
+
+		// A sync fails. What the disk holds is unknown, so the process has to end
+		// and read back what is there; the caller is not told that the change was
+		// accepted.
+		Convey("a failed sync ends the control VM, and nothing is reported as accepted", func() {
+			disk.failSync.Store(true)
+			r, err := tryChange(t, v, changeRequest("b", 1, "daemon-lease", "11s"))
+			So(err, ShouldNotBeNil)
+			So(r, ShouldBeNil)
+			<-v.node.stopped
+			v.stop()
+			var sync *journal.SyncError
+			So(errors.As(v.err, &sync), ShouldBeTrue)
+			disk.failSync.Store(false)
+		})
+	})
+}
