--- a/internal/settings/diff.go
+++ b/internal/settings/diff.go
@@ -12,7 +12,7 @@
 }
 
 // Inverse returns the edits that undo edits, computed on t before them. They
-// can't be applied where they state again what this version does not know.
+// can't be applied where they state again what this release does not know.
 func (t *Tree) Inverse(edits []Edit) []Edit {
 	return Diff(t.Replay(0, edits), t)
 }
--- a/internal/settings/editor.go
+++ b/internal/settings/editor.go
@@ -83,13 +83,16 @@
 		ed.fault(e, err.Error(), s.fix())
 		return nil, e.Value
 	}
+	if ed.lenient {
+		return v, e.Value
+	}
 	return v, v.text
 }
 
 func (ed *editor) unknown(e Edit) {
 	if segments, _ := splitPath(e.Path); segments != nil || trimPath(e.Path) == "" {
 		if n := lookupNode(ed.root, segments); n != nil && n.states(e.Name) {
-			ed.fault(e, "the setting is obsolete: this version has none of that name", "unset it")
+			ed.fault(e, "the setting is obsolete: this release has none of that name", "unset it")
 			return
 		}
 	}
--- a/internal/settings/encode.go
+++ b/internal/settings/encode.go
@@ -75,8 +75,8 @@
 	return out
 }
 
-// Decode reads the bytes of Encode, maybe of a version with another schema: what
-// this version does not know is kept and has no effect. Bytes that Encode could
+// Decode reads the bytes of Encode, maybe of a release with another schema: what
+// this release does not know is kept and has no effect. Bytes that Encode could
 // not have written are refused.
 func Decode(b []byte) (*Tree, error) { return decode(current, b) }
 
@@ -86,7 +86,7 @@
 		return nil, errors.Wrap(err, "settings: the bytes are no tree")
 	}
 	if in.Format != formatVersion {
-		return nil, errors.Newf("settings: the tree has format %d; this version reads %d", in.Format, formatVersion)
+		return nil, errors.Newf("settings: the tree has format %d; this release reads %d", in.Format, formatVersion)
 	}
 	if in.Root.Name != "" {
 		return nil, errors.Newf("settings: the root has the name %q", in.Root.Name)
--- a/internal/settings/explain.go
+++ b/internal/settings/explain.go
@@ -16,7 +16,7 @@
 
 // Explain lists what holds at a path, setting by setting, with the node that
 // states each and the version of the change that set it. A stated name or value
-// that this version does not know comes last, marked obsolete: it has no effect.
+// that this release does not know comes last, marked obsolete: it has no effect.
 func (t *Tree) Explain(path string) ([]Explained, error) {
 	segments, why := splitPath(path)
 	if why != "" {
--- a/internal/settings/file.go
+++ b/internal/settings/file.go
@@ -192,7 +192,7 @@
 }
 
 // ExportFile returns the YAML form of t, which ParseFile reads. It leaves out the
-// versions that set the values, and what this version does not know.
+// versions that set the values, and what this release does not know.
 func (t *Tree) ExportFile() []byte { return export(exportNode(t.root)) }
 
 // ExportFileAt returns the form of ExportFile and names base in it, the version
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -23,7 +23,7 @@
 	name    string
 	text    string
 	version uint64
-	val     *value // nil when this version's schema does not know or take it
+	val     *value // nil when this release's schema does not know or take it
 }
 
 func (n *node) find(name string) (int, bool) {
--- /dev/null
+++ b/internal/settings/reference.go
@@ -0,0 +1,60 @@
+package settings
+
+import (
+	_ "embed"
+	"io"
+	"strings"
+	"text/template"
+)
+
+//go:embed reference.md.tmpl
+var referenceText string
+
+var reference = template.Must(template.New("reference").Funcs(template.FuncMap{
+	"join":  strings.Join,
+	"where": where,
+	"limit": limit,
+}).Parse(referenceText))
+
+// contradiction is a refused combination as the reference page shows it.
+type contradiction struct {
+	Names []string
+	Why   string
+	Fix   string
+}
+
+// WriteReference writes the reference page of settings, made from the schema.
+func WriteReference(w io.Writer) error {
+	page := struct {
+		Settings       []Setting
+		Contradictions []contradiction
+		MaxDepth       int
+		MaxLeaves      int
+	}{Settings: Schema(), MaxDepth: MaxDepth, MaxLeaves: MaxLeaves}
+	for _, r := range rules {
+		page.Contradictions = append(page.Contradictions, contradiction{Names: r.names, Why: r.why, Fix: r.fix})
+	}
+	return reference.Execute(w, page)
+}
+
+// where says at which nodes a setting may stand.
+func where(s Setting) string {
+	switch {
+	case s.RootOnly:
+		return "at the root only; it holds for the whole tier"
+	case s.Inherits:
+		return "at any node; nodes below take it unless they state their own"
+	}
+	return "at a query service; it is not inherited"
+}
+
+// limit says what values a setting takes.
+func limit(s Setting) string {
+	switch {
+	case len(s.Choices) > 0:
+		return strings.Join(s.Choices, " or ")
+	case s.Min != "":
+		return s.Min + " to " + s.Max
+	}
+	return s.Unit
+}
--- a/internal/settings/schema.go
+++ b/internal/settings/schema.go
@@ -37,7 +37,7 @@
 func Lookup(name string) (*Setting, bool) { return current.lookup(name) }
 
 // schema is a set of settings. There is one, current, but for tests of what
-// happens to a tree when a later version has fewer.
+// happens to a tree when a later release has fewer.
 type schema struct {
 	settings []Setting
 	index    map[string]int
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -32,7 +32,7 @@
 			Doc:  "Leaves of this query service that take no new work. What they already run is finished.",
 			bind: func(e *Effective, _ *Tier, v *value) { e.Drained = v.names }},
 		{Name: nameLeafSlots, Kind: Count, Unit: "requests", Min: "1", Max: "1024", Default: "2", Inherits: true,
-			Doc:  "The most requests a leaf runs at once, counted over all daemons. It is never exceeded by the system.",
+			Doc:  "The most requests a leaf runs at once, counted over all daemons.",
 			bind: func(e *Effective, _ *Tier, v *value) { e.LeafSlots = int(v.num) }},
 		{Name: nameLeafConnections, Kind: Count, Unit: "connections", Min: "1", Max: "65535", Default: "30", Inherits: true,
 			Doc:  "The most connections a leaf accepts, counted over all daemons. At least leaf-slots.",
@@ -96,7 +96,7 @@
 			Doc:  "How long a new or returning leaf takes to get its whole share of work; 0s gives it at once.",
 			bind: func(e *Effective, _ *Tier, v *value) { e.Ramp = v.duration() }},
 		{Name: nameProbeInterval, Kind: Duration, Unit: "duration", Min: "100ms", Max: "3s", Default: "500ms", Inherits: true,
-			Doc:  "How often a home asks a leaf for its state. A leaf that leaves gets no new work after at most this long and one round trip.",
+			Doc:  "How often a home asks a leaf for its state, and so about how long a leaf that is leaving may still get new work.",
 			bind: func(e *Effective, _ *Tier, v *value) { e.ProbeInterval = v.duration() }},
 	}
 }
--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -44,9 +44,10 @@
 }
 
 // Replay returns the tree after edits that were accepted before, maybe by a
-// version with another schema. It refuses nothing: a setting or value that this
-// version does not know is kept, has no effect, and is reported by Explain.
-// Were it refused, two versions that run side by side would come to hold
+// release with another schema. It refuses nothing and states each value as it is
+// written, so edits should be Canonical. A setting or value that this release
+// does not know is kept, has no effect, and is reported by Explain. Were it
+// refused or rewritten, two releases that run side by side would come to hold
 // different trees, and a restarted control VM could not read its own log.
 func (t *Tree) Replay(version uint64, edits []Edit) *Tree {
 	next, _ := t.edit(version, edits, true)
