--- /dev/null
+++ b/internal/settings/plan_test.go
@@ -0,0 +1,77 @@
+package settings
+
+import (
+	"encoding/json"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"pearmoor/internal/contract"
+	"pearmoor/internal/link/wire"
+)
+
+func TestPlan(t *testing.T) {
+	Convey("Given a tree in which one desk states its own hedge", t, func() {
+		tree := mustApply(t, shop(t), 2, Edit{Path: "gj-west/storefront", Name: "hedge-after", Value: "30ms"})
+
+		Convey("a change at the region names the query services it reaches and no other", func() {
+			next := mustApply(t, tree, 3, Edit{Path: "gj-west", Name: "hedge-after", Value: "20ms"})
+			So(Plan(tree, next), ShouldResemble, []Effect{
+				{Service: "gj-west/ledger-desk", Name: "hedge-after", Before: "0s", After: "20ms"},
+			})
+		})
+		Convey("stating what holds anyway has no effect", func() {
+			next := mustApply(t, tree, 3, Edit{Path: "gj-west/storefront/s1", Name: "hedge-after", Value: "0.030s"})
+			So(Plan(tree, next), ShouldBeEmpty)
+			So(next.Digest(), ShouldNotEqual, tree.Digest())
+		})
+		Convey("services that come and go have the one effect on their leaves", func() {
+			next := mustApply(t, tree, 3,
+				Edit{Path: "gj-west/storefront", Op: Remove},
+				Edit{Path: "gj-west/route-plan", Name: "leaves", Value: "route-a=10.0.2.1:80@kheda-rack"})
+			So(Plan(tree, next), ShouldResemble, []Effect{
+				{Service: "gj-west/route-plan", Name: "leaves", After: "route-a=10.0.2.1:80@kheda-rack"},
+				{Service: "gj-west/storefront/s1", Name: "leaves", Before: "s1-a=10.0.0.1:80@anand-hall,s1-b=10.0.0.2:80@kheda-rack"},
+				{Service: "gj-west/storefront/s2", Name: "leaves", Before: "s2-a=10.0.0.3:80@anand-hall"},
+			})
+		})
+		Convey("a setting of the tier stands for the root", func() {
+			next := mustApply(t, tree, 3, Edit{Path: "/", Name: "daemon-lease", Value: "9s"})
+			So(Plan(tree, next), ShouldResemble, []Effect{{Service: "/", Name: "daemon-lease", Before: "6s", After: "9s"}})
+		})
+	})
+}
+
+func TestExplainUnknownPath(t *testing.T) {
+	Convey("A path that is no node is refused, as Effective refuses it", t, func() {
+		tree := shop(t)
+		for _, path := range []string{"nowhere", "gj-west/storefront/s1/x", "gj-west/", "//", "A", "gj-west//storefront"} {
+			_, err := tree.Explain(path)
+			So(err, ShouldHaveSameTypeAs, contract.Faults{})
+			_, ok := tree.Effective(path)
+			So(ok, ShouldBeFalse)
+		}
+		for _, path := range []string{"", "/", "/gj-west", "gj-west"} {
+			_, err := tree.Explain(path)
+			So(err, ShouldBeNil)
+			_, ok := tree.Effective(path)
+			So(ok, ShouldBeTrue)
+		}
+	})
+}
+
+func TestEditForms(t *testing.T) {
+	Convey("Edits read back from messages and from JSON as they were", t, func() {
+		edits := []Edit{{Path: "a", Name: "homes", Value: "1"}, {Path: "a", Name: "homes", Op: Unset}, {Path: "a", Op: Remove}}
+		So(EditsFromWire(EditsToWire(edits)), ShouldResemble, edits)
+		text, err := json.Marshal(edits)
+		So(err, ShouldBeNil)
+		var again []Edit
+		So(json.Unmarshal(text, &again), ShouldBeNil)
+		So(again, ShouldResemble, edits)
+	})
+	Convey("An operation of a later release is refused, not taken for another", t, func() {
+		edits := EditsFromWire([]*wire.Edit{{Path: "gj-west", Name: "goal", Value: "tail", Op: 9}, {Path: "gj-west", Op: -1}})
+		So(fields(faultsOf(t, shop(t), edits...)), ShouldResemble, []string{"gj-west:goal", "gj-west"})
+	})
+}
--- a/internal/settings/size_test.go
+++ b/internal/settings/size_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 )
@@ -153,3 +154,23 @@
 		}
 	})
 }
+
+// BenchmarkResident reports the memory that a tree read from its bytes holds.
+func BenchmarkResident(b *testing.B) {
+	eachShape(b, func(b *testing.B, t *Tree) {
+		text := t.Encode()
+		var before, after runtime.MemStats
+		for range b.N {
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			got, err := Decode(text)
+			if err != nil {
+				b.Fatal(err)
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			runtime.KeepAlive(got)
+		}
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "resident-bytes")
+	})
+}
