settings: tests for what the digest covers, for damaged bytes and for a later release's edits

The walk over all nodes on a change of the tier is dropped: such a change is one of the root's values, which makes every node anew, so it was never needed.

--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -74,23 +74,23 @@
 // checker gathers the faults of a tree that edits would make.
 type checker struct {
 	tree   *Tree
-	all    bool // look at nodes that did not change, too
 	faults contract.Faults
 	moved  []*Effective // the query services whose leaves changed
 }
 
-// check returns every fault of t, given that old has none.
+// check returns every fault of t at nodes where old has other values. A change
+// of the tier's settings is one at the root, so that it is held against all nodes.
 func (t *Tree) check(old *Tree) contract.Faults {
-	c := checker{tree: t, all: t.tier != old.tier}
+	c := checker{tree: t}
 	c.walk(t.top, old.top)
 	return append(c.faults, sharedLeaves(t, c.moved)...)
 }
 
 func (c *checker) walk(r, old *resolved) {
-	if r == old && !c.all {
+	if r == old {
 		return
 	}
-	if old == nil || r.eff != old.eff || c.all {
+	if old == nil || r.eff != old.eff {
 		c.rules(r)
 	}
 	if r.isService() || len(r.eff.Drained) > 0 {
@@ -110,23 +110,20 @@
 		if !ru.broken(r.eff, c.tree.tier) {
 			continue
 		}
-		if name := c.stating(r, ru.names); name != "" {
+		if name := stating(r, ru.names); name != "" {
 			c.add(r, name, ru.why, ru.fix)
 		}
 	}
 }
 
-// stating returns the first of names that r states, and the first of all where
-// none is stated but r is the root, whose defaults hold.
-func (c *checker) stating(r *resolved, names []string) string {
+// stating returns the first of names that r states, or "". The root states one
+// of them in any contradiction, since the defaults make none.
+func stating(r *resolved, names []string) string {
 	for _, name := range names {
 		if r.decl.holds(name) {
 			return name
 		}
 	}
-	if r == c.tree.top {
-		return names[0]
-	}
 	return ""
 }
 
--- /dev/null
+++ b/internal/settings/encode_test.go
@@ -0,0 +1,67 @@
+package settings
+
+import (
+	"bytes"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestDigestCoversAll(t *testing.T) {
+	Convey("The digest covers the path, the name, the value and the version of each statement", t, func() {
+		base := Edit{Path: "a/b", Name: "homes", Value: "1"}
+		seen := map[uint64]string{}
+		for what, tree := range map[string]*Tree{
+			"nothing":        New(),
+			"the base":       mustApply(t, New(), 1, base),
+			"a path":         mustApply(t, New(), 1, Edit{Path: "a/c", Name: "homes", Value: "1"}),
+			"a path above":   mustApply(t, New(), 1, Edit{Path: "a", Name: "homes", Value: "1"}),
+			"a name":         mustApply(t, New(), 1, Edit{Path: "a/b", Name: "hit-limit", Value: "1"}),
+			"a value":        mustApply(t, New(), 1, Edit{Path: "a/b", Name: "homes", Value: "2"}),
+			"a version":      mustApply(t, New(), 2, base),
+			"a second value": mustApply(t, New(), 1, base, Edit{Path: "a/b", Name: "ramp", Value: "1s"}),
+		} {
+			So(seen[tree.Digest()], ShouldBeEmpty)
+			seen[tree.Digest()] = what
+		}
+	})
+	Convey("Stating what is stated already keeps the version that set it", t, func() {
+		tree := shop(t)
+		next := mustApply(t, tree, 9, Edit{Path: "/", Name: "deadline-default", Value: "0.22s"})
+		So(next.Digest(), ShouldEqual, tree.Digest())
+	})
+}
+
+// A snapshot is damaged on a disk or on its way: one byte has another value. A
+// daemon that took it would hold settings that no operator stated.
+func TestDecodeRefusesDamage(t *testing.T) {
+	Convey("Given the bytes of a tree", t, func() {
+		text := shop(t).Encode()
+		Convey("any byte altered, and any end cut off, is refused", func() {
+			for i := range text {
+				bad := bytes.Clone(text)
+				bad[i] ^= 0x01
+				_, err := Decode(bad)
+				So(err, ShouldNotBeNil)
+				_, err = Decode(text[:i])
+				So(err, ShouldNotBeNil)
+			}
+		})
+		Convey("a value altered is called damage", func() {
+			_, err := Decode(bytes.Replace(text, []byte("220ms"), []byte("221ms"), 1))
+			So(err, ShouldNotBeNil)
+			So(err.Error(), ShouldContainSubstring, "damaged")
+		})
+		Convey("other bytes of the same tree, and bytes after it, are refused", func() {
+			So(text[:2], ShouldResemble, []byte{0x83, formatVersion})
+			_, err := Decode(append([]byte{0x83, 0x18, formatVersion}, text[2:]...))
+			So(err, ShouldNotBeNil)
+			_, err = Decode(append(bytes.Clone(text), 0))
+			So(err, ShouldNotBeNil)
+		})
+		Convey("another format is named", func() {
+			_, err := Decode(append([]byte{0x83, formatVersion + 1}, text[2:]...))
+			So(err.Error(), ShouldContainSubstring, "format 2")
+		})
+	})
+}
--- a/internal/settings/obsolete_test.go
+++ b/internal/settings/obsolete_test.go
@@ -89,3 +89,44 @@
 		})
 	})
 }
+
+// A daemon of this release follows a leader of a later one, whose schema writes
+// values in another form, has wider ranges, and lets a query service have nodes
+// below it. The daemon must come to the leader's digest, and take nothing for
+// effective that it does not understand.
+func TestReplayOfLaterRelease(t *testing.T) {
+	Convey("Given a change that this release would refuse", t, func() {
+		tree := New().Replay(3, []Edit{
+			{Path: "/", Name: "daemon-lease", Value: "20m"},
+			{Path: "/", Name: "hedge-after", Value: "0.02s"},
+			{Path: "x", Name: "leaves", Value: "a=10.0.0.1:80@hall"},
+			{Path: "x/y", Name: "goal", Value: "tail"},
+			{Path: "x/y", Name: "new-setting", Value: "1"},
+			{Path: "x/y", Name: "leaves", Op: Unset},
+		})
+		Convey("each value stays as it is written", func() {
+			xs, err := tree.Explain("/")
+			So(err, ShouldBeNil)
+			So(xs, ShouldContain, Explained{Name: "hedge-after", Value: "0.02s", StatedAt: "/", Version: 3})
+			So(xs[len(xs)-1], ShouldResemble, Explained{Name: "daemon-lease", Value: "20m", StatedAt: "/", Version: 3, Obsolete: true})
+		})
+		Convey("what is understood holds, and the default in the place of the rest", func() {
+			e, _ := tree.Effective("x")
+			So(e.HedgeAfter.String(), ShouldEqual, "20ms")
+			So(tree.Tier().DaemonLease.String(), ShouldEqual, "6s")
+		})
+		Convey("leaves are not inherited", func() {
+			e, _ := tree.Effective("x/y")
+			So(e.Leaves, ShouldBeEmpty)
+			xs, _ := tree.Explain("x/y")
+			for _, x := range xs {
+				So(x.Name, ShouldNotEqual, "leaves")
+			}
+		})
+		Convey("it decodes to the same tree", func() {
+			again, err := Decode(tree.Encode())
+			So(err, ShouldBeNil)
+			So(Plan(tree, again), ShouldBeEmpty)
+		})
+	})
+}
