Wait for lists of former lifetimes, and keep those of cut-off daemons short

A daemon that leaves just after address-lifetime was lowered waited for the new one only, while callers held lists of the old. Horizon also counts versions that other daemons may still go by.

--- /dev/null
+++ b/internal/directory/horizon_test.go
@@ -0,0 +1,44 @@
+package directory
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"pearmoor/internal/relay"
+	"pearmoor/internal/settings"
+	"pearmoor/internal/vm"
+)
+
+func lifetimeTree(t *testing.T, lifetime string) *settings.Tree {
+	out, err := settings.New().Apply(1, []settings.Edit{{Path: "/", Name: "address-lifetime", Value: lifetime}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// An operator lowers address-lifetime from 30 s to 2 s and at once stops a
+// daemon on plan. Callers hold lists of 30 s that name it: were it to end after
+// 2 s, their requests would meet a closed port or be cut off.
+func TestHorizon(t *testing.T) {
+	Convey("A leaving daemon waits for the lists of former lifetimes", t, func() {
+		const second = vm.Instant(time.Second)
+		long, short := lifetimeTree(t, "30s"), lifetimeTree(t, "2s")
+		var h Horizon
+		h.Observe(&relay.View{ConfigVersion: 1, InForce: 1, Tree: long}, 0)
+		So(h.Wait(0), ShouldEqual, 30*time.Second)
+
+		// Other daemons still hand out lists of version 1.
+		older := []relay.Version{{Number: 1, Tree: long}}
+		h.Observe(&relay.View{ConfigVersion: 2, InForce: 1, Tree: short, Older: older}, 10*second)
+		So(h.Wait(11*second), ShouldEqual, 30*time.Second)
+
+		// From 12 s on nobody does; the last such list is kept to 42 s.
+		h.Observe(&relay.View{ConfigVersion: 2, InForce: 2, Tree: short}, 12*second)
+		So(h.Wait(13*second), ShouldEqual, 29*time.Second)
+		So(h.Wait(41*second), ShouldEqual, 2*time.Second)
+		So(h.Wait(60*second), ShouldEqual, 2*time.Second)
+	})
+}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -203,6 +203,15 @@
 				So(each.VM, ShouldNotEqual, "e0")
 			}
 		})
+		Convey("of a daemon without a lease leaves it out, is short-lived and gives no session", func() {
+			s := testServer(t, nil, false)
+			s.conf.Source.(*fakeSource).view.Lease = testNow
+			status, a := getAddresses(s, "/desk/a")
+			So(status, ShouldEqual, 200)
+			So(len(a.Addresses), ShouldEqual, 2)
+			So(a.LifetimeMS, ShouldEqual, 1000)
+			So(a.Session, ShouldBeEmpty)
+		})
 		Convey("of an unknown path is a 404, and of none a 400", func() {
 			status, _ := getAddresses(testServer(t, nil, false), "/nowhere")
 			So(status, ShouldEqual, 404)
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -128,6 +128,9 @@
 	return nil
 }
 
+// cutOffLifetime is how long a caller may keep the list of a daemon without a lease.
+const cutOffLifetime = time.Second
+
 func (s *Server) addresses(r *http.Request, _ string) (any, error) {
 	path := r.URL.Query().Get("service")
 	if path == "" {
@@ -150,9 +153,14 @@
 		Addresses:  list,
 		LifetimeMS: directory.Lifetime(view.Tree.Tier()).Milliseconds(),
 	}
-	if s.conf.Draining() {
+	switch {
+	case !view.Confirmed(now):
+		// A daemon that is cut off may name one that has left since. It still
+		// helps a caller to find those that work, but not for long.
+		out.LifetimeMS = min(out.LifetimeMS, cutOffLifetime.Milliseconds())
+	case s.conf.Draining():
 		out.Addresses = without(list, s.conf.Self.Name)
-	} else if view.Confirmed(now) {
+	default:
 		// A session dies with its daemon. One that is leaving or cut off would
 		// hand out sessions that nobody can honour soon after.
 		out.Session = s.conf.Engine.IssueSession()
