control: say which errors are certain, and benchmarks of changes, failover, restart and sync

Errors after which nothing was changed are marked, those with an unknown outcome are not, so that a tool knows when a resend is needed. A control VM that stops with a proposal under way used to claim that nothing had happened.

--- /dev/null
+++ b/internal/control/bench_test.go
@@ -0,0 +1,261 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"pearmoor/internal/link/wire"
+	"pearmoor/internal/vm"
+)
+
+// startBench founds a group with production timing.
+func startBench(b *testing.B, n int) *cluster {
+	b.Helper()
+	c := &cluster{t: b, vms: make(map[uint64]*testVM)}
+	voters, listeners := make(map[uint64]string), make(map[uint64]net.Listener)
+	for id := uint64(1); id <= uint64(n); id++ {
+		listeners[id] = listen(b, "127.0.0.1:0")
+		voters[id] = listeners[id].Addr().String()
+	}
+	for id, lis := range listeners {
+		cfg := Config{ID: id, Name: fmt.Sprint("ctl-", id), DataDir: b.TempDir(), Bootstrap: true, Voters: voters, Tick: DefaultTick}
+		c.vms[id] = startVM(b, cfg, lis)
+	}
+	return c
+}
+
+func leaseOf(i uint64) string { return fmt.Sprintf("%ds", 10+i%50) }
+
+// BenchmarkChange makes one change after another on the newest version: the time
+// of each is from the operator's call to the reply, with the change synced on a
+// majority and applied.
+func BenchmarkChange(b *testing.B) {
+	for _, n := range []int{1, 3, 5} {
+		b.Run(fmt.Sprintf("vms=%d", n), func(b *testing.B) {
+			c := startBench(b, n)
+			defer c.stopAll()
+			cl := dialVM(b, c.leader())
+			version := uint64(0)
+			for b.Loop() {
+				r := cl.change(fmt.Sprint("c", version), version, "daemon-lease", leaseOf(version))
+				if r.Outcome != wire.Outcome_ACCEPTED {
+					b.Fatal(r)
+				}
+				version++
+			}
+		})
+	}
+}
+
+// BenchmarkInForce makes a change and waits until it is in force everywhere, with
+// daemons that hold a call at the leader and confirm what they learn at once.
+func BenchmarkInForce(b *testing.B) {
+	for _, n := range []int{12, 100, 300} {
+		b.Run(fmt.Sprintf("daemons=%d", n), func(b *testing.B) {
+			c := startBench(b, 3)
+			defer c.stopAll()
+			lead := c.leader()
+			ctx, cancel := context.WithCancel(context.Background())
+			var wg sync.WaitGroup
+			defer wg.Wait()
+			defer cancel()
+			for i := range n {
+				d := newFakeDaemon(dialVM(b, lead), fmt.Sprintf("entry-%04d", i))
+				wg.Go(func() { d.follow(ctx) })
+			}
+			eventually(b, "all are members", func() bool {
+				v := lead.node.view()
+				return v.pending == nil && len(v.settled.Members) == n
+			})
+			cl := dialVM(b, lead)
+			version := uint64(0)
+			for b.Loop() {
+				version = cl.change(fmt.Sprint("c", version), version, "daemon-lease", leaseOf(version)).Version
+				f, err := cl.control().InForce(callCtx(b), &wire.InForceRequest{Version: version, WaitMs: 10_000})
+				if err != nil || !f.InForce {
+					b.Fatal(err, f)
+				}
+			}
+		})
+	}
+}
+
+// follow holds one call after another and confirms what it learns.
+func (d *fakeDaemon) follow(ctx context.Context) {
+	d.req.WaitMs = 1000
+	hb := d.req.Heartbeats[0]
+	for ctx.Err() == nil {
+		r, err := d.c.spread().Sync(ctx, d.req)
+		if err != nil || !r.Granted {
+			continue
+		}
+		d.req.HaveConfig, d.req.HaveDigest, hb.ConfigVersion = r.ConfigVersion, r.ConfigDigest, r.ConfigVersion
+		d.req.HaveSettled, d.req.HavePending, d.req.HaveInForce = r.SettledEpoch, r.PendingEpoch, r.InForce
+		hb.AckedEpoch = max(r.PendingEpoch, r.SettledEpoch)
+	}
+}
+
+// BenchmarkLeaderCutOff cuts the leader off silently and measures until another
+// VM has accepted a change, with an operator's tool that tries all of them.
+func BenchmarkLeaderCutOff(b *testing.B) {
+	c := startBench(b, 3)
+	defer c.stopAll()
+	version := uint64(0)
+	lead := c.leader()
+	var longest time.Duration
+	for b.Loop() {
+		b.StopTimer()
+		lead = c.leader()
+		b.StartTimer()
+		start := time.Now()
+		c.cut(lead, true)
+		eventually(b, "the next change", func() bool {
+			for _, v := range c.vms {
+				if v == lead {
+					continue
+				}
+				r, err := tryChange(b, v, changeRequest(fmt.Sprint("c", version), version, "daemon-lease", leaseOf(version)))
+				if err == nil && r.Redirect == "" && r.Outcome == wire.Outcome_ACCEPTED {
+					version = r.Version
+					return true
+				}
+			}
+			return false
+		})
+		longest = max(longest, time.Since(start))
+		b.StopTimer()
+		c.cut(lead, false)
+		eventually(b, "the old leader follows", func() bool { return lead.node.view().version == version })
+		b.StartTimer()
+	}
+	b.ReportMetric(float64(longest.Milliseconds()), "longest-ms")
+}
+
+// BenchmarkRestart opens a data folder with 10,000 changes behind it, until the
+// lone VM leads again.
+func BenchmarkRestart(b *testing.B) {
+	const changes = 10_000
+	v := startVM(b, Config{ID: 1, Name: "ctl-1", DataDir: b.TempDir(), Bootstrap: true, Tick: DefaultTick}, listen(b, "127.0.0.1:0"))
+	eventually(b, "it leads", v.leads)
+	cl := dialVM(b, v)
+	for i := range uint64(changes) {
+		if r := cl.change(fmt.Sprint("c", i), i, "daemon-lease", leaseOf(i)); r.Outcome != wire.Outcome_ACCEPTED {
+			b.Fatal(r)
+		}
+	}
+	var open time.Duration
+	n := 0
+	for b.Loop() {
+		b.StopTimer()
+		v.stop()
+		lis := listen(b, v.cfg.PeerAddr)
+		b.StartTimer()
+		start := time.Now()
+		v = startVM(b, v.cfg, lis)
+		open += time.Since(start)
+		n++
+		eventually(b, "it leads", v.leads)
+	}
+	b.StopTimer()
+	if got := v.node.view().version; got != changes {
+		b.Fatalf("version %d", got)
+	}
+	b.ReportMetric(float64(open.Milliseconds())/float64(n), "open-ms")
+	b.ReportMetric(float64(folderSize(b, v.cfg.DataDir)), "disk-bytes")
+	v.stop()
+}
+
+func folderSize(b *testing.B, dir string) (sum int64) {
+	names, err := filepath.Glob(filepath.Join(dir, "*"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	for _, name := range names {
+		info, err := os.Stat(name)
+		if err != nil {
+			b.Fatal(err)
+		}
+		sum += info.Size()
+	}
+	return sum
+}
+
+// BenchmarkSync is the leader's work for one exchange of a relay with 70 daemons
+// at rest, among 3,600: heartbeats in full, and in the short form.
+func BenchmarkSync(b *testing.B) {
+	const daemons, perRelay = 3600, 70
+	v := startVM(b, Config{ID: 1, Name: "ctl-1", DataDir: b.TempDir(), Bootstrap: true, Tick: DefaultTick}, listen(b, "127.0.0.1:0"))
+	defer v.stop()
+	eventually(b, "it leads", v.leads)
+	server := &spreadServer{v.node}
+	var exchanges []*wire.SyncRequest
+	for i := 0; i < daemons; i += perRelay {
+		req := &wire.SyncRequest{}
+		for j := i; j < min(i+perRelay, daemons); j++ {
+			m := serving(fmt.Sprintf("entry-vm-%05d", j), 1_700_000_000_000)
+			m.Domain, m.Region = "lalitpur-hall", "kathmandu-valley"
+			m.PeerAddr, m.CallerAddr = "10.12.134.21:7301", "http://10.12.134.21:8080"
+			req.Heartbeats = append(req.Heartbeats, &wire.Heartbeat{Vm: m})
+		}
+		exchanges = append(exchanges, req)
+	}
+	syncAll := func() (last *wire.SyncReply) {
+		for _, req := range exchanges {
+			r, err := server.Sync(context.Background(), req)
+			if err != nil {
+				b.Fatal(err)
+			}
+			for _, hb := range req.Heartbeats {
+				hb.ConfigVersion, hb.AckedEpoch = r.ConfigVersion, max(r.PendingEpoch, r.SettledEpoch)
+			}
+			req.HaveConfig, req.HaveDigest = r.ConfigVersion, r.ConfigDigest
+			req.HaveSettled, req.HavePending, req.HaveInForce = r.SettledEpoch, r.PendingEpoch, r.InForce
+			last = r
+		}
+		return last
+	}
+	eventually(b, "all are members", func() bool {
+		syncAll()
+		view := v.node.view()
+		return view.pending == nil && len(view.settled.Members) == daemons
+	})
+	syncAll()
+	run := func(name string, requests []*wire.SyncRequest) {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				r, err := server.Sync(context.Background(), requests[i%len(requests)])
+				if err != nil || !r.Granted || r.Resend {
+					b.Fatal(err, r)
+				}
+			}
+		})
+	}
+	run("full", exchanges)
+	var short []*wire.SyncRequest
+	for _, req := range exchanges {
+		s := &wire.SyncRequest{HaveConfig: req.HaveConfig, HaveDigest: req.HaveDigest, HaveSettled: req.HaveSettled, HaveInForce: req.HaveInForce}
+		for _, hb := range req.Heartbeats {
+			s.Steady = append(s.Steady, vm.FromWire(hb.Vm).Digest())
+		}
+		short = append(short, s)
+	}
+	run("short", short)
+
+	// A daemon joins 3,600 others: what the leader does per relay for the epoch.
+	settled := v.node.view().settled
+	next := &vm.Membership{Epoch: settled.Epoch + 1, Members: append([]vm.Member(nil), settled.Members...)}
+	next.Members = append(next.Members, vm.FromWire(serving("zz", 1)))
+	b.Run("membership-delta", func(b *testing.B) {
+		b.ReportAllocs()
+		for b.Loop() {
+			vm.Delta(settled, next)
+		}
+	})
+}
--- a/internal/control/disk_test.go
+++ b/internal/control/disk_test.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sys/unix"
 
 	"pearmoor/internal/journal"
+	"pearmoor/internal/link/peer"
 	"pearmoor/internal/link/wire"
 )
 
@@ -73,6 +74,7 @@
 			_, err := tryChange(t, v, changeRequest("b", 1, "daemon-lease", "11s"))
 			So(err, ShouldNotBeNil)
 			So(err.Error(), ShouldContainSubstring, "not accepted")
+			So(peer.IsNotDone(err), ShouldBeTrue)
 			disk.low.Store(false)
 			So(c.change("b", 1, "daemon-lease", "11s").Version, ShouldEqual, 2)
 		})
@@ -83,6 +85,7 @@
 			disk.full.Store(true)
 			_, err := tryChange(t, v, changeRequest("b", 1, "daemon-lease", "11s"))
 			So(err, ShouldNotBeNil)
+			So(peer.IsNotDone(err), ShouldBeFalse)
 			eventually(t, "new ones are refused", func() bool {
 				_, err := tryChange(t, v, changeRequest("c", 1, "daemon-lease", "12s"))
 				return err != nil && v.node.full.Load()
@@ -107,6 +110,7 @@
 			r, err := tryChange(t, v, changeRequest("b", 1, "daemon-lease", "11s"))
 			So(err, ShouldNotBeNil)
 			So(r, ShouldBeNil)
+			So(peer.IsNotDone(err), ShouldBeFalse)
 			<-v.node.stopped
 			v.stop()
 			var sync *journal.SyncError
--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -51,7 +51,7 @@
 
 // run drives the machine until ctx ends or something fails for good.
 func (d *driver) run(ctx context.Context) error {
-	defer d.failWaiting(errStopped)
+	defer d.failWaiting(errStopUnknown)
 	ticker := time.NewTicker(d.tick)
 	defer ticker.Stop()
 	d.started = d.clock()
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -138,7 +138,7 @@
 	id, ok := peer.FromContext(ctx)
 	if ok && id.Verified {
 		if id.Kind != peer.Operator {
-			return "", false, errors.Newf("control: %q is a %s certificate; changes need an operator's", id.Name, id.Kind)
+			return "", false, peer.Permanent(errors.Newf("control: %q is a %s certificate; changes need an operator's", id.Name, id.Kind))
 		}
 		return id.Name, true, nil
 	}
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -7,18 +7,21 @@
 	"google.golang.org/protobuf/proto"
 
 	"pearmoor/internal/control/state"
+	"pearmoor/internal/link/peer"
 	"pearmoor/internal/link/wire"
 	"pearmoor/internal/quorum"
 )
 
-// The errors that a caller of a control VM sees as text.
+// The errors that a caller of a control VM sees as text. Those marked with
+// peer.NotDone are certain: nothing was changed.
 var (
-	errStopped     = errors.New("control: this control VM is stopping; ask another one")
-	errNoLeader    = errors.New("control: no leader is known; try again")
+	errStopped     = peer.NotDone(errors.New("control: this control VM is stopping; ask another one"))
+	errNoLeader    = peer.NotDone(errors.New("control: no leader is known; try again"))
+	errFull        = peer.NotDone(errors.New("control: the disk of the leading control VM is full, the change was not accepted; free space in its data folder"))
+	errLost        = peer.NotDone(errors.New("control: another leader took over, nothing was accepted; ask it"))
 	errUnknown     = errors.New("control: leadership changed and the outcome is not known here; resend with the same change id")
 	errFullUnknown = errors.New("control: the disk of this control VM is full, and the outcome is not known; resend with the same change id")
-	errFull        = errors.New("control: the disk of the leading control VM is full, the change was not accepted; free space in its data folder")
-	errLost        = errors.New("control: another leader took over, nothing was accepted; ask it")
+	errStopUnknown = errors.New("control: this control VM stopped, and the outcome is not known; resend with the same change id")
 )
 
 // outcome is what became of a proposal.
@@ -76,7 +79,7 @@
 	err := d.call(ctx, func() {
 		index, term, err := put(d.machine)
 		if err != nil {
-			w.finish(outcome{err: err})
+			w.finish(outcome{err: peer.NotDone(err)})
 			return
 		}
 		w.term = term
@@ -91,6 +94,6 @@
 	case <-ctx.Done():
 		return state.Result{}, errors.Wrap(ctx.Err(), "control: outcome not known; resend with the same change id")
 	case <-n.stopped:
-		return state.Result{}, errStopped
+		return state.Result{}, errStopUnknown
 	}
 }
--- a/internal/control/read.go
+++ b/internal/control/read.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"pearmoor/internal/link/peer"
 	"pearmoor/internal/link/wire"
 	"pearmoor/internal/settings"
 )
@@ -16,7 +17,11 @@
 	maxInForceWait  = 30 * time.Second
 )
 
-var errUnconfirmed = errors.New("control: this leader has not heard enough of its group to be sure that its state is the newest; try again")
+var errUnconfirmed = peer.NotDone(errors.New("control: this leader has not heard enough of its group to be sure that its state is the newest; try again"))
+
+func noSuchVersion(version, newest uint64) error {
+	return peer.Permanent(errors.Newf("control: version=%d does not exist; the newest is %d", version, newest))
+}
 
 // confirm returns an error unless this VM is the leader beyond doubt, so that
 // what it is about to answer is the newest there is.
@@ -51,10 +56,10 @@
 		return st.Tree(), st.Version(), nil
 	}
 	if version > st.Version() {
-		return nil, 0, errors.Newf("control: version=%d does not exist; the newest is %d", version, st.Version())
+		return nil, 0, noSuchVersion(version, st.Version())
 	}
 	if first := st.FirstRecord(); version+1 < first {
-		return nil, 0, errors.Newf("control: version=%d is too old to be read; the oldest that can be is %d", version, first-1)
+		return nil, 0, peer.Permanent(errors.Newf("control: version=%d is too old to be read; the oldest that can be is %d", version, first-1))
 	}
 	var undo []settings.Edit
 	for v := st.Version(); v > version; v-- {
@@ -129,7 +134,7 @@
 	for {
 		st, changed := s.history.State()
 		if req.Version > st.ConfigVersion {
-			return nil, errors.Newf("control: version=%d does not exist; the newest is %d", req.Version, st.ConfigVersion)
+			return nil, noSuchVersion(req.Version, st.ConfigVersion)
 		}
 		if st.InForce >= req.Version {
 			return &wire.InForceReply{InForce: true, InForceUnixMs: s.inForceAt(req.Version)}, nil
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -50,7 +50,7 @@
 	s.history.Fill(req, reply)
 	now := s.lead.Load()
 	if now.term == lead.term && now.confirmed(s.cfg.Clock()) {
-		reply.Granted = true
+		reply.Granted = !unknown
 		reply.LeaseMs = uint32(terms.Lease.Milliseconds())
 	} else {
 		reply.Redirect = now.redirect()
