--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"os"
 	"path/filepath"
 	"sync"
@@ -17,17 +16,7 @@
 // startBench founds a group with production timing.
 func startBench(b *testing.B, n int) *cluster {
 	b.Helper()
-	c := &cluster{t: b, vms: make(map[uint64]*testVM)}
-	voters, listeners := make(map[uint64]string), make(map[uint64]net.Listener)
-	for id := uint64(1); id <= uint64(n); id++ {
-		listeners[id] = listen(b, "127.0.0.1:0")
-		voters[id] = listeners[id].Addr().String()
-	}
-	for id, lis := range listeners {
-		cfg := Config{ID: id, Name: fmt.Sprint("ctl-", id), DataDir: b.TempDir(), Bootstrap: true, Voters: voters, Tick: DefaultTick}
-		c.vms[id] = startVM(b, cfg, lis)
-	}
-	return c
+	return startCluster(b, n, func(cfg *Config) { cfg.Tick = DefaultTick })
 }
 
 func leaseOf(i uint64) string { return fmt.Sprintf("%ds", 10+i%50) }
--- a/internal/control/group_test.go
+++ b/internal/control/group_test.go
@@ -19,7 +19,7 @@
 }
 
 // startCluster founds a group of n control VMs.
-func startCluster(t testing.TB, n int) *cluster {
+func startCluster(t testing.TB, n int, adjust ...func(*Config)) *cluster {
 	t.Helper()
 	c := &cluster{t: t, vms: make(map[uint64]*testVM)}
 	voters, listeners := make(map[uint64]string), make(map[uint64]net.Listener)
@@ -29,6 +29,9 @@
 	}
 	for id, lis := range listeners {
 		cfg := Config{ID: id, Name: fmt.Sprint("ctl-", id), DataDir: t.TempDir(), Bootstrap: true, Voters: voters}
+		for _, f := range adjust {
+			f(&cfg)
+		}
 		c.vms[id] = startVM(t, cfg, lis)
 	}
 	return c
@@ -224,6 +227,43 @@
 	})
 }
 
+// A control VM is away while the others compact their logs, then comes back: it
+// gets a snapshot in pieces and goes on from there, also after a restart of its
+// own. The log stays bounded meanwhile, and the audit trail stays whole.
+func TestFollowerBehindTheLog(t *testing.T) {
+	Convey("Given a follower that missed more changes than the log keeps", t, func() {
+		c := startCluster(t, 3, func(cfg *Config) { cfg.SnapshotEntries = 50 })
+		Reset(c.stopAll)
+		lead := c.leader()
+		var away *testVM
+		for _, v := range c.vms {
+			if v != lead {
+				away = v
+			}
+		}
+		c.cut(away, true)
+		cl := dialVM(t, lead)
+		const changes = 1500
+		for i := range uint64(changes) {
+			if r := cl.change(fmt.Sprint("c", i), i, "daemon-lease", fmt.Sprintf("%ds", 10+i%50)); r.Outcome != wire.Outcome_ACCEPTED {
+				t.Fatal(r)
+			}
+		}
+		So(lead.node.lead.Load().status.First, ShouldBeGreaterThan, 1)
+		c.cut(away, false)
+		eventually(t, "it has everything", func() bool { return away.node.view().version == changes })
+		away.stop()
+		away = startVM(t, away.cfg, listen(t, away.cfg.PeerAddr))
+		c.vms[away.cfg.ID] = away
+		eventually(t, "it has everything again", func() bool { return away.node.view().version == changes })
+		So(away.node.state.Tree().Digest(), ShouldEqual, lead.node.state.Tree().Digest())
+		a, err := cl.control().Audit(callCtx(t), &wire.AuditRequest{FromVersion: 1, Limit: 3})
+		So(err, ShouldBeNil)
+		So(len(a.Records), ShouldEqual, 3)
+		So(a.Records[0].ChangeId, ShouldEqual, "c0")
+	})
+}
+
 // A leader's links to the other control VMs are cut silently: nothing answers and
 // nothing is refused. Operators and daemons still reach it, and it believes for a
 // while that it leads. It must accept, confirm and grant nothing from the moment
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -4,7 +4,11 @@
 	"slices"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+	"k8s.io/klog/v2"
+
 	"pearmoor/internal/quorum"
+	"pearmoor/internal/quorum/quorumpb"
 	"pearmoor/internal/vm"
 )
 
@@ -20,6 +24,22 @@
 	lost   chan struct{} // closed when this VM stops leading in the term
 }
 
+var (
+	termGauge    = metrics.GetOrRegisterGauge("control.quorum.term", metrics.DefaultRegistry)
+	leaderGauge  = metrics.GetOrRegisterGauge("control.quorum.leads", metrics.DefaultRegistry)
+	appliedGauge = metrics.GetOrRegisterGauge("control.quorum.applied", metrics.DefaultRegistry)
+)
+
+func (l *leadership) publishMetrics() {
+	termGauge.Update(int64(l.term))
+	appliedGauge.Update(int64(l.status.Applied))
+	leads := int64(0)
+	if l.self {
+		leads = 1
+	}
+	leaderGauge.Update(leads)
+}
+
 // setLeadership shows l, and ends the calls held under a leadership that is over.
 func (n *Node) setLeadership(l *leadership) {
 	old := n.lead.Load()
@@ -30,6 +50,8 @@
 		l.lost = make(chan struct{})
 	}
 	n.lead.Store(l)
+	l.publishMetrics()
+	n.reportRefusal(old, l)
 	if old.self && old.lost != l.lost {
 		close(old.lost)
 	}
@@ -40,6 +62,14 @@
 	}
 }
 
+// reportRefusal tells the operator when the group does not take this VM for the
+// member whose id it has: its disk was replaced, or it was removed.
+func (n *Node) reportRefusal(old, l *leadership) {
+	if why := l.status.Refused; why != old.status.Refused && why != quorumpb.Refusal_NONE {
+		klog.Errorf("control: the group refuses this VM as member %d (%v); start it on an empty folder with an id never used, and add it to the group", n.cfg.ID, why)
+	}
+}
+
 // controlAddrs returns the peer addresses of the control group.
 func (l *leadership) controlAddrs() []string {
 	var out []string
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -152,6 +152,8 @@
 // the version already shown.
 func (n *Node) publishState(after uint64) {
 	st := n.state
+	versionGauge.Update(int64(st.Version()))
+	inForceGauge.Update(int64(st.InForce()))
 	n.history.Advance(relay.State{
 		ConfigVersion: st.Version(), ConfigDigest: st.Tree().Digest(), Tree: st.Tree(),
 		InForce: st.InForce(), Settled: st.Settled(), Pending: st.Pending(),
--- a/internal/control/ready.go
+++ b/internal/control/ready.go
@@ -20,7 +20,13 @@
 	flushEvery  = 5 * time.Second        // of the audit trail
 )
 
-var saveTimer = metrics.GetOrRegisterTimer("control.journal.save", metrics.DefaultRegistry)
+var (
+	saveTimer    = metrics.GetOrRegisterTimer("control.journal.save", metrics.DefaultRegistry)
+	logGauge     = metrics.GetOrRegisterGauge("control.journal.log_bytes", metrics.DefaultRegistry)
+	freeGauge    = metrics.GetOrRegisterGauge("control.journal.free_bytes", metrics.DefaultRegistry)
+	versionGauge = metrics.GetOrRegisterGauge("control.config.version", metrics.DefaultRegistry)
+	inForceGauge = metrics.GetOrRegisterGauge("control.config.in_force", metrics.DefaultRegistry)
+)
 
 // process carries out one Ready in the order that package quorum asks for.
 func (d *driver) process(ctx context.Context) error {
@@ -144,6 +150,7 @@
 		return nil
 	}
 	d.flushed = now
+	d.measure()
 	err := d.node.trail.Flush()
 	if err == nil && due {
 		err = d.saveSnapshot()
@@ -155,6 +162,13 @@
 	return err
 }
 
+func (d *driver) measure() {
+	logGauge.Update(d.journal.Size())
+	if free, err := d.journal.Free(); err == nil {
+		freeGauge.Update(int64(free))
+	}
+}
+
 func (d *driver) saveSnapshot() error {
 	data, err := d.node.state.Encode()
 	if err != nil {
