--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"sync"
 	"testing"
@@ -64,6 +65,11 @@
 
 // startVM opens and runs a control VM on lis.
 func startVM(t testing.TB, cfg Config, lis net.Listener) *testVM {
+	t.Helper()
+	return startVMWith(t, cfg, lis, nil)
+}
+
+func startVMWith(t testing.TB, cfg Config, lis net.Listener, serverTLS *tls.Config) *testVM {
 	t.Helper()
 	pool := &cutConns{Pool: peer.NewPool(nil), cut: make(map[string]bool)}
 	cfg.Conns, cfg.PeerAddr = pool, lis.Addr().String()
@@ -84,7 +90,7 @@
 		v.err = n.Run(ctx)
 		_ = pool.Close()
 	})
-	v.done.Go(func() { _ = peer.Serve(ctx, lis, mux, nil) })
+	v.done.Go(func() { _ = peer.Serve(ctx, lis, mux, serverTLS) })
 	t.Cleanup(v.stop)
 	return v
 }
@@ -123,7 +129,12 @@
 
 func dialVM(t testing.TB, v *testVM) *client {
 	t.Helper()
-	pool := peer.NewPool(nil)
+	return dialWith(t, v, nil)
+}
+
+func dialWith(t testing.TB, v *testVM, clientTLS *tls.Config) *client {
+	t.Helper()
+	pool := peer.NewPool(clientTLS)
 	conn, err := pool.Conn(context.Background(), v.cfg.PeerAddr)
 	if err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/internal/control/tls_test.go
@@ -0,0 +1,72 @@
+package control
+
+import (
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"pearmoor/internal/link/peer"
+	"pearmoor/internal/link/wire"
+)
+
+// certified issues a certificate and returns a pool and server settings that use it.
+func certified(t *testing.T, a *peer.Authority, dir string, id peer.Identity) *peer.Reloader {
+	t.Helper()
+	f := peer.Files{
+		CA:   filepath.Join(dir, "ca.pem"),
+		Cert: filepath.Join(dir, id.Name+".pem"),
+		Key:  filepath.Join(dir, id.Name+"-key.pem"),
+	}
+	if err := a.Issue(id, []string{"127.0.0.1"}, time.Hour, f.Cert, f.Key); err != nil {
+		t.Fatal(err)
+	}
+	r, err := f.Load()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// Somebody with a stolen entry VM's certificate, or an operator who claims another
+// name, edits the tree. The trail must name who it was by certificate, and a VM
+// may edit nothing.
+func TestOperatorIsNamedByCertificate(t *testing.T) {
+	Convey("Given a control VM that demands certificates", t, func() {
+		dir := t.TempDir()
+		a, err := peer.NewAuthority(time.Hour)
+		So(err, ShouldBeNil)
+		So(a.Save(filepath.Join(dir, "ca.pem"), filepath.Join(dir, "ca-key.pem")), ShouldBeNil)
+		vmCert := certified(t, a, dir, peer.Identity{Name: "ctl-1", Kind: peer.VM})
+		operator := certified(t, a, dir, peer.Identity{Name: "asha", Kind: peer.Operator})
+		v := startVMWith(t, Config{ID: 1, Name: "ctl-1", DataDir: t.TempDir(), Bootstrap: true}, listen(t, "127.0.0.1:0"), vmCert.ServerConfig())
+		Reset(v.stop)
+		eventually(t, "it leads", v.leads)
+
+		Convey("an operator is recorded by the certificate's name, whatever the request says", func() {
+			c := dialWith(t, v, operator.ClientConfig())
+			req := changeRequest("a", 0, "daemon-lease", "10s")
+			req.Operator = "somebody-else"
+			r, err := c.control().Change(callCtx(t), req)
+			So(err, ShouldBeNil)
+			So(r.Version, ShouldEqual, 1)
+			audit, err := c.control().Audit(callCtx(t), &wire.AuditRequest{})
+			So(err, ShouldBeNil)
+			So(audit.Records[0].Operator, ShouldEqual, "asha")
+			So(audit.Records[0].Unauthenticated, ShouldBeFalse)
+			_, err = c.spread().Sync(callCtx(t), &wire.SyncRequest{})
+			So(err, ShouldNotBeNil)
+		})
+
+		Convey("a VM's certificate changes nothing, but syncs", func() {
+			c := dialWith(t, v, vmCert.ClientConfig())
+			_, err := c.control().Change(callCtx(t), changeRequest("a", 0, "daemon-lease", "10s"))
+			So(err, ShouldNotBeNil)
+			So(v.node.view().version, ShouldEqual, 0)
+			s, err := c.spread().Sync(callCtx(t), &wire.SyncRequest{})
+			So(err, ShouldBeNil)
+			So(s.Granted, ShouldBeTrue)
+		})
+	})
+}
