quorum: keep the promise to a leader also in a term already known; harsher fault tests

A voter that had learned a newer term by a late reply, and then heard the old leader's time run on, granted a vote in that term inside the old leader's lease: the check ran only for terms that were new to it.

--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -108,10 +108,10 @@
 // onVote gives at most one vote per term. It is bound to the candidate's disk:
 // before disks are bound by the log, two disks may come under the same id.
 func (m *Machine) onVote(msg *Message) {
+	if msg.Term >= m.hard.Term && m.promised() && !msg.Transfer {
+		return // also in a term that is known already: see promised
+	}
 	if msg.Term > m.hard.Term {
-		if m.promised() && !msg.Transfer {
-			return
-		}
 		m.becomeFollower(msg.Term, 0)
 	}
 	free := m.hard.Vote == 0 && m.leader == 0
--- a/internal/quorum/invariant_test.go
+++ b/internal/quorum/invariant_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 
+	"google.golang.org/protobuf/proto"
+
 	"pearmoor/internal/quorum/quorumpb"
 )
 
@@ -29,6 +31,14 @@
 	}
 }
 
+// checkConfs checks that a machine goes by the newest group in its log.
+func (c *cluster) checkConfs(h *host) {
+	want := confHistory{{h.m.snap.Index, confOf(h.m.snap)}}.add(h.m.log.from(h.m.snap.Index+1, h.m.log.last(), maxInt)).newest()
+	if got := h.m.confs.newest(); !proto.Equal(got.conf, want.conf) {
+		c.t.Fatalf("member %d goes by the group of entry %d, the newest in its log is %d", h.id, got.index, want.index)
+	}
+}
+
 // checkEntries checks log matching: an index and term name one entry with one
 // predecessor, whoever holds it; by induction the logs are the same below.
 func (c *cluster) checkEntries(h *host, es []*Entry) {
