--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -25,6 +25,8 @@
 	Extra      int     `json:"extra_attempts"`
 	Errors     int     `json:"broken_answers"` // 200 with a body that can't be read
 
+	LastError string `json:"last_error,omitempty"` // of a request without a reply
+
 	Reasons map[contract.Reason]int `json:"reasons"` // of refusals and doubts
 	Missing map[contract.Reason]int `json:"missing"` // of shards not covered
 	Check   Check                   `json:"check"`
@@ -99,6 +101,9 @@
 		r.Reasons[o.Failure.Reason]++
 	default:
 		r.Failed++
+		if o.Err != nil {
+			r.LastError = o.Err.Error()
+		}
 	}
 }
 
--- a/internal/load/table.go
+++ b/internal/load/table.go
@@ -39,7 +39,7 @@
 	row("answered", "%d, of these whole %d, late %d, broken %d", r.Answered, r.Whole, r.Late, r.Errors)
 	row("not run", "%d", r.Refused)
 	row("in doubt", "%d", r.InDoubt)
-	row("no reply", "%d", r.Failed)
+	row("no reply", "%d %s", r.Failed, r.LastError)
 	row("reasons", "%s", reasons(r.Reasons))
 	row("coverage", "%.3f%% mean, missing: %s", r.Coverage*percent, reasons(r.Missing))
 	row("goodput", "%.1f/s whole and in time", r.Goodput)
