--- a/internal/settings/diff.go
+++ b/internal/settings/diff.go
@@ -24,20 +24,26 @@
 		return
 	}
 	d.stated(path, from.stated, to.stated)
-	for _, c := range from.children {
-		if to.child(c.name) == nil {
-			d.add(Remove, joinPath(path, c.name), "", "")
-		}
-	}
-	for _, c := range to.children {
-		old := from.child(c.name)
-		if old == c {
-			continue
-		}
-		if old == nil {
-			old = &node{}
+	d.children(path, from.children, to.children)
+}
+
+// children compares two sorted lists side by side: most children of a wide node
+// are the same in both, and cost one comparison of pointers each.
+func (d *differ) children(path string, from, to []*node) {
+	for len(from) > 0 || len(to) > 0 {
+		switch {
+		case len(to) == 0 || len(from) > 0 && from[0].name < to[0].name:
+			d.add(Remove, joinPath(path, from[0].name), "", "")
+			from = from[1:]
+		case len(from) == 0 || to[0].name < from[0].name:
+			d.node(joinPath(path, to[0].name), &node{}, to[0])
+			to = to[1:]
+		default:
+			if from[0] != to[0] {
+				d.node(joinPath(path, to[0].name), from[0], to[0])
+			}
+			from, to = from[1:], to[1:]
 		}
-		d.node(joinPath(path, c.name), old, c)
 	}
 }
 
