Show what a value was, and bound what is printed

The audit trail names the value that each edit replaced. Effects of a large change are listed in full by plan, dry run and diff; after a change the first 20. Queries: fail-over and at-most-once of the tool are tested against fake entries.

--- a/internal/cli/change.go
+++ b/internal/cli/change.go
@@ -154,7 +154,11 @@
 	if c.Resend {
 		fmt.Fprintln(w, "it had been accepted before; this is its first outcome")
 	}
-	writeEffects(w, c.Effects)
+	most := maxShownEffects
+	if c.DryRun {
+		most = len(c.Effects)
+	}
+	writeEffects(w, c.Effects, most)
 	c.writeInForce(w)
 }
 
@@ -173,16 +177,33 @@
 	}
 }
 
-func writeEffects(w io.Writer, effects []settings.Effect) {
-	rows := make([][]string, len(effects))
-	for i, e := range effects {
-		rows[i] = []string{e.Service, e.Name, orDash(e.Before), orDash(e.After)}
+// maxShownEffects and maxShownValue bound what is printed after a change; 'plan'
+// and a dry run show everything.
+const (
+	maxShownEffects = 20
+	maxShownValue   = 60 // characters
+)
+
+func writeEffects(w io.Writer, effects []settings.Effect, most int) {
+	var rows [][]string
+	for _, e := range effects[:min(len(effects), most)] {
+		rows = append(rows, []string{e.Service, e.Name, showValue(e.Before), showValue(e.After)})
 	}
 	if len(rows) == 0 {
 		fmt.Fprintln(w, "no query service is affected")
 		return
 	}
 	table(w, "QUERY SERVICE|SETTING|BEFORE|AFTER", rows)
+	if more := len(effects) - len(rows); more > 0 {
+		fmt.Fprintf(w, "and %d more; 'pearmoor diff' shows all\n", more)
+	}
+}
+
+func showValue(s string) string {
+	if s == "" {
+		return "-"
+	}
+	return shorten(s, maxShownValue)
 }
 
 func orDash(s string) string {
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -199,6 +199,11 @@
 			So(version(c), ShouldEqual, 4)
 			So(c.must("diff", "1").out, ShouldContainSubstring, "no query service is affected")
 		})
+		Convey("a version that was never there is refused at once", func() {
+			r := c.run("diff", "900")
+			So(r.code, ShouldEqual, ExitInvalid)
+			So(r.err, ShouldContainSubstring, "version=900 does not exist")
+		})
 	})
 }
 
--- a/internal/cli/diff.go
+++ b/internal/cli/diff.go
@@ -41,5 +41,5 @@
 func (d *difference) writeText(w io.Writer) {
 	fmt.Fprintf(w, "from version %d to version %d\n", d.From, d.To)
 	writeEdits(w, d.Edits)
-	writeEffects(w, d.Effects)
+	writeEffects(w, d.Effects, len(d.Effects))
 }
--- a/internal/cli/output.go
+++ b/internal/cli/output.go
@@ -80,3 +80,12 @@
 	}
 	return fmt.Sprintf("%d %ss", n, one)
 }
+
+// shorten cuts s to most characters.
+func shorten(s string, most int) string {
+	runes := []rune(s)
+	if len(runes) <= most {
+		return s
+	}
+	return string(runes[:most]) + "..."
+}
--- a/internal/cli/plan.go
+++ b/internal/cli/plan.go
@@ -84,7 +84,7 @@
 func (p *planned) writeText(w io.Writer) {
 	fmt.Fprintf(w, "at version %d this would do:\n", p.Version)
 	writeEdits(w, p.Edits)
-	writeEffects(w, p.Effects)
+	writeEffects(w, p.Effects, len(p.Effects))
 }
 
 func writeEdits(w io.Writer, edits []settings.Edit) {
--- a/internal/cli/query.go
+++ b/internal/cli/query.go
@@ -253,18 +253,10 @@
 	fmt.Fprintln(w)
 	var rows [][]string
 	for _, h := range a.Hits[:min(len(a.Hits), maxShownHits)] {
-		rows = append(rows, []string{h.ID, fmt.Sprintf("%.4g", h.Score), h.Service, fmt.Sprint(h.Shard), shorten(string(h.Data))})
+		rows = append(rows, []string{h.ID, fmt.Sprintf("%.4g", h.Score), h.Service, fmt.Sprint(h.Shard), shorten(string(h.Data), maxShownData)})
 	}
 	table(w, "HIT|SCORE|SERVICE|SHARD|DATA", rows)
 	if more := len(a.Hits) - len(rows); more > 0 {
 		fmt.Fprintf(w, "and %d more; --output=json shows all\n", more)
 	}
 }
-
-func shorten(s string) string {
-	runes := []rune(s)
-	if len(runes) <= maxShownData {
-		return s
-	}
-	return string(runes[:maxShownData]) + "..."
-}
--- /dev/null
+++ b/internal/cli/query_test.go
@@ -0,0 +1,115 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"pearmoor/internal/contract"
+	"pearmoor/internal/entry"
+)
+
+// fakeEntry answers addresses with urls, and queries with answer.
+func fakeEntry(urls func() []string, answer http.HandlerFunc) *httptest.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc(entry.AddressesPath, func(w http.ResponseWriter, r *http.Request) {
+		list := contract.Addresses{Service: r.URL.Query().Get("service"), LifetimeMS: 1000, Session: "s-1"}
+		for i, u := range urls() {
+			list.Addresses = append(list.Addresses, contract.Address{VM: fmt.Sprintf("e%d", i), URL: u})
+		}
+		_ = json.NewEncoder(w).Encode(list)
+	})
+	mux.HandleFunc(entry.QueryPath, answer)
+	return httptest.NewServer(mux)
+}
+
+func goodAnswer(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(contract.Answer{
+		RequestID: "r-1", Verdict: contract.Ran, IndexVersions: map[string]uint64{"desk/a": 7}, ServedBy: "e1",
+		Coverage: contract.Coverage{Answered: 1, Total: 2, Missing: []contract.Missing{{Service: "desk/a", Shard: 1, Reason: contract.ReasonDeadline}}},
+		Hits:     []contract.ServiceHit{{Service: "desk/a", Hit: contract.Hit{ID: "letter-9", Score: 0.5}}},
+	})
+}
+
+func failWithStatus(status int, verdict contract.Verdict) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_ = json.NewEncoder(w).Encode(contract.Failure{Verdict: verdict, Reason: contract.ReasonOverload, Message: "busy"})
+	}
+}
+
+func runQuery(entry *httptest.Server, args ...string) result {
+	c := &tier{}
+	return c.runWith(nil, append([]string{"query", "--entry=" + entry.URL, "/desk/a", `--body={"q":1}`}, args...)...)
+}
+
+func TestQuery(t *testing.T) {
+	Convey("An answer is printed with its coverage, and a low one has its exit code", t, func() {
+		var e *httptest.Server
+		e = fakeEntry(func() []string { return []string{e.URL} }, goodAnswer)
+		defer e.Close()
+		r := runQuery(e)
+		So(r.code, ShouldEqual, ExitOK)
+		So(r.out, ShouldContainSubstring, "coverage 1 of 2 shards (50.0%)")
+		So(r.out, ShouldContainSubstring, "letter-9")
+		So(r.out, ShouldContainSubstring, "deadline")
+		So(runQuery(e, "--require-coverage=0.9").code, ShouldEqual, ExitPartial)
+	})
+	Convey("The next address is tried when the first refuses or is gone", t, func() {
+		var good *httptest.Server
+		good = fakeEntry(func() []string { return []string{good.URL} }, goodAnswer)
+		defer good.Close()
+		var e *httptest.Server
+		e = fakeEntry(func() []string { return []string{"http://127.0.0.1:1", e.URL, good.URL} }, failWithStatus(429, contract.NotRun))
+		defer e.Close()
+		So(runQuery(e, "--once").code, ShouldEqual, ExitOK)
+	})
+
+	// The first daemon takes a fee request and dies before it answers. The tool
+	// must not send it to the next one: the fee could be charged twice.
+	Convey("A request that is not repeatable is not sent on once it may have run", t, func() {
+		var ran atomic.Int32
+		good := fakeEntry(func() []string { return nil }, func(w http.ResponseWriter, r *http.Request) {
+			ran.Add(1)
+			goodAnswer(w, r)
+		})
+		defer good.Close()
+		var e *httptest.Server
+		e = fakeEntry(func() []string { return []string{e.URL, good.URL} }, func(http.ResponseWriter, *http.Request) {
+			ran.Add(1)
+			panic(http.ErrAbortHandler)
+		})
+		defer e.Close()
+		r := runQuery(e, "--once", "--key=fee-1")
+		So(r.code, ShouldEqual, ExitInDoubt)
+		So(r.err, ShouldContainSubstring, "--key=fee-1 --session=s-1")
+		So(ran.Load(), ShouldEqual, 1)
+
+		ran.Store(0) // a repeatable one goes on
+		So(runQuery(e).code, ShouldEqual, ExitOK)
+		So(ran.Load(), ShouldEqual, 2)
+	})
+	Convey("Bad JSON in --body is a usage error", t, func() {
+		c := &tier{}
+		r := c.runWith(nil, "query", "--entry=http://127.0.0.1:1", "/desk/a", "--body={")
+		So(r.code, ShouldEqual, ExitUsage)
+	})
+}
+
+func TestHelp(t *testing.T) {
+	Convey("Every command's help has an example", t, func() {
+		c := &tier{}
+		commands := strings.Fields("get set unset remove plan explain history audit diff revert export apply status query addresses ready domains load")
+		for _, name := range append(commands, "control add", "control remove", "control replace", "certs init", "certs vm", "certs operator") {
+			r := c.runWith(nil, append(strings.Fields(name), "--help")...)
+			So(r.code, ShouldEqual, ExitOK)
+			So(r.out, ShouldContainSubstring, "Example: pearmoor "+strings.Fields(name)[0])
+		}
+	})
+}
--- a/internal/cli/trail.go
+++ b/internal/cli/trail.go
@@ -11,8 +11,10 @@
 	"pearmoor/internal/settings"
 )
 
-// auditPage is how many records are asked for at once.
-const auditPage = 200
+const (
+	auditPage     = 200 // records asked for at once
+	maxShownEdits = 20  // of one change, as text
+)
 
 // record is one accepted change.
 type record struct {
@@ -204,10 +206,24 @@
 	} else {
 		fmt.Fprintln(w, "  not yet in force everywhere")
 	}
-	for _, e := range r.Edits {
-		fmt.Fprintf(w, "  %s\n", showEdit(e))
+	for _, e := range r.Edits[:min(len(r.Edits), maxShownEdits)] {
+		fmt.Fprintf(w, "  %s\n", r.showStep(e))
 	}
-	for _, e := range r.Before {
-		fmt.Fprintf(w, "  undone by: %s\n", showEdit(e))
+	if more := len(r.Edits) - maxShownEdits; more > 0 {
+		fmt.Fprintf(w, "  and %d more; --output=json shows all\n", more)
+	}
+}
+
+// showStep shows an edit with the value it replaced.
+func (r *record) showStep(e settings.Edit) string {
+	text := showEdit(e)
+	if e.Op == settings.Remove {
+		return text
+	}
+	for _, b := range r.Before {
+		if b.Path == e.Path && b.Name == e.Name && b.Op == settings.Set {
+			return text + " (was " + shorten(b.Value, maxShownValue) + ")"
+		}
 	}
+	return text + " (was not stated)"
 }
