Fail calls to a dead address at once, and retire old connections

After a failed dial only one call at a time tries the address again; the others fail without waiting, so that they can turn to another home. Connections are replaced after at most ten minutes, so that a replaced authority holds for all.

--- /dev/null
+++ b/internal/link/peer/bench_test.go
@@ -0,0 +1,64 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"testing"
+
+	"storj.io/drpc"
+
+	"pearmoor/internal/link/wire"
+)
+
+func benchmarkCalls(b *testing.B, server, client *tls.Config, conn func(p *Pool, addr string) drpc.Conn) {
+	s := start(b, &control{}, server)
+	defer func() { _ = s.stop() }()
+	pool := NewPool(client)
+	defer pool.Close()
+	cc := wire.NewDRPCControlClient(conn(pool, s.addr))
+	ctx := context.Background()
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if _, err := cc.Read(ctx, &wire.ReadRequest{}); err != nil {
+				b.Error(err)
+				return
+			}
+		}
+	})
+}
+
+func pooled(p *Pool, addr string) drpc.Conn {
+	conn, _ := p.Conn(context.Background(), addr)
+	return conn
+}
+
+// BenchmarkCall compares a pooled call in plain text and over mutual TLS with one
+// that dials each time, which is what a pool saves.
+func BenchmarkCall(b *testing.B) {
+	dir, a := b.TempDir(), authority(b)
+	server := load(b, issue(b, a, dir, Identity{Name: "c1", Kind: VM})).ServerConfig()
+	client := load(b, issue(b, a, dir, Identity{Name: "asha", Kind: Operator})).ClientConfig()
+	b.Run("plain", func(b *testing.B) { benchmarkCalls(b, nil, nil, pooled) })
+	b.Run("tls", func(b *testing.B) { benchmarkCalls(b, server, client, pooled) })
+	b.Run("tls-dial-each", func(b *testing.B) {
+		benchmarkCalls(b, server, client, func(p *Pool, addr string) drpc.Conn { return &dialEach{pool: p, addr: addr} })
+	})
+}
+
+// dialEach dials for every call.
+type dialEach struct {
+	drpc.Conn
+	pool *Pool
+	addr string
+}
+
+// Invoke implements drpc.Conn.
+func (d *dialEach) Invoke(ctx context.Context, rpc string, enc drpc.Encoding, in, out drpc.Message) error {
+	conn, err := dial(ctx, d.addr, d.pool.conf)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	return conn.Invoke(ctx, rpc, enc, in, out)
+}
--- /dev/null
+++ b/internal/link/peer/health_test.go
@@ -0,0 +1,146 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/smartystreets/goconvey/convey"
+	"golang.org/x/sys/unix"
+
+	"pearmoor/internal/link/wire"
+)
+
+// A home's VM is lost without a word. The first call finds out by a dial that
+// times out; those after it must fail at once, so that callers turn to the other
+// home, and one of them must find the VM when it is back.
+func TestHealth(t *testing.T) {
+	Convey("After a failed dial", t, func() {
+		ctx := context.Background()
+		var h health
+		So(h.allow(time.Now()), ShouldBeNil)
+		h.dialed(ctx, time.Now(), errors.New("timed out"))
+		So(h.allow(time.Now()), ShouldNotBeNil)
+
+		later := time.Now().Add(2 * dialPause)
+		So(h.allow(later), ShouldBeNil)    // the probe
+		So(h.allow(later), ShouldNotBeNil) // others meanwhile
+
+		Convey("a failed probe starts another pause", func() {
+			h.dialed(ctx, time.Now(), errors.New("timed out"))
+			So(h.allow(time.Now()), ShouldNotBeNil)
+		})
+		Convey("a good one opens the address to all", func() {
+			h.dialed(ctx, time.Now(), nil)
+			So(h.allow(later), ShouldBeNil)
+			So(h.allow(later), ShouldBeNil)
+		})
+		Convey("a probe whose caller gave up early lets the next caller probe", func() {
+			gone, cancel := context.WithCancel(ctx)
+			cancel()
+			h.dialed(gone, time.Now(), gone.Err())
+			So(h.allow(later), ShouldBeNil)
+		})
+	})
+	Convey("A caller's short deadline is not held against the address", t, func() {
+		var h health
+		gone, cancel := context.WithCancel(context.Background())
+		cancel()
+		h.dialed(gone, time.Now(), gone.Err())
+		So(h.allow(time.Now()), ShouldBeNil)
+		h.dialed(gone, time.Now().Add(-slowDial), gone.Err())
+		So(h.allow(time.Now()), ShouldNotBeNil)
+	})
+}
+
+// An address refuses, then a daemon starts there: calls reach it again without
+// anyone resetting the pool.
+func TestAddressComesBack(t *testing.T) {
+	Convey("A pool finds an address that is back", t, func() {
+		lis, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		addr := lis.Addr().String()
+		So(lis.Close(), ShouldBeNil)
+		pool := NewPool(nil)
+		defer pool.Close()
+		_, err = read(pool, addr)
+		So(NotSent(err), ShouldBeTrue)
+
+		s := startAt(t, addr, &control{}, nil)
+		defer func() { So(s.stop(), ShouldBeNil) }()
+		end := time.Now().Add(testWait)
+		for err != nil && time.Now().Before(end) {
+			time.Sleep(dialPause / 10)
+			_, err = read(pool, addr)
+		}
+		So(err, ShouldBeNil)
+	})
+}
+
+// The link is cut without a reset. Only the kernel can notice, and only if told
+// to look: without these options the connection stays open for a quarter of an hour.
+func TestSocketOptions(t *testing.T) {
+	Convey("Both ends of a connection are watched by the kernel", t, func() {
+		lis, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		watched := Watch(lis)
+		defer watched.Close()
+		accepted := make(chan net.Conn, 1)
+		go func() {
+			conn, _ := watched.Accept()
+			accepted <- conn
+		}()
+		client, err := net.Dial("tcp", lis.Addr().String())
+		So(err, ShouldBeNil)
+		defer client.Close()
+		So(watchSocket(client), ShouldBeNil)
+		server := <-accepted
+		defer server.Close()
+		for _, conn := range []net.Conn{client, server} {
+			So(option(t, conn, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT), ShouldEqual, userTimeout.Milliseconds())
+			So(option(t, conn, unix.SOL_SOCKET, unix.SO_KEEPALIVE), ShouldEqual, 1)
+			So(option(t, conn, unix.IPPROTO_TCP, unix.TCP_KEEPIDLE), ShouldEqual, keepAliveIdle.Seconds())
+			So(option(t, conn, unix.IPPROTO_TCP, unix.TCP_KEEPINTVL), ShouldEqual, keepAliveInterval.Seconds())
+		}
+	})
+}
+
+func option(t *testing.T, conn net.Conn, level, name int) int {
+	t.Helper()
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	var value int
+	err = raw.Control(func(fd uintptr) { value, _ = unix.GetsockoptInt(int(fd), level, name) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return value
+}
+
+// Anything may connect to the peer port. Bytes that are no call must cost that
+// connection only.
+func TestGarbage(t *testing.T) {
+	Convey("Garbage ends its own connection and nothing else", t, func() {
+		s := start(t, &control{}, nil)
+		defer func() { So(s.stop(), ShouldBeNil) }()
+		for _, garbage := range []string{"GET / HTTP/1.1\r\n\r\n", "\x16\x03\x01\x02\x00\x01", "\xff\xff\xff\xff\xff\xff\xff\xff"} {
+			conn, err := net.Dial("tcp", s.addr)
+			So(err, ShouldBeNil)
+			_, _ = conn.Write([]byte(garbage))
+			_ = conn.(*net.TCPConn).CloseWrite()
+			_ = conn.SetReadDeadline(time.Now().Add(testWait))
+			_, _ = conn.Read(make([]byte, 64))
+			_ = conn.Close()
+		}
+		pool := NewPool(nil)
+		defer pool.Close()
+		conn, err := pool.Conn(context.Background(), s.addr)
+		So(err, ShouldBeNil)
+		_, err = wire.NewDRPCControlClient(conn).Read(context.Background(), &wire.ReadRequest{})
+		So(err, ShouldBeNil)
+	})
+}
--- a/internal/link/peer/peer_test.go
+++ b/internal/link/peer/peer_test.go
@@ -61,9 +61,14 @@
 	}
 }
 
-func start(t *testing.T, c *control, conf *tls.Config) *testServer {
+func start(t testing.TB, c *control, conf *tls.Config) *testServer {
 	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	return startAt(t, "127.0.0.1:0", c, conf)
+}
+
+func startAt(t testing.TB, addr string, c *control, conf *tls.Config) *testServer {
+	t.Helper()
+	lis, err := net.Listen("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -86,7 +91,7 @@
 }
 
 // issue writes a certificate of a fresh authority, or of the one given.
-func issue(t *testing.T, a *Authority, dir string, id Identity) Files {
+func issue(t testing.TB, a *Authority, dir string, id Identity) Files {
 	t.Helper()
 	f := newFiles(dir, id.Kind.String()+"-"+id.Name)
 	if err := a.Save(f.CA, filepath.Join(dir, "ca.key")); err != nil {
@@ -98,7 +103,7 @@
 	return f
 }
 
-func load(t *testing.T, f Files) *Reloader {
+func load(t testing.TB, f Files) *Reloader {
 	t.Helper()
 	r, err := f.Load()
 	if err != nil {
@@ -107,7 +112,7 @@
 	return r
 }
 
-func authority(t *testing.T) *Authority {
+func authority(t testing.TB) *Authority {
 	t.Helper()
 	a, err := NewAuthority(testValidity)
 	if err != nil {
--- a/internal/link/peer/pool.go
+++ b/internal/link/peer/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -19,16 +20,20 @@
 	connsPerAddr = 64
 	// idleExpiry closes a connection that nobody has used for this long.
 	idleExpiry = time.Minute
+	// maxAge is when a connection is replaced, up to a part earlier so that those
+	// made together are not replaced together.
+	maxAge    = 10 * time.Minute
+	ageSpread = 5
 )
 
 // Pool keeps connections to other processes and reuses them. The zero value is
 // not usable; make one with NewPool.
 type Pool struct {
 	conf *tls.Config
-	idle *drpcpool.Pool[string, *drpcconn.Conn]
+	idle *drpcpool.Pool[string, *agedConn]
 
 	mu     sync.Mutex
-	slots  map[string]chan struct{}
+	peers  map[string]*address
 	closed bool
 }
 
@@ -37,8 +42,8 @@
 func NewPool(tlsConf *tls.Config) *Pool {
 	return &Pool{
 		conf:  tlsConf,
-		idle:  drpcpool.New[string, *drpcconn.Conn](drpcpool.Options{Expiration: idleExpiry, KeyCapacity: connsPerAddr}),
-		slots: make(map[string]chan struct{}),
+		idle:  drpcpool.New[string, *agedConn](drpcpool.Options{Expiration: idleExpiry, KeyCapacity: connsPerAddr}),
+		peers: make(map[string]*address),
 	}
 }
 
@@ -51,12 +56,12 @@
 	if p.closed {
 		return nil, &NotSentError{Addr: addr, Cause: errors.New("the pool is closed")}
 	}
-	slots, ok := p.slots[addr]
+	to, ok := p.peers[addr]
 	if !ok {
-		slots = make(chan struct{}, connsPerAddr)
-		p.slots[addr] = slots
+		to = &address{slots: make(chan struct{}, connsPerAddr)}
+		p.peers[addr] = to
 	}
-	return &handle{pool: p, addr: addr, slots: slots, closed: make(chan struct{})}, nil
+	return &handle{pool: p, addr: addr, to: to, closed: make(chan struct{})}, nil
 }
 
 // Close closes the idle connections and refuses new calls. Calls under way go on.
@@ -73,10 +78,24 @@
 	return p.closed
 }
 
+// address is what a pool knows of one address.
+type address struct {
+	slots chan struct{} // one for each call under way
+	health
+}
+
+// agedConn is a connection that is not used again once it is old: what was
+// checked when it was made, by an authority that may have been replaced since,
+// does not hold for ever.
+type agedConn struct {
+	*drpcconn.Conn
+	retire time.Time
+}
+
 type handle struct {
-	pool  *Pool
-	addr  string
-	slots chan struct{}
+	pool *Pool
+	addr string
+	to   *address
 
 	once   sync.Once
 	closed chan struct{}
@@ -125,51 +144,67 @@
 	return stream, nil
 }
 
-func (h *handle) take(ctx context.Context) (*drpcconn.Conn, error) {
+func (h *handle) take(ctx context.Context) (*agedConn, error) {
 	if err := h.acquire(ctx); err != nil {
 		return nil, err
 	}
 	if conn, ok := h.pool.idle.Take(h.addr); ok {
 		return conn, nil
 	}
+	conn, err := h.dial(ctx)
+	if err != nil {
+		<-h.to.slots
+		return nil, err
+	}
+	return conn, nil
+}
+
+func (h *handle) dial(ctx context.Context) (*agedConn, error) {
+	if err := h.to.allow(time.Now()); err != nil {
+		fastFailures.Inc(1)
+		return nil, err
+	}
+	began := time.Now()
 	conn, err := dial(ctx, h.addr, h.pool.conf)
+	h.to.dialed(ctx, began, err)
 	if err != nil {
-		<-h.slots
 		dialFailures.Inc(1)
 		return nil, err
 	}
 	dials.Inc(1)
-	return conn, nil
+	age := maxAge - rand.N(maxAge/ageSpread)
+	return &agedConn{Conn: conn, retire: time.Now().Add(age)}, nil
 }
 
 func (h *handle) acquire(ctx context.Context) error {
 	select {
 	case <-h.closed:
 		return errors.New("the connection is closed")
-	case h.slots <- struct{}{}:
+	case h.to.slots <- struct{}{}:
 		return nil
 	default:
 	}
 	waits.Inc(1)
 	select {
-	case h.slots <- struct{}{}:
+	case h.to.slots <- struct{}{}:
 		return nil
 	case <-ctx.Done():
 		return errors.Wrapf(ctx.Err(), "all %d connections are busy", connsPerAddr)
 	}
 }
 
-func (h *handle) put(conn *drpcconn.Conn) {
-	if h.pool.isClosed() {
+func (h *handle) put(conn *agedConn) {
+	if h.pool.isClosed() || time.Now().After(conn.retire) {
 		_ = conn.Close()
 	} else {
 		h.pool.idle.Put(h.addr, conn)
 	}
-	<-h.slots
+	<-h.to.slots
 }
 
 var (
 	dials        = metrics.GetOrRegisterCounter("peer.pool.dials", metrics.DefaultRegistry)
 	dialFailures = metrics.GetOrRegisterCounter("peer.pool.dial_failures", metrics.DefaultRegistry)
+	fastFailures = metrics.GetOrRegisterCounter("peer.pool.fast_failures", metrics.DefaultRegistry)
 	waits        = metrics.GetOrRegisterCounter("peer.pool.waits", metrics.DefaultRegistry)
 )
