settings: hold every default to the one it was released with

A release that altered a default would change what holds with no change in the audit trail, and leave daemons of two releases with different shares of a leaf.

--- a/internal/settings/editor.go
+++ b/internal/settings/editor.go
@@ -49,7 +49,7 @@
 }
 
 func (ed *editor) set(e Edit, segments []string) {
-	val, text := ed.parse(e, len(segments) == 0)
+	val, text := ed.parse(e, segments)
 	if val == nil && !ed.lenient {
 		return
 	}
@@ -68,13 +68,13 @@
 }
 
 // parse returns the value to state and its text; a nil value when it is refused.
-func (ed *editor) parse(e Edit, atRoot bool) (*value, string) {
+func (ed *editor) parse(e Edit, segments []string) (*value, string) {
 	s, ok := ed.schema.lookup(e.Name)
 	if !ok {
-		ed.unknown(e)
+		ed.unknown(e, segments)
 		return nil, e.Value
 	}
-	if why, fix := s.misplaced(atRoot); why != "" {
+	if why, fix := s.misplaced(len(segments) == 0); why != "" {
 		ed.fault(e, why, fix)
 		return nil, e.Value
 	}
@@ -89,12 +89,10 @@
 	return v, v.text
 }
 
-func (ed *editor) unknown(e Edit) {
-	if segments, _ := splitPath(e.Path); segments != nil || trimPath(e.Path) == "" {
-		if n := lookupNode(ed.root, segments); n != nil && n.states(e.Name) {
-			ed.fault(e, "the setting is obsolete: this release has none of that name", "unset it")
-			return
-		}
+func (ed *editor) unknown(e Edit, segments []string) {
+	if n := lookupNode(ed.root, segments); n != nil && n.states(e.Name) {
+		ed.fault(e, "the setting is obsolete: this release has none of that name", "unset it")
+		return
 	}
 	ed.fault(e, "there is no setting of that name", ed.schema.suggest(e.Name))
 }
@@ -103,7 +101,7 @@
 	n := lookupNode(ed.root, segments)
 	if n == nil || !n.states(e.Name) {
 		if _, known := ed.schema.lookup(e.Name); !known {
-			ed.unknown(e)
+			ed.unknown(e, segments)
 			return
 		}
 		ed.fault(e, "the setting is not stated here", "leave the edit out, or name the path that states it")
--- a/internal/settings/reference_test.go
+++ b/internal/settings/reference_test.go
@@ -55,3 +55,26 @@
 		}
 	})
 }
+
+// An operator has left a setting to its default. A new release has another one:
+// while daemons are updated one by one, each goes by its own. Of leaf-slots, say,
+// the shares of old and new daemons sum to more than the leaf has, and afterwards
+// a value has changed that nobody changed. A default is therefore never altered;
+// a setting that needs another one gets a new name, and the old one goes.
+func TestDefaultsNeverChange(t *testing.T) {
+	released := map[string]string{
+		"leaves": "", "drained": "", "leaf-slots": "2", "leaf-connections": "30", "connect-cost": "6ms",
+		"leaf-tls": "false", "homes": "2", "priority": "ordinary", "goal": "coverage", "snapshot": "joint",
+		"deadline-default": "1s", "deadline-max": "4s", "early-coverage": "0", "body-limit": "1MiB",
+		"hit-limit": "0", "hedge-after": "0s", "hedge-budget": "0.02", "retry-budget": "0.1",
+		"queue-limit": "64", "ramp": "10s", "probe-interval": "500ms",
+		"daemon-lease": "6s", "address-lifetime": "30s", "resend-window": "1m",
+	}
+	Convey("Each setting has the default it was released with", t, func() {
+		for _, s := range Schema() {
+			text, listed := released[s.Name]
+			So(listed, ShouldBeTrue)
+			So(s.Default, ShouldEqual, text)
+		}
+	})
+}
