--- /dev/null
+++ b/internal/directory/bench_test.go
@@ -0,0 +1,117 @@
+package directory
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pearmoor/internal/relay"
+	"pearmoor/internal/settings"
+	"pearmoor/internal/vm"
+)
+
+// order chooses the first address of the n-th list.
+type order func(v *relay.View, path string, n int) string
+
+func homesNow(v *relay.View, path string) []vm.Member {
+	e, _ := v.Tree.Effective(path)
+	return v.HomesOf(e.Path, e)
+}
+
+// orders are the ways weighed: the homes as hashing ranks them; a counter of the
+// daemon over its homes; a failure domain first, then a member of it; and List.
+func orders() map[string]order {
+	l := seeded(7)
+	return map[string]order{
+		"ranked":  func(v *relay.View, path string, _ int) string { return homesNow(v, path)[0].Name },
+		"counter": func(v *relay.View, path string, n int) string { hs := homesNow(v, path); return hs[n%len(hs)].Name },
+		"domain-first": func(v *relay.View, _ string, _ int) string {
+			domains := map[string][]string{}
+			var names []string
+			for _, m := range v.Settled.Members {
+				if domains[m.Domain] == nil {
+					names = append(names, m.Domain)
+				}
+				domains[m.Domain] = append(domains[m.Domain], m.Name)
+			}
+			in := domains[names[l.rand(len(names))]]
+			return in[l.rand(len(in))]
+		},
+		"list": func(v *relay.View, path string, _ int) string {
+			list, err := l.list(v, path, vm.Identity{}, testNow)
+			if err != nil {
+				panic(err)
+			}
+			return list[0].VM
+		},
+	}
+}
+
+// BenchmarkFirstAddress reports, for callers that ask for one of 52 services in
+// turn, how uneven the first addresses load the 12 daemons (most over mean), how
+// uneven they load the homes of one service, and how many save the hop to a home.
+func BenchmarkFirstAddress(b *testing.B) {
+	m := members(12, 4)
+	m.Members[11].Domain = "hall-alone"
+	v := view(tree(b, 52), m)
+	for _, name := range []string{"ranked", "counter", "domain-first", "list"} {
+		choose := orders()[name]
+		b.Run(name, func(b *testing.B) {
+			all, one := map[string]int{}, map[string]int{}
+			saved := 0
+			for n := range b.N {
+				path := fmt.Sprintf("desk/s%d", n%52)
+				first := choose(v, path, n)
+				all[first]++
+				if n%52 == 0 {
+					one[first]++
+				}
+				for _, h := range homesNow(v, path) {
+					if h.Name == first {
+						saved++
+					}
+				}
+			}
+			b.ReportMetric(unevenness(all, 12), "most/mean")
+			b.ReportMetric(unevenness(one, 2), "home-most/mean")
+			b.ReportMetric(100*float64(saved)/float64(b.N), "%saved")
+		})
+	}
+}
+
+func unevenness(count map[string]int, n int) float64 {
+	most, sum := 0, 0
+	for _, c := range count {
+		most, sum = max(most, c), sum+c
+	}
+	return float64(most) * float64(n) / float64(sum)
+}
+
+// BenchmarkRefetch reports the most callers of 10,000 that ask for a new list in
+// one second, in the round after all got their lists together and four later.
+func BenchmarkRefetch(b *testing.B) {
+	const callers = 10000
+	tier := settings.Tier{AddressLifetime: 30 * time.Second}
+	ways := map[string]func() time.Duration{
+		"fixed":  func() time.Duration { return tier.AddressLifetime },
+		"spread": func() time.Duration { return Lifetime(tier) },
+	}
+	for _, name := range []string{"fixed", "spread"} {
+		b.Run(name, func(b *testing.B) {
+			for range b.N {
+				at := make([]time.Duration, callers)
+				for round := 1; round <= 5; round++ {
+					bySecond, most := map[time.Duration]int{}, 0
+					for i := range at {
+						at[i] += ways[name]()
+						bySecond[at[i]/time.Second]++
+						most = max(most, bySecond[at[i]/time.Second])
+					}
+					if round == 1 || round == 5 {
+						b.ReportMetric(float64(most), fmt.Sprintf("most/s-round-%d", round))
+					}
+				}
+			}
+		})
+	}
+}
