query: exact verdicts at the deadline, retries that cost targets nothing, scatter tests

Retries after a proven non-run that cost the target nothing are not charged to the budget: the loss of one replica used it up and shards the other replica holds went missing.

--- a/internal/query/call.go
+++ b/internal/query/call.go
@@ -90,6 +90,11 @@
 	}
 	if d.err == nil {
 		c.r.learn(d.home.Name, d.part, c.e.Clock())
+		if c.crossed(d.part) {
+			d.err = &contract.Error{Verdict: contract.MayHaveRun, Reason: contract.ReasonWrongReply}
+		}
+	}
+	if d.err == nil {
 		if d.part.refusal == "" || d.part.refusal == contract.ReasonNoSnapshot {
 			return d.part
 		}
@@ -106,6 +111,12 @@
 	return c.refused
 }
 
+// crossed reports a part of another index version than the pinned one. Taken, it
+// would mix two versions in one answer.
+func (c *call) crossed(p *part) bool {
+	return p.refusal == "" && c.q.pin != 0 && p.version != c.q.pin
+}
+
 // next asks another home after one has refused or was lost. A refusal proves that
 // nothing was sent, so it costs no budget and is open to every request; a lost
 // home may have sent, and asking again could run the request twice.
--- a/internal/query/entry.go
+++ b/internal/query/entry.go
@@ -86,11 +86,24 @@
 	pin, complete := s.known.pick()
 	s.partial = !complete || !p.req.IsRepeatable()
 	s.reset(pin)
+	if pin == 0 {
+		s.refuseAll()
+		return s.out
+	}
 	for s.rounds(ctx) {
 	}
 	return s.out
 }
 
+// refuseAll ends a scope of which no version is known. Left to choose themselves,
+// its homes could each choose another version.
+func (s *scopeRun) refuseAll() {
+	for _, t := range s.targets {
+		s.out.parts[t.unit] = refusedPart(contract.ReasonNoSnapshot, t.eff.ProbeInterval)
+	}
+	s.out.shards = nil
+}
+
 // reset drops what was answered and starts over at pin.
 func (s *scopeRun) reset(pin uint64) {
 	s.out = &outcome{targets: s.targets, parts: make(map[unit]*part, len(s.targets)), pin: pin}
--- a/internal/query/gather.go
+++ b/internal/query/gather.go
@@ -29,7 +29,7 @@
 	}
 	var omitted int
 	a.Hits, omitted = top(a.Hits, p.limit())
-	_ = omitted
+	a.HitsOmitted += omitted
 	if a.Hits == nil {
 		a.Hits = []contract.ServiceHit{}
 	}
@@ -58,6 +58,7 @@
 	a.Coverage.Total += p.answered + len(p.missing)
 	a.Coverage.Missing = append(a.Coverage.Missing, p.missing...)
 	a.Hits = append(a.Hits, p.hits...)
+	a.HitsOmitted += p.omitted
 	a.ExtraAttempts += p.extra
 	a.Early = a.Early || p.early
 	if p.answered > 0 {
--- /dev/null
+++ b/internal/query/scatter/fake_test.go
@@ -0,0 +1,201 @@
+package scatter
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"pearmoor/internal/admit"
+	"pearmoor/internal/contract"
+	"pearmoor/internal/settings"
+	"pearmoor/internal/vm"
+)
+
+// bubbleClock reads the fake time of a synctest bubble as an instant.
+func bubbleClock() vm.Instant { return vm.Instant(time.Now().UnixNano()) }
+
+// act is what a fake leaf does with one attempt.
+type act uint8
+
+const (
+	reply        act = iota
+	wrongVersion     // runs, answers for another version
+	otherRequest     // runs, answers for another request
+	reset            // runs, loses the connection before the reply
+	refuse           // 429 without running
+	conflict         // 409 without running
+	unreachable      // nothing was written
+	hang             // runs, never answers
+	actCount
+)
+
+type behavior struct {
+	act   act
+	delay time.Duration
+}
+
+// fakeLeaves is a Sender over leaves whose behaviour a test scripts. It counts
+// runs, and what is in flight at each leaf as the leaf sees it.
+type fakeLeaves struct {
+	script func(leaf string, req *contract.LeafRequest) behavior
+
+	mu       sync.Mutex
+	runs     map[uint32]int // by shard
+	inFlight map[string]int
+	peak     map[string]int
+	sent     int
+	busy     sync.WaitGroup
+}
+
+func newFakeLeaves(script func(string, *contract.LeafRequest) behavior) *fakeLeaves {
+	return &fakeLeaves{script: script, runs: map[uint32]int{}, inFlight: map[string]int{}, peak: map[string]int{}}
+}
+
+type sendResult struct {
+	reply *contract.LeafReply
+	err   error
+}
+
+// Send keeps the Sender's contract: the permit stays out until the leaf is done,
+// also when the caller leaves first.
+func (f *fakeLeaves) Send(ctx context.Context, leaf settings.Leaf, req *contract.LeafRequest, permit *admit.Permit) (*contract.LeafReply, error) {
+	b := f.script(leaf.Name, req)
+	if b.act == unreachable {
+		permit.Done(admit.Failed, 0)
+		return nil, contract.Refuse(contract.ReasonTargetFailed, errors.New("connection refused"))
+	}
+	if err := permit.Check(); err != nil {
+		permit.Release()
+		return nil, err
+	}
+	f.enter(leaf.Name, req.Shard, b.act)
+	done := make(chan sendResult, 1)
+	f.busy.Add(1)
+	go f.run(ctx, leaf.Name, b, *req, permit, done)
+	select {
+	case r := <-done:
+		return r.reply, r.err
+	case <-ctx.Done():
+		return nil, &contract.Error{Verdict: contract.MayHaveRun, Reason: contract.ReasonDeadline, Cause: ctx.Err()}
+	}
+}
+
+func (f *fakeLeaves) enter(leaf string, shard uint32, a act) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sent++
+	f.inFlight[leaf]++
+	f.peak[leaf] = max(f.peak[leaf], f.inFlight[leaf])
+	if a != refuse && a != conflict {
+		f.runs[shard]++
+	}
+}
+
+func (f *fakeLeaves) run(ctx context.Context, leaf string, b behavior, req contract.LeafRequest, permit *admit.Permit, done chan sendResult) {
+	defer f.busy.Done()
+	if b.act == hang {
+		<-ctx.Done()
+	} else {
+		time.Sleep(b.delay)
+	}
+	f.mu.Lock()
+	f.inFlight[leaf]--
+	f.mu.Unlock()
+	done <- f.finish(b, req, permit)
+}
+
+func (f *fakeLeaves) finish(b behavior, req contract.LeafRequest, permit *admit.Permit) sendResult {
+	r := &contract.LeafReply{ID: req.ID, Attempt: req.Attempt, Service: req.Service, Shard: req.Shard, IndexVersion: req.IndexVersion}
+	r.Hits = []contract.Hit{{ID: hitID(&req)}}
+	switch b.act {
+	case wrongVersion:
+		r.IndexVersion++
+	case otherRequest:
+		r.ID += "x"
+	case refuse:
+		permit.Done(admit.Refused, 0)
+		return sendResult{err: contract.Refuse(contract.ReasonRefused, nil)}
+	case conflict:
+		permit.Done(admit.Declined, 0)
+		return sendResult{err: contract.Refuse(contract.ReasonNoReplica, nil)}
+	case reset, hang:
+		permit.Done(admit.Failed, 0)
+		return sendResult{err: &contract.Error{Verdict: contract.MayHaveRun, Reason: contract.ReasonTargetFailed}}
+	}
+	permit.Done(admit.Answered, 0)
+	return sendResult{reply: r}
+}
+
+func hitID(req *contract.LeafRequest) string {
+	return fmt.Sprintf("%s/%d/%d", req.ID, req.Shard, req.IndexVersion)
+}
+
+// rig is a Group over fake leaves inside a bubble.
+type rig struct {
+	leaves *fakeLeaves
+	gates  *admit.Gates
+	group  *Group
+}
+
+const testSlots = 2
+
+func newRig(script func(string, *contract.LeafRequest) behavior, names []string) *rig {
+	r := &rig{leaves: newFakeLeaves(script), gates: admit.NewGates(bubbleClock)}
+	for _, n := range names {
+		r.gates.Configure(addrOf(n), admit.Limits{Slots: testSlots, Queue: 64})
+	}
+	r.gates.Fence(bubbleClock().Add(time.Hour))
+	budget := func() Budget {
+		return admit.NewBudget(func() float64 { return 0.5 }, 10, bubbleClock)
+	}
+	r.group = NewGroup(r.gates, r.leaves, bubbleClock, budget(), budget())
+	return r
+}
+
+func addrOf(name string) string { return name + ":1" }
+
+func leavesOf(names ...string) []settings.Leaf {
+	out := make([]settings.Leaf, len(names))
+	for i, n := range names {
+		out[i] = settings.Leaf{Name: n, Addr: addrOf(n)}
+	}
+	return out
+}
+
+// run performs job within timeout and waits until every leaf is done.
+func (r *rig) run(job *Job, timeout time.Duration) *Result {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	return r.group.Run(ctx, job)
+}
+
+// settle waits for attempts that were left behind.
+func (r *rig) settle() {
+	r.leaves.busy.Wait()
+	r.group.Wait()
+	synctest.Wait()
+}
+
+func testJob(shards int, holders []settings.Leaf) *Job {
+	j := &Job{ID: "q", Service: "/s", Version: 7, Repeatable: true, HedgeShare: 0.5}
+	for range shards {
+		j.Holders = append(j.Holders, holders)
+	}
+	return j
+}
+
+// inBubble runs f with fake time.
+func inBubble(t *testing.T, f func()) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) { f() })
+}
+
+// go-metrics starts one goroutine for all meters with the first of them; it must
+// not belong to a bubble, whose time would then never move.
+var _ = newMeters(metrics.DefaultRegistry)
--- /dev/null
+++ b/internal/query/scatter/scatter_test.go
@@ -0,0 +1,183 @@
+package scatter
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"pearmoor/internal/contract"
+	"pearmoor/internal/settings"
+)
+
+// The caller sees a whole answer. Each shard's first replica answers for another
+// version, or for another request; the reply is thrown away, counted, and the
+// other replica asked: taking it would mix versions, or show someone else's mail.
+func TestWrongReplyIsRetriedElsewhere(t *testing.T) {
+	for _, wrong := range []act{wrongVersion, otherRequest} {
+		inBubble(t, func() {
+			Convey("Given a replica that answers wrongly", t, func() {
+				r := newRig(func(leaf string, _ *contract.LeafRequest) behavior {
+					if leaf == "a" {
+						return behavior{act: wrong, delay: time.Millisecond}
+					}
+					return behavior{delay: time.Millisecond}
+				}, []string{"a", "b"})
+				res := r.run(testJob(2, leavesOf("a", "b")), time.Second)
+				r.settle()
+				So(res.Answered(), ShouldEqual, 2)
+				for s, sh := range res.Shards {
+					So(sh.Hits, ShouldResemble, []contract.Hit{{ID: hitID(&contract.LeafRequest{ID: "q", Shard: uint32(s), IndexVersion: 7})}})
+				}
+			})
+		})
+	}
+}
+
+// The caller of a request that is not repeatable sees may_have_run. The replica
+// runs it and loses the connection before the reply; another replica is free,
+// but asking it would run the request twice.
+func TestNotRepeatableIsNotResentInDoubt(t *testing.T) {
+	for _, a := range []act{reset, hang, wrongVersion, otherRequest} {
+		inBubble(t, func() {
+			Convey("Given a replica that runs and does not answer", t, func() {
+				r := newRig(func(string, *contract.LeafRequest) behavior {
+					return behavior{act: a, delay: time.Millisecond}
+				}, []string{"a", "b"})
+				job := testJob(1, leavesOf("a", "b"))
+				job.Repeatable = false
+				res := r.run(job, time.Second)
+				r.settle()
+				So(res.Shards[0].Answered, ShouldBeFalse)
+				So(res.Shards[0].Verdict, ShouldEqual, contract.MayHaveRun)
+				So(r.leaves.runs[0], ShouldEqual, 1)
+			})
+		})
+	}
+}
+
+// The caller sees an answer although the request is not repeatable: the first
+// replica refused it before running, or was never reached, so that sending it to
+// the other one runs it once.
+func TestNotRepeatableMovesOnAfterProvenRefusal(t *testing.T) {
+	for _, a := range []act{refuse, conflict, unreachable} {
+		inBubble(t, func() {
+			Convey("Given a replica that does not run the request", t, func() {
+				first := ""
+				r := newRig(func(leaf string, _ *contract.LeafRequest) behavior {
+					if first == "" {
+						first = leaf
+					}
+					if leaf == first {
+						return behavior{act: a, delay: time.Millisecond}
+					}
+					return behavior{delay: time.Millisecond}
+				}, []string{"a", "b"})
+				job := testJob(1, leavesOf("a", "b"))
+				job.Repeatable = false
+				res := r.run(job, time.Second)
+				r.settle()
+				So(res.Shards[0].Answered, ShouldBeTrue)
+				So(r.leaves.runs[0], ShouldEqual, 1)
+			})
+		})
+	}
+}
+
+// The caller is told not_run at once, not near its deadline, when every replica
+// of every shard has refused and the goal is the tail: nothing more will be tried.
+func TestRefusalByAllIsToldAtOnce(t *testing.T) {
+	inBubble(t, func() {
+		Convey("Given replicas that all refuse", t, func() {
+			r := newRig(func(string, *contract.LeafRequest) behavior {
+				return behavior{act: refuse, delay: time.Millisecond}
+			}, []string{"a", "b"})
+			job := testJob(3, leavesOf("a", "b"))
+			job.Goal = settings.Tail
+			began := time.Now()
+			res := r.run(job, 10*time.Second)
+			So(time.Since(began), ShouldBeLessThan, time.Second)
+			r.settle()
+			for _, s := range res.Shards {
+				So(s.Verdict, ShouldEqual, contract.NotRun)
+				So(s.Answered, ShouldBeFalse)
+			}
+			So(r.leaves.runs, ShouldBeEmpty)
+		})
+	})
+}
+
+// The caller sees an ordinary reply time while one replica hangs. The straggler
+// is hedged to the other replica after the threshold; without it the caller would
+// wait for the deadline and get a hole instead of the shard.
+func TestStragglerIsHedged(t *testing.T) {
+	inBubble(t, func() {
+		Convey("Given a replica that hangs", t, func() {
+			r := newRig(func(leaf string, _ *contract.LeafRequest) behavior {
+				if leaf == "a" {
+					return behavior{act: hang}
+				}
+				return behavior{delay: 2 * time.Millisecond}
+			}, []string{"a", "b"})
+			job := testJob(1, leavesOf("a", "b"))
+			job.HedgeAfter = 10 * time.Millisecond
+			for range 2 { // one of two takes the hanging replica first
+				began := time.Now()
+				res := r.run(job, time.Second)
+				So(res.Answered(), ShouldEqual, 1)
+				So(time.Since(began), ShouldBeLessThanOrEqualTo, 15*time.Millisecond)
+			}
+			r.settle()
+		})
+	})
+}
+
+// The caller sees coverage 3 of 4 and early set, well before the deadline, because
+// tree and caller both allow it; the shard left out says so and may have run.
+func TestEarlyAnswerSaysWhatItLeftOut(t *testing.T) {
+	inBubble(t, func() {
+		Convey("Given one shard whose replicas hang", t, func() {
+			r := newRig(func(_ string, req *contract.LeafRequest) behavior {
+				if req.Shard == 2 {
+					return behavior{act: hang}
+				}
+				return behavior{delay: time.Millisecond}
+			}, []string{"a", "b", "c", "d"})
+			job := testJob(4, leavesOf("a", "b", "c", "d"))
+			job.EarlyAt = 0.75
+			began := time.Now()
+			res := r.run(job, 8*time.Second)
+			So(time.Since(began), ShouldBeLessThan, 8*time.Second)
+			r.settle()
+			So(res.Early, ShouldBeTrue)
+			So(res.Answered(), ShouldEqual, 3)
+			So(res.Shards[2].Reason, ShouldEqual, contract.ReasonEarly)
+			So(res.Shards[2].Verdict, ShouldEqual, contract.MayHaveRun)
+		})
+	})
+}
+
+// The caller sees every shard although both slots of one replica are taken by
+// requests that hang: what waits in its queue moves to the other replica as soon
+// as that is free, and counts as no extra attempt since nothing was sent.
+func TestQueuedAttemptMovesToFreeReplica(t *testing.T) {
+	inBubble(t, func() {
+		Convey("Given a replica whose slots are stuck", t, func() {
+			r := newRig(func(leaf string, _ *contract.LeafRequest) behavior {
+				return behavior{delay: 3 * time.Millisecond}
+			}, []string{"a", "b"})
+			for range testSlots {
+				_, ok := r.gates.TryAcquire(addrOf("a"))
+				So(ok, ShouldBeTrue)
+			}
+			job := testJob(8, leavesOf("a", "b"))
+			job.Repeatable = false
+			job.HedgeAfter = 5 * time.Millisecond
+			res := r.run(job, 5*time.Second)
+			r.settle()
+			So(res.Answered(), ShouldEqual, 8)
+			So(res.Extra, ShouldEqual, 0)
+			So(r.leaves.sent, ShouldEqual, 8)
+		})
+	})
+}
--- a/internal/query/scatter/shard.go
+++ b/internal/query/scatter/shard.go
@@ -13,6 +13,7 @@
 
 const (
 	hedgesAtATime = 1                    // beside the first attempt
+	hedgeLooks    = 4                    // times per threshold that a straggler looks for a free replica
 	shortestRound = 5 * time.Millisecond // between two rounds over the same replicas
 	longestPause  = time.Minute
 )
@@ -41,7 +42,7 @@
 	inFlight int
 	tried    uint64 // bit by index in holders
 	verdict  contract.Verdict
-	last     contract.Reason
+	last     contract.Error // of the attempt that failed last
 	buf      [4]choice
 }
 
@@ -92,8 +93,7 @@
 				return s.missing(reason)
 			}
 		case <-timer.C:
-			s.hedge()
-			timer.Reset(s.hedgeDelay())
+			timer.Reset(s.hedge())
 		case <-s.ctx.Done():
 			return s.expired()
 		}
@@ -122,7 +122,7 @@
 
 func (s *shardRun) failed(d attemptDone) {
 	s.verdict = s.verdict.Join(d.err.Verdict)
-	s.last = d.err.Reason
+	s.last = *d.err
 	s.noteRetryAfter(d.err.RetryAfter)
 }
 
@@ -154,27 +154,38 @@
 		return contract.ReasonDeadline, false
 	}
 	if !s.job.Repeatable && s.verdict != contract.NotRun {
-		return s.last, false
+		return s.last.Reason, false
 	}
+	free := s.untried() && costless(&s.last)
 	if s.sent >= s.maxAttempts() || !s.anotherRound() {
-		return s.last, false
+		return s.last.Reason, false
 	}
-	if !s.g.retries.Spend() {
+	if !free && !s.g.retries.Spend() {
 		return contract.ReasonBudget, false
 	}
 	if err := s.start(); err != nil {
-		return s.last, false
+		return s.last.Reason, false
 	}
 	s.extra.Add(1)
 	s.g.meter.retries.Inc(1)
 	return "", true
 }
 
+// costless reports whether the failed attempt cost a target nothing worth
+// bounding: it never left, or the target does not hold the shard. The budget
+// stands for the load of extra attempts; were these charged, the loss of one
+// replica would use it up and shards that the other replica holds would be
+// missing. Each replica is tried once this way, which bounds it.
+func costless(e *contract.Error) bool {
+	return e.Verdict == contract.NotRun && e.Reason != contract.ReasonRefused
+}
+
+func (s *shardRun) untried() bool { return s.tried != uint64(1)<<len(s.holders)-1 }
+
 // anotherRound reports whether a replica is left to try. When each has been
 // tried, a query whose goal is coverage starts over once a pause has passed.
 func (s *shardRun) anotherRound() bool {
-	all := uint64(1)<<len(s.holders) - 1
-	if s.tried != all {
+	if s.untried() {
 		return true
 	}
 	if s.job.Goal != settings.Coverage {
@@ -205,10 +216,12 @@
 }
 
 // hedge sends the straggling request to another replica as well, if it is
-// repeatable and both a free permit and the budget allow it.
-func (s *shardRun) hedge() {
+// repeatable and both a free permit and the budget allow it. It returns after how
+// long to look again.
+func (s *shardRun) hedge() time.Duration {
+	delay := s.hedgeDelay()
 	if !s.job.Repeatable || s.inFlight == 0 || s.inFlight > hedgesAtATime || s.sent >= s.maxAttempts() {
-		return
+		return delay
 	}
 	for _, c := range s.g.rank(s.buf[:0], s.holders, s.tried, 0) {
 		permit, ok := s.g.gates.TryAcquire(c.leaf.Addr)
@@ -217,13 +230,14 @@
 		}
 		if !s.g.hedges.Spend() {
 			permit.Release()
-			return
+			return delay
 		}
 		s.extra.Add(1)
 		s.g.meter.hedges.Inc(1)
 		s.send(c, permit, true)
-		return
+		return delay
 	}
+	return max(delay/hedgeLooks, hedgeFloor)
 }
 
 // send starts one attempt; its result arrives on s.results.
--- a/internal/query/session/table.go
+++ b/internal/query/session/table.go
@@ -10,10 +10,6 @@
 	"pearmoor/internal/vm"
 )
 
-// ReasonAnswerNotKept says that a request ran and its hits were too large to be
-// kept for a resend.
-const ReasonAnswerNotKept contract.Reason = "answer_not_kept"
-
 // State is what a Table knows of a key.
 type State uint8
 
@@ -146,7 +142,7 @@
 	if n <= t.limits.AnswerBytes && t.bytes+n <= t.limits.TotalBytes {
 		return o, n
 	}
-	return Outcome{Err: &contract.Error{Verdict: o.Answer.Verdict, Reason: ReasonAnswerNotKept}}, 0
+	return Outcome{Err: &contract.Error{Verdict: o.Answer.Verdict, Reason: contract.ReasonAnswerNotKept}}, 0
 }
 
 // answerBytes estimates the memory an answer holds.
