standin: a run answers from the index version it began with

A version retired while a request ran made the reply of one shard hold all documents and that of the other none, which the load tool counted as lost and doubled hits of the tier.

--- a/bench/query/index.go
+++ b/bench/query/index.go
@@ -49,7 +49,7 @@
 	}
 	table(rows)
 	for _, r := range rows {
-		fmt.Printf("%s: missing %v, refusals %v\n", r.side, r.res.Missing, r.res.Reasons)
+		fmt.Printf("%s: missing %v, refusals %v, bad %+v\n", r.side, r.res.Missing, r.res.Reasons, r.res.Check)
 	}
 	if err := t.Stop(); err != nil {
 		return err
--- a/internal/standin/handle.go
+++ b/internal/standin/handle.go
@@ -48,7 +48,8 @@
 		resetConn(r)
 		return
 	}
-	if _, held := l.lookup(q.Service, q.Shard, q.IndexVersion); !held {
+	shards, held := l.lookup(q.Service, q.Shard, q.IndexVersion)
+	if !held {
 		l.counts.notHeld.Add(1)
 		http.Error(w, "shard not held at that index version", http.StatusConflict)
 		return
@@ -68,7 +69,7 @@
 		return
 	}
 	l.runs.add(RunKey{Request: runID(&q), Service: q.Service, Shard: q.Shard}, q.Repeatable)
-	reply, ok := l.run(ctx, r, &q, b)
+	reply, ok := l.run(ctx, r, &task{LeafRequest: q, shards: shards}, b)
 	// The slot is free before the first byte of the reply leaves, so that a
 	// sender that counts exactly is never seen above the slots.
 	l.slots.release()
@@ -105,9 +106,16 @@
 	http.Error(w, why, status)
 }
 
+// task is a request with the partition map found when it came. It is kept to
+// the end, as a version that is retired meanwhile is still read to its end.
+type task struct {
+	contract.LeafRequest
+	shards uint32
+}
+
 // run does the work of q. It returns false when the work was stopped by the
 // caller or the deadline.
-func (l *Leaf) run(ctx context.Context, r *http.Request, q *contract.LeafRequest, b Behavior) (*contract.LeafReply, bool) {
+func (l *Leaf) run(ctx context.Context, r *http.Request, q *task, b Behavior) (*contract.LeafReply, bool) {
 	switch {
 	case l.chance(b.HangShare):
 		<-r.Context().Done()
@@ -156,7 +164,7 @@
 }
 
 // reply answers q, or, as the behavior says, another request or version.
-func (l *Leaf) reply(q *contract.LeafRequest, b Behavior) *contract.LeafReply {
+func (l *Leaf) reply(q *task, b Behavior) *contract.LeafReply {
 	answered := *q
 	l.mu.Lock()
 	if l.last != nil && b.CrossShare > 0 && l.random.Float64() < b.CrossShare {
@@ -164,15 +172,14 @@
 	}
 	l.last = q
 	l.mu.Unlock()
-	shards, _ := l.lookup(answered.Service, answered.Shard, answered.IndexVersion)
 	if l.chance(b.WrongVersionShare) {
 		answered.IndexVersion++
 	}
 	origin := Origin{
 		Version:   answered.IndexVersion,
-		Shards:    shards,
+		Shards:    answered.shards,
 		Documents: l.documents,
-		RunKey:    runKey(&answered),
+		RunKey:    runKey(&answered.LeafRequest),
 	}
 	return &contract.LeafReply{
 		ID:           answered.ID,
--- a/internal/standin/leaf.go
+++ b/internal/standin/leaf.go
@@ -42,7 +42,7 @@
 	started time.Time
 	indexes []contract.LeafIndex
 	random  *rand.Rand
-	last    *contract.LeafRequest // for crossed replies
+	last    *task // for crossed replies
 	report  contract.LeafStatus
 	read    time.Time // when report was made
 	done    sync.WaitGroup
--- a/internal/standin/leaf_test.go
+++ b/internal/standin/leaf_test.go
@@ -133,6 +133,33 @@
 	wg.Wait()
 }
 
+// A request runs while its index version is dropped. Its reply must still be the
+// whole shard of that version: a leaf that answered from what it holds at the
+// end would look like a tier that loses hits.
+func TestLeafAnswersFromTheVersionItBeganWith(t *testing.T) {
+	l := startTestLeaf(t, func(b *Behavior) { b.Latency = Duration(50 * time.Millisecond) })
+	c := newClient(t)
+	type result struct {
+		reply *contract.LeafReply
+		err   error
+	}
+	done := make(chan result)
+	go func() {
+		_, reply, err := send(context.Background(), c, l, request("a", time.Minute))
+		done <- result{reply, err}
+	}()
+	eventually(t, "the request running", func() bool { return l.Stats(false).InFlight == 1 })
+	l.Retire(testService, 1)
+	got := <-done
+	if got.err != nil {
+		t.Fatal(got.err)
+	}
+	want := Hits(testService, 1, Origin{Version: 1, Shards: 2, Documents: DefaultDocuments})
+	if len(got.reply.Hits) != len(want) {
+		t.Fatalf("%d hits, want %d", len(got.reply.Hits), len(want))
+	}
+}
+
 // A caller opens one connection more than the leaf accepts. The leaf closes it
 // at once and counts it, so that a tier that went over the cap is found out.
 func TestLeafCapsConnections(t *testing.T) {
