--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -75,7 +75,7 @@
 		return http.StatusBadRequest
 	case contract.ReasonUnknownPath:
 		return http.StatusNotFound
-	case contract.ReasonKeyInDoubt, contract.ReasonKeyInProgress:
+	case contract.ReasonKeyInDoubt, contract.ReasonKeyInProgress, contract.ReasonAnswerNotKept:
 		return http.StatusConflict
 	case contract.ReasonDeadline:
 		return http.StatusGatewayTimeout
