Close surplus connections outside the sender's lock

Cause: Limit closed idle connections under the lock that each closing connection takes to count itself out: a daemon whose share shrank hung, never acknowledged the epoch and never stopped. Change: Limit collects under the lock and closes after it. A pool whose share is 0 stays known until its last connection has closed, so that a share that comes back counts what is still open. Sender.Respected says when no leaf has more connections than the share.

--- a/internal/link/leaf/pool.go
+++ b/internal/link/leaf/pool.go
@@ -25,18 +25,21 @@
 	client *http.ClientConn
 	wire   *wire
 	reused bool
+	secure bool
 }
 
 // pool keeps the connections to one leaf: never more than its cap, those being
 // dialled included, and warm ones for as long as the leaf keeps them.
 type pool struct {
-	addr string
-	tls  *tls.Config // nil for plain TCP
+	sender *Sender
+	addr   string
 
 	mu      sync.Mutex
 	link    Link
-	open    int     // dialling, idle or in use
-	idle    []*conn // the last used is taken first
+	tls     *tls.Config // used if link.TLS
+	open    int         // dialling, idle or in use
+	over    bool        // more are open than the share allows
+	idle    []*conn     // the last used is taken first
 	waiting []chan struct{}
 	cost    time.Duration // learnt connect cost
 }
@@ -46,24 +49,65 @@
 	errNoShare = errors.New("the daemon holds no share of the leaf's connections")
 )
 
-func (p *pool) setLink(l Link) {
+// setLink returns the connections that the new link has no place for. The
+// caller closes them when it holds no lock: each calls back.
+func (p *pool) setLink(l Link, conf *tls.Config) []*conn {
 	p.mu.Lock()
-	p.link = l
+	if l.TLS != p.link.TLS {
+		p.cost = 0
+	}
+	p.link, p.tls = l, conf
 	surplus := p.takeSurplus()
-	p.wake()
+	p.markOver()
+	for len(p.waiting) > 0 {
+		p.wake()
+	}
 	p.mu.Unlock()
-	closeAll(surplus)
+	return surplus
+}
+
+func (p *pool) markOver() {
+	over := p.open > p.link.Conns
+	if over == p.over {
+		return
+	}
+	p.over = over
+	if over {
+		p.sender.over.Add(1)
+	} else {
+		p.sender.over.Add(-1)
+	}
+}
+
+// unused reports whether the pool holds nothing and may hold nothing.
+func (p *pool) unused() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.link.Conns <= 0 && p.open == 0
+}
+
+func (p *pool) opened() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
 }
 
-// takeSurplus removes idle connections beyond the cap, those idle longest first.
+// takeSurplus removes idle connections that may not be used any more: those
+// beyond the cap, idle longest first, and those that do or don't speak TLS.
 func (p *pool) takeSurplus() []*conn {
 	n := min(max(p.open-p.link.Conns, 0), len(p.idle))
 	surplus := slices.Clone(p.idle[:n])
 	p.idle = slices.Delete(p.idle, 0, n)
+	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool {
+		if c.secure != p.link.TLS {
+			surplus = append(surplus, c)
+		}
+		return c.secure != p.link.TLS
+	})
 	return surplus
 }
 
-// closeAll closes connections; the pool's lock must not be held.
+// closeAll closes connections; no lock may be held.
 func closeAll(cs []*conn) {
 	for _, c := range cs {
 		c.close()
@@ -162,7 +206,7 @@
 func (p *pool) put(c *conn) {
 	c.reused = true
 	p.mu.Lock()
-	if p.open > p.link.Conns || c.wire.half.Load() || c.client.Err() != nil {
+	if p.open > p.link.Conns || c.secure != p.link.TLS || c.wire.half.Load() || c.client.Err() != nil {
 		p.mu.Unlock()
 		c.close()
 		return
@@ -175,52 +219,55 @@
 // closed counts a connection out.
 func (p *pool) closed(w *wire) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.open--
 	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool { return c.wire == w })
+	p.markOver()
 	p.wake()
+	empty := p.open == 0 && p.link.Conns <= 0
+	p.mu.Unlock()
+	if empty {
+		p.sender.forget(p)
+	}
 }
 
 // dial opens the connection whose place take has counted.
 func (p *pool) dial() (*conn, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
+	conf := p.tlsConfig()
+	w := &wire{pool: p, exact: conf == nil}
 	begin := time.Now()
-	w := &wire{pool: p, exact: p.tls == nil}
-	client, err := p.transport(w).NewClientConn(ctx, "http", p.addr)
+	client, err := transport(w, conf).NewClientConn(ctx, "http", p.addr)
 	if err != nil {
-		if w.Conn != nil {
-			w.Close()
-			return nil, err
-		}
-		p.mu.Lock()
-		p.open--
-		p.wake()
-		p.mu.Unlock()
+		w.Close()
 		return nil, err
 	}
 	connsOpened.Inc(1)
 	p.learnCost(time.Since(begin))
-	return &conn{client: client, wire: w}, nil
+	return &conn{client: client, wire: w, secure: conf != nil}, nil
+}
+
+func (p *pool) tlsConfig() *tls.Config {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.link.TLS {
+		return nil
+	}
+	return p.tls
 }
 
 // transport returns a transport for one connection: its dialler yields w. TLS
 // is spoken inside w, so that w sees each write before it is encrypted and the
 // transport itself speaks plain HTTP/1.1.
-func (p *pool) transport(w *wire) *http.Transport {
+func transport(w *wire, conf *tls.Config) *http.Transport {
 	return &http.Transport{
 		DisableCompression: true,
 		DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
-			var err error
-			if p.tls != nil {
-				w.Conn, err = dialTLS(ctx, addr, p.tls)
-			} else {
-				w.Conn, err = dialPlain(ctx, addr)
-			}
+			c, err := dialLeaf(ctx, addr, conf)
 			if err != nil {
-				w.Conn = nil
 				return nil, err
 			}
+			w.Conn = c
 			return w, nil
 		},
 	}
--- a/internal/link/leaf/sender.go
+++ b/internal/link/leaf/sender.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"crypto/tls"
+	"maps"
 	"math"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"pearmoor/internal/admit"
@@ -23,6 +26,7 @@
 type Sender struct {
 	clock vm.Clock
 	tls   *tls.Config
+	over  atomic.Int64 // pools with more connections open than their share
 
 	mu    sync.RWMutex
 	pools map[string]*pool // by address
@@ -43,31 +47,41 @@
 // Limit sets what may be used to reach a leaf. A smaller share of connections
 // closes idle ones at once and the others when their exchange is over.
 func (s *Sender) Limit(leaf settings.Leaf, l Link) {
+	closeAll(s.limit(leaf.Addr, l))
+}
+
+func (s *Sender) limit(addr string, l Link) (surplus []*conn) {
 	s.mu.Lock()
-	p := s.pools[leaf.Addr]
-	if p != nil && (p.tls != nil) != l.TLS {
-		p.setLink(Link{})
-		p = nil
-	}
+	defer s.mu.Unlock()
+	p := s.pools[addr]
 	if p == nil {
 		if l.Conns <= 0 {
-			delete(s.pools, leaf.Addr)
-			s.mu.Unlock()
-			return
+			return nil
 		}
-		p = &pool{addr: leaf.Addr}
-		if l.TLS {
-			p.tls = s.tls
-		}
-		s.pools[leaf.Addr] = p
+		p = &pool{sender: s, addr: addr}
+		s.pools[addr] = p
 	}
-	if l.Conns <= 0 {
-		delete(s.pools, leaf.Addr)
+	surplus = p.setLink(l, s.tls)
+	if p.unused() {
+		delete(s.pools, addr)
 	}
-	s.mu.Unlock()
-	p.setLink(l)
+	return surplus
 }
 
+// forget drops a pool that holds nothing and may hold nothing. Until then it
+// stays known: a share that comes back must count what is still open.
+func (s *Sender) forget(p *pool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.pools[p.addr] == p && p.unused() {
+		delete(s.pools, p.addr)
+	}
+}
+
+// Respected reports whether no leaf has more connections open than its share,
+// so that a smaller share may be acknowledged.
+func (s *Sender) Respected() bool { return s.over.Load() == 0 }
+
 func (s *Sender) pool(addr string) *pool {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
@@ -81,20 +95,16 @@
 	if p == nil {
 		return 0, 0
 	}
-	p.mu.Lock()
-	open = p.open
-	p.mu.Unlock()
-	return open, p.connectCost()
+	return p.opened(), p.connectCost()
 }
 
 // Close closes idle connections, and the others when their exchange is over.
 func (s *Sender) Close() {
-	s.mu.Lock()
-	pools := s.pools
-	s.pools = make(map[string]*pool)
-	s.mu.Unlock()
-	for _, p := range pools {
-		p.setLink(Link{})
+	s.mu.RLock()
+	addrs := slices.Collect(maps.Keys(s.pools))
+	s.mu.RUnlock()
+	for _, addr := range addrs {
+		closeAll(s.limit(addr, Link{}))
 	}
 }
 
--- a/internal/link/leaf/wire.go
+++ b/internal/link/leaf/wire.go
@@ -23,7 +23,8 @@
 	userTimeout       = 6 * time.Second
 )
 
-// wire is a connection to a leaf. It calls a hook before the first byte of an
+// wire is a connection to a leaf, or the place in its pool of one that is not
+// open yet. It calls a hook before the first byte of an
 // exchange and counts itself out of its pool when it is closed.
 type wire struct {
 	net.Conn
@@ -57,7 +58,10 @@
 
 // Close closes the connection and gives its place in the pool back.
 func (w *wire) Close() error {
-	err := w.Conn.Close()
+	var err error
+	if w.Conn != nil {
+		err = w.Conn.Close()
+	}
 	w.closeOnce.Do(func() { w.pool.closed(w) })
 	return err
 }
@@ -94,16 +98,13 @@
 	return errors.CombineErrors(ctrl, err)
 }
 
-func dialPlain(ctx context.Context, addr string) (net.Conn, error) {
-	return dialer.DialContext(ctx, "tcp", addr)
-}
-
-func dialTLS(ctx context.Context, addr string, base *tls.Config) (net.Conn, error) {
-	raw, err := dialPlain(ctx, addr)
-	if err != nil {
-		return nil, err
+// dialLeaf opens a connection, with TLS if conf is not nil.
+func dialLeaf(ctx context.Context, addr string, conf *tls.Config) (net.Conn, error) {
+	raw, err := dialer.DialContext(ctx, "tcp", addr)
+	if err != nil || conf == nil {
+		return raw, err
 	}
-	conf := base.Clone()
+	conf = conf.Clone()
 	conf.NextProtos = []string{"http/1.1"}
 	if conf.ServerName == "" {
 		conf.ServerName, _, _ = net.SplitHostPort(addr)
