Wait for a permit of several leaves at once

Change: AcquireAny puts one waiter into the queues of all replicas and counts it once; hedges go before first attempts; what has to be shed is shed by lowest Order of the query, the same at every home.

--- a/internal/admit/errors.go
+++ b/internal/admit/errors.go
@@ -26,23 +26,23 @@
 	unconfirmedRetry = time.Second            // the interval of lease renewals
 )
 
-func errNoShare() error {
+func errNoShare() *contract.Error {
 	return refusal(contract.ReasonOverload, noShareRetry, ErrNoShare)
 }
 
-func errDraining() error {
+func errDraining() *contract.Error {
 	return refusal(contract.ReasonNoReplica, noShareRetry, ErrDraining)
 }
 
-func errUnconfirmed() error {
+func errUnconfirmed() *contract.Error {
 	return refusal(contract.ReasonUnconfirmed, unconfirmedRetry, ErrUnconfirmed)
 }
 
-func errOverload(after time.Duration, cause error) error {
+func errOverload(after time.Duration, cause error) *contract.Error {
 	return refusal(contract.ReasonOverload, after, cause)
 }
 
-func refusal(reason contract.Reason, after time.Duration, cause error) error {
+func refusal(reason contract.Reason, after time.Duration, cause error) *contract.Error {
 	e := contract.Refuse(reason, cause)
 	e.RetryAfter = max(1, jitter(after).Milliseconds())
 	return e
--- a/internal/admit/gate.go
+++ b/internal/admit/gate.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"pearmoor/internal/contract"
-	"pearmoor/internal/settings"
 	"pearmoor/internal/vm"
 )
 
@@ -79,41 +78,44 @@
 	}
 }
 
-func (g *gate) acquire(ctx context.Context, pr settings.Priority) (*Permit, error) {
-	if err := ctx.Err(); err != nil {
-		return nil, contract.Refuse(contract.ReasonDeadline, err)
+// start returns a permit if one is free now, nobody waits for it, and a request
+// that starts now can end by deadline.
+func (g *gate) start(now, deadline vm.Instant) *Permit {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.draining || now >= g.set.fence.end() || g.queue.len() > 0 || !g.room(now) {
+		return nil
 	}
-	now := g.set.clock()
-	p, w, err := g.ask(now, deadlineOf(ctx, now), pr)
-	if w == nil {
-		return p, err
+	if !fits(now, 0, g.service.mean, deadline) {
+		return nil
 	}
-	return g.await(ctx, w)
+	return g.grant(now)
 }
 
-// ask returns a permit, an error, or the waiter that will get one of them.
-func (g *gate) ask(now, deadline vm.Instant, pr settings.Priority) (*Permit, *waiter, error) {
+// enqueue lets w wait here, or refuses it.
+func (g *gate) enqueue(now vm.Instant, w *waiter) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if err := g.closed(now); err != nil {
-		return nil, nil, err
-	}
-	if g.queue.len() == 0 && g.room(now) && fits(now, 0, g.service.mean, deadline) {
-		return g.grant(now), nil, nil
+		w.refuse(err)
+		return
 	}
-	if !g.makePlace(now, pr) {
+	g.queue.prune()
+	if !g.makePlace(now, w) {
 		refusedFull.Inc(1)
-		return nil, nil, errOverload(g.wait(now, g.queue.len()), ErrQueueFull)
+		w.refuse(errOverload(g.wait(now, g.queue.ahead()), ErrQueueFull))
+		return
 	}
-	w := &waiter{priority: class(pr), deadline: deadline, result: make(chan grant, 1)}
 	g.queue.push(w)
-	waiting.Inc(1)
 	g.dispatch(now)
-	return nil, w, nil
 }
 
-// class maps an unknown priority to the nearest known one.
-func class(pr settings.Priority) settings.Priority { return min(pr, settings.Urgent) }
+// drop takes out a waiter that has ended elsewhere.
+func (g *gate) drop(w *waiter) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.queue.remove(w)
+}
 
 // deadlineOf converts ctx's deadline to the boot-time clock.
 func deadlineOf(ctx context.Context, now vm.Instant) vm.Instant {
@@ -130,7 +132,7 @@
 }
 
 // closed returns why nothing at all is let through, or nil.
-func (g *gate) closed(now vm.Instant) error {
+func (g *gate) closed(now vm.Instant) *contract.Error {
 	if now >= g.set.fence.end() {
 		refusedUnconfirmed.Inc(1)
 		return errUnconfirmed()
@@ -146,29 +148,23 @@
 	return nil
 }
 
-// makePlace reports whether the queue can take one more. An urgent request
-// pushes out the last ordinary one: a flood of ordinary requests would
-// otherwise keep urgent ones out by filling the queue.
-func (g *gate) makePlace(now vm.Instant, pr settings.Priority) bool {
+// makePlace reports whether the queue can take w. In a full one w takes the
+// place of the weakest, if that is weaker: a flood of ordinary requests would
+// otherwise keep urgent ones out, and homes would each drop other queries.
+func (g *gate) makePlace(now vm.Instant, w *waiter) bool {
 	if g.queue.len() < g.limits.Queue {
 		return true
 	}
-	ordinary := g.queue.class[settings.Ordinary]
-	if class(pr) != settings.Urgent || len(ordinary) == 0 {
+	low := g.queue.weakest()
+	if low == nil || !low.weaker(w) {
 		return false
 	}
-	last := ordinary[len(ordinary)-1]
-	g.queue.remove(last)
+	g.queue.remove(low)
 	refusedFull.Inc(1)
-	last.refuse(errOverload(g.wait(now, g.queue.len()), ErrQueueFull))
+	low.refuse(errOverload(g.wait(now, g.queue.ahead()), ErrQueueFull))
 	return true
 }
 
-func (w *waiter) refuse(err error) {
-	waiting.Dec(1)
-	w.result <- grant{err: err}
-}
-
 // tryAcquire leaves a failing leaf alone: a hedge is not the request to find
 // out whether it has recovered.
 func (g *gate) tryAcquire() (*Permit, bool) {
@@ -233,55 +229,58 @@
 	}
 }
 
-// leave takes a waiter out whose context ended; a permit that came at the same
-// moment is given back.
-func (g *gate) leave(ctx context.Context, w *waiter) error {
-	g.mu.Lock()
-	removed := g.queue.remove(w)
-	if removed {
-		waiting.Dec(1)
-		g.dispatch(g.set.clock())
-	}
-	g.mu.Unlock()
-	if !removed {
-		if r := <-w.result; r.permit != nil {
-			r.permit.Release()
-		}
-	}
-	return contract.Refuse(contract.ReasonDeadline, ctx.Err())
-}
-
-// dispatch refuses the waiters whose expected wait has come not to fit, and
-// grants to the others as far as there is room.
+// dispatch refuses waiters whose expected wait has come not to fit, and grants
+// to the others as far as there is room.
 func (g *gate) dispatch(now vm.Instant) {
+	g.queue.prune()
 	if g.queue.len() == 0 {
 		return
 	}
 	if err := g.closed(now); err != nil {
-		g.queue.sift(func(w *waiter, _ int) bool {
-			w.refuse(err)
-			return false
-		})
+		for g.queue.len() > 0 {
+			g.queue.pop().refuse(err)
+		}
 		return
 	}
-	g.queue.sift(func(w *waiter, ahead int) bool { return g.keep(w, now, ahead) })
+	for g.shed(now) {
+	}
 	for g.queue.len() > 0 && g.room(now) {
-		w := g.queue.pop()
-		waiting.Dec(1)
-		w.result <- grant{permit: g.grant(now)}
+		if w := g.queue.pop(); w.claim() {
+			w.result <- grant{permit: g.grant(now)}
+		}
 	}
 	g.arm(now)
 }
 
-// keep refuses w when its expected wait does not fit its deadline any more.
-func (g *gate) keep(w *waiter, now vm.Instant, ahead int) bool {
-	wait := g.wait(now, ahead)
-	if fits(now, wait, g.service.mean, w.deadline) {
-		return true
+// shed refuses one waiter if there is one that can't end by its deadline, and
+// reports whether it did. What can't end even if it were next is refused
+// itself; else the weakest up to it, which makes every home drop the same queries.
+func (g *gate) shed(now vm.Instant) bool {
+	var victim *waiter
+	var after time.Duration
+	var low *waiter
+	soonest := g.wait(now, 0)
+	g.queue.each(func(w *waiter, ahead float64) bool {
+		if low == nil || !low.weaker(w) {
+			low = w
+		}
+		wait := g.wait(now, ahead)
+		if fits(now, wait, g.service.mean, w.deadline) {
+			return true
+		}
+		victim, after = low, now.Add(wait+g.service.mean).Sub(w.deadline)
+		if !fits(now, soonest, g.service.mean, w.deadline) {
+			victim = w
+		}
+		return false
+	})
+	if victim == nil {
+		return false
 	}
+	g.queue.remove(victim)
 	refusedNoFit.Inc(1)
-	w.refuse(errOverload(now.Add(wait+g.service.mean).Sub(w.deadline), ErrNoFit))
-	return false
+	victim.refuse(errOverload(after, ErrNoFit))
+	return true
 }
 
 // arm sets the timer for the next moment at which something changes without an
@@ -300,8 +299,13 @@
 		at = min(at, now.Add(d))
 	}
 	for _, c := range g.queue.class {
-		if len(c) > 0 && c[0].deadline != never {
-			at = min(at, c[0].deadline.Add(1-g.service.mean))
+		for _, w := range c {
+			if w.deadline != never {
+				at = min(at, w.deadline.Add(1-g.service.mean))
+			}
+			if !w.Hedge {
+				break // the first after the hedges has the earliest deadline
+			}
 		}
 	}
 	if g.timer != nil {
--- a/internal/admit/gates.go
+++ b/internal/admit/gates.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"pearmoor/internal/contract"
 	"pearmoor/internal/settings"
 	"pearmoor/internal/vm"
 )
@@ -82,15 +84,70 @@
 	return g.byID[leaf]
 }
 
-// Acquire waits for a permit. It fails with a *contract.Error of verdict NotRun:
-// at once when the expected wait or the queue can't take the request before
-// ctx's deadline, later only when that comes to light while waiting.
+// Acquire waits for a permit of one leaf; see AcquireAny.
 func (g *Gates) Acquire(ctx context.Context, leaf string, pr settings.Priority) (*Permit, error) {
-	gt := g.get(leaf)
-	if gt == nil {
-		return nil, errNoShare()
+	p, _, err := g.AcquireAny(ctx, []string{leaf}, Ask{Priority: pr})
+	return p, err
+}
+
+// AcquireAny waits for a permit of whichever leaf has one first, in the order
+// given if several have one now, and returns the index of that leaf. Leaves
+// without a share here are skipped. It fails with a *contract.Error of verdict
+// NotRun when all leaves refuse: at once when the expected wait or the queue
+// can't take the request before ctx's deadline, later only when that comes to
+// light while waiting.
+func (g *Gates) AcquireAny(ctx context.Context, leaves []string, a Ask) (p *Permit, at int, err error) {
+	if err := ctx.Err(); err != nil {
+		return nil, 0, contract.Refuse(contract.ReasonDeadline, err)
+	}
+	var few [4]*gate
+	gates := g.find(few[:0], leaves)
+	now := g.clock()
+	p, w, refusal := g.ask(now, deadlineOf(ctx, now), gates, a)
+	if refusal != nil {
+		return nil, 0, refusal
+	}
+	if w != nil {
+		if p, err = w.await(ctx, gates); err != nil {
+			return nil, 0, err
+		}
+	}
+	return p, slices.Index(gates, p.gate), nil
+}
+
+// find appends the gate of each leaf, nil for one without a share.
+func (g *Gates) find(gates []*gate, leaves []string) []*gate {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	for _, leaf := range leaves {
+		gates = append(gates, g.byID[leaf])
+	}
+	return gates
+}
+
+// ask returns a permit, a refusal, or the waiter that will get one of them.
+func (g *Gates) ask(now, deadline vm.Instant, gates []*gate, a Ask) (*Permit, *waiter, *contract.Error) {
+	known := 0
+	for _, gt := range gates {
+		if gt == nil {
+			continue
+		}
+		known++
+		if p := gt.start(now, deadline); p != nil {
+			return p, nil, nil
+		}
+	}
+	if known == 0 {
+		refusedNoShare.Inc(1)
+		return nil, nil, errNoShare()
+	}
+	w := newWaiter(a, deadline, known)
+	for _, gt := range gates {
+		if gt != nil && !w.claimed.Load() {
+			gt.enqueue(now, w)
+		}
 	}
-	return gt.acquire(ctx, pr)
+	return nil, w, nil
 }
 
 // TryAcquire returns a permit only if one is free now and nobody waits for it.
--- a/internal/admit/load.go
+++ b/internal/admit/load.go
@@ -60,7 +60,7 @@
 		Failing:  g.health.failing(),
 	}
 	if l.Slots > 0 {
-		l.Wait = g.wait(now, l.Waiting) + g.hint.extra(now, l.Service)
+		l.Wait = g.wait(now, g.queue.ahead()) + g.hint.extra(now, l.Service)
 	}
 	return l
 }
--- a/internal/admit/queue.go
+++ b/internal/admit/queue.go
@@ -1,11 +1,9 @@
 package admit
 
 import (
-	"context"
 	"slices"
 
 	"pearmoor/internal/settings"
-	"pearmoor/internal/vm"
 )
 
 // ordinaryTurn is the weight of ordinary requests: while both classes wait, one
@@ -14,39 +12,26 @@
 // overload, when priority matters most.
 const ordinaryTurn = 5
 
-// waiter is a request that waits for a permit.
-type waiter struct {
-	priority settings.Priority
-	deadline vm.Instant
-	result   chan grant // buffered; receives exactly one grant unless the waiter left
-}
-
-// grant is the end of a wait: a permit or the error that refuses it.
-type grant struct {
-	permit *Permit
-	err    error
-}
-
 // queue orders waiters: urgent before ordinary but for one turn in
-// ordinaryTurn, and by deadline within a class.
+// ordinaryTurn; within a class hedges first, then by deadline.
 type queue struct {
-	class [2][]*waiter // by settings.Priority; earliest deadline first
+	class [2][]*waiter // by settings.Priority
 	turn  int          // urgent grants since the last ordinary one that had to wait for them
 }
 
 func (q *queue) len() int { return len(q.class[settings.Ordinary]) + len(q.class[settings.Urgent]) }
 
 func (q *queue) push(w *waiter) {
-	c := &q.class[w.priority]
+	c := &q.class[w.Priority]
 	at := len(*c)
-	for at > 0 && (*c)[at-1].deadline > w.deadline {
+	for at > 0 && w.before((*c)[at-1]) {
 		at--
 	}
 	*c = slices.Insert(*c, at, w)
 }
 
 func (q *queue) remove(w *waiter) bool {
-	c := &q.class[w.priority]
+	c := &q.class[w.Priority]
 	at := slices.Index(*c, w)
 	if at < 0 {
 		return false
@@ -55,6 +40,13 @@
 	return true
 }
 
+// prune drops the waiters that another gate has claimed.
+func (q *queue) prune() {
+	for i := range q.class {
+		q.class[i] = slices.DeleteFunc(q.class[i], func(w *waiter) bool { return w.claimed.Load() })
+	}
+}
+
 // pop takes the waiter whose turn it is; the queue must not be empty.
 func (q *queue) pop() *waiter {
 	pr := next(len(q.class[settings.Urgent]), len(q.class[settings.Ordinary]), &q.turn)
@@ -80,43 +72,45 @@
 	}
 }
 
-// sift visits the waiters in the order in which they would be granted, ahead
-// being the number kept before it, and drops those that keep refuses.
-func (q *queue) sift(keep func(w *waiter, ahead int) bool) {
-	var kept [2][]*waiter
-	turn, ahead := q.turn, 0
-	iu, io := 0, 0
+// each visits the waiters in the order in which they would be granted, until
+// visit returns false. ahead is the number expected to be granted before.
+func (q *queue) each(visit func(w *waiter, ahead float64) bool) {
 	urgent, ordinary := q.class[settings.Urgent], q.class[settings.Ordinary]
-	kept[settings.Urgent], kept[settings.Ordinary] = urgent[:0], ordinary[:0]
-	for iu < len(urgent) || io < len(ordinary) {
-		before := turn
-		pr := next(len(urgent)-iu, len(ordinary)-io, &turn)
+	turn, ahead := q.turn, 0.0
+	for len(urgent)+len(ordinary) > 0 {
 		var w *waiter
-		if pr == settings.Urgent {
-			w = urgent[iu]
-			iu++
+		if next(len(urgent), len(ordinary), &turn) == settings.Urgent {
+			w, urgent = urgent[0], urgent[1:]
 		} else {
-			w = ordinary[io]
-			io++
+			w, ordinary = ordinary[0], ordinary[1:]
+		}
+		if !visit(w, ahead) {
+			return
 		}
-		if !keep(w, ahead) {
-			turn = before
-			continue
+		ahead += w.weight()
+	}
+}
+
+// ahead is the number expected to be granted before one at the end.
+func (q *queue) ahead() float64 {
+	var n float64
+	for _, c := range q.class {
+		for _, w := range c {
+			n += w.weight()
 		}
-		kept[pr] = append(kept[pr], w)
-		ahead++
 	}
-	clear(urgent[len(kept[settings.Urgent]):])
-	clear(ordinary[len(kept[settings.Ordinary]):])
-	q.class = kept
+	return n
 }
 
-// await blocks until w is granted or refused, or ctx ends.
-func (g *gate) await(ctx context.Context, w *waiter) (*Permit, error) {
-	select {
-	case r := <-w.result:
-		return r.permit, r.err
-	case <-ctx.Done():
-		return nil, g.leave(ctx, w)
+// weakest returns the waiter to shed first, the later in its class of equals.
+func (q *queue) weakest() *waiter {
+	var low *waiter
+	for _, c := range q.class {
+		for _, w := range c {
+			if low == nil || !low.weaker(w) {
+				low = w
+			}
+		}
 	}
+	return low
 }
--- a/internal/admit/room.go
+++ b/internal/admit/room.go
@@ -30,9 +30,9 @@
 }
 
 // wait is the expected wait of a request with ahead others before it.
-func (g *gate) wait(now vm.Instant, ahead int) time.Duration {
+func (g *gate) wait(now vm.Instant, ahead float64) time.Duration {
 	free := g.freeIn(now)
-	return max(free, g.health.blocked(now)) + time.Duration(ahead)*g.period(now)
+	return max(free, g.health.blocked(now)) + time.Duration(ahead*float64(g.period(now)))
 }
 
 // freeIn is when the next permit is expected back, 0 if one is free.
