Turn from a silent control VM to another within a second

Tries now start at 1 s, double per round, and an address that timed out comes last for 2 s. Status without a leader shows what another control VM knows.

--- a/internal/cli/change.go
+++ b/internal/cli/change.go
@@ -109,7 +109,7 @@
 		DryRun:      f.dryRun,
 		Operator:    a.operator,
 	}
-	reply, sent, err := call(a.ctx, c, callTimeout, func(ctx context.Context, cc wire.DRPCControlClient) (*wire.ChangeReply, error) {
+	reply, sent, err := call(a.ctx, c, 0, func(ctx context.Context, cc wire.DRPCControlClient) (*wire.ChangeReply, error) {
 		return cc.Change(ctx, req)
 	})
 	var coded *exitError
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -254,4 +255,25 @@
 		r := c.runWith(nil, "--control=127.0.0.1:1,"+c.addr, "get")
 		So(r.code, ShouldEqual, ExitOK)
 	})
+
+	// A control VM was cut off silently: it accepts and never answers. The tool
+	// must turn to another one long before its whole time is used up.
+	Convey("A silent control VM does not hold the tool up", t, func() {
+		silent, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer silent.Close()
+		c := startTier(t)
+		r := c.runWith(nil, "--timeout=3s", "--control="+silent.Addr().String()+","+c.addr, "get")
+		So(r.code, ShouldEqual, ExitOK)
+	})
+
+	// Two of two voters are needed and one is lost. Nothing can be accepted, and
+	// the operator who looks for the cause must not be shown an error alone.
+	Convey("Without a majority, status shows what is known and a change is refused for certain", t, func() {
+		c := startVoter(t, map[uint64]string{2: "127.0.0.1:1"})
+		r := c.run("status")
+		So(r.code, ShouldEqual, ExitOK)
+		So(r.out, ShouldContainSubstring, "no leader answers")
+		So(c.run("--timeout=1s", "set", "/desk", "--hedge-after=20ms", "--reason=x").code, ShouldEqual, ExitUnreachable)
+	})
 }
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -12,9 +12,14 @@
 )
 
 const (
-	// callTimeout bounds one try. A control VM that was cut off silently must not
-	// use up the whole --timeout.
-	callTimeout = 3 * time.Second
+	// firstTry bounds the first try at a control VM; each further round over the
+	// group has twice the time. One that was cut off silently must not use up the
+	// whole --timeout, and a slow group must be answered in the end.
+	firstTry = time.Second
+	maxTry   = 8 * time.Second
+	// avoidFor is how long an address whose try timed out comes last. The others
+	// may go on naming it as the leader until they have elected another.
+	avoidFor = 2 * time.Second
 	// retryPause gives an election time to end.
 	retryPause = 100 * time.Millisecond
 	// maxRedirects ends a chase after leaders that have each just lost the post.
@@ -25,6 +30,7 @@
 type client struct {
 	addrs    []string
 	next     int
+	avoid    map[string]time.Time // addresses that come last, until when
 	pool     *peer.Pool
 	operator string
 	timeout  time.Duration
@@ -41,7 +47,13 @@
 	if err != nil {
 		return nil, err
 	}
-	a.client = &client{addrs: a.control, pool: peer.NewPool(conf), operator: a.operator, timeout: a.timeout}
+	a.client = &client{
+		addrs:    a.control,
+		avoid:    make(map[string]time.Time),
+		pool:     peer.NewPool(conf),
+		operator: a.operator,
+		timeout:  a.timeout,
+	}
 	return a.client, nil
 }
 
@@ -71,42 +83,56 @@
 
 // call tries the control VMs in turn until one answers, following redirects. It
 // may send a request more than once, so requests are reads or carry a change id.
-// sent reports whether any try may have reached a control VM.
-func call[R redirected](ctx context.Context, c *client, perTry time.Duration, do func(context.Context, wire.DRPCControlClient) (R, error)) (reply R, sent bool, err error) {
+// Each try may take hold longer than usual. sent reports whether any try may have
+// reached a control VM.
+func call[R redirected](ctx context.Context, c *client, hold time.Duration, do func(context.Context, wire.DRPCControlClient) (R, error)) (reply R, sent bool, err error) {
 	ctx, cancel := context.WithTimeout(peer.WithOperator(ctx, c.operator), c.timeout)
 	defer cancel()
-	addr, redirects := c.addrs[c.next], 0
+	addr, redirects, try := c.addrs[c.next], 0, firstTry
 	var last error
-	for {
+	for tries := 1; ; tries++ {
 		var one R
-		one, err = callOne(ctx, c, addr, perTry, do)
-		if err == nil {
-			leader := one.GetRedirect()
-			if leader == "" {
-				return one, true, nil
-			}
-			err = errors.Newf("%s names %s as the leader", addr, leader)
-			if redirects++; redirects <= maxRedirects {
-				addr = leader
+		one, err = callOne(ctx, c, addr, try+hold, do)
+		switch {
+		case err == nil && one.GetRedirect() == "":
+			return one, true, nil
+		case err == nil:
+			err = errors.Newf("%s names %s as the leader", addr, one.GetRedirect())
+			if redirects++; redirects <= maxRedirects && !c.avoided(one.GetRedirect()) {
+				addr = one.GetRedirect()
 				continue
 			}
-		} else if peer.Denied(err) || peer.IsPermanent(err) {
+		case peer.Denied(err) || peer.IsPermanent(err):
 			return reply, sent, &exitError{code: ExitInvalid, cause: err}
-		} else if !peer.NotSent(err) && !peer.IsNotDone(err) {
+		case !peer.NotSent(err) && !peer.IsNotDone(err):
 			sent = true
 		}
-		redirects = 0
-		c.next = (c.next + 1) % len(c.addrs)
-		addr = c.addrs[c.next]
 		if last == nil || ctx.Err() == nil {
 			last = err // what the end of the whole time brings says nothing
 		}
 		if !sleep(ctx, retryPause) {
 			return reply, sent, last
 		}
+		addr, redirects = c.following(), 0
+		if tries%len(c.addrs) == 0 {
+			try = min(2*try, maxTry)
+		}
 	}
 }
 
+// following returns the next address, one that is not avoided if there is any.
+func (c *client) following() string {
+	for range c.addrs {
+		c.next = (c.next + 1) % len(c.addrs)
+		if !c.avoided(c.addrs[c.next]) {
+			break
+		}
+	}
+	return c.addrs[c.next]
+}
+
+func (c *client) avoided(addr string) bool { return time.Now().Before(c.avoid[addr]) }
+
 func callOne[R redirected](ctx context.Context, c *client, addr string, perTry time.Duration, do func(context.Context, wire.DRPCControlClient) (R, error)) (R, error) {
 	ctx, cancel := context.WithTimeout(ctx, perTry)
 	defer cancel()
@@ -116,7 +142,11 @@
 		return none, err
 	}
 	defer conn.Close()
-	return do(ctx, wire.NewDRPCControlClient(conn))
+	reply, err := do(ctx, wire.NewDRPCControlClient(conn))
+	if err != nil && ctx.Err() != nil {
+		c.avoid[addr] = time.Now().Add(avoidFor)
+	}
+	return reply, err
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
@@ -132,12 +162,17 @@
 
 // read calls a method that changes nothing.
 func read[R redirected](a *app, do func(context.Context, wire.DRPCControlClient) (R, error)) (R, error) {
+	return readHeld(a, 0, do)
+}
+
+// readHeld is read for a method that may hold its answer back.
+func readHeld[R redirected](a *app, hold time.Duration, do func(context.Context, wire.DRPCControlClient) (R, error)) (R, error) {
 	c, err := a.connect()
 	if err != nil {
 		var none R
 		return none, err
 	}
-	reply, _, err := call(a.ctx, c, callTimeout, do)
+	reply, _, err := call(a.ctx, c, hold, do)
 	var coded *exitError
 	if errors.As(err, &coded) {
 		return reply, err
--- a/internal/cli/harness_test.go
+++ b/internal/cli/harness_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"maps"
 	"net"
 	"strings"
 	"sync"
@@ -83,16 +84,27 @@
 }
 
 func startTier(t *testing.T) *tier {
+	t.Helper()
+	return startVoter(t, nil)
+}
+
+// startVoter starts control VM 1 of a group with others, which are not started.
+func startVoter(t *testing.T, others map[uint64]string) *tier {
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	pool := peer.NewPool(nil)
-	n, err := control.Open(control.Config{
+	conf := control.Config{
 		ID: 1, Name: "c1", DataDir: t.TempDir(), PeerAddr: lis.Addr().String(), Bootstrap: true,
 		Conns: pool, Tick: 10 * time.Millisecond,
-	})
+	}
+	if len(others) > 0 {
+		conf.Voters = map[uint64]string{1: conf.PeerAddr}
+		maps.Copy(conf.Voters, others)
+	}
+	n, err := control.Open(conf)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/cli/inforce.go
+++ b/internal/cli/inforce.go
@@ -39,7 +39,7 @@
 
 func (a *app) inForce(version uint64, hold time.Duration) (*wire.InForceReply, error) {
 	req := &wire.InForceRequest{Version: version, WaitMs: uint32(hold.Milliseconds())}
-	return read(a, func(ctx context.Context, c wire.DRPCControlClient) (*wire.InForceReply, error) {
+	return readHeld(a, hold, func(ctx context.Context, c wire.DRPCControlClient) (*wire.InForceReply, error) {
 		return c.InForce(ctx, req)
 	})
 }
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"io"
 	"strings"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
 
 	"pearmoor/internal/link/wire"
 	"pearmoor/internal/vm"
@@ -43,6 +45,7 @@
 	Pending uint64        `json:"pending_epoch,omitempty"`
 	Group   []controlVM   `json:"control"`
 	Daemons []daemonState `json:"daemons"`
+	Stale   bool          `json:"stale"`       // no leader answered; this is what another control VM knows
 	Behind  []string      `json:"unconfirmed"` // daemons that have not confirmed the newest version
 	InForce bool          `json:"in_force"`    // the newest version is in force everywhere
 }
@@ -54,14 +57,12 @@
 	c.Action(func(*kingpin.ParseContext) error { return a.status() })
 }
 
+// statusTimeout bounds the wait for the leader: without one, what another control
+// VM knows is worth more than a long wait.
+const statusTimeout = 4 * time.Second
+
 func (a *app) status() error {
-	reply, err := read(a, func(ctx context.Context, c wire.DRPCControlClient) (*wire.StatusReply, error) {
-		return c.Status(ctx, &wire.StatusRequest{})
-	})
-	if err != nil {
-		return err
-	}
-	force, err := a.inForce(reply.GetConfigVersion(), 0)
+	reply, err := a.readStatus()
 	if err != nil {
 		return err
 	}
@@ -72,15 +73,60 @@
 		Settled: reply.GetSettledEpoch(),
 		Pending: reply.GetPendingEpoch(),
 		Group:   groupOf(reply.GetGroup()),
-		Behind:  force.GetUnconfirmed(),
-		InForce: force.GetInForce(),
+		Stale:   reply.GetRedirect() != "" || !hasLeader(reply),
 	}
 	for _, d := range reply.GetDaemons() {
 		out.Daemons = append(out.Daemons, newDaemonState(d))
 	}
+	if out.Stale {
+		return a.print(out)
+	}
+	force, err := a.inForce(out.Config, 0)
+	if err != nil {
+		return err
+	}
+	out.Behind, out.InForce = force.GetUnconfirmed(), force.GetInForce()
 	return a.print(out)
 }
 
+// readStatus asks the leader. If there is none to be had, it returns what another
+// control VM knows, which then names no daemons or redirects.
+func (a *app) readStatus() (*wire.StatusReply, error) {
+	c, err := a.connect()
+	if err != nil {
+		return nil, err
+	}
+	short := *c
+	short.timeout = min(c.timeout, statusTimeout)
+	var known *wire.StatusReply
+	reply, _, err := call(a.ctx, &short, 0, func(ctx context.Context, cc wire.DRPCControlClient) (*wire.StatusReply, error) {
+		one, err := cc.Status(ctx, &wire.StatusRequest{})
+		if err == nil && (known == nil || one.GetCommit() >= known.GetCommit()) {
+			known = one
+		}
+		return one, err
+	})
+	var coded *exitError
+	switch {
+	case err == nil:
+		return reply, nil
+	case errors.As(err, &coded):
+		return nil, err
+	case known != nil:
+		return known, nil
+	}
+	return nil, &exitError{code: ExitUnreachable, cause: errors.Wrapf(err, "no control VM of %v answered", c.addrs)}
+}
+
+func hasLeader(reply *wire.StatusReply) bool {
+	for _, m := range reply.GetGroup() {
+		if m.GetLeader() {
+			return true
+		}
+	}
+	return false
+}
+
 func groupOf(ws []*wire.ControlVm) []controlVM {
 	out := make([]controlVM, len(ws))
 	for i, w := range ws {
@@ -114,6 +160,9 @@
 }
 
 func (s *status) writeText(w io.Writer) {
+	if s.Stale {
+		fmt.Fprintln(w, "no leader answers: no change is accepted now, and this may be old")
+	}
 	fmt.Fprintf(w, "configuration %d, %s\n", s.Config, s.inForceText())
 	fmt.Fprintf(w, "membership epoch %d%s\n", s.Settled, s.pendingText())
 	fmt.Fprintf(w, "control group in term %d, %d entries agreed\n\n", s.Term, s.Commit)
@@ -128,6 +177,8 @@
 
 func (s *status) inForceText() string {
 	switch {
+	case s.Stale:
+		return "whether it is in force everywhere is not known"
 	case s.InForce:
 		return "in force everywhere"
 	case len(s.Behind) > 0:
