control: refuse leases to daemons that know more than the group; faster tests

A leader knows all that its group agreed on. A daemon that knows more belongs to a group whose disks were lost; a lease would put shares back into work that this group may give to others.

--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -143,10 +143,9 @@
 	for b.Loop() {
 		b.StopTimer()
 		v.stop()
-		lis := listen(b, v.cfg.PeerAddr)
 		b.StartTimer()
 		start := time.Now()
-		v = startVM(b, v.cfg, lis)
+		v = v.restart()
 		open += time.Since(start)
 		n++
 		eventually(b, "it leads", v.leads)
--- a/internal/control/disk_test.go
+++ b/internal/control/disk_test.go
@@ -62,7 +62,7 @@
 	Convey("Given a control VM whose disk fails on demand", t, func() {
 		disk := &badDisk{}
 		v := startVM(t, Config{ID: 1, Name: "ctl-1", DataDir: t.TempDir(), Bootstrap: true, FS: disk}, listen(t, "127.0.0.1:0"))
-		Reset(func() { v.stop() })
+		Reset(func() { v.cancel() })
 		eventually(t, "it leads", v.leads)
 		c := dialVM(t, v)
 		So(c.change("a", 0, "daemon-lease", "10s").Version, ShouldEqual, 1)
@@ -111,8 +111,7 @@
 			So(err, ShouldNotBeNil)
 			So(r, ShouldBeNil)
 			So(peer.IsNotDone(err), ShouldBeFalse)
-			<-v.node.stopped
-			v.stop()
+			<-v.ran
 			var sync *journal.SyncError
 			So(errors.As(v.err, &sync), ShouldBeTrue)
 			disk.failSync.Store(false)
--- a/internal/control/duties_test.go
+++ b/internal/control/duties_test.go
@@ -79,7 +79,7 @@
 	Convey("Given a control VM and two daemons that are settled members", t, func() {
 		clock := &skipClock{}
 		v := startVM(t, Config{ID: 1, Name: "ctl-1", DataDir: t.TempDir(), Bootstrap: true, Clock: clock.now}, listen(t, "127.0.0.1:0"))
-		Reset(func() { v.stop() })
+		Reset(func() { v.cancel() })
 		eventually(t, "it leads", v.leads)
 		c := dialVM(t, v)
 		a, b := newFakeDaemon(c, "a"), newFakeDaemon(c, "b")
--- a/internal/control/group_test.go
+++ b/internal/control/group_test.go
@@ -37,11 +37,15 @@
 	return c
 }
 
-// stopAll stops every VM at once.
-func (c *cluster) stopAll() {
+func (c *cluster) cancelAll() {
 	for _, v := range c.vms {
 		v.cancel()
 	}
+}
+
+// stopAll stops every VM at once.
+func (c *cluster) stopAll() {
+	c.cancelAll()
 	for _, v := range c.vms {
 		v.stop()
 	}
@@ -100,7 +104,9 @@
 func tryChange(t testing.TB, v *testVM, req *wire.ChangeRequest) (*wire.ChangeReply, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	return dialVM(t, v).control().Change(ctx, req)
+	c := dialVM(t, v)
+	defer c.close()
+	return c.control().Change(ctx, req)
 }
 
 // cut stops everything between one VM and the others, or lets it pass again.
@@ -116,7 +122,7 @@
 func TestThreeControlVMs(t *testing.T) {
 	Convey("Given a control group of three", t, func() {
 		c := startCluster(t, 3)
-		Reset(c.stopAll)
+		Reset(c.cancelAll)
 		first := c.leader()
 		So(c.mustChange("a", 0, "10s").Version, ShouldEqual, 1)
 
@@ -216,7 +222,7 @@
 				cfg := first.cfg
 				cfg.DataDir = t.TempDir()
 				old := startVM(t, cfg, listen(t, cfg.PeerAddr))
-				Reset(old.stop)
+				Reset(func() { old.cancel() })
 				So(c.mustChange("d", 3, "13s").Version, ShouldEqual, 4)
 				So(old.leads(), ShouldBeFalse)
 				r, err := dialVM(t, old).control().Status(callCtx(t), &wire.StatusRequest{})
@@ -233,7 +239,7 @@
 func TestFollowerBehindTheLog(t *testing.T) {
 	Convey("Given a follower that missed more changes than the log keeps", t, func() {
 		c := startCluster(t, 3, func(cfg *Config) { cfg.SnapshotEntries = 50 })
-		Reset(c.stopAll)
+		Reset(c.cancelAll)
 		lead := c.leader()
 		var away *testVM
 		for _, v := range c.vms {
@@ -252,8 +258,7 @@
 		So(lead.node.lead.Load().status.First, ShouldBeGreaterThan, 1)
 		c.cut(away, false)
 		eventually(t, "it has everything", func() bool { return away.node.view().version == changes })
-		away.stop()
-		away = startVM(t, away.cfg, listen(t, away.cfg.PeerAddr))
+		away = away.restart()
 		c.vms[away.cfg.ID] = away
 		eventually(t, "it has everything again", func() bool { return away.node.view().version == changes })
 		So(away.node.state.Tree().Digest(), ShouldEqual, lead.node.state.Tree().Digest())
@@ -271,7 +276,7 @@
 func TestLeaderCutOffSilently(t *testing.T) {
 	Convey("Given three control VMs whose links can be cut", t, func() {
 		c := startCluster(t, 3)
-		Reset(c.stopAll)
+		Reset(c.cancelAll)
 		lead := c.leader()
 		So(c.mustChange("a", 0, "10s").Version, ShouldEqual, 1)
 		granted := func() bool {
--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -24,7 +24,8 @@
 	node   *Node
 	links  *cutConns
 	cancel context.CancelFunc
-	done   sync.WaitGroup
+	ran    chan struct{}  // closed when Run has returned
+	served sync.WaitGroup // until connections are drained too
 	err    error
 }
 
@@ -85,26 +86,37 @@
 		t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	v := &testVM{t: t, cfg: cfg, node: n, links: pool, cancel: cancel}
-	v.done.Go(func() {
+	v := &testVM{t: t, cfg: cfg, node: n, links: pool, cancel: cancel, ran: make(chan struct{})}
+	v.served.Go(func() {
 		v.err = n.Run(ctx)
 		_ = pool.Close()
+		close(v.ran)
+	})
+	v.served.Go(func() { _ = peer.Serve(ctx, lis, mux, serverTLS) })
+	t.Cleanup(func() {
+		v.cancel()
+		v.served.Wait()
 	})
-	v.done.Go(func() { _ = peer.Serve(ctx, lis, mux, serverTLS) })
-	t.Cleanup(v.stop)
 	return v
 }
 
+// stop ends the VM; its server may still be closing idle connections.
 func (v *testVM) stop() {
 	v.cancel()
-	v.done.Wait()
+	<-v.ran
 }
 
 // restart runs the VM again on the same folder and address.
 func (v *testVM) restart() *testVM {
 	v.t.Helper()
 	v.stop()
-	return startVM(v.t, v.cfg, listen(v.t, v.cfg.PeerAddr))
+	var lis net.Listener
+	eventually(v.t, "the address is free", func() (ok bool) {
+		var err error
+		lis, err = net.Listen("tcp", v.cfg.PeerAddr)
+		return err == nil
+	})
+	return startVM(v.t, v.cfg, lis)
 }
 
 // eventually waits until ok holds.
@@ -143,6 +155,8 @@
 	return &client{t: t, pool: pool, conn: conn}
 }
 
+func (c *client) close() { _ = c.pool.Close() }
+
 func (c *client) control() wire.DRPCControlClient { return wire.NewDRPCControlClient(c.conn) }
 
 func (c *client) spread() wire.DRPCSpreadClient { return wire.NewDRPCSpreadClient(c.conn) }
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -38,6 +38,7 @@
 	lead    atomic.Pointer[leadership]
 	terms   atomic.Pointer[presence.Terms]
 	full    atomic.Bool
+	aheadAt atomic.Int64  // vm.Instant of the last word on daemons of another group
 	stopped chan struct{} // closed when Run ends
 }
 
--- a/internal/control/node_test.go
+++ b/internal/control/node_test.go
@@ -16,7 +16,7 @@
 func TestOneControlVM(t *testing.T) {
 	Convey("Given one control VM that founded its group", t, func() {
 		v := startVM(t, Config{ID: 1, Name: "ctl-1", DataDir: t.TempDir(), Bootstrap: true}, listen(t, "127.0.0.1:0"))
-		Reset(func() { v.stop() })
+		Reset(func() { v.cancel() })
 		eventually(t, "it leads", v.leads)
 		c := dialVM(t, v)
 
@@ -42,6 +42,20 @@
 			So(a.Records[0].Unauthenticated, ShouldBeTrue)
 		})
 
+		// The only control VM lost its disk and founded its group anew, while the
+		// daemons still hold the old group's configuration and shares. They must not
+		// get leases for them from a group that knows nothing of those shares.
+		Convey("a daemon that knows more than the group gets no lease", func() {
+			for _, req := range []*wire.SyncRequest{{HaveConfig: 3}, {HaveSettled: 2}} {
+				req.Heartbeats = []*wire.Heartbeat{{Vm: serving("entry-1", 7)}}
+				r, err := c.spread().Sync(callCtx(t), req)
+				So(err, ShouldBeNil)
+				So(r.Granted, ShouldBeFalse)
+				So(r.Redirect, ShouldBeEmpty)
+			}
+			So(v.node.table.Len(), ShouldEqual, 0)
+		})
+
 		Convey("a daemon joins: it gets a lease, then an epoch that settles once it has acknowledged it", func() {
 			req := &wire.SyncRequest{Heartbeats: []*wire.Heartbeat{{Vm: serving("entry-1", 7)}}, WaitMs: 1000}
 			r, err := c.spread().Sync(callCtx(t), req)
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -5,15 +5,20 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"k8s.io/klog/v2"
 
 	"pearmoor/internal/link/wire"
 	"pearmoor/internal/relay"
+	"pearmoor/internal/vm"
 )
 
 // maxHold bounds how long a Sync is held, so that relays and daemons notice a
 // lost link early.
 const maxHold = 5 * time.Second
 
+// aheadEvery is the least time between two words on daemons of another group.
+const aheadEvery = 10 * time.Second
+
 var (
 	syncMeter = metrics.GetOrRegisterMeter("control.sync.calls", metrics.DefaultRegistry)
 	beatMeter = metrics.GetOrRegisterMeter("control.sync.heartbeats", metrics.DefaultRegistry)
@@ -35,6 +40,10 @@
 		return &wire.SyncReply{Redirect: lead.redirect()}, nil
 	}
 	st, changed := s.history.State()
+	if ahead(req, &st) {
+		s.reportAhead(req, &st)
+		return &wire.SyncReply{}, nil
+	}
 	hbs, unknown := s.expand.Expand(req, st.Settled, st.Pending)
 	terms := s.terms.Load()
 	refused, news := s.table.Beat(hbs, s.cfg.Clock(), terms)
@@ -58,6 +67,29 @@
 	return reply, nil
 }
 
+// ahead reports whether the caller knows of something that this group never
+// agreed on. A leader knows everything its group has agreed on, so the group must
+// have been founded anew beside or after another one, on disks that were lost.
+// Granting a lease would put the old group's configuration and shares back into
+// work under a group that may hand the same shares to others.
+func ahead(req *wire.SyncRequest, st *relay.State) bool {
+	return req.HaveConfig > st.ConfigVersion || req.HaveSettled > st.Settled.Epoch
+}
+
+func (s *spreadServer) reportAhead(req *wire.SyncRequest, st *relay.State) {
+	now := s.cfg.Clock()
+	last := vm.Instant(s.aheadAt.Load())
+	if now.Sub(last) < aheadEvery || !s.aheadAt.CompareAndSwap(int64(last), int64(now)) {
+		return
+	}
+	name := "a daemon"
+	if len(req.Heartbeats) > 0 {
+		name = req.Heartbeats[0].GetVm().GetName()
+	}
+	klog.Errorf("control: %s knows version %d and epoch %d, this group only %d and %d: it was founded anew; restore the old group's disks, or restart all daemons",
+		name, req.HaveConfig, req.HaveSettled, st.ConfigVersion, st.Settled.Epoch)
+}
+
 // hold waits until the state has something that the caller lacks, the caller's
 // time is up, or this VM no longer leads.
 func (s *spreadServer) hold(ctx context.Context, req *wire.SyncRequest, st relay.State, changed <-chan struct{}) {
--- a/internal/control/tls_test.go
+++ b/internal/control/tls_test.go
@@ -41,7 +41,7 @@
 		vmCert := certified(t, a, dir, peer.Identity{Name: "ctl-1", Kind: peer.VM})
 		operator := certified(t, a, dir, peer.Identity{Name: "asha", Kind: peer.Operator})
 		v := startVMWith(t, Config{ID: 1, Name: "ctl-1", DataDir: t.TempDir(), Bootstrap: true}, listen(t, "127.0.0.1:0"), vmCert.ServerConfig())
-		Reset(v.stop)
+		Reset(func() { v.cancel() })
 		eventually(t, "it leads", v.leads)
 
 		Convey("an operator is recorded by the certificate's name, whatever the request says", func() {
