--- a/internal/link/peer/identity.go
+++ b/internal/link/peer/identity.go
@@ -114,3 +114,15 @@
 	}
 	return identityOf(state.PeerCertificates[0])
 }
+
+// CheckSender returns an error if the certificate behind a call names another VM
+// than the one the call says it is from. Without it, any VM's certificate could
+// keep another VM's lease alive, or end it with a newer incarnation. On plain
+// text nobody can be checked.
+func CheckSender(ctx context.Context, name string) error {
+	id, ok := FromContext(ctx)
+	if !ok || !id.Verified || id.Name == name {
+		return nil
+	}
+	return Permanent(errors.Newf("peer: the call says it is from %q; its certificate is of %s %q", name, id.Kind, id.Name))
+}
--- a/internal/link/peer/peer_test.go
+++ b/internal/link/peer/peer_test.go
@@ -30,7 +30,10 @@
 	hold    chan struct{}
 }
 
-func (c *control) Read(ctx context.Context, _ *wire.ReadRequest) (*wire.ReadReply, error) {
+func (c *control) Read(ctx context.Context, req *wire.ReadRequest) (*wire.ReadReply, error) {
+	if req.GetVersion() == asEve {
+		return nil, CheckSender(ctx, "eve")
+	}
 	id, _ := FromContext(ctx)
 	return &wire.ReadReply{Redirect: id.Kind.String() + "/" + id.Name}, nil
 }
@@ -45,6 +48,9 @@
 	panic("broken handler")
 }
 
+// asEve is a version for which the caller says that it is eve.
+const asEve = 666
+
 type testServer struct {
 	addr   string
 	cancel context.CancelFunc
@@ -147,6 +153,12 @@
 			who, err := read(pool, server.addr)
 			So(err, ShouldBeNil)
 			So(who, ShouldEqual, "operator/asha")
+
+			conn, err := pool.Conn(context.Background(), server.addr)
+			So(err, ShouldBeNil)
+			_, err = wire.NewDRPCControlClient(conn).Read(context.Background(), &wire.ReadRequest{Version: asEve})
+			So(IsPermanent(err), ShouldBeTrue) // a name that is not the certificate's
+			So(err.Error(), ShouldContainSubstring, `says it is from "eve"`)
 		})
 
 		// A thief who copied the certificate of an entry VM edits the tree: the
