--- a/internal/link/leaf/exchange.go
+++ b/internal/link/leaf/exchange.go
@@ -109,8 +109,9 @@
 	}
 	x.req.DeadlineMS = left.Milliseconds()
 	x.setConn(c)
+	reused := c.reused // another exchange may have c afterwards
 	out = x.roundTrip(c)
-	return out, c.reused && x.rewind(out)
+	return out, reused && x.rewind(out)
 }
 
 // rewind makes an exchange that wrote nothing ready for another connection. It
@@ -173,7 +174,7 @@
 	}
 	x.mu.Unlock()
 	left := max(0, x.deadline.Sub(x.clock()))
-	x.schedule(left+holdLimit, x.kill)
+	x.schedule(left+x.pool.sender.hold, x.kill)
 }
 
 // kill closes the connection of an attempt that is past every limit.
--- a/internal/link/leaf/leaf_test.go
+++ b/internal/link/leaf/leaf_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -45,6 +47,13 @@
 }
 
 func newFakeLeaf(t testing.TB) *fakeLeaf {
+	f := newFakeLeafUnstarted()
+	f.Start()
+	t.Cleanup(f.Close)
+	return f
+}
+
+func newFakeLeafUnstarted() *fakeLeaf {
 	f := &fakeLeaf{handle: answer}
 	f.status = contract.LeafStatus{Name: "a", State: contract.LeafServing, Slots: 2}
 	mux := http.NewServeMux()
@@ -52,8 +61,6 @@
 	mux.HandleFunc(contract.LeafStatusPath, f.report)
 	f.Server = httptest.NewUnstartedServer(mux)
 	f.Config.ConnState = f.connState
-	f.Start()
-	t.Cleanup(f.Close)
 	return f
 }
 
@@ -119,7 +126,10 @@
 	return settings.Leaf{Name: "a", Addr: f.Listener.Addr().String(), Domain: "lalitpur-hall"}
 }
 
-// bench is a sender with gates open for one leaf.
+// quiet keeps the server's log of faults that a test causes out of the output.
+func quiet() *log.Logger { return log.New(io.Discard, "", 0) }
+
+// rig is a sender with gates open for one leaf.
 type rig struct {
 	sender *Sender
 	gates  *admit.Gates
--- a/internal/link/leaf/sender.go
+++ b/internal/link/leaf/sender.go
@@ -26,7 +26,8 @@
 type Sender struct {
 	clock vm.Clock
 	tls   *tls.Config
-	over  atomic.Int64 // pools with more connections open than their share
+	hold  time.Duration // see holdLimit
+	over  atomic.Int64  // pools with more connections open than their share
 
 	mu    sync.RWMutex
 	pools map[string]*pool // by address
@@ -34,7 +35,7 @@
 
 // NewSender returns a sender that reaches no leaf until Limit has named its link.
 func NewSender(c Config) *Sender {
-	s := &Sender{clock: c.Clock, tls: c.TLS, pools: make(map[string]*pool)}
+	s := &Sender{clock: c.Clock, tls: c.TLS, hold: holdLimit, pools: make(map[string]*pool)}
 	if s.clock == nil {
 		s.clock = vm.Now
 	}
--- /dev/null
+++ b/internal/link/leaf/verdict_test.go
@@ -0,0 +1,179 @@
+package leaf
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"pearmoor/internal/contract"
+	"pearmoor/internal/settings"
+	"pearmoor/internal/vm"
+)
+
+type handler = func(w http.ResponseWriter, r *http.Request, q *contract.LeafRequest)
+
+func status(code int, retryAfter string) handler {
+	return func(w http.ResponseWriter, _ *http.Request, _ *contract.LeafRequest) {
+		if retryAfter != "" {
+			w.Header().Set("Retry-After", retryAfter)
+		}
+		w.WriteHeader(code)
+	}
+}
+
+func altered(change func(*contract.LeafReply)) handler {
+	return func(w http.ResponseWriter, _ *http.Request, q *contract.LeafRequest) {
+		reply := replyTo(q)
+		change(&reply)
+		json.NewEncoder(w).Encode(reply)
+	}
+}
+
+func raw(body string) handler {
+	return func(w http.ResponseWriter, _ *http.Request, _ *contract.LeafRequest) { io.WriteString(w, body) }
+}
+
+func cut(w http.ResponseWriter, _ *http.Request, _ *contract.LeafRequest) {
+	w.Header().Set("Content-Length", "1000")
+	io.WriteString(w, `{"id":"1"`)
+	panic(http.ErrAbortHandler)
+}
+
+// What a caller may conclude from each way a leaf can answer: only a refusal
+// that the interface defines says "not run", and only a matching reply "ran".
+func TestVerdicts(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		handle  handler
+		verdict contract.Verdict
+		reason  contract.Reason
+	}{
+		{"429", status(429, "2"), contract.NotRun, contract.ReasonRefused},
+		{"503", status(503, ""), contract.NotRun, contract.ReasonRefused},
+		{"409", status(409, ""), contract.NotRun, contract.ReasonNoReplica},
+		{"500", status(500, ""), contract.MayHaveRun, contract.ReasonTargetFailed},
+		{"400", status(400, ""), contract.MayHaveRun, contract.ReasonTargetFailed},
+		{"504", status(504, ""), contract.MayHaveRun, contract.ReasonTargetFailed},
+		{"a redirect", status(302, ""), contract.MayHaveRun, contract.ReasonTargetFailed},
+		{"of another request", altered(func(r *contract.LeafReply) { r.ID = "x" }), contract.MayHaveRun, contract.ReasonWrongReply},
+		{"of another attempt", altered(func(r *contract.LeafReply) { r.Attempt++ }), contract.MayHaveRun, contract.ReasonWrongReply},
+		{"of another shard", altered(func(r *contract.LeafReply) { r.Shard++ }), contract.MayHaveRun, contract.ReasonWrongReply},
+		{"of another version", altered(func(r *contract.LeafReply) { r.IndexVersion++ }), contract.MayHaveRun, contract.ReasonWrongReply},
+		{"of another service", altered(func(r *contract.LeafReply) { r.Service = "/x" }), contract.MayHaveRun, contract.ReasonWrongReply},
+		{"not JSON", raw("<html>"), contract.MayHaveRun, contract.ReasonWrongReply},
+		{"empty", raw(""), contract.MayHaveRun, contract.ReasonWrongReply},
+		{"cut in the body", cut, contract.MayHaveRun, contract.ReasonTargetFailed},
+		{"too long", raw(strings.Repeat(" ", replyLimit+1)), contract.MayHaveRun, contract.ReasonTargetFailed},
+	} {
+		Convey("A reply "+c.name, t, func() {
+			f := newFakeLeaf(t)
+			f.Config.ErrorLog = quiet()
+			f.handle = c.handle
+			r := newRig(t, f.leaf(), 1, Link{Conns: 2})
+			_, err := r.send(deadline(t, generous), t, "1")
+			var e *contract.Error
+			So(errors.As(err, &e), ShouldBeTrue)
+			So(e.Verdict, ShouldEqual, c.verdict)
+			So(e.Reason, ShouldEqual, c.reason)
+			if c.name == "429" {
+				So(e.RetryAfter, ShouldEqual, 2000)
+			}
+			So(f.runs.Load(), ShouldEqual, 1)
+			So(r.gates.Load(r.leaf.Addr).InFlight, ShouldEqual, 0)
+		})
+	}
+}
+
+// Nobody listens: the request was not run, and the gate learns that it failed.
+func TestNoListenerIsNotRun(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	lis.Close()
+	leaf := settings.Leaf{Name: "a", Addr: lis.Addr().String()}
+	r := newRig(t, leaf, 1, Link{Conns: 2})
+	for range 3 {
+		_, err = r.send(deadline(t, generous), t, "1")
+		if contract.VerdictOf(err) != contract.NotRun {
+			t.Fatalf("refused connection: %v", err)
+		}
+	}
+	if n, _ := r.sender.Conns(leaf.Addr); n != 0 || !r.gates.Load(leaf.Addr).Failing {
+		t.Fatalf("%d connections counted, failing is %v", n, r.gates.Load(leaf.Addr).Failing)
+	}
+}
+
+// The daemon is given a permit and is then paused past its lease. When it goes
+// on to write, another daemon may have the slot: nothing may be written.
+func TestLapsedLeaseWritesNothing(t *testing.T) {
+	Convey("A permit whose lease ran out before the write", t, func() {
+		f := newFakeLeaf(t)
+		r := newRig(t, f.leaf(), 1, Link{Conns: 1})
+		_, err := r.send(deadline(t, generous), t, "warm")
+		So(err, ShouldBeNil)
+		p, ok := r.gates.TryAcquire(r.leaf.Addr)
+		So(ok, ShouldBeTrue)
+		r.gates.Fence(vm.Now())
+		r.gates.Fence(vm.Now().Add(time.Hour))
+		_, err = r.sender.Send(deadline(t, generous), r.leaf, request("1"), p)
+		var e *contract.Error
+		So(errors.As(err, &e), ShouldBeTrue)
+		So(e.Verdict, ShouldEqual, contract.NotRun)
+		So(e.Reason, ShouldEqual, contract.ReasonUnconfirmed)
+		So(f.runs.Load(), ShouldEqual, 1)
+		Convey("costs no connection, and what follows is sent", func() {
+			_, err := r.send(deadline(t, generous), t, "2")
+			So(err, ShouldBeNil)
+			So(f.opened.Load(), ShouldEqual, 1)
+		})
+	})
+}
+
+// The same with the pause between the last check and the first byte: the check
+// in the write itself stops it.
+func TestLapsedLeaseStopsTheWriteItself(t *testing.T) {
+	Convey("A lease that runs out after the connection was taken", t, func() {
+		f := newFakeLeaf(t)
+		r := newRig(t, f.leaf(), 1, Link{Conns: 1})
+		p, _ := r.gates.TryAcquire(r.leaf.Addr)
+		pool := r.sender.pool(r.leaf.Addr)
+		c, err := pool.get(deadline(t, generous))
+		So(err, ShouldBeNil)
+		x := &exchange{pool: pool, permit: p, clock: vm.Now, req: *request("1"), done: make(chan struct{})}
+		x.setConn(c)
+		r.gates.Fence(vm.Now())
+		out := x.roundTrip(c)
+		So(out.err.Verdict, ShouldEqual, contract.NotRun)
+		So(out.err.Reason, ShouldEqual, contract.ReasonUnconfirmed)
+		So(out.dead, ShouldBeFalse)
+		So(f.runs.Load(), ShouldEqual, 0)
+		p.Release()
+	})
+}
+
+// The leaf is told no more time than the lease has left, so that what outlives
+// a lapsed lease at a leaf ends with it.
+func TestDeadlineNeverOutlivesTheLease(t *testing.T) {
+	f := newFakeLeaf(t)
+	told := make(chan int64, 1)
+	f.handle = func(w http.ResponseWriter, r *http.Request, q *contract.LeafRequest) {
+		told <- q.DeadlineMS
+		answer(w, r, q)
+	}
+	r := newRig(t, f.leaf(), 1, Link{Conns: 1})
+	r.gates.Fence(vm.Now().Add(5 * time.Second))
+	if _, err := r.send(deadline(t, time.Hour), t, "1"); err != nil {
+		t.Fatal(err)
+	}
+	if d := <-told; d > 5000 || d < 1 {
+		t.Fatalf("the leaf was told %d ms with a lease of 5000", d)
+	}
+}
