--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -7,6 +7,7 @@
 	"github.com/rcrowley/go-metrics"
 	"k8s.io/klog/v2"
 
+	"pearmoor/internal/link/peer"
 	"pearmoor/internal/link/wire"
 	"pearmoor/internal/relay"
 	"pearmoor/internal/vm"
@@ -45,6 +46,9 @@
 		return &wire.SyncReply{}, nil
 	}
 	hbs, unknown := s.expand.Expand(req, st.Settled, st.Pending)
+	if err := checkSender(ctx, req, hbs); err != nil {
+		return nil, err
+	}
 	terms := s.terms.Load()
 	refused, news := s.table.Beat(hbs, s.cfg.Clock(), terms)
 	syncMeter.Mark(1)
@@ -67,6 +71,20 @@
 	return reply, nil
 }
 
+// checkSender holds that the caller's own heartbeat, the first in full or the
+// first short one, names the VM of its certificate. A relay is trusted for the
+// daemons below it.
+func checkSender(ctx context.Context, req *wire.SyncRequest, hbs []*wire.Heartbeat) error {
+	if len(hbs) == 0 {
+		return nil
+	}
+	err := peer.CheckSender(ctx, hbs[0].GetVm().GetName())
+	if short := len(req.Heartbeats); err != nil && short > 0 && short < len(hbs) {
+		err = peer.CheckSender(ctx, hbs[short].GetVm().GetName())
+	}
+	return err
+}
+
 // ahead reports whether the caller knows of something that this group never
 // agreed on. A leader knows everything its group has agreed on, so the group must
 // have been founded anew beside or after another one, on disks that were lost.
--- a/internal/control/tls_test.go
+++ b/internal/control/tls_test.go
@@ -68,5 +68,16 @@
 			So(err, ShouldBeNil)
 			So(s.Granted, ShouldBeTrue)
 		})
+
+		Convey("a VM's certificate holds no other VM's lease, nor ends it", func() {
+			c := dialWith(t, v, vmCert.ClientConfig())
+			for name, ok := range map[string]bool{"ctl-1": true, "entry-9": false} {
+				_, err := c.spread().Sync(callCtx(t), &wire.SyncRequest{Heartbeats: []*wire.Heartbeat{
+					{Vm: serving(name, 1)}, {Vm: serving("child", 1)},
+				}})
+				So(err == nil, ShouldEqual, ok)
+			}
+			So(v.node.table.Len(), ShouldEqual, 2)
+		})
 	})
 }
