Count a retired connection until the leaf has closed its end

Change: a connection that is given up is shut for writing and counts until the leaf's end of the stream, or 2 s.

--- a/internal/link/leaf/pool.go
+++ b/internal/link/leaf/pool.go
@@ -107,13 +107,24 @@
 	return surplus
 }
 
-// closeAll closes connections; no lock may be held.
-func closeAll(cs []*conn) {
+// retireAll retires connections; no lock may be held.
+func retireAll(cs []*conn) {
 	for _, c := range cs {
-		c.close()
+		c.retire()
 	}
 }
 
+// retireLimit bounds the wait for a leaf to close its end.
+const retireLimit = 2 * time.Second
+
+// retire ends an idle connection. It counts until the leaf has closed its end:
+// closed from here at once, its place would be taken by a new one before the
+// leaf has seen the end of the old, and the leaf would have one too many.
+func (c *conn) retire() {
+	c.wire.closeWrite()
+	time.AfterFunc(retireLimit, c.close)
+}
+
 func (c *conn) close() {
 	c.client.Close()
 	c.wire.Close()
@@ -208,7 +219,7 @@
 	p.mu.Lock()
 	if p.open > p.link.Conns || c.secure != p.link.TLS || c.wire.half.Load() || c.client.Err() != nil {
 		p.mu.Unlock()
-		c.close()
+		c.retire()
 		return
 	}
 	p.idle = append(p.idle, c)
