--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -14,6 +14,7 @@
 
 	"pearmoor/internal/admit"
 	"pearmoor/internal/control"
+	"pearmoor/internal/directory"
 	"pearmoor/internal/entry"
 	"pearmoor/internal/link/leaf"
 	"pearmoor/internal/link/peer"
@@ -43,6 +44,7 @@
 	sender  *leaf.Sender
 	prober  *leaf.Prober
 	homes   *homes
+	horizon directory.Horizon
 }
 
 // New binds the daemon's ports and puts its parts together; nothing runs yet.
@@ -163,6 +165,7 @@
 	})
 	d.homes = &homes{
 		self: d.self, source: d.client, gates: gates, sender: d.sender, prober: d.prober, ack: d.client.Ack,
+		horizon: &d.horizon,
 	}
 	d.engine = query.New(query.Config{
 		Self: d.self, Source: d.client, Gates: gates, Sender: d.sender,
@@ -255,6 +258,7 @@
 	if d.entry == nil {
 		return
 	}
+	d.client.SetPhase(vm.Serving)
 	g.Go(func() error { return ended(ctx, d.client.Run(ctx)) })
 	g.Go(func() error { return ended(ctx, d.prober.Run(ctx)) })
 	g.Go(func() error { d.homes.run(ctx); return nil })
@@ -300,8 +304,14 @@
 		return true, "control only"
 	}
 	v := d.client.Current()
+	if v.Tree == nil || v.Settled == nil {
+		return false, "unconfirmed: no configuration was learned yet"
+	}
+	if m, ok := v.Settled.Find(d.self.Name); !ok || !m.Same(d.self) {
+		return false, "joining: the agreed membership does not hold this daemon yet"
+	}
 	if left := v.Lease.Sub(vm.Now()); left <= 0 {
 		return false, "unconfirmed: the daemon lease ran out " + (-left).Round(time.Millisecond).String() + " ago"
 	}
-	return true, "serving"
+	return true, phaseServing.String()
 }
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -6,9 +6,7 @@
 
 	"k8s.io/klog/v2"
 
-	"pearmoor/internal/directory"
 	"pearmoor/internal/relay"
-	"pearmoor/internal/settings"
 	"pearmoor/internal/vm"
 )
 
@@ -33,7 +31,7 @@
 	klog.Infof("daemon: %s drains: leaving the address lists", d.self.Name)
 	d.client.SetPhase(vm.Draining)
 	waitFor(hurry, agreeLimit, func() bool { return hasLeft(d.client.Current(), d.self) })
-	lifetime := directory.Lifetime(tierOf(d.client.Current()))
+	lifetime := d.horizon.Wait(vm.Now())
 	klog.Infof("daemon: %s drains: callers keep its address for %s; %d requests in flight", d.self.Name, lifetime, d.engine.InFlight())
 	waitFor(hurry, lifetime, func() bool { return false })
 	endCallers()
@@ -66,13 +64,6 @@
 	return true
 }
 
-func tierOf(v *relay.View) settings.Tier {
-	if v.Tree == nil {
-		return settings.New().Tier()
-	}
-	return v.Tree.Tier()
-}
-
 // waitFor polls done until it holds, limit has passed or ctx ends.
 func waitFor(ctx context.Context, limit time.Duration, done func() bool) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
--- a/internal/daemon/homes.go
+++ b/internal/daemon/homes.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"pearmoor/internal/admit"
+	"pearmoor/internal/directory"
 	"pearmoor/internal/link/leaf"
 	"pearmoor/internal/relay"
 	"pearmoor/internal/settings"
@@ -39,12 +40,13 @@
 // homes keeps permits, probes and connections in step with the shares that the
 // agreed state gives this daemon.
 type homes struct {
-	self   vm.Identity
-	source relay.Source
-	gates  *admit.Gates
-	sender *leaf.Sender
-	prober *leaf.Prober
-	ack    func(config, epoch uint64)
+	self    vm.Identity
+	source  relay.Source
+	gates   *admit.Gates
+	sender  *leaf.Sender
+	prober  *leaf.Prober
+	ack     func(config, epoch uint64)
+	horizon *directory.Horizon
 
 	applied stateKey
 	mu      sync.Mutex // guards held against services
@@ -62,7 +64,9 @@
 func (h *homes) run(ctx context.Context) {
 	for {
 		changed := h.source.Changed()
-		h.follow(h.source.Current())
+		v := h.source.Current()
+		h.horizon.Observe(v, vm.Now())
+		h.follow(v)
 		wait := time.Duration(-1)
 		if !h.acknowledge() {
 			wait = respectPoll
@@ -151,12 +155,13 @@
 
 // acknowledge tells control that this daemon respects the shares last configured. Without
 // the wait for requests in flight, the new holder of a share would send while
-// the old one's requests still run, and the leaf would see more than its slots.
+// the old one's requests still run, and the leaf would see more than its slots;
+// likewise for connections and the leaf's cap.
 func (h *homes) acknowledge() bool {
 	if h.acked == h.applied {
 		return true
 	}
-	if !h.gates.Respected() {
+	if !h.gates.Respected() || !h.sender.Respected() {
 		return false
 	}
 	h.acked = h.applied
