query: one admission decision per query, hedges that queue, waits on all replicas

Hedges wait with precedence instead of taking only a permit that nobody waits for, and a first attempt waits in the queues of all its replicas.

--- a/internal/query/entry.go
+++ b/internal/query/entry.go
@@ -14,6 +14,9 @@
 // execute scatters p over its services and merges the answer.
 func (e *Engine) execute(ctx context.Context, st state, p *plan) (*contract.Answer, *contract.Error) {
 	scopes := scopesOf(st, p)
+	if err := e.shed(p, scopes); err != nil {
+		return nil, err
+	}
 	outs := make([]*outcome, len(scopes))
 	var wg sync.WaitGroup
 	for i, targets := range scopes[1:] {
--- a/internal/query/home.go
+++ b/internal/query/home.go
@@ -24,6 +24,7 @@
 	hedgeShare share
 	retryShare share
 	waiting    atomic.Int64 // shards that wait or run here
+	level      *level
 }
 
 // share is a float64 that is read and written concurrently.
@@ -44,7 +45,7 @@
 }
 
 func (e *Engine) newHome() *home {
-	h := &home{}
+	h := &home{level: newLevel(e.Clock())}
 	hedges := admit.NewBudget(h.hedgeShare.get, extraFloor, e.Clock)
 	retries := admit.NewBudget(h.retryShare.get, extraFloor, e.Clock)
 	h.group = scatter.NewGroup(e.Gates, e.Sender, e.Clock, hedges, retries)
@@ -85,6 +86,7 @@
 	h.waiting.Add(-n)
 	p := newPart(job, r, q)
 	p.waiting = int(h.waiting.Load())
+	p.level = e.admitLevel(h, eff)
 	return p
 }
 
@@ -95,6 +97,7 @@
 		Body: q.body, Repeatable: q.repeatable,
 		Priority: eff.Priority, Goal: eff.Goal,
 		HedgeAfter: eff.HedgeAfter, HedgeShare: eff.HedgeBudget,
+		Order: orderOf(q.id),
 	}
 	if q.minCoverage > 0 && eff.EarlyCoverage > 0 {
 		job.EarlyAt = max(q.minCoverage, eff.EarlyCoverage)
--- a/internal/query/meters.go
+++ b/internal/query/meters.go
@@ -17,6 +17,7 @@
 	repinned   metrics.Counter
 	homeHedges metrics.Counter
 	homeRetry  metrics.Counter
+	shed       metrics.Counter
 }{
 	latency:    metrics.GetOrRegisterTimer("query.latency", nil),
 	inFlight:   metrics.GetOrRegisterCounter("query.in_flight", nil),
@@ -28,6 +29,7 @@
 	repinned:   metrics.GetOrRegisterCounter("query.pins.changed", nil),
 	homeHedges: metrics.GetOrRegisterCounter("query.homes.hedged", nil),
 	homeRetry:  metrics.GetOrRegisterCounter("query.homes.retried", nil),
+	shed:       metrics.GetOrRegisterCounter("query.shed", nil),
 }
 
 // countRefusal counts a query that ended without an answer.
--- /dev/null
+++ b/internal/query/overload.go
@@ -0,0 +1,131 @@
+package query
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"pearmoor/internal/admit"
+	"pearmoor/internal/contract"
+	"pearmoor/internal/settings"
+	"pearmoor/internal/vm"
+)
+
+const (
+	levelTick   = 100 * time.Millisecond // between two steps of an admission level
+	levelGain   = 0.1                    // largest relative change in one step
+	levelLeast  = 0.05                   // some queries always get in, so that recovery is seen
+	levelTicks  = 50                     // most steps made up for after a pause in traffic
+	waitDivisor = 4                      // queue wait aimed at, as a part of the default deadline
+	levelLife   = 3 * time.Second        // a level heard of fades to 1 within this time
+	shedWait    = 500 * time.Millisecond // shortest Retry-After of a query that was shed
+)
+
+// level is the share of queries that a home wants to be sent. It falls while the
+// queue for the service's leaves is longer than the target and rises while it is
+// shorter, so that it settles where the leaves are kept just busy.
+//
+// The failure: each of 20 services admits by itself, at twice the load each takes
+// a different half of the queries, and nearly every query gets half of its
+// services: the targets work all the time and hardly any answer is whole. With one
+// decision for the query, before anything is sent, what is admitted is admitted
+// everywhere.
+type level struct {
+	mu    sync.Mutex
+	value float64
+	last  vm.Instant
+}
+
+func newLevel(now vm.Instant) *level { return &level{value: 1, last: now} }
+
+// update steps the level by the queue wait now and returns it.
+func (l *level) update(now vm.Instant, wait, target time.Duration) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ticks := int(now.Sub(l.last) / levelTick)
+	if ticks <= 0 || target <= 0 {
+		return l.value
+	}
+	l.last = now
+	off := max(-1, min(1, float64(target-wait)/float64(target)))
+	for range min(ticks, levelTicks) {
+		l.value = max(levelLeast, min(1, l.value*(1+levelGain*off)))
+	}
+	return l.value
+}
+
+// queueWait returns the wait that the queues for a service's leaves mean for a new
+// request, which waits in all of them. Leaves that fail don't count: a service
+// that is down is said to be missing and must not shut out queries for the others.
+func queueWait(gates *admit.Gates, leaves []settings.Leaf) time.Duration {
+	var waiting, slots int
+	var service time.Duration
+	for _, leaf := range leaves {
+		load := gates.Load(leaf.Addr)
+		if load.Failing || load.Slots == 0 {
+			continue
+		}
+		waiting = max(waiting, load.Waiting)
+		service = max(service, load.Service)
+		slots += load.Slots
+	}
+	if slots == 0 {
+		return 0
+	}
+	return time.Duration(waiting) * service / time.Duration(slots)
+}
+
+// admitLevel steps and returns the level of a service that this daemon is home of.
+func (e *Engine) admitLevel(h *home, eff *settings.Effective) float64 {
+	return h.level.update(e.Clock(), queueWait(e.Gates, eff.Leaves), eff.DeadlineDefault/waitDivisor)
+}
+
+// shed refuses p before anything is sent when a service of its path wants fewer
+// queries than it is offered. The decision is a hash of the request, so that it is
+// the same whichever of the services is the most loaded one.
+func (e *Engine) shed(p *plan, scopes [][]*target) *contract.Error {
+	lowest := 1.0
+	for _, targets := range scopes {
+		for _, t := range targets {
+			lowest = min(lowest, e.levelOf(t))
+		}
+	}
+	if lowest >= 1 || lot(p.id) < lowest {
+		return nil
+	}
+	meter.shed.Inc(1)
+	wait := shedWait + time.Duration((1-lowest)*rand.Float64()*float64(shedWait))
+	return &contract.Error{Verdict: contract.NotRun, Reason: contract.ReasonOverload, RetryAfter: wait.Milliseconds(),
+		Cause: errors.Newf("the targets take %.0f%% of the queries offered", 100*lowest)}
+}
+
+// levelOf returns the level of t: its own here, else the mean of what its homes
+// last said, since the queries are spread over them.
+func (e *Engine) levelOf(t *target) float64 {
+	if isHome(t, e.Self) {
+		return e.admitLevel(e.homeOf(t.service, t.eff), t.eff)
+	}
+	return e.route(t).meanLevel(t.placed.Homes, e.Clock())
+}
+
+// orderOf draws a number for a request: the same one wherever it is drawn.
+func orderOf(id string) uint64 { return xxhash.Sum64String(id) }
+
+// lot maps orderOf to [0, 1). The queues shed the lowest order first, so that is
+// mapped to the highest lot, which a falling level excludes first.
+func lot(id string) float64 {
+	const bits = 53
+	return 1 - float64(orderOf(id)>>(64-bits)+1)/(1<<bits)
+}
+
+// faded returns a level heard of age ago: the older, the nearer to 1.
+func faded(value float64, age time.Duration) float64 {
+	if value <= 0 || age >= levelLife {
+		return 1
+	}
+	fresh := 1 - float64(max(age, 0))/float64(levelLife)
+	return 1 - (1-value)*fresh
+}
--- a/internal/query/part.go
+++ b/internal/query/part.go
@@ -52,6 +52,7 @@
 	early      bool
 	versions   []versionState
 	waiting    int
+	level      float64 // share of queries the home wants; 0: not said
 }
 
 func refusedPart(reason contract.Reason, after time.Duration) *part {
@@ -109,7 +110,7 @@
 		RetryAfterMs: uint32(p.retryAfter.Milliseconds()),
 		IndexVersion: p.version, Answered: uint32(p.answered), Total: p.shards,
 		ExtraAttempts: uint32(p.extra), Early: p.early, Waiting: uint32(p.waiting),
-		Versions: versionsToWire(p.versions), Omitted: uint32(p.omitted),
+		Versions: versionsToWire(p.versions), Omitted: uint32(p.omitted), AdmitLevel: p.level,
 	}
 	for _, m := range p.missing {
 		w.Missing = append(w.Missing, &wire.SubMissing{Shard: m.Shard, Reason: string(m.Reason), Verdict: uint32(m.Verdict)})
@@ -129,7 +130,7 @@
 		refusal: contract.Reason(w.Refusal), retryAfter: time.Duration(w.RetryAfterMs) * time.Millisecond,
 		version: w.IndexVersion, shards: w.Total, answered: int(w.Answered),
 		omitted: int(w.Omitted), extra: int(w.ExtraAttempts), early: w.Early,
-		versions: versionsFromWire(w.Versions), waiting: int(w.Waiting),
+		versions: versionsFromWire(w.Versions), waiting: int(w.Waiting), level: w.AdmitLevel,
 	}
 	for _, m := range w.Missing {
 		p.missing = append(p.missing, contract.Missing{
--- a/internal/query/route.go
+++ b/internal/query/route.go
@@ -40,6 +40,7 @@
 
 type hint struct {
 	waiting int
+	level   float64
 	at      vm.Instant
 }
 
@@ -68,7 +69,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.hints[home] = hint{p.waiting, now}
+	r.hints[home] = hint{p.waiting, p.level, now}
 }
 
 // waiting returns the load a home last reported, 0 when that is too old.
@@ -82,6 +83,21 @@
 	return h.waiting
 }
 
+// meanLevel returns the mean of the levels that homes last told.
+func (r *route) meanLevel(homes []vm.Member, now vm.Instant) float64 {
+	if len(homes) == 0 {
+		return 1
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	sum := 0.0
+	for i := range homes {
+		h := r.hints[homes[i].Name]
+		sum += faded(h.level, now.Sub(h.at))
+	}
+	return sum / float64(len(homes))
+}
+
 // patience returns how long a home may stay silent before another is asked too.
 func (r *route) patience(left time.Duration) time.Duration {
 	if d, ok := r.latency.Threshold(0); ok {
--- a/internal/query/scatter/api.go
+++ b/internal/query/scatter/api.go
@@ -21,6 +21,7 @@
 type Budget interface {
 	Primary()
 	Spend() bool
+	Refund() // of an extra attempt that was not sent
 }
 
 // Job is one request to every shard of one service at one index version.
@@ -37,6 +38,7 @@
 	Goal        settings.Goal
 	HedgeAfter  time.Duration // 0: learned
 	HedgeShare  float64       // hedge budget as a share of primaries; sets the learned quantile
+	Order       uint64            // the same at every home; under overload the lowest is shed first
 	EarlyAt     float64       // coverage from which an early answer is allowed; 0: never
 }
 
--- a/internal/query/scatter/group.go
+++ b/internal/query/scatter/group.go
@@ -31,6 +31,10 @@
 	meter   *meters
 }
 
+// unlearnedDelay is how long a straggler is waited for while nothing is known of
+// the service's reply times.
+const unlearnedDelay = 100 * time.Millisecond
+
 // initialShare is the hedge share until the first Job names its own.
 const initialShare = 0.02
 
@@ -160,10 +164,11 @@
 	if d, ok := r.g.latency.Threshold(r.job.Goal); ok {
 		return d
 	}
+	delay := unlearnedDelay
 	if at, ok := r.ctx.Deadline(); ok {
-		return max(hedgeFloor, time.Until(at)/4)
+		delay = min(delay, time.Until(at)/4)
 	}
-	return time.Second
+	return max(delay, hedgeFloor)
 }
 
 func (r *run) noteRetryAfter(ms int64) {
--- a/internal/query/scatter/latency.go
+++ b/internal/query/scatter/latency.go
@@ -14,12 +14,14 @@
 	latencyLowest   = 10 * time.Microsecond
 	latencyHighest  = time.Minute
 	latencyDigits   = 2
-	latencyMinimum  = 64   // samples before a threshold is learned
+	latencyMinimum  = 16   // samples before a threshold is learned
 	latencyRefresh  = 64   // samples between two computations of the threshold
 	latencyWindow   = 4096 // samples after which the older half is forgotten
 	hedgeFloor      = 500 * time.Microsecond
 	ceilingCoverage = 4 // times the median
 	ceilingTail     = 3
+	spendTail       = 0.75 // part of the hedge budget that a learned threshold uses up
+	spendCoverage   = 0.5
 )
 
 // Latency learns how long a service's leaves take to reply, over a sliding
@@ -30,13 +32,14 @@
 	since     int
 	share     float64
 	median    atomic.Int64
-	tail      atomic.Int64 // quantile 1 - share
-	coverage  atomic.Int64 // quantile 1 - share/2
+	tail      atomic.Int64 // quantile 1 - spendTail*share
+	coverage  atomic.Int64 // quantile 1 - spendCoverage*share
 	samples   atomic.Int64
 }
 
 // NewLatency returns an empty Latency. share is the part of attempts that may be
-// hedged; the learned thresholds are the quantiles that spend it.
+// hedged. The learned thresholds are quantiles that spend a part of it: spent to
+// the last, the budget would often be empty when a true straggler comes.
 func NewLatency(share float64) *Latency {
 	return &Latency{cur: newHistogram(), prev: newHistogram(), share: share}
 }
@@ -55,7 +58,7 @@
 	_ = l.cur.RecordValue(int64(us)) // in range by the clamp
 	l.samples.Add(1)
 	l.since++
-	if l.since%latencyRefresh == 0 {
+	if l.since%latencyRefresh == 0 || l.samples.Load() == latencyMinimum {
 		l.refresh()
 	}
 	if l.since >= latencyWindow {
@@ -80,8 +83,8 @@
 	h.Merge(l.prev)
 	h.Merge(l.cur)
 	l.median.Store(h.ValueAtQuantile(50))
-	l.tail.Store(h.ValueAtQuantile(100 * (1 - l.share)))
-	l.coverage.Store(h.ValueAtQuantile(100 * (1 - l.share/2)))
+	l.tail.Store(h.ValueAtQuantile(100 * (1 - spendTail*l.share)))
+	l.coverage.Store(h.ValueAtQuantile(100 * (1 - spendCoverage*l.share)))
 }
 
 // Median returns the learned median, 0 while too few samples are known.
--- a/internal/query/scatter/shard.go
+++ b/internal/query/scatter/shard.go
@@ -13,7 +13,6 @@
 
 const (
 	hedgesAtATime = 1                    // beside the first attempt
-	hedgeLooks    = 4                    // times per threshold that a straggler looks for a free replica
 	shortestRound = 5 * time.Millisecond // between two rounds over the same replicas
 	longestPause  = time.Minute
 )
@@ -38,6 +37,7 @@
 	ctx      context.Context
 	cancel   context.CancelFunc // of all attempts
 	results  chan attemptDone
+	hedges   chan acquired // nil while no hedge waits for a permit
 	sent     int
 	inFlight int
 	tried    uint64 // bit by index in holders
@@ -92,8 +92,12 @@
 			if reason, ok := s.retry(); !ok {
 				return s.missing(reason)
 			}
+			timer.Reset(s.hedgeDelay())
 		case <-timer.C:
-			timer.Reset(s.hedge())
+			s.queueHedge()
+			timer.Reset(s.hedgeDelay())
+		case a := <-s.hedges:
+			s.hedge(a)
 		case <-s.ctx.Done():
 			return s.expired()
 		}
@@ -138,12 +142,12 @@
 
 // start queues for a permit at the best replica and sends there.
 func (s *shardRun) start() *contract.Error {
-	at, permit, err := s.acquire()
+	a, err := s.acquire()
 	if err != nil {
 		s.noteRetryAfter(err.RetryAfter)
 		return err
 	}
-	s.send(at, permit, false)
+	s.send(a.choice, a.permit, false)
 	return nil
 }
 
@@ -215,29 +219,53 @@
 	return max(shortest, shortestRound)
 }
 
-// hedge sends the straggling request to another replica as well, if it is
-// repeatable and both a free permit and the budget allow it. It returns after how
-// long to look again.
-func (s *shardRun) hedge() time.Duration {
-	delay := s.hedgeDelay()
-	if !s.job.Repeatable || s.inFlight == 0 || s.inFlight > hedgesAtATime || s.sent >= s.maxAttempts() {
-		return delay
+// queueHedge begins to wait for a permit at another replica, if the request is
+// repeatable and the budget allows it. The straggler goes on meanwhile.
+//
+// The wait goes before that of first attempts. Were it to take only a permit that
+// nobody waits for, hedges would end just when they are needed: a straggler keeps
+// its slot for long, which makes a queue at the other replica, which keeps the
+// hedge out. The hedge gives back more than it takes, since the straggler is
+// cancelled when it wins.
+func (s *shardRun) queueHedge() {
+	if !s.job.Repeatable || s.hedges != nil || s.inFlight == 0 || s.inFlight > hedgesAtATime || s.sent >= s.maxAttempts() || !s.untried() {
+		return
 	}
-	for _, c := range s.g.rank(s.buf[:0], s.holders, s.tried, 0) {
-		permit, ok := s.g.gates.TryAcquire(c.leaf.Addr)
-		if !ok {
-			continue
-		}
-		if !s.g.hedges.Spend() {
-			permit.Release()
-			return delay
-		}
-		s.extra.Add(1)
-		s.g.meter.hedges.Inc(1)
-		s.send(c, permit, true)
-		return delay
+	if !s.g.hedges.Spend() {
+		return
 	}
-	return max(delay/hedgeLooks, hedgeFloor)
+	ranked := s.g.rank(nil, s.holders, s.tried, 0)
+	s.hedges = make(chan acquired)
+	go s.acquireHedge(ranked, s.hedges)
+}
+
+// acquireHedge delivers a permit for a hedge, or gives it back when the shard has
+// been answered meanwhile.
+func (s *shardRun) acquireHedge(ranked []choice, to chan<- acquired) {
+	a, err := s.acquireAt(ranked, admit.Ask{Priority: s.job.Priority, Order: s.job.Order, Hedge: true})
+	if err != nil {
+		s.g.hedges.Refund()
+		return
+	}
+	select {
+	case to <- a:
+	case <-s.ctx.Done():
+		a.permit.Release()
+		s.g.hedges.Refund()
+	}
+}
+
+// hedge sends the straggling request to another replica as well.
+func (s *shardRun) hedge(a acquired) {
+	s.hedges = nil
+	if s.inFlight == 0 {
+		a.permit.Release()
+		s.g.hedges.Refund()
+		return
+	}
+	s.extra.Add(1)
+	s.g.meter.hedges.Inc(1)
+	s.send(a.choice, a.permit, true)
 }
 
 // send starts one attempt; its result arrives on s.results.
