--- /dev/null
+++ b/internal/link/leaf/catalog_test.go
@@ -0,0 +1,112 @@
+package leaf
+
+import (
+	"flag"
+	"os"
+	"slices"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"pearmoor/internal/contract"
+	"pearmoor/internal/settings"
+)
+
+// TestMain fixes rapid's seed, so that a run gives the same verdict as the one
+// before, and fails when a test leaves a goroutine behind.
+func TestMain(m *testing.M) {
+	flag.Set("rapid.seed", "20261202")
+	flag.Set("rapid.nofailfile", "true")
+	goleak.VerifyTestMain(m, goleak.Cleanup(os.Exit))
+}
+
+func reportOf(name string, live bool, indexes ...contract.LeafIndex) report {
+	st := &contract.LeafStatus{State: contract.LeafServing, Indexes: indexes}
+	return report{leaf: settings.Leaf{Name: name, Addr: name}, status: st, live: live}
+}
+
+func index(version uint64, shards uint32, held ...uint32) contract.LeafIndex {
+	return contract.LeafIndex{Service: "/s", Version: version, Shards: shards, Held: held}
+}
+
+func names(leaves []settings.Leaf) (out []string) {
+	for _, l := range leaves {
+		out = append(out, l.Name)
+	}
+	return out
+}
+
+// Version 8 is being rolled out and splits two shards into four. A query that
+// is pinned to 7 must count and ask by 7's map, whatever else leaves hold.
+func TestSnapshotsDuringARollout(t *testing.T) {
+	Convey("Two leaves have both versions, one only the old, one is gone", t, func() {
+		list := snapshots("/s", []report{
+			reportOf("a", true, index(7, 2, 0, 1), index(8, 4, 0, 1)),
+			reportOf("b", true, index(8, 4, 2, 3), index(7, 2, 1)),
+			reportOf("c", true, index(7, 2, 0)),
+			reportOf("d", false, index(8, 4, 0, 1, 2, 3)),
+		})
+		So(list, ShouldHaveLength, 2)
+		So(list[0].Version, ShouldEqual, 8)
+		So(list[0].Complete(), ShouldBeTrue)
+		So(names(list[0].Holders[0]), ShouldResemble, []string{"a"})
+		So(names(list[0].Holders[3]), ShouldResemble, []string{"b"})
+		So(list[1].Shards, ShouldEqual, 2)
+		So(names(list[1].Holders[0]), ShouldResemble, []string{"a", "c"})
+	})
+	Convey("A version that only lost leaves hold is listed with nobody to ask", t, func() {
+		list := snapshots("/s", []report{reportOf("d", false, index(8, 2, 0, 1))})
+		So(list, ShouldHaveLength, 1)
+		So(list[0].Shards, ShouldEqual, 2)
+		So(list[0].Complete(), ShouldBeFalse)
+	})
+}
+
+// Whatever leaves report: one entry per version, newest first; each holder is
+// live, once per shard, and agrees with the map that coverage counts by.
+func TestSnapshotProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var reports []report
+		for i := range rapid.IntRange(0, 6).Draw(t, "leaves") {
+			var ixs []contract.LeafIndex
+			for range rapid.IntRange(0, 4).Draw(t, "indexes") {
+				shards := rapid.Uint32Range(1, 5).Draw(t, "shards")
+				held := rapid.SliceOf(rapid.Uint32Range(0, shards-1)).Draw(t, "held")
+				ixs = append(ixs, index(rapid.Uint64Range(1, 3).Draw(t, "version"), shards, held...))
+			}
+			reports = append(reports, reportOf(string(rune('a'+i)), rapid.Bool().Draw(t, "live"), ixs...))
+		}
+		list := snapshots("/s", reports)
+		for i, s := range list {
+			if i > 0 && list[i-1].Version <= s.Version {
+				t.Fatal("not newest first")
+			}
+			if len(s.Holders) != int(s.Shards) {
+				t.Fatal("the partition map has another size than its list")
+			}
+			for shard, holders := range s.Holders {
+				for j, l := range holders {
+					if slices.Contains(holders[:j], l) {
+						t.Fatal("a holder twice")
+					}
+					r := reports[l.Name[0]-'a']
+					if !r.live || !holds(r, s.Version, s.Shards, uint32(shard)) {
+						t.Fatalf("%s does not hold shard %d of version %d", l.Name, shard, s.Version)
+					}
+				}
+			}
+		}
+		again := snapshots("/s", reports)
+		if !slices.EqualFunc(list, again, func(a, b Snapshot) bool { return a.Version == b.Version && a.Shards == b.Shards }) {
+			t.Fatal("the same reports gave another catalog")
+		}
+	})
+}
+
+func holds(r report, version uint64, shards, shard uint32) bool {
+	return slices.ContainsFunc(r.status.Indexes, func(ix contract.LeafIndex) bool {
+		return ix.Version == version && ix.Shards == shards && slices.Contains(ix.Held, shard)
+	})
+}
--- a/internal/link/leaf/platform.go
+++ b/internal/link/leaf/platform.go
@@ -27,6 +27,7 @@
 type platformList struct {
 	url     string
 	client  *http.Client
+	every   time.Duration // between fetches
 	etag    string
 	leaving map[string]bool // see leavingOf
 	at      time.Time
@@ -34,6 +35,7 @@
 
 func newPlatformList(base string) *platformList {
 	return &platformList{
+		every:  platformInterval,
 		url:    strings.TrimSuffix(base, "/") + contract.PlatformVMsPath,
 		client: &http.Client{Timeout: platformTimeout, Transport: &http.Transport{MaxConnsPerHost: 1}},
 	}
--- a/internal/link/leaf/prober.go
+++ b/internal/link/leaf/prober.go
@@ -345,7 +345,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(jittered(platformInterval)):
+		case <-time.After(jittered(p.platform.every)):
 		}
 	}
 }
--- /dev/null
+++ b/internal/link/leaf/prober_test.go
@@ -0,0 +1,193 @@
+package leaf
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"pearmoor/internal/admit"
+	"pearmoor/internal/contract"
+	"pearmoor/internal/settings"
+	"pearmoor/internal/vm"
+)
+
+// watching runs a prober over one leaf of service /s.
+func watching(t *testing.T, f *fakeLeaf, platformURL string) (*rig, *Prober, *settings.Effective) {
+	r := newRig(t, f.leaf(), 1, Link{Conns: 2})
+	p := NewProber(ProberConfig{Sender: r.sender, Gates: r.gates, PlatformURL: platformURL})
+	if p.platform != nil {
+		p.platform.every = 5 * time.Millisecond
+	}
+	e := &settings.Effective{Path: "/s", Leaves: []settings.Leaf{r.leaf}, ProbeInterval: 5 * time.Millisecond}
+	p.Watch("/s", e)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { p.Run(ctx) })
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	eventually(t, "the leaf is in the catalog", func() bool { return p.holders() == 1 })
+	return r, p, e
+}
+
+// holders counts the leaves that may be asked for shard 0 of the newest version.
+func (p *Prober) holders() int {
+	list := p.Snapshots("/s")
+	if len(list) == 0 {
+		return 0
+	}
+	return len(list[0].Holders[0])
+}
+
+func holding(f *fakeLeaf) {
+	f.status.Indexes = []contract.LeafIndex{index(7, 1, 0)}
+}
+
+// A leaf that leaves, whoever says so, must get nothing new: it goes out of the
+// catalog, its gate shuts, and what waits for it is refused, while what it has
+// goes on. When the word is taken back it serves again.
+func TestLeavingLeafGetsNothingNew(t *testing.T) {
+	var mu sync.Mutex
+	var vms []contract.PlatformVM
+	platform := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		json.NewEncoder(w).Encode(vms)
+	}))
+	defer platform.Close()
+	setVMs := func(list ...contract.PlatformVM) {
+		mu.Lock()
+		defer mu.Unlock()
+		vms = list
+	}
+	for _, c := range []struct {
+		word        string
+		leave, back func(f *fakeLeaf, p *Prober, e settings.Effective)
+	}{
+		{
+			word: "the leaf's own",
+			leave: func(f *fakeLeaf, _ *Prober, _ settings.Effective) {
+				f.set(func() { f.status.State = contract.LeafDraining })
+			},
+			back: func(f *fakeLeaf, _ *Prober, _ settings.Effective) {
+				f.set(func() { f.status.State = contract.LeafServing })
+			},
+		}, {
+			word: "the operator's",
+			leave: func(_ *fakeLeaf, p *Prober, e settings.Effective) {
+				e.Drained = []string{"a"}
+				p.Watch("/s", &e)
+			},
+			back: func(_ *fakeLeaf, p *Prober, e settings.Effective) { p.Watch("/s", &e) },
+		}, {
+			word: "the platform's",
+			leave: func(f *fakeLeaf, _ *Prober, _ settings.Effective) {
+				setVMs(contract.PlatformVM{Name: "vm-a", Addr: f.leaf().Addr, Leaving: true})
+			},
+			back: func(f *fakeLeaf, _ *Prober, _ settings.Effective) {
+				setVMs(contract.PlatformVM{Name: "vm-a", Addr: f.leaf().Addr})
+			},
+		},
+	} {
+		Convey("A leaf drains by "+c.word+" word", t, func() {
+			f := newFakeLeaf(t)
+			f.set(func() { holding(f) })
+			release := make(chan struct{})
+			f.handle = func(w http.ResponseWriter, r *http.Request, q *contract.LeafRequest) {
+				<-release
+				answer(w, r, q)
+			}
+			r, p, e := watching(t, f, platform.URL)
+			had := r.sendAsync(deadline(t, generous), t, "had")
+			eventually(t, "the leaf works", func() bool { return f.inFlight.Load() == 1 })
+			waits := r.sendAsync(deadline(t, generous), t, "waits")
+			eventually(t, "one waits", func() bool { return r.gates.Load(r.leaf.Addr).Waiting == 1 })
+			c.leave(f, p, *e)
+			So(errors.Is(<-waits, admit.ErrDraining), ShouldBeTrue)
+			eventually(t, "it is out of the catalog", func() bool { return p.holders() == 0 })
+			_, err := r.send(deadline(t, generous), t, "new")
+			So(errors.Is(err, admit.ErrDraining), ShouldBeTrue)
+			close(release)
+			So(<-had, ShouldBeNil)
+			So(f.runs.Load(), ShouldEqual, 1)
+			c.back(f, p, *e)
+			eventually(t, "it is back", func() bool { return p.holders() == 1 })
+			_, err = r.send(deadline(t, generous), t, "new")
+			So(err, ShouldBeNil)
+		})
+	}
+}
+
+// The status endpoint of a leaf fails while the leaf answers requests. Its last
+// status is kept with its age, and it stays in the catalog, because what it
+// does counts for more than what its health endpoint says. Once it neither
+// answers nor reports it is not asked any more.
+func TestStatusEndpointThatFails(t *testing.T) {
+	Convey("A leaf whose status endpoint fails", t, func() {
+		f := newFakeLeaf(t)
+		f.set(func() { holding(f) })
+		r, p, _ := watching(t, f, "")
+		f.set(func() { f.statusH = func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) } })
+		_, before, _ := p.Status(r.leaf.Addr)
+		eventually(t, "the status ages", func() bool { _, age, ok := p.Status(r.leaf.Addr); return ok && age > before+50*time.Millisecond })
+		So(p.holders(), ShouldEqual, 1)
+		Convey("is live by its answers, and by nothing once they are old too", func() {
+			_, err := r.send(deadline(t, generous), t, "1")
+			So(err, ShouldBeNil)
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			target := p.targets[r.leaf.Addr]
+			target.at = target.at.Add(-time.Hour)
+			So(p.isLive(target), ShouldBeTrue)
+			now := p.clock
+			p.clock = func() vm.Instant { return now().Add(time.Hour) }
+			r.gates.Configure(r.leaf.Addr, admit.Limits{})
+			So(p.isLive(target), ShouldBeFalse)
+			p.clock = now
+		})
+		Convey("is forgotten when it is watched no more", func() {
+			p.Watch("/s", nil)
+			_, _, ok := p.Status(r.leaf.Addr)
+			So(ok, ShouldBeFalse)
+			So(p.Snapshots("/s"), ShouldBeNil)
+		})
+	})
+}
+
+// The platform supports ETag: an unchanged list is not sent again, which is what
+// keeps polling a list of thousands of VMs cheap. One that fails keeps its word.
+func TestPlatformListIsFetchedOnce(t *testing.T) {
+	Convey("An unchanged list", t, func() {
+		full, failing := 0, false
+		srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("ETag", `"1"`)
+			switch {
+			case failing:
+				w.WriteHeader(http.StatusBadGateway)
+			case r.Header.Get("If-None-Match") == `"1"`:
+				w.WriteHeader(http.StatusNotModified)
+			default:
+				full++
+				json.NewEncoder(w).Encode([]contract.PlatformVM{{Name: "x", Addr: "10.0.0.9", Leaving: true}})
+			}
+		}))
+		defer srv.Close()
+		l := newPlatformList(srv.URL + "/")
+		defer l.client.CloseIdleConnections()
+		for range 3 {
+			leaving, err := l.fetch(context.Background())
+			So(err, ShouldBeNil)
+			So(isLeaving(leaving, settings.Leaf{Name: "a", Addr: "10.0.0.9:80"}), ShouldBeTrue)
+			So(isLeaving(leaving, settings.Leaf{Name: "x", Addr: "10.0.0.8:80"}), ShouldBeFalse)
+		}
+		So(full, ShouldEqual, 1)
+		failing = true
+		_, err := l.fetch(context.Background())
+		So(err, ShouldNotBeNil)
+	})
+}
