Measure a request to a leaf against a bare net/http client

Change: a benchmark that takes turns between both, against a leaf in another process, and reports the processor time of the sending side.

--- a/internal/link/leaf/catalog_test.go
+++ b/internal/link/leaf/catalog_test.go
@@ -17,6 +17,10 @@
 // TestMain fixes rapid's seed, so that a run gives the same verdict as the one
 // before, and fails when a test leaves a goroutine behind.
 func TestMain(m *testing.M) {
+	if os.Getenv(benchLeafEnv) != "" {
+		runBenchLeaf()
+		return
+	}
 	flag.Set("rapid.seed", "20261202")
 	flag.Set("rapid.nofailfile", "true")
 	goleak.VerifyTestMain(m, goleak.Cleanup(os.Exit))
