--- a/bench/query/cpu.go
+++ b/bench/query/cpu.go
@@ -7,10 +7,13 @@
 	"fmt"
 	"io"
 	"net/http"
+	"path/filepath"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"pearmoor/bench/baseline"
 	"pearmoor/bench/tier"
 	"pearmoor/internal/contract"
@@ -55,7 +58,11 @@
 		if err != nil {
 			return err
 		}
-		res, err := e.tierSide(ctx, t, phase{rate: rate, span: span, seed: uint64(round + 1)})
+		act := func() error { return e.profileAll(ctx, t, span/2) }
+		run := func() (*load.Result, error) {
+			return e.tierSide(ctx, t, phase{rate: rate, span: span, seed: uint64(round + 1)})
+		}
+		res, err := during(span/4, act, run)
 		if err != nil {
 			return err
 		}
@@ -73,6 +80,17 @@
 	return t.Stop()
 }
 
+// profileAll profiles every daemon at once; go tool pprof adds the files up.
+func (e *env) profileAll(ctx context.Context, t *tier.Tier, span time.Duration) error {
+	var g errgroup.Group
+	for i := range t.Daemons() {
+		g.Go(func() error {
+			return t.Profile(ctx, i, span, filepath.Join(e.out, "cpu", t.Name(i)+".pprof"))
+		})
+	}
+	return g.Wait()
+}
+
 // restCPU returns the share of a core that all daemons use without load.
 func (e *env) restCPU(t *tier.Tier, span time.Duration) (float64, error) {
 	before, err := t.CPU()
--- a/bench/tier/tier.go
+++ b/bench/tier/tier.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -248,6 +249,28 @@
 	return sum, nil
 }
 
+// Profile writes a processor profile of daemon i over span.
+func (t *Tier) Profile(ctx context.Context, i int, span time.Duration, path string) error {
+	url := fmt.Sprintf("http://%s/debug/pprof/profile?seconds=%d", t.daemons[i].operator, max(int(span.Seconds()), 1))
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := t.http.Do(r)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK {
+		return errors.Newf("%s: %s %v", url, resp.Status, err)
+	}
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		return err
+	}
+	return os.WriteFile(path, data, logMode)
+}
+
 // Stop ends the tier gracefully, and by force what has not ended then. The
 // control VMs go last, since a leaving daemon tells them. The error names a
 // process that did not end by itself with exit status 0.
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -29,8 +29,10 @@
 
 	Reasons map[contract.Reason]int `json:"reasons"` // of refusals and doubts
 	Missing map[contract.Reason]int `json:"missing"` // of shards not covered
-	Check   Check                   `json:"check"`
-	Once    Once                    `json:"not_repeatable"`
+
+	Messages map[contract.Reason]string `json:"messages,omitempty"` // the last one of each reason
+	Check    Check                      `json:"check"`
+	Once     Once                       `json:"not_repeatable"`
 
 	Answers  Quantiles   `json:"answer_latency"`
 	Refusals Quantiles   `json:"refusal_latency"`
@@ -61,7 +63,7 @@
 
 func newTally(start time.Time, window time.Duration) *tally {
 	return &tally{
-		res:      Result{Reasons: map[contract.Reason]int{}, Missing: map[contract.Reason]int{}},
+		res:      Result{Reasons: map[contract.Reason]int{}, Missing: map[contract.Reason]int{}, Messages: map[contract.Reason]string{}},
 		answers:  NewRecorder(start, window),
 		refusals: NewRecorder(start, window),
 	}
@@ -95,10 +97,10 @@
 		t.answered(o.Answer, check, latency <= deadline)
 	case o.Failure != nil && o.Failure.Verdict == contract.NotRun:
 		r.Refused++
-		r.Reasons[o.Failure.Reason]++
+		t.failure(o.Failure)
 	case o.Failure != nil:
 		r.InDoubt++
-		r.Reasons[o.Failure.Reason]++
+		t.failure(o.Failure)
 	default:
 		r.Failed++
 		if o.Err != nil {
@@ -107,6 +109,11 @@
 	}
 }
 
+func (t *tally) failure(f *contract.Failure) {
+	t.res.Reasons[f.Reason]++
+	t.res.Messages[f.Reason] = f.Message
+}
+
 func (t *tally) answered(a *contract.Answer, check Check, inTime bool) {
 	r := &t.res
 	r.Answered++
@@ -128,13 +135,15 @@
 	}
 }
 
-func (t *tally) finish(c *Config) *Result {
+// finish sums up a run that took the given time.
+func (t *tally) finish(c *Config, took time.Duration) *Result {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := &t.res
 	r.Rate = c.Rate
-	r.DurationMS = c.Duration.Milliseconds()
-	r.Goodput = float64(t.good) / c.Duration.Seconds()
+	took = min(took, c.Duration)
+	r.DurationMS = took.Milliseconds()
+	r.Goodput = float64(t.good) / took.Seconds()
 	if r.Answered > 0 {
 		r.Coverage = t.coverage / float64(r.Answered)
 	}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -47,12 +47,13 @@
 		watching.Go(func() error { return watch.run(watchCtx, cfg.Window) })
 	}
 	r := newRunner(&cfg, client)
+	start := time.Now()
 	Drive(ctx, schedule, cfg.Outstanding, r.one, func(int, time.Time) { r.tally.skip() })
 	stopWatch()
 	if err := watching.Wait(); err != nil {
 		return nil, err
 	}
-	res := r.tally.finish(&cfg)
+	res := r.tally.finish(&cfg, time.Since(start))
 	if watch != nil {
 		res.Leaves = watch.finish()
 	}
--- a/internal/load/table.go
+++ b/internal/load/table.go
@@ -41,6 +41,9 @@
 	row("in doubt", "%d", r.InDoubt)
 	row("no reply", "%d %s", r.Failed, r.LastError)
 	row("reasons", "%s", reasons(r.Reasons))
+	for _, k := range slices.Sorted(maps.Keys(r.Messages)) {
+		row("", "%s: %s", k, r.Messages[k])
+	}
 	row("coverage", "%.3f%% mean, missing: %s", r.Coverage*percent, reasons(r.Missing))
 	row("goodput", "%.1f/s whole and in time", r.Goodput)
 	row("answers", "%s", r.Answers)
