Do not run a command that was asked for its help

The first action now ends such a run; without it the new test fails. Completion waits 0.5 s for paths at most; status lists, of more than 30 daemons, those that need a look.

--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -48,6 +48,11 @@
 	k.HelpFlag.Short('h').NoEnvar()
 	k.VersionFlag.NoEnvar()
 	k.Action(func(*kingpin.ParseContext) error { // before the command's own
+		if done >= 0 {
+			// The library goes on to run the command once Terminate has returned:
+			// asking a change for its help would make the change.
+			return errDone
+		}
 		parsed = true
 		return nil
 	})
@@ -68,6 +73,9 @@
 	return exitCode(err)
 }
 
+// errDone ends a run whose output was help, the version or a completion.
+var errDone = errors.New("done")
+
 // errUsage marks an error that only shows once flags are read together.
 var errUsage = errors.New("usage")
 
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"context"
 	"net"
 	"os"
 	"path/filepath"
@@ -237,6 +238,20 @@
 			c.must("remove", "/desk/a", "--reason=closed")
 			So(c.must("get", "/").out, ShouldNotContainSubstring, "leaves")
 		})
+		Convey("the shell is offered the paths of the tree", func() {
+			a := &app{ctx: context.Background()}
+			a.control, a.plaintext = []string{c.addr}, true
+			So(a.completePath(), ShouldContain, "desk/a")
+			a.close()
+		})
+		// The library prints help and completions and then runs the command, if
+		// not stopped: an operator who asks for help would make the change.
+		Convey("help and completion of a whole command do not run it", func() {
+			remove := []string{"remove", "/desk/a", "--reason=x", "--timeout=5s"}
+			So(c.run(append(remove, "--help")...).code, ShouldEqual, ExitOK)
+			So(c.run(append([]string{"--completion-bash"}, remove...)...).code, ShouldEqual, ExitOK)
+			So(version(c), ShouldEqual, 1)
+		})
 		Convey("a change without a reason is a usage error", func() {
 			So(c.run("set", "/desk", "--hedge-after=20ms").code, ShouldEqual, ExitUsage)
 		})
--- a/internal/cli/complete.go
+++ b/internal/cli/complete.go
@@ -1,8 +1,14 @@
 package cli
 
-// completePath offers the paths of the tree to the shell. It says nothing when
-// no control VM can be asked: the flags may not have been read yet.
+import "time"
+
+// completeTimeout is how long a shell waits at most for paths to offer.
+const completeTimeout = 500 * time.Millisecond
+
+// completePath offers the paths of the tree to the shell, as far as environment
+// variables say where the control VMs are; flags have not been read by then.
 func (a *app) completePath() []string {
+	a.timeout = completeTimeout
 	tree, _, err := a.readTree(0)
 	if err != nil {
 		return nil
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -48,25 +48,30 @@
 	Stale   bool          `json:"stale"`       // no leader answered; this is what another control VM knows
 	Behind  []string      `json:"unconfirmed"` // daemons that have not confirmed the newest version
 	InForce bool          `json:"in_force"`    // the newest version is in force everywhere
+
+	all bool
 }
 
 func (a *app) declareStatus(k *kingpin.Application) {
+	var all bool
 	c := k.Command("status", `Show the control group, the daemons, and whether the newest version is in force everywhere.
 
 Example: pearmoor status`)
-	c.Action(func(*kingpin.ParseContext) error { return a.status() })
+	c.Flag("all", "List every daemon; else, of more than 30, those that need a look.").BoolVar(&all)
+	c.Action(func(*kingpin.ParseContext) error { return a.status(all) })
 }
 
 // statusTimeout bounds the wait for the leader: without one, what another control
 // VM knows is worth more than a long wait.
 const statusTimeout = 4 * time.Second
 
-func (a *app) status() error {
+func (a *app) status(all bool) error {
 	reply, err := a.readStatus()
 	if err != nil {
 		return err
 	}
 	out := &status{
+		all:     all,
 		Term:    reply.GetTerm(),
 		Commit:  reply.GetCommit(),
 		Config:  reply.GetConfigVersion(),
@@ -168,13 +173,37 @@
 	fmt.Fprintf(w, "control group in term %d, %d entries agreed\n\n", s.Term, s.Commit)
 	writeGroup(w, s.Group)
 	fmt.Fprintln(w)
-	rows := make([][]string, len(s.Daemons))
-	for i, d := range s.Daemons {
+	s.writeDaemons(w)
+}
+
+// maxListed is how many daemons are listed without --all.
+const maxListed = 30
+
+func (s *status) writeDaemons(w io.Writer) {
+	listed := s.Daemons
+	if !s.all && len(listed) > maxListed {
+		listed = s.conspicuous()
+		fmt.Fprintf(w, "%d of %d daemons serve at the newest version; not so:\n", len(s.Daemons)-len(listed), len(s.Daemons))
+		listed = listed[:min(len(listed), maxListed)]
+	}
+	rows := make([][]string, len(listed))
+	for i, d := range listed {
 		rows[i] = []string{d.Name, d.Domain, d.Phase, fmt.Sprint(d.Config), fmt.Sprint(d.Epoch), leaseText(d.LeaseMS), orDash(d.CallerAddr)}
 	}
 	table(w, "DAEMON|DOMAIN|PHASE|CONFIGURATION|EPOCH|LEASE LEFT|CALLERS USE", rows)
 }
 
+// conspicuous returns the daemons that do not serve at the newest version.
+func (s *status) conspicuous() []daemonState {
+	var out []daemonState
+	for _, d := range s.Daemons {
+		if d.Phase != phaseNames[vm.Serving] || d.Config < s.Config || d.LeaseMS == 0 {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
 func (s *status) inForceText() string {
 	switch {
 	case s.Stale:
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -315,6 +315,26 @@
 	})
 }
 
+// A daemon leaves, and a caller keeps a connection to it open until the port is
+// closed. A request sent into the closing is lost in doubt, so callers have to be
+// told to come by other connections while the daemon still answers.
+func TestDrainingEndsConnections(t *testing.T) {
+	Convey("Answers of a draining daemon end their connection", t, func() {
+		engine := &fakeEngine{run: func(context.Context, string, *contract.Request) (*contract.Answer, error) {
+			return &contract.Answer{Verdict: contract.Ran}, nil
+		}}
+		for _, draining := range []bool{false, true} {
+			server := httptest.NewServer(testServer(t, engine, draining))
+			resp, err := http.Post(server.URL+QueryPath, "application/json", strings.NewReader(goodRequest))
+			So(err, ShouldBeNil)
+			So(resp.Body.Close(), ShouldBeNil)
+			So(resp.StatusCode, ShouldEqual, 200)
+			So(resp.Close, ShouldEqual, draining)
+			server.Close()
+		}
+	})
+}
+
 // FuzzQuery sends any bytes as a request body: whatever they are, the answer is
 // JSON with a verdict, and the engine is asked only for a well-formed request.
 func FuzzQuery(f *testing.F) {
