load: callers ask on for a session when a leaving daemon gives none

In the rolling restart 31 of 4,094 requests were refused for an empty session: the callers kept the list without one, which the interface says may come.

--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -93,31 +93,46 @@
 	}
 }
 
-// ask requests a list from the daemons of the old one and from the entries.
+// ask requests a list from the daemons of the old one and from the entries. A
+// leaving daemon gives a list without a session; a daemon of that list is asked
+// next, and the list without one is taken only when no other is had.
 func (c *caller) ask(ctx context.Context, path string, old *contract.Addresses) (*contract.Addresses, error) {
 	var bases []string
 	if old != nil {
-		for _, a := range old.Addresses {
-			bases = append(bases, a.URL)
-		}
+		bases = urls(old)
 	}
 	for _, i := range rand.Perm(len(c.entries)) {
 		bases = append(bases, c.entries[i])
 	}
 	var last error
-	for _, base := range bases {
-		reply, err := c.askOne(ctx, base, path)
-		if err == nil {
+	var without *contract.Addresses
+	for i := 0; i < len(bases) && ctx.Err() == nil; i++ {
+		reply, err := c.askOne(ctx, bases[i], path)
+		switch {
+		case err != nil:
+			last = err
+		case reply.Session != "":
 			return reply, nil
+		case without == nil:
+			without = reply
+			bases = append(urls(reply), bases[i+1:]...)
+			i = -1
 		}
-		last = err
-		if ctx.Err() != nil {
-			break
-		}
+	}
+	if without != nil {
+		return without, nil
 	}
 	return nil, last
 }
 
+func urls(a *contract.Addresses) []string {
+	out := make([]string, len(a.Addresses))
+	for i := range a.Addresses {
+		out[i] = a.Addresses[i].URL
+	}
+	return out
+}
+
 func (c *caller) askOne(ctx context.Context, base, path string) (*contract.Addresses, error) {
 	u := base + addressesPath + "?service=" + url.QueryEscape(path)
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -113,6 +113,23 @@
 			So(res.Answered, ShouldEqual, res.Scheduled)
 			So(res.Failovers, ShouldEqual, res.Scheduled)
 		})
+		Convey("asks on when a leaving daemon gives a list without a session", func() {
+			first.list = listOf(second.URL)
+			first.list.Session = ""
+			var mu sync.Mutex
+			sessions := map[string]bool{}
+			second.reply = func(_ http.ResponseWriter, q *contract.Request) bool {
+				mu.Lock()
+				defer mu.Unlock()
+				sessions[q.Session] = true
+				return false
+			}
+			cfg.NotRepeatable = 1
+			res, err := Run(context.Background(), cfg)
+			So(err, ShouldBeNil)
+			So(res.Once.Ran, ShouldEqual, res.Scheduled)
+			So(sessions, ShouldResemble, map[string]bool{"session-1": true})
+		})
 		Convey("takes a refusal for overload as final", func() {
 			first.reply = func(w http.ResponseWriter, _ *contract.Request) bool {
 				return refuse(w, contract.Failure{Verdict: contract.NotRun, Reason: contract.ReasonOverload})
