--- /dev/null
+++ b/test/caller_test.go
@@ -0,0 +1,225 @@
+package test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"pearmoor/internal/contract"
+	"pearmoor/internal/load"
+	"pearmoor/internal/standin"
+)
+
+// callerLimit is how long a test waits for a reply that must come far sooner.
+const callerLimit = 20 * time.Second
+
+var runKeys atomic.Uint64
+
+// query returns a repeatable request with a run key of its own.
+func (tr *tier) query(path string) *contract.Request {
+	key := fmt.Sprintf("key-%d", runKeys.Add(1))
+	return &contract.Request{Path: path, Body: json.RawMessage(`{"run_key":"` + key + `"}`)}
+}
+
+// charge returns a request that must run at most once, with a session of p.
+func (tr *tier) charge(p *process) *contract.Request {
+	tr.t.Helper()
+	r := tr.query(ledger)
+	no := false
+	r.Repeatable, r.Key, r.Session = &no, keyOf(r), tr.session(p)
+	return r
+}
+
+// keyOf returns the run key in the body of r.
+func keyOf(r *contract.Request) string {
+	var body struct {
+		RunKey string `json:"run_key"`
+	}
+	if err := json.Unmarshal(r.Body, &body); err != nil {
+		panic(err) // the tests' own bodies are objects
+	}
+	return body.RunKey
+}
+
+// session asks p for addresses until they come with a session.
+func (tr *tier) session(p *process) string {
+	tr.t.Helper()
+	var list contract.Addresses
+	await(tr.t, "a session of "+p.name, func() bool {
+		status, body, err := post(p.caller+"/v1/addresses?service="+ledger, nil)
+		return err == nil && status == http.StatusOK && json.Unmarshal(body, &list) == nil && list.Session != ""
+	})
+	return list.Session
+}
+
+// reply is what a caller got: an answer, a failure, or nothing but an error.
+type reply struct {
+	status  int
+	answer  *contract.Answer
+	failure *contract.Failure
+	err     error
+	took    time.Duration
+}
+
+// verdict is what the caller may believe.
+func (r *reply) verdict() contract.Verdict {
+	switch {
+	case r.answer != nil:
+		return r.answer.Verdict
+	case r.failure != nil:
+		return r.failure.Verdict
+	}
+	return contract.MayHaveRun
+}
+
+func (r *reply) String() string {
+	switch {
+	case r.answer != nil:
+		return fmt.Sprintf("answer %s, %d of %d shards, missing %v", r.answer.Verdict, r.answer.Coverage.Answered, r.answer.Coverage.Total, r.answer.Coverage.Missing)
+	case r.failure != nil:
+		return fmt.Sprintf("status %d: %+v", r.status, *r.failure)
+	}
+	return fmt.Sprintf("no reply: %v", r.err)
+}
+
+// send sends r to one entry.
+func (tr *tier) send(p *process, r *contract.Request) *reply {
+	raw, err := json.Marshal(r)
+	if err != nil {
+		return &reply{err: err}
+	}
+	began := time.Now()
+	status, body, err := post(p.caller+"/v1/query", raw)
+	out := &reply{status: status, err: err, took: time.Since(began)}
+	if err != nil {
+		return out
+	}
+	if status == http.StatusOK {
+		out.answer = new(contract.Answer)
+		out.err = json.Unmarshal(body, out.answer)
+		return out
+	}
+	out.failure = new(contract.Failure)
+	out.err = json.Unmarshal(body, out.failure)
+	return out
+}
+
+// sendAsync sends r in the background.
+func (tr *tier) sendAsync(p *process, r *contract.Request) <-chan *reply {
+	done := make(chan *reply, 1)
+	go func() { done <- tr.send(p, r) }()
+	return done
+}
+
+// post sends a body, or gets when it is nil, on a connection of its own, so that
+// no test depends on a connection that another left behind.
+func post(url string, body []byte) (status int, reply []byte, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), callerLimit)
+	defer cancel()
+	method := http.MethodGet
+	if body != nil {
+		method = http.MethodPost
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	req.GetBody = nil // the client must not resend by itself
+	req.Close = true
+	transport := &http.Transport{DisableKeepAlives: true}
+	defer transport.CloseIdleConnections()
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer resp.Body.Close()
+	reply, err = io.ReadAll(resp.Body)
+	return resp.StatusCode, reply, err
+}
+
+func whole(a *contract.Answer) bool {
+	return a != nil && a.Coverage.Total > 0 && a.Coverage.Answered == a.Coverage.Total
+}
+
+// checkAnswer fails the test when an answer is mixed, lost or doubled a hit, has
+// hits of another request, or says something untrue of its coverage.
+func checkAnswer(t *testing.T, r *contract.Request, a *contract.Answer) {
+	t.Helper()
+	if c := load.CheckAnswer(a, keyOf(r)); c.Bad() {
+		t.Errorf("the answer is wrong: %+v; coverage %+v", c, a.Coverage)
+	}
+}
+
+// runsOf returns how often each shard of the ledger ran r.
+func (tr *tier) runsOf(r *contract.Request) []int {
+	shards := standin.DefaultShards(3)
+	runs := make([]int, shards)
+	for s := range shards {
+		runs[s] = tr.fleet.Runs().Count(standin.RunKey{Request: keyOf(r), Service: ledger, Shard: s})
+	}
+	return runs
+}
+
+// traffic is load that goes on until its end is asked for.
+type traffic struct {
+	cancel context.CancelFunc
+	done   chan struct{}
+	result *load.Result
+	err    error
+}
+
+// startTraffic sends load to entries, as callers that follow the address lists do.
+func (tr *tier) startTraffic(cfg load.Config) *traffic {
+	tr.t.Helper()
+	for _, p := range tr.entries {
+		cfg.Entries = append(cfg.Entries, p.caller)
+	}
+	cfg.Duration = 10 * time.Minute // ended by stop
+	cfg.Seed = 1
+	if cfg.Deadline == 0 {
+		cfg.Deadline = time.Second
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	tf := &traffic{cancel: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(tf.done)
+		tf.result, tf.err = load.Run(ctx, cfg)
+	}()
+	tr.t.Cleanup(func() { cancel(); <-tf.done })
+	return tf
+}
+
+// stop ends the load and returns what it measured.
+func (tf *traffic) stop(t *testing.T) *load.Result {
+	t.Helper()
+	tf.cancel()
+	<-tf.done
+	if tf.err != nil {
+		t.Fatal(tf.err)
+	}
+	r := tf.result
+	t.Logf("load: scheduled %d answered %d whole %d refused %d in doubt %d failed %d broken %d failovers %d late %d; reasons %v missing %v check %+v once %+v; last error %q",
+		r.Answered+r.Refused+r.InDoubt+r.Failed, r.Answered, r.Whole, r.Refused, r.InDoubt, r.Failed, r.Errors, r.Failovers, r.Late, r.Reasons, r.Missing, r.Check, r.Once, r.LastError)
+	return r
+}
+
+// listed reports whether the address list that p gives names a daemon.
+func (tr *tier) listed(p *process, name string) bool {
+	status, body, err := post(p.caller+"/v1/addresses?service="+region, nil)
+	var list contract.Addresses
+	if err != nil || status != http.StatusOK || json.Unmarshal(body, &list) != nil {
+		return false
+	}
+	for _, a := range list.Addresses {
+		if a.VM == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/test/process_test.go
@@ -0,0 +1,217 @@
+package test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"pearmoor/internal/daemon"
+)
+
+const (
+	// patience bounds every wait for an event; it is only used up by a failure.
+	patience = 40 * time.Second
+	poll     = 20 * time.Millisecond
+)
+
+// await polls done until it holds; what says what was waited for.
+func await(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(poll) {
+		if done() {
+			return
+		}
+	}
+	t.Fatalf("not within %v: %s", patience, what)
+}
+
+// hosts hands out loopback hosts. Each daemon has one of its own, so that its
+// ports, picked by the kernel, are still free when it is started again: nothing
+// else binds to that host, and outgoing connections come from 127.0.0.1.
+var hosts atomic.Uint32
+
+func newHost() string {
+	const first = 2
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", pid>>8&0xff, pid&0xff, first+hosts.Add(1)%250)
+}
+
+// freePort returns host:port that the kernel picked.
+func freePort(t *testing.T, host string) string {
+	t.Helper()
+	lis, err := net.Listen("tcp", host+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lis.Close()
+	return lis.Addr().String()
+}
+
+// process is one daemon, which may be started several times.
+type process struct {
+	t      *testing.T
+	name   string
+	args   []string
+	dir    string
+	caller string // base URL; empty on a control VM
+	peer   string // as told to others
+	bound  string // peer address it listens on
+	oper   string
+
+	log  *logBuffer
+	cmd  *exec.Cmd // nil while it is down
+	exit chan error
+	pid  atomic.Int64 // 0 while it is down
+	runs int
+}
+
+// start starts the daemon and waits until its ports serve.
+func (p *process) start() {
+	p.t.Helper()
+	p.launch()
+	p.serves()
+}
+
+// launch starts the daemon without waiting for it.
+func (p *process) launch() {
+	p.t.Helper()
+	p.runs++
+	p.cmd = exec.Command(pearmoord, append([]string{"--ready-file=" + p.readyFile()}, p.args...)...)
+	p.cmd.Env = append(os.Environ(), "PEARMOOR_PLAINTEXT_PEERS=true")
+	p.cmd.Stderr = p.log
+	if err := p.cmd.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	p.pid.Store(int64(p.cmd.Process.Pid))
+	p.exit = make(chan error, 1)
+	go func(cmd *exec.Cmd, exit chan<- error) { exit <- cmd.Wait() }(p.cmd, p.exit)
+}
+
+func (p *process) readyFile() string {
+	return filepath.Join(p.dir, fmt.Sprintf("%s-%d.json", p.name, p.runs))
+}
+
+func (p *process) serves() {
+	p.t.Helper()
+	await(p.t, p.name+" serves", func() bool {
+		_, err := os.Stat(p.readyFile())
+		return err == nil
+	})
+}
+
+func (p *process) signal(s os.Signal) {
+	p.t.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil {
+		p.t.Fatalf("%s: %v", p.name, err)
+	}
+}
+
+// kill ends the daemon as a lost VM does.
+func (p *process) kill() {
+	p.t.Helper()
+	p.signal(os.Kill)
+	<-p.exit
+	p.down()
+}
+
+func (p *process) down() {
+	p.cmd = nil
+	p.pid.Store(0)
+}
+
+func (p *process) pause()  { p.t.Helper(); p.signal(syscall.SIGSTOP) }
+func (p *process) resume() { p.t.Helper(); p.signal(syscall.SIGCONT) }
+
+// stop asks the daemon to end and waits for its graceful shutdown.
+func (p *process) stop() {
+	p.t.Helper()
+	p.signal(syscall.SIGTERM)
+	select {
+	case err := <-p.exit:
+		p.down()
+		if err != nil {
+			p.t.Errorf("%s did not stop cleanly: %v", p.name, err)
+		}
+	case <-time.After(patience):
+		p.t.Errorf("%s did not stop", p.name)
+	}
+}
+
+// close ends the daemon if it still runs. A failed test shows its log.
+func (p *process) close() {
+	if p.cmd != nil {
+		_ = p.cmd.Process.Signal(syscall.SIGCONT)
+		_ = p.cmd.Process.Kill()
+		<-p.exit
+		p.down()
+	}
+	if p.t.Failed() {
+		p.t.Logf("log of %s:\n%s", p.name, p.log.tail())
+	}
+}
+
+// status reads what the operator sees; ok is false when the daemon is down.
+func (p *process) status() (s daemon.Status, ok bool) {
+	body, code := p.get("/status")
+	return s, code == http.StatusOK && json.Unmarshal(body, &s) == nil
+}
+
+// ready reports whether the daemon takes new work, and the reason.
+func (p *process) ready() (bool, string) {
+	body, code := p.get("/readyz")
+	return code == http.StatusOK, string(body)
+}
+
+// operators must not wait for a daemon that is paused.
+var operators = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+
+func (p *process) get(path string) ([]byte, int) {
+	resp, err := operators.Get("http://" + p.oper + path)
+	if err != nil {
+		return nil, 0
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, 0
+	}
+	return body, resp.StatusCode
+}
+
+// logBuffer keeps what a daemon wrote.
+type logBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *logBuffer) tail() string {
+	const most = 3000
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	all := b.buf.Bytes()
+	return string(all[max(0, len(all)-most):])
+}
+
+func (b *logBuffer) contains(text string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return bytes.Contains(b.buf.Bytes(), []byte(text))
+}
--- /dev/null
+++ b/test/tier_test.go
@@ -0,0 +1,351 @@
+package test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pearmoor/internal/cli"
+	"pearmoor/internal/standin"
+)
+
+// The paths of every test's tree.
+const (
+	region = "valley"
+	desk   = "valley/desk"   // three query services of two leaves with two slots
+	ledger = "valley/ledger" // one query service of three leaves with three slots
+)
+
+const (
+	deskServices = 3
+	deskSlots    = 2
+	ledgerSlots  = 3
+	deskCap      = 30
+	leaseSetting = 3 * time.Second
+)
+
+var failureDomains = []string{"hall-a", "hall-b", "hall-c"}
+
+// shape is what a test wants of its tier.
+type shape struct {
+	controls int
+	entries  int
+	network  bool              // put the test's network before every daemon
+	tree     map[string]string // settings of the root beside the short ones of all tests
+	region   map[string]string // settings of the region
+	entry    []string          // more flags of each entry
+}
+
+// tier is a running tier of daemons with leaves in this process.
+type tier struct {
+	t        *testing.T
+	dir      string
+	fleet    *standin.Fleet
+	network  *network
+	controls []*process
+	entries  []*process
+}
+
+// startTier starts control VMs, applies the tree, starts the entries and waits
+// until all of them take work.
+func startTier(t *testing.T, s shape) *tier {
+	t.Helper()
+	tr := &tier{t: t, dir: t.TempDir()}
+	if s.network {
+		tr.network = newNetwork(t)
+	}
+	tr.startLeaves()
+	tr.startControl(s.controls)
+	tr.must("apply", tr.writeTree(s), "--reason=the tree of this test", "--wait=20s")
+	for i := range s.entries {
+		tr.entries = append(tr.entries, tr.newEntry(fmt.Sprintf("entry-%d", i+1), i, s.entry))
+	}
+	for _, p := range tr.entries {
+		p.launch()
+	}
+	for _, p := range tr.entries {
+		p.serves()
+	}
+	tr.awaitReady(tr.entries...)
+	tr.awaitWhole()
+	return tr
+}
+
+func (tr *tier) startLeaves() {
+	tr.t.Helper()
+	b := standin.DefaultBehavior()
+	b.Slots, b.Connections = deskSlots, deskCap
+	var services []standin.ServiceSpec
+	for i := range deskServices {
+		services = append(services, standin.ServiceSpec{
+			Path: fmt.Sprintf("%s/search-%d", desk, i+1), Leaves: leafNames(fmt.Sprintf("search-%d", i+1), 2), Behavior: b, Shards: 3,
+		})
+	}
+	b.Slots = ledgerSlots
+	services = append(services, standin.ServiceSpec{Path: ledger, Leaves: leafNames("ledger", 3), Behavior: b})
+	fleet, err := standin.StartFleet(standin.FleetConfig{Services: services, Host: "127.0.0.1", Seed: 1})
+	if err != nil {
+		tr.t.Fatal(err)
+	}
+	tr.fleet = fleet
+	tr.t.Cleanup(fleet.Close)
+}
+
+func leafNames(service string, n int) []string {
+	var names []string
+	for i := range n {
+		names = append(names, fmt.Sprintf("%s-%c", service, 'a'+i))
+	}
+	return names
+}
+
+// writeTree writes the tree with the addresses that the kernel gave the leaves.
+func (tr *tier) writeTree(s shape) string {
+	tr.t.Helper()
+	var b strings.Builder
+	b.WriteString("settings:\n")
+	writeSettings(&b, "  ", map[string]string{
+		"daemon-lease": leaseSetting.String(), "address-lifetime": "1s", "resend-window": "1m",
+		"deadline-default": "800ms", "deadline-max": "1s",
+	}, s.tree)
+	fmt.Fprintf(&b, "nodes:\n  %s:\n    settings:\n", region)
+	writeSettings(&b, "      ", map[string]string{
+		"connect-cost": "0s", "ramp": "0s", "probe-interval": "100ms",
+		"leaf-slots": fmt.Sprint(deskSlots), "leaf-connections": fmt.Sprint(deskCap),
+	}, s.region)
+	b.WriteString("    nodes:\n      desk:\n        nodes:\n")
+	for i := range deskServices {
+		name := fmt.Sprintf("search-%d", i+1)
+		fmt.Fprintf(&b, "          %s:\n            settings:\n", name)
+		tr.writeLeaves(&b, "              ", desk+"/"+name, leafNames(name, 2))
+	}
+	fmt.Fprintf(&b, "      ledger:\n        settings:\n          leaf-slots: %d\n          hedge-budget: 0\n          retry-budget: 0\n", ledgerSlots)
+	tr.writeLeaves(&b, "          ", ledger, leafNames("ledger", 3))
+	path := filepath.Join(tr.dir, "tree.yaml")
+	if err := os.WriteFile(path, []byte(b.String()), 0o600); err != nil {
+		tr.t.Fatal(err)
+	}
+	return path
+}
+
+// writeSettings writes the settings of base as changed by own.
+func writeSettings(b *strings.Builder, indent string, base, own map[string]string) {
+	for name, value := range own {
+		base[name] = value
+	}
+	for name, value := range base {
+		fmt.Fprintf(b, "%s%s: %s\n", indent, name, value)
+	}
+}
+
+func (tr *tier) writeLeaves(b *strings.Builder, indent, service string, names []string) {
+	fmt.Fprintf(b, "%sleaves:\n", indent)
+	for i, name := range names {
+		fmt.Fprintf(b, "%s  - %s=%s@%s\n", indent, name, tr.fleet.Addr(service, name), failureDomains[i%len(failureDomains)])
+	}
+}
+
+// newProcess gives a daemon its addresses; it is started by its caller.
+func (tr *tier) newProcess(name string, place int, flags ...string) *process {
+	tr.t.Helper()
+	host := newHost()
+	p := &process{t: tr.t, name: name, dir: tr.dir, log: &logBuffer{}}
+	p.bound, p.oper = freePort(tr.t, host), freePort(tr.t, host)
+	p.peer = p.bound
+	p.args = append([]string{
+		"--name=" + name, "--region=" + region, "--domain=" + failureDomains[place%len(failureDomains)],
+		"--peer-listen=" + p.bound, "--operator-listen=" + p.oper, "--sync-every=200ms", "--platform-every=200ms",
+	}, flags...)
+	if tr.network != nil {
+		tr.network.join(tr.t, p)
+		p.args = append(p.args, "--peer-address="+p.peer)
+	}
+	tr.t.Cleanup(p.close)
+	return p
+}
+
+func (tr *tier) newEntry(name string, place int, flags []string) *process {
+	tr.t.Helper()
+	p := tr.newProcess(name, place, flags...)
+	host, _, _ := strings.Cut(p.bound, ":")
+	caller := freePort(tr.t, host)
+	p.caller = "http://" + caller
+	p.args = append(p.args, "--caller-listen="+caller, "--control="+tr.controlAddrs())
+	return p
+}
+
+// newControl gives a control VM its addresses; founders get bootstrap flags later.
+func (tr *tier) newControl(id, place int) *process {
+	tr.t.Helper()
+	return tr.newProcess(fmt.Sprintf("control-%d", id), place,
+		"--no-entry", fmt.Sprintf("--control-id=%d", id), "--data-dir="+tr.dataDir(id))
+}
+
+func (tr *tier) dataDir(id int) string { return filepath.Join(tr.dir, fmt.Sprintf("control-%d", id)) }
+
+func (tr *tier) startControl(n int) {
+	tr.t.Helper()
+	for id := 1; id <= n; id++ {
+		tr.controls = append(tr.controls, tr.newControl(id, id-1))
+	}
+	found := []string{"--bootstrap"}
+	for i, p := range tr.controls {
+		found = append(found, fmt.Sprintf("--bootstrap-voter=%d=%s", i+1, p.peer))
+	}
+	for _, p := range tr.controls {
+		own := p.args
+		p.args = append(slices.Clone(own), found...)
+		p.launch()
+		p.args = own // a later start must not found anything
+	}
+	for _, p := range tr.controls {
+		p.serves()
+	}
+}
+
+func (tr *tier) controlAddrs() string {
+	var addrs []string
+	for _, p := range tr.controls {
+		addrs = append(addrs, p.peer)
+	}
+	return strings.Join(addrs, ",")
+}
+
+// operate runs the operator's tool against all control VMs.
+func (tr *tier) operate(args ...string) (code int, out, errOut string) {
+	return operate("asha", tr.controlAddrs(), args...)
+}
+
+func operate(operator, control string, args ...string) (code int, out, errOut string) {
+	var o, e bytes.Buffer
+	args = append([]string{"--plaintext-peers", "--operator-name=" + operator, "--control=" + control}, args...)
+	code = cli.Run(context.Background(), args, strings.NewReader(""), &o, &e, "test")
+	return code, o.String(), e.String()
+}
+
+// must runs the operator's tool and fails the test unless it succeeds.
+func (tr *tier) must(args ...string) string {
+	tr.t.Helper()
+	code, out, errOut := tr.operate(args...)
+	if code != cli.ExitOK {
+		tr.t.Fatalf("pearmoor %v: exit %d: %s%s", args, code, out, errOut)
+	}
+	return out
+}
+
+// version returns the newest accepted configuration version.
+func (tr *tier) version() uint64 {
+	tr.t.Helper()
+	var st struct {
+		ConfigVersion uint64 `json:"config_version"`
+	}
+	tr.decode(tr.must("status", "--output=json"), &st)
+	return st.ConfigVersion
+}
+
+func (tr *tier) decode(text string, into any) {
+	tr.t.Helper()
+	if err := json.Unmarshal([]byte(text), into); err != nil {
+		tr.t.Fatalf("%v in %q", err, text)
+	}
+}
+
+func (tr *tier) awaitReady(ps ...*process) {
+	tr.t.Helper()
+	for _, p := range ps {
+		why := ""
+		await(tr.t, p.name+" takes work", func() bool {
+			ok, reason := p.ready()
+			why = reason
+			return ok
+		})
+		_ = why
+	}
+}
+
+// awaitWhole waits until every entry answers the whole region with full coverage.
+func (tr *tier) awaitWhole() {
+	tr.t.Helper()
+	for _, p := range tr.entries {
+		if p.cmd == nil {
+			continue
+		}
+		await(tr.t, "full coverage through "+p.name, func() bool {
+			r := tr.send(p, tr.query(desk))
+			s := tr.send(p, tr.query(ledger))
+			return whole(r.answer) && whole(s.answer)
+		})
+	}
+}
+
+// leaf returns the leaf of that name.
+func (tr *tier) leaf(name string) *standin.Leaf {
+	tr.t.Helper()
+	for _, l := range tr.fleet.Leaves() {
+		if l.Name() == name {
+			return l
+		}
+	}
+	tr.t.Fatalf("no leaf %s", name)
+	return nil
+}
+
+// behave changes how leaves act. service may be any node; "" is all.
+func (tr *tier) behave(service string, change func(*standin.Behavior)) {
+	tr.t.Helper()
+	for _, l := range tr.fleet.Leaves() {
+		if service != "" && !strings.HasPrefix(l.Stats(false).Services[0], service) {
+			continue
+		}
+		tr.behaveLeaf(l, change)
+	}
+}
+
+// slow sets how long the leaves of a service run a request.
+func (tr *tier) slow(service string, run time.Duration) {
+	tr.t.Helper()
+	tr.behave(service, func(b *standin.Behavior) { b.Latency = standin.Duration(run) })
+}
+
+func (tr *tier) behaveLeaf(l *standin.Leaf, change func(*standin.Behavior)) {
+	tr.t.Helper()
+	b := l.Behavior()
+	change(&b)
+	if err := l.SetBehavior(b); err != nil {
+		tr.t.Fatal(err)
+	}
+}
+
+// checkSlots fails the test for each leaf that ever had more in flight than its
+// slots, or more connections than its cap. The cap counts with the one refused.
+func (tr *tier) checkSlots() {
+	tr.t.Helper()
+	for _, l := range tr.fleet.Stats(false).Leaves {
+		if l.MostInFlight > l.Slots {
+			tr.t.Errorf("leaf %s had %d in flight, its slots are %d", l.Name, l.MostInFlight, l.Slots)
+		}
+		if l.MostOpen > l.Connections {
+			tr.t.Errorf("leaf %s had %d connections open, its cap is %d", l.Name, l.MostOpen, l.Connections)
+		}
+	}
+}
+
+// homesOf returns the entries that are homes of a service.
+func (tr *tier) homesOf(service string) (homes, others []*process) {
+	tr.t.Helper()
+	for _, p := range tr.entries {
+		if s, ok := p.status(); ok && slices.Contains(s.Services, service) {
+			homes = append(homes, p)
+		} else {
+			others = append(others, p)
+		}
+	}
+	return homes, others
+}
