--- a/internal/control/harness_test.go
+++ b/internal/control/harness_test.go
@@ -132,6 +132,12 @@
 
 func (v *testVM) leads() bool { return v.node.lead.Load().confirmed(v.node.cfg.Clock()) }
 
+func (v *testVM) firstRecord() uint64 {
+	v.node.mu.RLock()
+	defer v.node.mu.RUnlock()
+	return v.node.state.FirstRecord()
+}
+
 // client is an operator or a daemon that talks to one control VM.
 type client struct {
 	t    testing.TB
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -127,6 +127,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { n.links.run(inner) })
 	wg.Go(func() { n.runDuties(inner) })
+	wg.Go(func() { n.runBackfill(inner) })
 	err := n.driver.run(ctx)
 	cancel()
 	wg.Wait()
@@ -162,8 +163,12 @@
 }
 
 // recordInForce passes the records of changes that have come into force to the
-// trail; those it already has are left out by it.
+// trail; those it already has are left out by it. While older ones are missing
+// it waits for them, since the trail is in order.
 func (n *Node) recordInForce() {
+	if _, _, gap := n.gap(); gap {
+		return
+	}
 	st := n.state
 	for v := max(n.trail.Last()+1, st.FirstRecord()); v <= st.InForce(); v++ {
 		if r := st.Record(v); r != nil {
--- a/internal/control/ready.go
+++ b/internal/control/ready.go
@@ -15,9 +15,8 @@
 )
 
 const (
-	fullRetry   = 500 * time.Millisecond // how often a full disk is tried again
-	keepEntries = 1_000                  // log entries kept behind a snapshot for slow members
-	flushEvery  = 5 * time.Second        // of the audit trail
+	fullRetry  = 500 * time.Millisecond // how often a full disk is tried again
+	flushEvery = 5 * time.Second        // of the audit trail
 )
 
 var (
@@ -174,7 +173,8 @@
 	if err != nil {
 		return err
 	}
-	snap, err := d.machine.Compact(d.applied, data, keepEntries)
+	keep := d.node.cfg.SnapshotEntries / 2 // for members that are a little behind
+	snap, err := d.machine.Compact(d.applied, data, keep)
 	if err != nil {
 		return err
 	}
@@ -182,8 +182,8 @@
 		return err
 	}
 	d.snapshot = snap.Index
-	if snap.Index <= keepEntries {
+	if snap.Index <= keep {
 		return nil
 	}
-	return d.journal.DropBelow(snap.Index - keepEntries)
+	return d.journal.DropBelow(snap.Index - keep)
 }
