Test shares and leases under joins, losses, delays, partitions and edits

The property test found that a reply which asks for full heartbeats was taken as a grant, although the leader had not read the short ones: a daemon believed a lease that the leader did not know. Such a reply grants nothing now.

--- /dev/null
+++ b/internal/relay/daemon_test.go
@@ -0,0 +1,156 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"pearmoor/internal/settings"
+	"pearmoor/internal/vm"
+)
+
+const (
+	leaderAddr  = "leader"
+	service     = "/desk/s1"
+	drainedNote = 300 * time.Millisecond // longest that work in flight takes
+)
+
+// daemon is a client with the greediest query path there can be: it always has
+// as much in flight as its shares allow, and what is in flight goes on when the
+// shares shrink.
+type daemon struct {
+	client *Client
+	cancel context.CancelFunc
+
+	mu       sync.Mutex
+	inFlight map[string]int // by leaf address
+	until    vm.Instant     // no attempt's deadline is later
+}
+
+// world is a leader, daemons and what lies between them.
+type world struct {
+	ctx     context.Context
+	start   time.Time
+	fabric  *fabric
+	leader  *modelLeader
+	mu      sync.Mutex
+	daemons []*daemon // all that ever ran
+	running sync.WaitGroup
+}
+
+func newWorld(ctx context.Context, seed uint64) *world {
+	w := &world{ctx: ctx, start: time.Now(), fabric: newFabric(seed)}
+	w.leader = newModelLeader(w.clock)
+	w.fabric.serve(leaderAddr, w.leader)
+	go w.leader.run(ctx)
+	return w
+}
+
+// clock counts from one second, as instant 0 means never.
+func (w *world) clock() vm.Instant { return vm.Instant(time.Second + time.Since(w.start)) }
+
+func identity(name string, incarnation uint64) vm.Identity {
+	return vm.Identity{
+		Name: name, Incarnation: incarnation, Domain: fmt.Sprintf("hall-%d", len(name)%3), Region: "valley", PeerAddr: name,
+	}
+}
+
+// startDaemon runs one; direct and fanout as in Config.
+func (w *world) startDaemon(id vm.Identity, direct, fanout int) *daemon {
+	ctx, cancel := context.WithCancel(w.ctx)
+	d := &daemon{cancel: cancel, inFlight: make(map[string]int)}
+	d.client = NewClient(Config{
+		Self: id, Control: []string{leaderAddr}, Conns: w.fabric.from(id.PeerAddr),
+		Clock: w.clock, Direct: direct, Fanout: fanout,
+	})
+	d.client.SetPhase(vm.Serving)
+	w.fabric.serve(id.PeerAddr, d.client.Server())
+	w.mu.Lock()
+	w.daemons = append(w.daemons, d)
+	w.mu.Unlock()
+	w.running.Add(2)
+	go func() { defer w.running.Done(); _ = d.client.Run(ctx) }()
+	go func() { defer w.running.Done(); d.work(ctx) }()
+	return d
+}
+
+// work fills the shares of each view, lets what exceeds them end, and acks. What
+// is in flight when the daemon is killed goes on at the leaf until its deadline.
+func (d *daemon) work(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := d.client.Changed()
+		v := d.client.Current()
+		shares := d.shares(v)
+		if d.exceeds(shares) {
+			sleep(ctx, drainedNote)
+		}
+		d.fill(ctx, v, shares)
+		if v.Tree != nil && ctx.Err() == nil {
+			d.client.Ack(v.ConfigVersion, v.Epoch())
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (d *daemon) shares(v *View) map[string]int {
+	out := make(map[string]int)
+	if v.Tree == nil {
+		return out
+	}
+	for _, path := range v.Tree.Services("/") {
+		e, _ := v.Tree.Effective(path)
+		for i := range e.Leaves {
+			out[e.Leaves[i].Addr], _ = v.Share(path, e, i, d.client.cfg.Self)
+		}
+	}
+	return out
+}
+
+func (d *daemon) exceeds(shares map[string]int) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for addr, n := range d.inFlight {
+		if n > shares[addr] {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *daemon) fill(ctx context.Context, v *View, shares map[string]int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if ctx.Err() == nil && v.Confirmed(d.client.cfg.Clock()) {
+		d.inFlight, d.until = shares, v.Lease
+	}
+}
+
+// using returns what the daemon has in flight at a leaf: nothing after its lease,
+// which no attempt outlives.
+func (d *daemon) using(addr string, now vm.Instant) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if now >= d.until {
+		return 0
+	}
+	return d.inFlight[addr]
+}
+
+// used sums what all daemons have in flight at a leaf.
+func (w *world) used(addr string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	sum := 0
+	for _, d := range w.daemons {
+		sum += d.using(addr, w.clock())
+	}
+	return sum
+}
+
+func set(path, name, value string) settings.Edit {
+	return settings.Edit{Path: path, Name: name, Value: value, Op: settings.Set}
+}
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -157,6 +157,7 @@
 	defer c.mu.Unlock()
 	before := c.view
 	again := c.install(req, r)
+	partly := r.GetResend() && len(req.GetSteady()) > 0
 	c.up.setControl(r.GetControl())
 	now := c.cfg.Clock()
 	if leader := r.GetRedirect(); leader != "" && leader != addr {
@@ -165,8 +166,9 @@
 	}
 	// A grant says that the leader counts on this daemon knowing the state that
 	// comes with it. Without that state the daemon could use shares that the
-	// leader has since given to others.
-	granted = r.GetGranted() && covers(c.view, r)
+	// leader has since given to others. A reply that asks for full heartbeats does
+	// not tell which of the short ones it could not read, so it grants none.
+	granted = r.GetGranted() && covers(c.view, r) && !partly
 	if granted {
 		c.confirmed = max(c.confirmed, sent)
 		c.renew(sent, r)
--- /dev/null
+++ b/internal/relay/fabric_test.go
@@ -0,0 +1,164 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc"
+
+	"pearmoor/internal/link/wire"
+)
+
+// fabric carries Sync calls between daemons in this process. Each address can be
+// cut off silently or hold back what it sends and receives.
+type fabric struct {
+	mu      sync.Mutex
+	rng     *rand.Rand
+	servers map[string]wire.DRPCSpreadServer
+	cut     map[string]bool          // silent: calls to and from it hang
+	between map[[2]string]bool       // silent between two addresses, asked for by the first
+	held    map[string]chan struct{} // paused: nothing passes until it is closed
+	calls   map[string]int
+	delay   time.Duration // most one-way delay
+	late    bool          // deliver replies after the caller has given up, too
+}
+
+func newFabric(seed uint64) *fabric {
+	return &fabric{
+		rng:     rand.New(rand.NewPCG(seed, seed)),
+		servers: make(map[string]wire.DRPCSpreadServer),
+		cut:     make(map[string]bool),
+		between: make(map[[2]string]bool),
+		held:    make(map[string]chan struct{}),
+		calls:   make(map[string]int),
+	}
+}
+
+func (f *fabric) serve(addr string, s wire.DRPCSpreadServer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.servers[addr] = s
+}
+
+func (f *fabric) setCut(addr string, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut[addr] = cut
+}
+
+func (f *fabric) cutBetween(from, to string, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.between[[2]string{from, to}] = cut
+}
+
+func (f *fabric) pause(addr string) (resume func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ch := make(chan struct{})
+	f.held[addr] = ch
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.held, addr)
+		close(ch)
+	}
+}
+
+func (f *fabric) callsTo(addr string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls[addr]
+}
+
+// from returns the connections of the daemon at addr.
+func (f *fabric) from(addr string) Conns { return dialer{fabric: f, from: addr} }
+
+type dialer struct {
+	fabric *fabric
+	from   string
+}
+
+func (d dialer) Conn(_ context.Context, addr string) (drpc.Conn, error) {
+	return &link{dialer: d, to: addr}, nil
+}
+
+type link struct {
+	dialer
+	to string
+}
+
+func (l *link) Close() error            { return nil }
+func (l *link) Closed() <-chan struct{} { return nil }
+
+func (l *link) NewStream(context.Context, string, drpc.Encoding) (drpc.Stream, error) {
+	return nil, errors.New("no streams here")
+}
+
+func (l *link) Invoke(ctx context.Context, _ string, _ drpc.Encoding, in, out drpc.Message) error {
+	s, late, err := l.open(ctx)
+	if err != nil {
+		return err
+	}
+	if late {
+		ctx = context.WithoutCancel(ctx)
+	}
+	if err := l.travel(ctx); err != nil {
+		return err
+	}
+	reply, err := s.Sync(ctx, proto.Clone(in.(proto.Message)).(*wire.SyncRequest))
+	if err != nil {
+		return err
+	}
+	if err := l.travel(ctx); err != nil {
+		return err
+	}
+	proto.Merge(out.(proto.Message), reply)
+	return nil
+}
+
+func (l *link) open(ctx context.Context) (wire.DRPCSpreadServer, bool, error) {
+	f := l.fabric
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.calls[l.to]++
+	s, ok := f.servers[l.to]
+	if !ok {
+		return nil, false, errors.Newf("connection refused by %s", l.to)
+	}
+	return s, f.late && f.rng.IntN(2) == 0, ctx.Err()
+}
+
+// travel is one way between the two ends.
+func (l *link) travel(ctx context.Context) error {
+	f := l.fabric
+	f.mu.Lock()
+	var delay time.Duration
+	if f.delay > 0 {
+		delay = time.Duration(f.rng.Int64N(int64(f.delay)))
+	}
+	f.mu.Unlock()
+	time.Sleep(delay)
+	for _, end := range []string{l.from, l.to} {
+		f.mu.Lock()
+		held, cut := f.held[end], f.cut[end] || f.between[[2]string{l.from, l.to}]
+		f.mu.Unlock()
+		if cut {
+			// What is cut off silently is lost; only the caller's deadline ends it.
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-time.After(time.Minute):
+				return errors.New("connection lost")
+			}
+		}
+		if held != nil {
+			<-held
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/relay/leader_test.go
@@ -0,0 +1,226 @@
+package relay
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"pearmoor/internal/link/wire"
+	"pearmoor/internal/settings"
+	"pearmoor/internal/vm"
+)
+
+const modelLease = 6 * time.Second
+
+// modelLeader is the leader as daemons see it: it agrees with itself at once, and
+// hands shares on only as package relay is promised it does.
+type modelLeader struct {
+	clock    vm.Clock
+	history  *History
+	expander Expander
+
+	mu     sync.Mutex
+	state  State
+	heard  map[run]*heardRun
+	since  vm.Instant // of its election: everyone counts as heard then
+	quorum bool
+}
+
+type heardRun struct {
+	member vm.Member
+	at     vm.Instant
+	config uint64
+	epoch  uint64
+}
+
+func newModelLeader(clock vm.Clock) *modelLeader {
+	l := &modelLeader{clock: clock, history: NewHistory(), heard: make(map[run]*heardRun), quorum: true}
+	l.state.Tree = settings.New()
+	l.state.ConfigDigest = l.state.Tree.Digest()
+	return l
+}
+
+// edit accepts a change of the tree.
+func (l *modelLeader) edit(edits ...settings.Edit) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t, err := l.state.Tree.Apply(l.state.ConfigVersion+1, edits)
+	if err != nil {
+		return err
+	}
+	l.state.ConfigVersion++
+	l.state.Tree, l.state.ConfigDigest = t, t.Digest()
+	l.history.Advance(l.state, []*wire.TreeDelta{{
+		Version: l.state.ConfigVersion, Edits: settings.EditsToWire(edits), Digest: t.Digest(),
+	}})
+	return nil
+}
+
+// restart is an election won by another control VM with the same agreed state.
+func (l *modelLeader) restart() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.heard = make(map[run]*heardRun)
+	l.since = l.clock()
+}
+
+func (l *modelLeader) setQuorum(q bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.quorum = q
+}
+
+func (l *modelLeader) inForce() (uint64, *settings.Tree, *vm.Membership) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state.InForce, l.state.Tree, l.state.Settled
+}
+
+func (l *modelLeader) Sync(ctx context.Context, req *wire.SyncRequest) (*wire.SyncReply, error) {
+	unknown := l.hear(req)
+	timer := time.NewTimer(time.Duration(req.GetWaitMs()) * time.Millisecond)
+	defer timer.Stop()
+	for held := !unknown; held; {
+		state, news := l.history.State()
+		if !l.hasQuorum() || state.HasNews(req) {
+			break
+		}
+		select {
+		case <-news:
+		case <-timer.C:
+			held = false
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	reply := &wire.SyncReply{Granted: l.quorum, LeaseMs: uint32(modelLease.Milliseconds()), Resend: unknown}
+	if l.quorum {
+		l.history.Fill(req, reply)
+	}
+	return reply, nil
+}
+
+func (l *modelLeader) hasQuorum() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.quorum
+}
+
+func (l *modelLeader) hear(req *wire.SyncRequest) (unknown bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.quorum {
+		return false
+	}
+	hbs, unknown := l.expander.Expand(req, l.state.Settled, l.state.Pending)
+	for _, hb := range hbs {
+		m := vm.FromWire(hb.GetVm())
+		key := run{name: m.Name, incarnation: m.Incarnation}
+		if l.heard[key] == nil {
+			l.heard[key] = &heardRun{}
+		}
+		h := l.heard[key]
+		h.member, h.at = m, l.clock()
+		h.config, h.epoch = max(h.config, hb.GetConfigVersion()), max(h.epoch, hb.GetAckedEpoch())
+	}
+	return unknown
+}
+
+// run steps the leader until ctx is done.
+func (l *modelLeader) run(ctx context.Context) {
+	for sleep(ctx, 50*time.Millisecond) {
+		l.mu.Lock()
+		before := l.state
+		l.settle()
+		l.propose()
+		l.confirm()
+		if l.state != before {
+			l.history.Advance(l.state, nil)
+		}
+		l.mu.Unlock()
+	}
+}
+
+// alive reports whether a run may still hold a lease.
+func (l *modelLeader) alive(key run) (*heardRun, bool) {
+	h, ok := l.heard[key]
+	if !ok {
+		h = &heardRun{at: l.since}
+	}
+	return h, l.clock().Sub(h.at) < modelLease
+}
+
+func (l *modelLeader) leaseEnd(key run) vm.Instant {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h, _ := l.alive(key)
+	return max(h.at, l.since).Add(modelLease)
+}
+
+func (l *modelLeader) members() map[run]bool {
+	out := make(map[run]bool)
+	for _, m := range []*vm.Membership{l.state.Settled, l.state.Pending} {
+		if m == nil {
+			continue
+		}
+		for _, member := range m.Members {
+			out[run{name: member.Name, incarnation: member.Incarnation}] = true
+		}
+	}
+	return out
+}
+
+func (l *modelLeader) settle() {
+	if l.state.Pending == nil {
+		return
+	}
+	for key := range l.members() {
+		if h, alive := l.alive(key); alive && h.epoch < l.state.Pending.Epoch {
+			return
+		}
+	}
+	l.state.Settled, l.state.Pending = l.state.Pending, nil
+}
+
+// propose makes the membership that heartbeats call for the pending one.
+func (l *modelLeader) propose() {
+	if l.state.Pending != nil {
+		return
+	}
+	wanted := make(map[string]vm.Member)
+	if l.state.Settled != nil {
+		for _, m := range l.state.Settled.Members {
+			if _, alive := l.alive(run{name: m.Name, incarnation: m.Incarnation}); alive {
+				wanted[m.Name] = m
+			}
+		}
+	}
+	for key, h := range l.heard {
+		if _, alive := l.alive(key); alive && h.member.Incarnation >= wanted[key.name].Incarnation {
+			wanted[key.name] = h.member
+		}
+	}
+	next := &vm.Membership{Epoch: epochOf(l.state.Settled) + 1}
+	for _, m := range wanted {
+		next.Members = append(next.Members, m)
+	}
+	slices.SortFunc(next.Members, func(a, b vm.Member) int { return strings.Compare(a.Name, b.Name) })
+	if l.state.Settled == nil || !slices.Equal(next.Members, l.state.Settled.Members) {
+		l.state.Pending = next
+	}
+}
+
+// confirm raises the version in force.
+func (l *modelLeader) confirm() {
+	lowest := l.state.ConfigVersion
+	for key := range l.members() {
+		if h, alive := l.alive(key); alive {
+			lowest = min(lowest, h.config)
+		}
+	}
+	l.state.InForce = max(l.state.InForce, lowest)
+}
--- /dev/null
+++ b/internal/relay/shares_test.go
@@ -0,0 +1,217 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pearmoor/internal/settings"
+	"pearmoor/internal/vm"
+)
+
+// fault is one step of a schedule.
+type fault struct {
+	after time.Duration
+	what  string
+	who   int
+	value int
+}
+
+var faultKinds = []string{
+	"join", "crash", "drain", "pause", "resume", "cut", "heal", "uplink", "homes", "slots", "move", "election", "no quorum", "quorum",
+}
+
+func drawFaults(t *rapid.T) []fault {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) fault {
+		return fault{
+			after: time.Duration(rapid.IntRange(1, 4000).Draw(t, "after")) * time.Millisecond,
+			what:  rapid.SampledFrom(faultKinds).Draw(t, "what"),
+			who:   rapid.IntRange(0, 5).Draw(t, "who"),
+			value: rapid.IntRange(1, 4).Draw(t, "value"),
+		}
+	}), 1, 25).Draw(t, "faults")
+}
+
+// The caller's target is overloaded when daemons that know different memberships
+// or configurations each use the share that theirs gives them. Daemons here join,
+// crash, drain, pause, are cut off, get replies late and crossed, and follow
+// changes of homes, slots and leaves, through relays or not; each fills its
+// shares whenever it may. What all have in flight at a leaf never exceeds its
+// slots under the version that is in force everywhere, and no daemon believes
+// its lease longer than the leader does.
+func TestSharesNeverExceedSlots(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		direct := rapid.SampledFrom([]int{1, 64}).Draw(rt, "direct")
+		late := rapid.Bool().Draw(rt, "late")
+		faults := drawFaults(rt)
+		var broken error
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			w := newWorld(ctx, seed)
+			w.fabric.delay, w.fabric.late = 50*time.Millisecond, late
+			broken = w.play(direct, faults)
+			cancel()
+			w.running.Wait()
+			time.Sleep(2 * time.Minute) // calls that hang end
+		})
+		if broken != nil {
+			rt.Fatal(broken)
+		}
+	})
+}
+
+// play runs a schedule and returns the first overload seen.
+func (w *world) play(direct int, faults []fault) error {
+	_ = w.leader.edit(
+		set(service, "leaf-slots", "4"),
+		set(service, "leaves", "a=127.0.0.1:1@hall-0,b=127.0.0.1:2@hall-1"),
+		set("/desk/s2", "leaves", "c=127.0.0.1:3@hall-1"))
+	runs := make([]*daemon, 6)
+	resumes := make(map[int]func())
+	defer func() {
+		for _, resume := range resumes {
+			resume()
+		}
+	}()
+	for who := range 4 {
+		runs[who] = w.startDaemon(w.nextIdentity(who), direct, 1)
+	}
+	if err := w.watch(8 * time.Second); err != nil {
+		return err
+	}
+	for i, f := range faults {
+		w.inject(f, direct, runs, resumes)
+		if err := w.watch(f.after); err != nil {
+			return fmt.Errorf("after fault %d (%+v): %w", i, f, err)
+		}
+	}
+	for who, resume := range resumes {
+		delete(resumes, who)
+		resume()
+	}
+	return w.watch(8 * time.Second)
+}
+
+func (w *world) nextIdentity(who int) vm.Identity {
+	return identity("daemon-"+strconv.Itoa(who), uint64(w.clock()))
+}
+
+func (w *world) inject(f fault, direct int, runs []*daemon, resumes map[int]func()) {
+	addr := "daemon-" + strconv.Itoa(f.who)
+	switch f.what {
+	case "join":
+		if resumes[f.who] != nil {
+			return
+		}
+		if runs[f.who] != nil {
+			runs[f.who].cancel()
+		}
+		runs[f.who] = w.startDaemon(w.nextIdentity(f.who), direct, 1)
+	case "crash":
+		if runs[f.who] != nil {
+			runs[f.who].cancel()
+		}
+	case "drain":
+		if runs[f.who] != nil {
+			runs[f.who].client.SetPhase(vm.Draining)
+		}
+	case "pause":
+		if resumes[f.who] == nil {
+			resumes[f.who] = w.fabric.pause(addr)
+		}
+	case "resume":
+		if resume := resumes[f.who]; resume != nil {
+			delete(resumes, f.who)
+			resume()
+		}
+	case "cut", "heal":
+		w.fabric.setCut(addr, f.what == "cut")
+	case "uplink":
+		w.fabric.cutBetween(addr, leaderAddr, f.value > 2)
+	case "homes":
+		_ = w.leader.edit(set(service, "homes", strconv.Itoa(min(f.value, 2))))
+	case "slots":
+		_ = w.leader.edit(set(service, "leaf-slots", strconv.Itoa(1+f.value)))
+	case "move":
+		w.move(f.value)
+	case "election":
+		w.leader.restart()
+	case "no quorum", "quorum":
+		w.leader.setQuorum(f.what == "quorum")
+	}
+}
+
+// move puts leaf b into the one or the other service.
+func (w *world) move(value int) {
+	first, second := "a=127.0.0.1:1@hall-0,b=127.0.0.1:2@hall-1", "c=127.0.0.1:3@hall-1"
+	if value%2 == 0 {
+		first, second = "a=127.0.0.1:1@hall-0", "b=127.0.0.1:2@hall-1,c=127.0.0.1:3@hall-1"
+	}
+	_ = w.leader.edit(set(service, "leaves", first), set("/desk/s2", "leaves", second))
+}
+
+// watch looks at every leaf every few milliseconds for a while.
+func (w *world) watch(d time.Duration) error {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		time.Sleep(7 * time.Millisecond)
+		synctest.Wait()
+		if err := w.checkLeases(); err != nil {
+			return err
+		}
+		for port := 1; port <= 3; port++ {
+			if err := w.checkLeaf(fmt.Sprintf("127.0.0.1:%d", port)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (w *world) checkLeaf(addr string) error {
+	w.leader.mu.Lock()
+	inForce := w.leader.state.InForce
+	w.leader.mu.Unlock()
+	slots, used := w.slotsAt(inForce, addr), w.used(addr)
+	if used > slots {
+		return fmt.Errorf("%d in flight at %s, which has %d slots under version %d", used, addr, slots, inForce)
+	}
+	return nil
+}
+
+// checkLeases compares each daemon's lease with the leader's account of it.
+func (w *world) checkLeases() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, d := range w.daemons {
+		self, until := d.client.cfg.Self, d.client.Current().Lease
+		if last := w.leader.leaseEnd(run{name: self.Name, incarnation: self.Incarnation}); until > last {
+			return fmt.Errorf("%s believes its lease %v longer than the leader", self.Name, until.Sub(last))
+		}
+	}
+	return nil
+}
+
+// slotsAt returns a leaf's slots under a configuration version.
+func (w *world) slotsAt(version uint64, addr string) int {
+	w.leader.history.mu.Lock()
+	deltas := w.leader.history.deltas
+	w.leader.history.mu.Unlock()
+	t := settings.New()
+	for _, d := range deltas[:version] {
+		t = t.Replay(d.GetVersion(), settings.EditsFromWire(d.GetEdits()))
+	}
+	slots := 0
+	for _, path := range t.Services("/") {
+		e, _ := t.Effective(path)
+		if _, ok := indexOf(e.Leaves, addr); ok {
+			slots = e.LeafSlots
+		}
+	}
+	return slots
+}
