--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -139,7 +140,7 @@
 	failures := 0
 	for ctx.Err() == nil {
 		start := c.cfg.Clock()
-		out := c.exchange(ctx, c.interval(), false)
+		out := c.exchange(ctx, c.holdAfter(failures), false)
 		if err := c.supersededBy(); err != nil {
 			return err
 		}
@@ -149,6 +150,23 @@
 	return nil
 }
 
+// holdAfter is how long the next poll may be held. After a failure the lease has
+// to be renewed before anything else, so the reply is wanted at once. A relay
+// first has to ask the leader, and replies when that has answered.
+func (c *Client) holdAfter(failures int) time.Duration {
+	if failures > 0 && !c.picksRelay() {
+		return 0
+	}
+	return c.interval()
+}
+
+func (c *Client) picksRelay() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	addr, _ := c.up.pick(c.cfg.Clock())
+	return slices.Contains(c.up.relays, addr)
+}
+
 // push sends at once what can't wait for the next poll, and what children of this
 // relay have said, at least every interval.
 func (c *Client) push(ctx context.Context) error {
--- a/internal/relay/daemon_test.go
+++ b/internal/relay/daemon_test.go
@@ -26,6 +26,7 @@
 	mu       sync.Mutex
 	inFlight map[string]int // by leaf address
 	until    vm.Instant     // no attempt's deadline is later
+	ended    error          // what Run returned
 }
 
 // world is a leader, daemons and what lies between them.
@@ -70,11 +71,18 @@
 	w.daemons = append(w.daemons, d)
 	w.mu.Unlock()
 	w.running.Add(2)
-	go func() { defer w.running.Done(); _ = d.client.Run(ctx) }()
+	go func() { defer w.running.Done(); d.run(ctx) }()
 	go func() { defer w.running.Done(); d.work(ctx) }()
 	return d
 }
 
+func (d *daemon) run(ctx context.Context) {
+	err := d.client.Run(ctx)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ended = err
+}
+
 // work fills the shares of each view, lets what exceeds them end, and acks. What
 // is in flight when the daemon is killed goes on at the leaf until its deadline.
 func (d *daemon) work(ctx context.Context) {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -15,7 +15,7 @@
 const (
 	// callMargin is how long a reply may take beyond the time it is held. A silent
 	// cut shows no other sign, so this and the hold bound what it costs.
-	callMargin = 700 * time.Millisecond
+	callMargin = 500 * time.Millisecond
 	// maxCallMargin lets a slow upstream answer after several calls ran out.
 	maxCallMargin = 3 * time.Second
 	// driftParts takes 1% off a lease: the clocks of two VMs may run that far apart
