--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -106,10 +106,16 @@
 	var known *wire.StatusReply
 	reply, _, err := call(a.ctx, &short, 0, func(ctx context.Context, cc wire.DRPCControlClient) (*wire.StatusReply, error) {
 		one, err := cc.Status(ctx, &wire.StatusRequest{})
-		if err == nil && (known == nil || one.GetCommit() >= known.GetCommit()) {
+		if err != nil {
+			return nil, err
+		}
+		if known == nil || one.GetCommit() > known.GetCommit() {
 			known = one
 		}
-		return one, err
+		if one.GetRedirect() == "" && !hasLeader(one) {
+			return nil, errNoLeader // others may know one: this VM may have been removed
+		}
+		return one, nil
 	})
 	var coded *exitError
 	switch {
@@ -123,6 +129,8 @@
 	return nil, &exitError{code: ExitUnreachable, cause: errors.Wrapf(err, "no control VM of %v answered", c.addrs)}
 }
 
+var errNoLeader = errors.New("no leader is known there")
+
 func hasLeader(reply *wire.StatusReply) bool {
 	for _, m := range reply.GetGroup() {
 		if m.GetLeader() {
--- a/internal/link/peer/health_test.go
+++ b/internal/link/peer/health_test.go
@@ -121,6 +121,44 @@
 	return value
 }
 
+// Slow answers pile up at one home. Connections to it must not grow with the
+// calls: the one too many waits for its turn, and if its time ends first it is
+// certain that it was not sent.
+func TestBusyAddress(t *testing.T) {
+	Convey("Calls beyond the bound are not sent", t, func() {
+		c := &control{entered: make(chan struct{}, connsPerAddr), hold: make(chan struct{})}
+		s := start(t, c, nil)
+		pool := NewPool(nil)
+		defer pool.Close()
+		conn, err := pool.Conn(context.Background(), s.addr)
+		So(err, ShouldBeNil)
+		client := wire.NewDRPCControlClient(conn)
+		done := make(chan error, connsPerAddr)
+		for range connsPerAddr {
+			go func() {
+				_, err := client.Status(context.Background(), &wire.StatusRequest{})
+				done <- err
+			}()
+		}
+		for range connsPerAddr {
+			<-c.entered
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+		defer cancel()
+		_, err = client.Read(ctx, &wire.ReadRequest{})
+		So(NotSent(err), ShouldBeTrue)
+		So(err.Error(), ShouldContainSubstring, "busy")
+
+		close(c.hold)
+		for range connsPerAddr {
+			So(<-done, ShouldBeNil)
+		}
+		_, err = read(pool, s.addr)
+		So(err, ShouldBeNil)
+		So(s.stop(), ShouldBeNil)
+	})
+}
+
 // Anything may connect to the peer port. Bytes that are no call must cost that
 // connection only.
 func TestGarbage(t *testing.T) {
