--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -112,8 +112,9 @@
 	}
 	agreed := v.Members()
 	addHeartbeat(req, c.ownHeartbeat(), agreed, c.resend)
+	full := len(req.GetSteady()) == 0 // see Sender
 	for _, k := range kids {
-		addHeartbeat(req, k.heartbeat, agreed, c.resend)
+		addHeartbeat(req, k.heartbeat, agreed, full)
 	}
 	return addr, req
 }
--- a/internal/relay/heartbeat.go
+++ b/internal/relay/heartbeat.go
@@ -43,6 +43,20 @@
 	return hbs, unknown
 }
 
+// Sender returns the sender's own among the heartbeats that Expand returned: the
+// first short one, or, as a sender whose own is in full sends none short, the
+// first. It is nil when there is none, or when short ones were unknown.
+func Sender(req *wire.SyncRequest, hbs []*wire.Heartbeat) *wire.Heartbeat {
+	short := len(hbs) - len(req.GetHeartbeats())
+	switch {
+	case len(hbs) == 0 || short != len(req.GetSteady()):
+		return nil
+	case short > 0:
+		return hbs[len(req.GetHeartbeats())]
+	}
+	return hbs[0]
+}
+
 func (x *Expander) indexesOf(ms ...*vm.Membership) [2]digestIndex {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"pearmoor/internal/link/peer"
 	"pearmoor/internal/link/wire"
 	"pearmoor/internal/vm"
 )
@@ -31,9 +32,16 @@
 	arrived := c.cfg.Clock()
 	v := c.Current()
 	hbs, unknown := s.expander.Expand(req, v.Settled, v.Pending)
-	if len(hbs) == 0 && !unknown {
+	if unknown {
+		return &wire.SyncReply{Resend: true}, nil
+	}
+	own := Sender(req, hbs)
+	if own == nil {
 		return nil, errNoHeartbeat
 	}
+	if err := peer.CheckSender(ctx, own.GetVm().GetName()); err != nil {
+		return nil, err
+	}
 	urgent := false
 	for _, hb := range hbs {
 		u, ok := c.children.heard(hb, arrived)
@@ -45,11 +53,9 @@
 	if urgent {
 		c.pushNow()
 	}
-	if !unknown {
-		hold := min(time.Duration(req.GetWaitMs())*time.Millisecond, c.interval())
-		s.hold(ctx, req, hbs, arrived, hold)
-	}
-	reply := &wire.SyncReply{Resend: unknown}
+	hold := min(time.Duration(req.GetWaitMs())*time.Millisecond, c.interval())
+	s.hold(ctx, req, hbs, arrived, hold)
+	reply := &wire.SyncReply{}
 	// Grants before state: a grant must never be newer than the state that goes
 	// with it, or the child would use shares that are no longer its own.
 	s.fillGrants(reply, hbs, arrived)
