query: start over when the index moved, ask another home for gaps; tests of both

A scope now starts over at a version that is complete everywhere, a leaf's own 409 counts before its older status, and gaps of which nothing was sent are asked of the other home.

--- a/internal/query/call.go
+++ b/internal/query/call.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"pearmoor/internal/contract"
 	"pearmoor/internal/link/peer"
 	"pearmoor/internal/link/wire"
@@ -30,7 +28,8 @@
 	inFlight int
 	local    int // of those in flight, run by this daemon itself
 	refused  *part
-	doubt    bool // a home that did not answer may have sent
+	first    *part // answered with gaps that another home is asked to fill
+	doubt    bool  // a home that did not answer may have sent
 }
 
 type callDone struct {
@@ -88,16 +87,22 @@
 	if d.local {
 		c.local--
 	}
+	if d.err == nil && c.crossed(d.part) {
+		d.err = &contract.Error{Verdict: contract.MayHaveRun, Reason: contract.ReasonWrongReply}
+	}
 	if d.err == nil {
 		c.r.learn(d.home.Name, d.part, c.e.Clock())
-		if c.crossed(d.part) {
-			d.err = &contract.Error{Verdict: contract.MayHaveRun, Reason: contract.ReasonWrongReply}
+	}
+	if c.first != nil {
+		return c.filled(d)
+	}
+	if d.err == nil && d.part.refusal == "" {
+		if c.fill(ctx, d.part) {
+			return nil
 		}
+		return d.part
 	}
 	if d.err == nil {
-		if d.part.refusal == "" || d.part.refusal == contract.ReasonNoSnapshot {
-			return d.part
-		}
 		c.refused = better(c.refused, d.part)
 	} else if d.err.Verdict != contract.NotRun {
 		c.doubt = true
@@ -149,18 +154,23 @@
 // the same deadline with what it has, so it is worth the moment's wait.
 func (c *call) expired(ctx context.Context) *part {
 	for c.local > 0 {
-		if d := <-c.results; d.local {
-			c.local--
-			if d.err == nil && d.part.refusal == "" {
-				return d.part
-			}
+		d := <-c.results
+		if !d.local {
+			continue
+		}
+		c.local--
+		if c.first != nil {
+			return c.filled(d)
+		}
+		if d.err == nil && d.part.refusal == "" {
+			return d.part
 		}
 	}
-	p := c.lost(contract.ReasonDeadline)
-	if errors.Is(ctx.Err(), context.Canceled) {
-		p.refusal = ""
+	if c.first != nil {
+		c.markDoubt(c.first)
+		return c.first
 	}
-	return p
+	return c.lost(contract.ReasonDeadline)
 }
 
 // send asks the next home in order.
@@ -225,11 +235,15 @@
 	return &contract.Error{Verdict: contract.MayHaveRun, Reason: contract.ReasonHomeLost, Cause: err}
 }
 
-// better returns the refusal that tells the caller more: one that knows the
-// partition map, else the one that names the sooner return.
+// better returns the refusal that tells more: one that knows versions, then one
+// that knows the partition map, else the one that names the sooner return.
 func better(a, b *part) *part {
 	switch {
-	case a == nil || (a.shards == 0 && b.shards > 0):
+	case a == nil || (len(a.versions) == 0 && len(b.versions) > 0):
+		return b
+	case len(b.versions) == 0 && len(a.versions) > 0:
+		return a
+	case a.shards == 0 && b.shards > 0:
 		return b
 	case b.retryAfter > 0 && (a.retryAfter == 0 || b.retryAfter < a.retryAfter):
 		return b
--- a/internal/query/config.go
+++ b/internal/query/config.go
@@ -15,6 +15,12 @@
 	Snapshots(service string) []leaf.Snapshot
 }
 
+// Knower is a Catalog that tells whether every leaf of a service that is probed
+// here has been heard of, or found out of reach, since it is.
+type Knower interface {
+	Known(service string) bool
+}
+
 // Config is what an Engine works with.
 type Config struct {
 	Self    vm.Identity
--- /dev/null
+++ b/internal/query/engine_test.go
@@ -0,0 +1,155 @@
+package query
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"pearmoor/internal/contract"
+)
+
+func ask(w *world, daemon, key string) (*contract.Answer, error) {
+	return w.engine(daemon).Query(context.Background(), key, &contract.Request{Path: "/desk", Body: body(key)})
+}
+
+// Callers see full coverage and one version in every answer while the index goes
+// from version to version. Each leaf drops the old one as it takes the new, so
+// that homes believe for up to a poll that a leaf still holds what it has dropped,
+// and entries pin what a home has just lost.
+func TestRollingIndexChangeIsFullyCovered(t *testing.T) {
+	for _, gap := range []time.Duration{7 * time.Millisecond, 111 * time.Millisecond, 411 * time.Millisecond} {
+		if err := queryWhileRolling(t, gap); err != nil {
+			t.Fatalf("a query each %v: %v", gap, err)
+		}
+	}
+}
+
+func queryWhileRolling(t *testing.T, gap time.Duration) error {
+	return inWorld(t, 1, "", func(w *world) error {
+		done := make(chan struct{})
+		w.busy.Go(func() {
+			defer close(done)
+			for v := uint64(2); v <= 12 && w.ctx.Err() == nil; v++ {
+				for l := range 2 {
+					for s := range worldServices {
+						w.roll(fmt.Sprintf("127.0.0.1:%d", 1000+10*s+l), v)
+						time.Sleep(37 * time.Millisecond)
+					}
+					time.Sleep(pollEvery + pollEvery/4)
+				}
+			}
+		})
+		for i := 0; ; i++ {
+			select {
+			case <-done:
+				return nil
+			default:
+			}
+			a, err := ask(w, []string{"a", "b", "c"}[i%3], fmt.Sprint("q", i))
+			if err != nil {
+				return errors.Wrapf(err, "query %d", i)
+			}
+			if err := checkAnswer(a, true); err != nil {
+				return errors.Wrapf(err, "query %d", i)
+			}
+			if len(a.Coverage.Missing) > 0 {
+				return errors.Newf("query %d at %v misses %v", i, a.IndexVersions, a.Coverage.Missing)
+			}
+			time.Sleep(gap)
+		}
+	})
+}
+
+func (w *world) roll(addr string, version uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaves[addr].versions = map[uint64]uint32{version: shardsAt(version)}
+}
+
+// Callers see whole answers although one replica of each shard is lost at once and
+// nobody has noticed yet: connections fail before anything is sent, which proves
+// that the other replica may be asked, without a charge to the retry budget.
+func TestLostReplicaKeepsCoverage(t *testing.T) {
+	err := inWorld(t, 2, "", func(w *world) error {
+		for s := range worldServices {
+			w.leaves[fmt.Sprintf("127.0.0.1:%d", 1000+10*s)].down = true
+		}
+		for i := range 60 {
+			a, err := ask(w, "a", fmt.Sprint("q", i))
+			if err != nil {
+				return err
+			}
+			if len(a.Coverage.Missing) > 0 {
+				return errors.Newf("query %d misses %v", i, a.Coverage.Missing)
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// The caller is told not_run at once by a daemon whose lease has run out, with
+// when to come back, and no leaf has run anything.
+func TestLostLeaseRefuses(t *testing.T) {
+	err := inWorld(t, 3, "", func(w *world) error {
+		lapsed := *w.view
+		lapsed.Lease = bubbleClock()
+		w.view = &lapsed
+		_, err := ask(w, "a", "q")
+		var e *contract.Error
+		if !errors.As(err, &e) || e.Verdict != contract.NotRun || e.Reason != contract.ReasonUnconfirmed || e.RetryAfter <= 0 {
+			return errors.Newf("got %v", err)
+		}
+		if total, _ := w.ran("q"); total != 0 {
+			return errors.Newf("ran %d times", total)
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Callers get their answers while a planned stop is under way: Drain refuses new
+// queries as not_run and returns only when the last one in flight has ended.
+func TestDrainCutsOffNothing(t *testing.T) {
+	Convey("Given queries in flight", t, func() {
+		err := inWorld(t, 4, "", func(w *world) error {
+			e := w.engine("a")
+			results := make(chan error, 20)
+			for i := range cap(results) {
+				go func() {
+					a, err := ask(w, "a", fmt.Sprint("q", i))
+					if err == nil && len(a.Coverage.Missing) > 0 {
+						err = errors.Newf("misses %v", a.Coverage.Missing)
+					}
+					results <- err
+				}()
+			}
+			time.Sleep(time.Millisecond)
+			if err := e.Drain(context.Background()); err != nil {
+				return err
+			}
+			if n := e.InFlight(); n != 0 {
+				return errors.Newf("%d in flight after Drain", n)
+			}
+			for range cap(results) {
+				if err := <-results; err != nil {
+					return err
+				}
+			}
+			_, err := ask(w, "a", "late")
+			if contract.VerdictOf(err) != contract.NotRun {
+				return errors.Newf("a late query got %v", err)
+			}
+			return nil
+		})
+		So(err, ShouldBeNil)
+	})
+}
--- a/internal/query/entry.go
+++ b/internal/query/entry.go
@@ -64,6 +64,7 @@
 	pin     uint64 // 0: the only unit chose itself
 	shards  map[string]uint32
 	split   map[unit][]uint32 // shards asked of each unit, of services with several
+	wasted  int               // attempts whose answers were given up
 }
 
 // scopeRun is one scope of a query under way.
@@ -76,26 +77,33 @@
 	known   catalog
 	partial bool
 	round   int
+	wasted  int // attempts whose answers were given up with their version
 }
 
 func (e *Engine) runScope(ctx context.Context, st state, p *plan, targets []*target) *outcome {
-	s := &scopeRun{e: e, st: st, p: p, targets: targets}
+	s := &scopeRun{e: e, st: st, p: p, targets: targets, known: make(catalog)}
 	s.reset(0)
-	if len(targets) == 1 {
-		s.out.parts[targets[0].unit] = e.ask(ctx, st, targets[0], s.subquery(targets[0]))
+	if len(targets) > 1 && !s.pinFirst(ctx) {
 		return s.out
 	}
-	s.known = e.known(ctx, targets)
+	for s.askAll(ctx); s.again(ctx); s.askAll(ctx) {
+	}
+	s.out.wasted = s.wasted
+	return s.out
+}
+
+// pinFirst pins the version that several units are to share; false when no
+// version is known. A single unit's home chooses itself.
+func (s *scopeRun) pinFirst(ctx context.Context) bool {
+	s.known = s.e.known(ctx, s.targets, versionsLife)
 	pin, complete := s.known.pick()
-	s.partial = !complete || !p.req.IsRepeatable()
-	s.reset(pin)
 	if pin == 0 {
 		s.refuseAll()
-		return s.out
-	}
-	for s.rounds(ctx) {
+		return false
 	}
-	return s.out
+	s.partial = !complete
+	s.reset(pin)
+	return true
 }
 
 // refuseAll ends a scope of which no version is known. Left to choose themselves,
@@ -109,27 +117,31 @@
 
 // reset drops what was answered and starts over at pin.
 func (s *scopeRun) reset(pin uint64) {
+	if s.out != nil {
+		for _, p := range s.out.parts {
+			s.wasted += p.answered + p.extra
+		}
+	}
 	s.out = &outcome{targets: s.targets, parts: make(map[unit]*part, len(s.targets)), pin: pin}
 	s.divide()
 }
 
-// rounds asks every unit that has no part yet and reports whether another round
-// is needed: a home could not serve the pin wholly.
-func (s *scopeRun) rounds(ctx context.Context) bool {
-	if s.round >= maxRepins {
-		s.partial = true
-	}
-	refused := s.askAll(ctx)
-	if len(refused) == 0 || ctx.Err() != nil || s.round >= maxRepins {
+// again prepares another round and reports whether one is needed. A home may not
+// have the pinned version any more, or its leaves dropped it under the query: then
+// another version is wholly there, as a rule, and the scope starts over with it.
+// When there is none, the units that refused are asked for what they have.
+func (s *scopeRun) again(ctx context.Context) bool {
+	refused, gaps := s.refused(), s.gaps()
+	if s.round >= maxRepins || ctx.Err() != nil || (len(refused) == 0 && !gaps) {
 		return false
 	}
 	s.round++
-	pin, complete := s.known.pick()
-	if complete && pin != s.out.pin {
-		meter.repinned.Inc(1)
-		s.reset(pin)
+	if s.mayStartOver() && s.repin(ctx) {
 		return true
 	}
+	if len(refused) == 0 || s.partial {
+		return false
+	}
 	s.partial = true
 	for _, u := range refused {
 		delete(s.out.parts, u)
@@ -137,14 +149,84 @@
 	return true
 }
 
+// repin starts over at another version that is complete everywhere, if there is
+// one. What homes said a while ago is asked for anew before it is given up.
+func (s *scopeRun) repin(ctx context.Context) bool {
+	pin, complete := s.known.pick()
+	if !complete || pin == s.version() {
+		s.known = s.e.known(ctx, s.targets, versionsFresh)
+		pin, complete = s.known.pick()
+	}
+	if !complete || pin == s.version() {
+		return false
+	}
+	meter.repinned.Inc(1)
+	s.partial = false
+	if len(s.targets) == 1 {
+		pin = 0
+	}
+	s.reset(pin)
+	return true
+}
+
+// version returns the index version of the round that has ended.
+func (s *scopeRun) version() uint64 {
+	if s.out.pin == 0 {
+		for _, p := range s.out.parts {
+			return p.version
+		}
+	}
+	return s.out.pin
+}
+
+// mayStartOver reports whether the request may be sent again as a whole.
+func (s *scopeRun) mayStartOver() bool {
+	if s.p.req.IsRepeatable() {
+		return true
+	}
+	for _, p := range s.out.parts {
+		if p.refusal == "" {
+			return false
+		}
+	}
+	return true
+}
+
+// refused returns the units that can't serve the pin.
+func (s *scopeRun) refused() []unit {
+	var us []unit
+	for u, p := range s.out.parts {
+		if p.refusal == contract.ReasonNoSnapshot {
+			us = append(us, u)
+		}
+	}
+	return us
+}
+
+// gaps reports whether shards are missing that no leaf held at the pin.
+func (s *scopeRun) gaps() bool {
+	for _, p := range s.out.parts {
+		for _, m := range p.missing {
+			if m.Reason == contract.ReasonNoReplica {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 type unitDone struct {
 	t *target
 	p *part
 }
 
-// askAll asks the units that have no part in parallel and returns those that
-// can't serve the pin.
-func (s *scopeRun) askAll(ctx context.Context) []unit {
+// askAll asks the units that have no part, in parallel.
+func (s *scopeRun) askAll(ctx context.Context) {
+	if len(s.targets) == 1 {
+		t := s.targets[0]
+		s.keep(t, s.e.ask(ctx, s.st, t, s.subquery(t)))
+		return
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	done := make(chan unitDone, len(s.targets))
@@ -156,24 +238,24 @@
 		n++
 		go func() { done <- unitDone{t, s.e.ask(ctx, s.st, t, s.subquery(t))} }()
 	}
-	var refused []unit
 	for range n {
 		d := <-done
-		s.out.parts[d.t.unit] = d.p
-		if d.p.refusal != contract.ReasonNoSnapshot {
-			continue
-		}
-		refused = append(refused, d.t.unit)
-		s.known[d.t.unit] = d.p.versions
-		if s.willRepin() {
+		s.keep(d.t, d.p)
+		if d.p.refusal == contract.ReasonNoSnapshot && s.willRepin() {
 			cancel() // what the others would answer is of a version that is given up
 		}
 	}
-	return refused
+}
+
+func (s *scopeRun) keep(t *target, p *part) {
+	s.out.parts[t.unit] = p
+	if len(p.versions) > 0 {
+		s.known[t.unit] = p.versions
+	}
 }
 
 func (s *scopeRun) willRepin() bool {
-	if s.round >= maxRepins {
+	if s.round >= maxRepins || !s.p.req.IsRepeatable() {
 		return false
 	}
 	pin, complete := s.known.pick()
--- a/internal/query/gather.go
+++ b/internal/query/gather.go
@@ -37,6 +37,7 @@
 }
 
 func (g *gathered) addScope(out *outcome) {
+	g.answer.ExtraAttempts += out.wasted
 	for _, t := range out.targets {
 		if p := out.parts[t.unit]; p != nil {
 			g.addPart(t.service, p)
@@ -53,7 +54,9 @@
 		g.addRefusal(service, p)
 		return
 	}
-	a.IndexVersions[service] = p.version
+	if p.version != 0 {
+		a.IndexVersions[service] = p.version
+	}
 	a.Coverage.Answered += p.answered
 	a.Coverage.Total += p.answered + len(p.missing)
 	a.Coverage.Missing = append(a.Coverage.Missing, p.missing...)
--- a/internal/query/home.go
+++ b/internal/query/home.go
@@ -18,6 +18,9 @@
 // its traffic, so that one with little traffic can use any.
 const extraFloor = 1
 
+// learningWait is the Retry-After while the leaves have not been heard of yet.
+const learningWait = 100 * time.Millisecond
+
 // home is what this daemon keeps for a service whose leaves it sends to.
 type home struct {
 	group      *scatter.Group
@@ -61,6 +64,11 @@
 	if !ok || len(eff.Leaves) == 0 {
 		return refusedPart(contract.ReasonUnknownPath, 0)
 	}
+	if k, ok := e.Catalog.(Knower); ok && !k.Known(q.service) {
+		// A daemon that has just become a home would answer for the leaves it has
+		// heard of so far; the other home knows all of them.
+		return refusedPart(contract.ReasonNoReplica, learningWait)
+	}
 	snaps := e.snapshots(q.unit, eff)
 	p := e.serveFrom(ctx, st, eff, snaps, q)
 	p.versions = states(snaps)
@@ -173,12 +181,31 @@
 // snapshots returns the index versions of u's leaves, newest first.
 func (e *Engine) snapshots(u unit, eff *settings.Effective) []leaf.Snapshot {
 	snaps := e.Catalog.Snapshots(u.service)
+	if g := e.homeOf(u.service, eff).group; g.Declined() {
+		snaps = held(snaps, g)
+	}
 	if domain.GroupIndex(len(eff.Leaves), len(eff.Leaves)-1) == 0 {
 		return snaps
 	}
 	return ofGroup(snaps, u.group, eff)
 }
 
+// held drops the holders that have lately said they don't hold a shard.
+func held(snaps []leaf.Snapshot, g *scatter.Group) []leaf.Snapshot {
+	out := make([]leaf.Snapshot, len(snaps))
+	for i, s := range snaps {
+		out[i] = leaf.Snapshot{Version: s.Version, Shards: s.Shards, Holders: make([][]settings.Leaf, len(s.Holders))}
+		for shard, holders := range s.Holders {
+			for _, l := range holders {
+				if g.Holds(l.Addr, s.Version, uint32(shard)) {
+					out[i].Holders[shard] = append(out[i].Holders[shard], l)
+				}
+			}
+		}
+	}
+	return out
+}
+
 // ofGroup keeps the holders that belong to one group of the service's leaves.
 func ofGroup(snaps []leaf.Snapshot, group int, eff *settings.Effective) []leaf.Snapshot {
 	member := make(map[string]bool)
--- a/internal/query/pin.go
+++ b/internal/query/pin.go
@@ -18,8 +18,8 @@
 type catalog map[unit][]versionState
 
 // known returns the versions of targets: this daemon's own at first hand, others
-// as their homes last said, asked for where nothing fresh is known.
-func (e *Engine) known(ctx context.Context, targets []*target) catalog {
+// as their homes last said, asked for where that is older than life.
+func (e *Engine) known(ctx context.Context, targets []*target, life time.Duration) catalog {
 	c := make(catalog, len(targets))
 	var ask []*target
 	now := e.Clock()
@@ -28,7 +28,7 @@
 			c[t.unit] = states(e.snapshots(t.unit, t.eff))
 			continue
 		}
-		if seen := e.route(t).versions.Load(); seen != nil && now.Sub(seen.at) < versionsLife {
+		if seen := e.route(t).versions.Load(); seen != nil && now.Sub(seen.at) < life {
 			c[t.unit] = seen.states
 			continue
 		}
--- a/internal/query/route.go
+++ b/internal/query/route.go
@@ -13,11 +13,12 @@
 )
 
 const (
-	hintLife     = time.Second     // a load hint older than this has no weight
-	versionsLife = 5 * time.Second // versions older than this are asked for anew
-	homeFloor    = 20 * time.Millisecond
-	homePatience = 3   // times the learned threshold until a home counts as silent
-	homeShare    = 0.5 // of the hedge and retry budgets; one extra sub-query repeats many attempts
+	hintLife      = time.Second           // a load hint older than this has no weight
+	versionsLife  = 5 * time.Second       // versions older than this are asked for anew
+	versionsFresh = 50 * time.Millisecond // the same when a pin has failed
+	homeFloor     = 20 * time.Millisecond
+	homePatience  = 3   // times the learned threshold until a home counts as silent
+	homeShare     = 0.5 // of the hedge and retry budgets; one extra sub-query repeats many attempts
 )
 
 // route is what an entry has learned of a unit and its homes.
--- a/internal/query/scatter/attempt.go
+++ b/internal/query/scatter/attempt.go
@@ -105,8 +105,11 @@
 		if e.Verdict != contract.NotRun && ctx.Err() != nil {
 			s.g.latency.Observe(took)
 		}
-		if e.Reason == contract.ReasonWrongReply {
+		switch {
+		case e.Reason == contract.ReasonWrongReply:
 			s.g.meter.wrongReply.Inc(1)
+		case e.Reason == contract.ReasonNoReplica && e.Verdict == contract.NotRun:
+			s.g.declines.add(held{leaf.Addr, req.IndexVersion, req.Shard}, s.g.clock())
 		}
 		return nil, e
 	}
--- a/internal/query/scatter/group.go
+++ b/internal/query/scatter/group.go
@@ -20,16 +20,17 @@
 // Group is the lasting state of one query service at one home: what has been
 // learned of its leaves, and its budgets. It is safe for concurrent use.
 type Group struct {
-	gates   *admit.Gates
-	sender  Sender
-	clock   vm.Clock
-	hedges  Budget
-	retries Budget
-	latency *Latency
-	turn    atomic.Uint32
-	pending sync.WaitGroup // attempts that a finished run left behind
-	lending lending
-	meter   *meters
+	gates    *admit.Gates
+	sender   Sender
+	clock    vm.Clock
+	hedges   Budget
+	retries  Budget
+	latency  *Latency
+	turn     atomic.Uint32
+	pending  sync.WaitGroup // attempts that a finished run left behind
+	lending  lending
+	declines declines
+	meter    *meters
 }
 
 // unlearnedDelay is how long a straggler is waited for while nothing is known of
--- /dev/null
+++ b/internal/query/world_test.go
@@ -0,0 +1,400 @@
+package query
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+	"storj.io/drpc"
+
+	"pearmoor/internal/admit"
+	"pearmoor/internal/contract"
+	"pearmoor/internal/link/leaf"
+	"pearmoor/internal/link/peer"
+	"pearmoor/internal/link/wire"
+	"pearmoor/internal/relay"
+	"pearmoor/internal/settings"
+	"pearmoor/internal/vm"
+)
+
+const (
+	worldServices = 3
+	worldSlots    = 2
+	worldDocs     = 24
+	pollEvery     = 200 * time.Millisecond
+	oneWay        = 500 * time.Microsecond
+)
+
+func bubbleClock() vm.Instant { return vm.Instant(time.Now().UnixNano()) }
+
+// world is three daemons and the leaves of a desk, in the fake time of a bubble.
+type world struct {
+	mu      sync.Mutex
+	view    *relay.View
+	daemons map[string]*daemon // by VM name
+	leaves  map[string]*worldLeaf
+	runs    map[string]int // by body and shard
+	rng     *rand.Rand
+	stop    context.CancelFunc
+	ctx     context.Context
+	busy    sync.WaitGroup
+}
+
+// worldLeaf is a fake target.
+type worldLeaf struct {
+	service  string
+	versions map[uint64]uint32 // shards of each version held, all of them
+	down     bool
+	delay    time.Duration
+	slow     float64 // share of attempts that take slowFactor times delay
+	refuses  float64
+	loses    float64 // share of attempts that run and lose their reply
+	crosses  float64 // share of replies that are of another version
+	inFlight int
+	peak     int
+}
+
+const slowFactor = 20
+
+// daemon is one run of an engine with what it has seen of the leaves.
+type daemon struct {
+	w       *world
+	self    vm.Identity
+	engine  *Engine
+	gates   *admit.Gates
+	mu      sync.Mutex
+	seen    map[string][]leaf.Snapshot
+	crashed bool
+}
+
+// shardsAt is the partition map's size: every second version splits or joins.
+func shardsAt(version uint64) uint32 { return 2 + uint32(version%3) }
+
+// docsOf lists the documents of a shard at a version. Shards of a version are
+// disjoint, and versions differ in what they hold.
+func docsOf(service string, version uint64, shard uint32) []contract.Hit {
+	var hits []contract.Hit
+	for d := range uint64(worldDocs) {
+		if (d+version)%7 != 0 && uint32(d)%shardsAt(version) == shard {
+			hits = append(hits, contract.Hit{ID: fmt.Sprintf("%s-%d", service, d), Score: float64(d)})
+		}
+	}
+	return hits
+}
+
+func newWorld(seed uint64, tree string) *world {
+	w := &world{daemons: map[string]*daemon{}, leaves: map[string]*worldLeaf{}, runs: map[string]int{}}
+	w.rng = rand.New(rand.NewPCG(seed, seed))
+	w.ctx, w.stop = context.WithCancel(context.Background())
+	t := settings.New()
+	for s := range worldServices {
+		path := fmt.Sprintf("/desk/s%d", s)
+		list := ""
+		for l := range 2 {
+			addr := fmt.Sprintf("127.0.0.1:%d", 1000+10*s+l)
+			w.leaves[addr] = &worldLeaf{service: path, versions: map[uint64]uint32{1: shardsAt(1)}, delay: 5 * time.Millisecond}
+			list += fmt.Sprintf("s%d-%d=%s@d%d,", s, l, addr, l)
+		}
+		t = mustApply(t, settings.Edit{Path: path, Name: "leaves", Value: list[:len(list)-1]})
+	}
+	if tree != "" {
+		t = mustApply(t, settings.Edit{Path: "/desk", Name: "snapshot", Value: tree})
+	}
+	members := &vm.Membership{Epoch: 1}
+	for _, n := range []string{"a", "b", "c"} {
+		id := vm.Identity{Name: n, Incarnation: 1, Domain: "d" + n, Region: "r", PeerAddr: n}
+		members.Members = append(members.Members, vm.Member{Identity: id, Phase: vm.Serving})
+	}
+	w.view = &relay.View{ConfigVersion: 1, InForce: 1, Tree: t, Settled: members, Lease: bubbleClock().Add(time.Hour)}
+	for _, m := range members.Members {
+		w.boot(m.Identity)
+	}
+	return w
+}
+
+func mustApply(t *settings.Tree, e settings.Edit) *settings.Tree {
+	next, err := t.Apply(1, []settings.Edit{e})
+	if err != nil {
+		panic(err)
+	}
+	return next
+}
+
+// boot starts a run of a daemon.
+func (w *world) boot(id vm.Identity) {
+	d := &daemon{w: w, self: id, gates: admit.NewGates(bubbleClock), seen: map[string][]leaf.Snapshot{}}
+	d.engine = New(Config{Self: id, Source: w, Gates: d.gates, Sender: d, Catalog: d, Conns: w, Clock: bubbleClock})
+	for _, path := range w.view.Tree.Services("") {
+		eff, _ := w.view.Tree.Effective(path)
+		for i, l := range eff.Leaves {
+			slots, _ := w.view.Share(path, eff, i, id)
+			d.gates.Configure(l.Addr, admit.Limits{Slots: slots, Queue: eff.QueueLimit})
+		}
+	}
+	d.gates.Fence(w.view.Lease)
+	w.mu.Lock()
+	w.daemons[id.Name] = d
+	w.mu.Unlock()
+	d.poll()
+	w.busy.Go(func() { d.pollLoop() })
+}
+
+func (d *daemon) pollLoop() {
+	for {
+		select {
+		case <-time.After(pollEvery):
+			d.poll()
+		case <-d.w.ctx.Done():
+			return
+		}
+	}
+}
+
+// poll reads the leaves' status as the prober does.
+func (d *daemon) poll() {
+	d.w.mu.Lock()
+	defer d.w.mu.Unlock()
+	seen := map[string][]leaf.Snapshot{}
+	for _, path := range d.w.view.Tree.Services("") {
+		eff, _ := d.w.view.Tree.Effective(path)
+		seen[path] = d.w.snapshots(eff.Leaves)
+	}
+	d.mu.Lock()
+	d.seen = seen
+	d.mu.Unlock()
+}
+
+func (w *world) snapshots(leaves []settings.Leaf) []leaf.Snapshot {
+	var snaps []leaf.Snapshot
+	for v := uint64(20); v > 0; v-- {
+		s := leaf.Snapshot{Version: v, Shards: shardsAt(v), Holders: make([][]settings.Leaf, shardsAt(v))}
+		any := false
+		for _, l := range leaves {
+			wl := w.leaves[l.Addr]
+			if _, ok := wl.versions[v]; !ok {
+				continue
+			}
+			any = true
+			for shard := range s.Holders {
+				if !wl.down {
+					s.Holders[shard] = append(s.Holders[shard], l)
+				}
+			}
+		}
+		if any {
+			snaps = append(snaps, s)
+		}
+	}
+	return snaps
+}
+
+// Snapshots implements Catalog.
+func (d *daemon) Snapshots(service string) []leaf.Snapshot {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.seen[service]
+}
+
+// Current implements relay.Source.
+func (w *world) Current() *relay.View     { return w.view }
+func (w *world) Changed() <-chan struct{} { return nil }
+
+type worldReply struct {
+	reply *contract.LeafReply
+	err   *contract.Error
+}
+
+// Send implements scatter.Sender.
+func (d *daemon) Send(ctx context.Context, l settings.Leaf, req *contract.LeafRequest, permit *admit.Permit) (*contract.LeafReply, error) {
+	if err := permit.Check(); err != nil {
+		permit.Release()
+		return nil, err
+	}
+	done := make(chan worldReply, 1)
+	r := *req
+	d.w.busy.Go(func() { done <- d.w.atLeaf(l, &r, permit) })
+	select {
+	case out := <-done:
+		if out.err != nil {
+			return nil, out.err
+		}
+		return out.reply, nil
+	case <-ctx.Done():
+		return nil, &contract.Error{Verdict: contract.MayHaveRun, Reason: contract.ReasonDeadline}
+	}
+}
+
+// atLeaf is one request at a leaf, which goes on when the caller has left.
+func (w *world) atLeaf(l settings.Leaf, req *contract.LeafRequest, permit *admit.Permit) worldReply {
+	time.Sleep(oneWay)
+	w.mu.Lock()
+	wl := w.leaves[l.Addr]
+	shards, held := wl.versions[req.IndexVersion]
+	roll, delay := w.rng.Float64(), wl.delay
+	if w.rng.Float64() < wl.slow {
+		delay *= slowFactor
+	}
+	switch {
+	case wl.down:
+		w.mu.Unlock()
+		permit.Done(admit.Failed, 0)
+		return worldReply{err: contract.Refuse(contract.ReasonTargetFailed, errors.New("connection refused"))}
+	case !held || req.Shard >= shards:
+		w.mu.Unlock()
+		permit.Done(admit.Declined, 0)
+		return worldReply{err: contract.Refuse(contract.ReasonNoReplica, nil)}
+	case roll < wl.refuses:
+		w.mu.Unlock()
+		permit.Done(admit.Refused, 0)
+		return worldReply{err: contract.Refuse(contract.ReasonRefused, nil)}
+	}
+	w.runs[fmt.Sprintf("%s/%d", req.Body, req.Shard)]++
+	wl.inFlight++
+	wl.peak = max(wl.peak, wl.inFlight)
+	loses, crosses := w.rng.Float64() < wl.loses, w.rng.Float64() < wl.crosses
+	w.mu.Unlock()
+	time.Sleep(delay)
+	w.mu.Lock()
+	wl.inFlight--
+	w.mu.Unlock()
+	reply := &contract.LeafReply{ID: req.ID, Attempt: req.Attempt, Service: req.Service, Shard: req.Shard, IndexVersion: req.IndexVersion}
+	reply.Hits = docsOf(req.Service, req.IndexVersion, req.Shard)
+	if crosses {
+		reply.IndexVersion++
+		reply.Hits = docsOf(req.Service, req.IndexVersion+1, req.Shard)
+	}
+	if loses {
+		permit.Done(admit.Failed, 0)
+		return worldReply{err: &contract.Error{Verdict: contract.MayHaveRun, Reason: contract.ReasonTargetFailed}}
+	}
+	permit.Done(admit.Answered, 0)
+	return worldReply{reply: reply}
+}
+
+// Conn implements relay.Conns.
+func (w *world) Conn(_ context.Context, addr string) (drpc.Conn, error) {
+	return &worldConn{w: w, addr: addr}, nil
+}
+
+// worldConn calls a daemon through the encoding that drpc would use.
+type worldConn struct {
+	drpc.Conn
+	w    *world
+	addr string
+}
+
+func (c *worldConn) Close() error { return nil }
+
+func (c *worldConn) Invoke(ctx context.Context, rpc string, _ drpc.Encoding, in, out drpc.Message) error {
+	c.w.mu.Lock()
+	d := c.w.daemons[c.addr]
+	c.w.mu.Unlock()
+	if d.isCrashed() {
+		return &peer.NotSentError{Addr: c.addr, Cause: errors.New("connection refused")}
+	}
+	time.Sleep(oneWay)
+	done := make(chan error, 1)
+	go func() { done <- d.handle(ctx, rpc, clone(in), out) }()
+	select {
+	case err := <-done:
+		time.Sleep(oneWay)
+		if d.isCrashed() {
+			return errors.New("connection reset")
+		}
+		return err
+	case <-ctx.Done():
+		<-done
+		return ctx.Err()
+	}
+}
+
+func clone(m drpc.Message) proto.Message { return proto.Clone(m.(proto.Message)) }
+
+func (d *daemon) handle(ctx context.Context, rpc string, in proto.Message, out drpc.Message) error {
+	var reply proto.Message
+	var err error
+	switch req := in.(type) {
+	case *wire.SubQuery:
+		reply, err = d.engine.Home().Query(ctx, req)
+	case *wire.DescribeRequest:
+		reply, err = d.engine.Home().Describe(ctx, req)
+	case *wire.KeyedQuery:
+		reply, err = d.engine.Home().Keyed(ctx, req)
+	default:
+		return errors.Newf("no such call %s", rpc)
+	}
+	if err == nil {
+		proto.Merge(out.(proto.Message), reply)
+	}
+	return err
+}
+
+func (d *daemon) isCrashed() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.crashed
+}
+
+// crash ends a run: calls to it fail and it sends nothing more. Its shares are not
+// given to anyone else, as while its lease still holds.
+func (w *world) crash(name string) {
+	w.mu.Lock()
+	d := w.daemons[name]
+	w.mu.Unlock()
+	d.mu.Lock()
+	d.crashed = true
+	d.mu.Unlock()
+	d.gates.Fence(0)
+}
+
+// restart starts the next incarnation in the membership.
+func (w *world) restart(name string) {
+	w.mu.Lock()
+	next := *w.view
+	members := &vm.Membership{Epoch: next.Settled.Epoch + 1}
+	var id vm.Identity
+	for _, m := range next.Settled.Members {
+		if m.Name == name {
+			m.Incarnation++
+			id = m.Identity
+		}
+		members.Members = append(members.Members, m)
+	}
+	next.Settled = members
+	w.view = &next
+	w.mu.Unlock()
+	w.boot(id)
+}
+
+func (w *world) engine(name string) *Engine {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.daemons[name].engine
+}
+
+func (w *world) close() {
+	w.stop()
+	w.busy.Wait()
+	synctest.Wait()
+}
+
+// inWorld runs f in a bubble; a failure is reported outside of it.
+func inWorld(t *testing.T, seed uint64, scope string, f func(w *world) error) error {
+	t.Helper()
+	var err error
+	synctest.Test(t, func(*testing.T) {
+		w := newWorld(seed, scope)
+		err = f(w)
+		w.close()
+	})
+	return err
+}
+
+func body(key string) json.RawMessage { return json.RawMessage(fmt.Sprintf("%q", key)) }
