--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -100,50 +100,46 @@
 // A file is exported, somebody else changes the tree, and the old file is
 // applied: it would undo the change in between without anyone having seen it.
 func TestApply(t *testing.T) {
-	Convey("With an exported file", t, func() {
+	Convey("A tree kept in a file", t, func() {
 		c := startTier(t)
 		c.must("set", "/desk/a", "--leaves="+oneLeaf, "--reason=first")
 		file := filepath.Join(t.TempDir(), "tree.yaml")
-		export := func() { So(os.WriteFile(file, []byte(c.must("export").out), 0o600), ShouldBeNil) }
-		export()
+		write := func(text string) { So(os.WriteFile(file, []byte(text), 0o600), ShouldBeNil) }
+		write(c.must("export").out)
 
-		Convey("applying it changes nothing", func() {
-			r := c.must("apply", file, "--reason=again")
-			So(r.out, ShouldContainSubstring, "nothing to change")
-			So(version(c), ShouldEqual, 1)
-		})
-		Convey("a stale base is refused and the change in between is named", func() {
-			c.must("--operator-name=ravi", "set", "/desk", "--hedge-budget=0.05", "--reason=dawn vans")
-			r := c.run("apply", file, "--reason=stale")
-			So(r.code, ShouldEqual, ExitConflict)
-			So(r.err, ShouldContainSubstring, "change 2 by ravi")
-			So(version(c), ShouldEqual, 2)
+		// As exported, it changes nothing.
+		So(c.must("apply", file, "--reason=again").out, ShouldContainSubstring, "nothing to change")
+		So(version(c), ShouldEqual, 1)
 
-			c.must("apply", file, "--reason=seen", "--base=2")
-			So(version(c), ShouldEqual, 3)
-			So(c.must("get", "/desk").out, ShouldNotContainSubstring, "hedge-budget")
-		})
-		Convey("an edited file is applied with its plan shown", func() {
-			text, err := os.ReadFile(file)
-			So(err, ShouldBeNil)
-			edited := strings.Replace(string(text), "leaves:", "hedge-after: 30ms\n          leaves:", 1)
-			So(edited, ShouldNotEqual, string(text))
-			So(os.WriteFile(file, []byte(edited), 0o600), ShouldBeNil)
-			dry := c.run("apply", file, "--reason=-", "--dry-run")
-			So(dry.code, ShouldEqual, ExitOK)
-			So(version(c), ShouldEqual, 1)
-			So(dry.out, ShouldContainSubstring, "hedge-after")
-			r := c.must("apply", file, "--reason=slower hedges")
-			So(r.out, ShouldContainSubstring, "accepted as version 2")
-			So(r.out, ShouldContainSubstring, "in force everywhere after")
-			So(c.must("apply", file, "--reason=twice").out, ShouldContainSubstring, "nothing to change")
-		})
-		Convey("a file with an unknown setting is refused with its name", func() {
-			So(os.WriteFile(file, []byte("settings:\n  hedge-aftr: 3ms\n"), 0o600), ShouldBeNil)
-			r := c.run("apply", file, "--reason=typo")
-			So(r.code, ShouldEqual, ExitInvalid)
-			So(r.err, ShouldContainSubstring, "hedge-aftr")
-		})
+		// Edited, it is applied with its plan shown, and once.
+		text, err := os.ReadFile(file)
+		So(err, ShouldBeNil)
+		edited := strings.Replace(string(text), "leaves:", "hedge-after: 30ms\n          leaves:", 1)
+		So(edited, ShouldNotEqual, string(text))
+		write(edited)
+		So(c.must("apply", file, "--reason=-", "--dry-run").out, ShouldContainSubstring, "hedge-after")
+		So(version(c), ShouldEqual, 1)
+		r := c.must("apply", file, "--reason=slower hedges")
+		So(r.out, ShouldContainSubstring, "accepted as version 2")
+		So(r.out, ShouldContainSubstring, "in force everywhere after")
+		So(c.must("apply", file, "--reason=twice").out, ShouldContainSubstring, "nothing to change")
+
+		// Stale, it is refused, and the change in between is named.
+		write(c.must("export").out)
+		c.must("--operator-name=ravi", "set", "/desk", "--hedge-budget=0.05", "--reason=dawn vans")
+		r = c.run("apply", file, "--reason=stale")
+		So(r.code, ShouldEqual, ExitConflict)
+		So(r.err, ShouldContainSubstring, "change 3 by ravi")
+		So(version(c), ShouldEqual, 3)
+		c.must("apply", file, "--reason=seen", "--base=3")
+		So(version(c), ShouldEqual, 4)
+		So(c.must("get", "/desk").out, ShouldNotContainSubstring, "hedge-budget")
+
+		// With an unknown setting, it is refused with its name.
+		write("settings:\n  hedge-aftr: 3ms\n")
+		r = c.run("apply", file, "--reason=typo")
+		So(r.code, ShouldEqual, ExitInvalid)
+		So(r.err, ShouldContainSubstring, "hedge-aftr")
 	})
 }
 
@@ -154,7 +150,7 @@
 		c.must("set", "/desk", "--hedge-after=20ms", "--reason=tail of counters")
 		c.must("--operator-name=ravi", "set", "/desk/a", "--hedge-budget=0.05", "--reason=dawn vans")
 
-		Convey("they can be read: the stating node, who, when and why", func() {
+		Convey("they can be read, and undone by new versions", func() {
 			var got explanation
 			c.must("--output=json", "explain", "/desk/a").decode(t, &got)
 			found := map[string]reason{}
@@ -182,79 +178,65 @@
 			r = c.must("status")
 			So(r.out, ShouldContainSubstring, "configuration 3, in force everywhere")
 			So(r.out, ShouldContainSubstring, "leader")
-		})
-		Convey("revert undoes a change by a new version", func() {
+
+			r = c.run("diff", "900") // at once, not after --timeout
+			So(r.code, ShouldEqual, ExitInvalid)
+			So(r.err, ShouldContainSubstring, "version=900 does not exist")
+
 			c.must("revert", "2", "--reason=worse")
 			So(version(c), ShouldEqual, 4)
 			out := c.must("get", "/").out
 			So(out, ShouldNotContainSubstring, "hedge-after")
 			So(out, ShouldContainSubstring, "hedge-budget=0.05")
+
+			c.must("revert", "1", "--whole-tree", "--reason=back")
+			So(version(c), ShouldEqual, 5)
+			So(c.must("diff", "1").out, ShouldContainSubstring, "no query service is affected")
 		})
-		Convey("revert refuses where the value was changed since", func() {
+		Convey("a change is not undone where the value was changed again", func() {
 			c.must("set", "/desk", "--hedge-after=40ms", "--reason=slower")
 			r := c.run("revert", "2", "--reason=worse")
 			So(r.code, ShouldEqual, ExitConflict)
 			So(version(c), ShouldEqual, 4)
 		})
-		Convey("revert --whole-tree restores the values of a version", func() {
-			c.must("revert", "1", "--whole-tree", "--reason=back")
-			So(version(c), ShouldEqual, 4)
-			So(c.must("diff", "1").out, ShouldContainSubstring, "no query service is affected")
-		})
-		Convey("a version that was never there is refused at once", func() {
-			r := c.run("diff", "900")
-			So(r.code, ShouldEqual, ExitInvalid)
-			So(r.err, ShouldContainSubstring, "version=900 does not exist")
-		})
 	})
 }
 
 func TestEdits(t *testing.T) {
-	Convey("With a tree", t, func() {
+	Convey("Edits", t, func() {
 		c := startTier(t)
 		c.must("set", "/desk/a", "--leaves="+oneLeaf, "--reason=first")
 
-		Convey("an environment variable states a setting", func() {
-			So(os.Setenv("PEARMOOR_HEDGE_AFTER", "25ms"), ShouldBeNil)
-			defer os.Unsetenv("PEARMOOR_HEDGE_AFTER")
-			c.must("set", "/desk", "--reason=env")
-			So(c.must("get", "/desk").out, ShouldContainSubstring, "hedge-after=25ms")
-		})
-		Convey("a dry run and a bad value change nothing", func() {
-			So(c.must("set", "/desk", "--hedge-after=20ms", "--reason=-", "--dry-run").out, ShouldContainSubstring, "desk/a")
-			r := c.run("set", "/desk", "--hedge-after=20", "--reason=unit")
-			So(r.code, ShouldEqual, ExitInvalid)
-			So(r.err, ShouldContainSubstring, "hedge-after")
-			So(version(c), ShouldEqual, 1)
-		})
-		Convey("stating what is stated changes nothing", func() {
-			So(c.must("set", "/desk/a", "--leaves="+oneLeaf, "--reason=same").out, ShouldContainSubstring, "nothing to change")
-			So(version(c), ShouldEqual, 1)
-		})
-		Convey("unset and remove take back", func() {
-			c.must("set", "/desk", "--hedge-after=20ms", "--reason=tail")
-			c.must("unset", "/desk", "hedge-after", "--reason=back")
-			So(c.must("get", "/").out, ShouldNotContainSubstring, "hedge-after")
-			c.must("remove", "/desk/a", "--reason=closed")
-			So(c.must("get", "/").out, ShouldNotContainSubstring, "leaves")
-		})
-		Convey("the shell is offered the paths of the tree", func() {
-			a := &app{ctx: context.Background()}
-			a.control, a.plaintext = []string{c.addr}, true
-			So(a.completePath(), ShouldContain, "desk/a")
-			a.close()
-		})
+		// None of these changes the tree.
+		So(c.must("set", "/desk", "--hedge-after=20ms", "--reason=-", "--dry-run").out, ShouldContainSubstring, "desk/a")
+		So(c.must("set", "/desk/a", "--leaves="+oneLeaf, "--reason=same").out, ShouldContainSubstring, "nothing to change")
+		So(c.run("set", "/desk", "--hedge-after=20ms").code, ShouldEqual, ExitUsage) // no reason
+		r := c.run("set", "/desk", "--hedge-after=20", "--reason=unit")
+		So(r.code, ShouldEqual, ExitInvalid)
+		So(r.err, ShouldContainSubstring, "hedge-after")
+
 		// The library prints help and completions and then runs the command, if
 		// not stopped: an operator who asks for help would make the change.
-		Convey("help and completion of a whole command do not run it", func() {
-			remove := []string{"remove", "/desk/a", "--reason=x", "--timeout=5s"}
-			So(c.run(append(remove, "--help")...).code, ShouldEqual, ExitOK)
-			So(c.run(append([]string{"--completion-bash"}, remove...)...).code, ShouldEqual, ExitOK)
-			So(version(c), ShouldEqual, 1)
-		})
-		Convey("a change without a reason is a usage error", func() {
-			So(c.run("set", "/desk", "--hedge-after=20ms").code, ShouldEqual, ExitUsage)
-		})
+		remove := []string{"remove", "/desk/a", "--reason=x", "--timeout=5s"}
+		So(c.run(append(remove, "--help")...).code, ShouldEqual, ExitOK)
+		So(c.run(append([]string{"--completion-bash"}, remove...)...).code, ShouldEqual, ExitOK)
+		So(version(c), ShouldEqual, 1)
+
+		// An environment variable states a setting; unset and remove take back.
+		So(os.Setenv("PEARMOOR_HEDGE_AFTER", "25ms"), ShouldBeNil)
+		defer os.Unsetenv("PEARMOOR_HEDGE_AFTER")
+		c.must("set", "/desk", "--reason=env")
+		So(c.must("get", "/desk").out, ShouldContainSubstring, "hedge-after=25ms")
+		c.must("unset", "/desk", "hedge-after", "--reason=back")
+		So(c.must("get", "/").out, ShouldNotContainSubstring, "hedge-after")
+
+		a := &app{ctx: context.Background()}
+		a.control, a.plaintext = []string{c.addr}, true
+		So(a.completePath(), ShouldContain, "desk/a")
+		a.close()
+
+		c.must("remove", "/desk/a", "--reason=closed")
+		So(c.must("get", "/").out, ShouldNotContainSubstring, "leaves")
 	})
 }
 
@@ -286,7 +268,7 @@
 	// the operator who looks for the cause must not be shown an error alone.
 	Convey("Without a majority, status shows what is known and a change is refused for certain", t, func() {
 		c := startVoter(t, map[uint64]string{2: "127.0.0.1:1"})
-		r := c.run("status")
+		r := c.run("--timeout=1s", "status")
 		So(r.code, ShouldEqual, ExitOK)
 		So(r.out, ShouldContainSubstring, "no leader answers")
 		So(c.run("--timeout=1s", "set", "/desk", "--hedge-after=20ms", "--reason=x").code, ShouldEqual, ExitUnreachable)
