--- a/internal/directory/bench_test.go
+++ b/internal/directory/bench_test.go
@@ -115,3 +115,23 @@
 		})
 	}
 }
+
+// BenchmarkListSize reports the cost of one list as the tier grows: of a path
+// over so many services that homes are not looked at, and of one service whose
+// homes the view has not hashed yet, as after each change of the membership.
+func BenchmarkListSize(b *testing.B) {
+	many := tree(b, maxServices+1)
+	for _, path := range []string{"/", "desk/s1"} {
+		for _, n := range []int{12, 120, 1200, 3600} {
+			b.Run(fmt.Sprintf("%s-daemons-%d", path, n), func(b *testing.B) {
+				v := view(many, members(n, 17))
+				b.ReportAllocs()
+				for range b.N {
+					if _, err := List(v, path, vm.Identity{Region: "valley"}, testNow); err != nil {
+						b.Fatal(err)
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/directory/list.go
+++ b/internal/directory/list.go
@@ -1,7 +1,9 @@
 package directory
 
 import (
+	"iter"
 	"math/rand/v2"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -16,6 +18,8 @@
 	// maxServices bounds the work of one list. A path with more query services
 	// below it has homes on so many daemons that preferring them gains nothing.
 	maxServices = 64
+	// drawn is from how many members of a region the fall-back is chosen.
+	drawn = 4 * maxAddresses
 	// retryAfterMS is when a caller that got no list may ask again.
 	retryAfterMS = 1000
 )
@@ -43,48 +47,47 @@
 		err := contract.Refuse(contract.ReasonUnknownPath, errors.Newf("no query service at or below %q", path))
 		return nil, err
 	}
-	open := listable(v, self, now)
-	if len(open) == 0 {
-		return nil, refuse(contract.ReasonUnconfirmed, errors.New("no daemon is known to be serving"))
-	}
-	homes := homeNames(v, services)
-	near, far := split(open, func(m vm.Member) bool { return homes[m.Name] })
+	f := filter{view: v, self: self, alone: !v.Confirmed(now)}
 	used := make(map[string]int)
+	near := f.homes(services)
 	ordered := l.spread(nil, near, used)
 	region := self.Region
 	if len(ordered) > 0 {
 		region = ordered[0].Region
 	}
-	beside, away := split(far, func(m vm.Member) bool { return m.Region == region })
+	beside, away := l.others(f, near, region)
 	ordered = l.spread(ordered, beside, used)
-	return addresses(l.spread(ordered, away, used)), nil
+	ordered = l.spread(ordered, away, used)
+	if len(ordered) == 0 {
+		return nil, refuse(contract.ReasonUnconfirmed, errors.New("no daemon is known to be serving"))
+	}
+	return addresses(ordered), nil
 }
 
 func refuse(reason contract.Reason, cause error) error {
 	return &contract.Error{Verdict: contract.NotRun, Reason: reason, RetryAfter: retryAfterMS, Cause: cause}
 }
 
-// listable returns the members that callers may be sent to.
-func listable(v *relay.View, self vm.Identity, now vm.Instant) []vm.Member {
-	var out []vm.Member
-	for _, m := range v.Settled.Members {
-		if m.Phase != vm.Serving || m.CallerAddr == "" {
-			continue
-		}
-		if !staysServing(v.Pending, m) {
-			continue
-		}
-		if m.Name == self.Name && (m.Incarnation != self.Incarnation || !v.Confirmed(now)) {
-			continue
-		}
-		out = append(out, m)
+// filter knows which members callers may be sent to.
+type filter struct {
+	view  *relay.View
+	self  vm.Identity
+	alone bool // self has no lease
+}
+
+func (f *filter) lists(m *vm.Member) bool {
+	if m.Phase != vm.Serving || m.CallerAddr == "" {
+		return false
 	}
-	return out
+	if m.Name == f.self.Name && (f.alone || m.Incarnation != f.self.Incarnation) {
+		return false
+	}
+	return staysServing(f.view.Pending, m)
 }
 
 // staysServing reports whether m is still Serving in the membership to come. A
 // caller keeps its list past the moment that membership settles.
-func staysServing(pending *vm.Membership, m vm.Member) bool {
+func staysServing(pending *vm.Membership, m *vm.Member) bool {
 	if pending == nil {
 		return true
 	}
@@ -92,32 +95,87 @@
 	return ok && next.Phase == vm.Serving && next.Incarnation == m.Incarnation
 }
 
-func homeNames(v *relay.View, services []string) map[string]bool {
-	names := make(map[string]bool)
+// homes returns the homes of services that may be listed, each once.
+func (f *filter) homes(services []string) []*vm.Member {
 	if len(services) > maxServices {
-		return names
+		return nil
 	}
+	var out []*vm.Member
 	for _, service := range services {
-		e, ok := v.Tree.Effective(service)
+		e, ok := f.view.Tree.Effective(service)
 		if !ok {
 			continue
 		}
-		for _, home := range v.HomesOf(service, e) {
-			names[home.Name] = true
+		homes := f.view.HomesOf(service, e)
+		for i := range homes {
+			if !holds(out, &homes[i]) && f.lists(&homes[i]) {
+				out = append(out, &homes[i])
+			}
+		}
+	}
+	return out
+}
+
+func holds(members []*vm.Member, m *vm.Member) bool {
+	for _, other := range members {
+		if other.Name == m.Name {
+			return true
+		}
+	}
+	return false
+}
+
+// others draws members besides near at random: enough of the region to choose
+// from, or all there are, and those of other regions met on the way. It looks at
+// no more members than that takes, however many there are.
+func (l lister) others(f filter, near []*vm.Member, region string) (beside, away []*vm.Member) {
+	members := f.view.Settled.Members
+	for i := range l.walk(len(members)) {
+		m := &members[i]
+		if len(beside) == drawn {
+			break
+		}
+		if holds(near, m) || !f.lists(m) {
+			continue
+		}
+		if m.Region == region {
+			beside = append(beside, m)
+		} else if len(away) < drawn {
+			away = append(away, m)
 		}
 	}
-	return names
+	return beside, away
 }
 
-func split(members []vm.Member, first func(vm.Member) bool) (yes, no []vm.Member) {
-	for _, m := range members {
-		if first(m) {
-			yes = append(yes, m)
-		} else {
-			no = append(no, m)
+// walk yields each of 0..n-1 once, from a random start by a random stride. The
+// first is uniform, and neighbours in the list, whose names often name their
+// failure domain, do not come together.
+func (l lister) walk(n int) iter.Seq[int] {
+	return func(yield func(int) bool) {
+		if n == 0 {
+			return
+		}
+		at, stride := l.rand(n), 1
+		if n > 2 {
+			stride = 1 + l.rand(n-1)
+		}
+		for gcd(stride, n) != 1 {
+			stride++
+		}
+		for range n {
+			if !yield(at) {
+				return
+			}
+			at = (at + stride) % n
 		}
 	}
-	return yes, no
+}
+
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
 }
 
 // spread adds members to out at random, up to maxAddresses, but takes the next
@@ -125,7 +183,8 @@
 // tried after a failed one should not be lost to the same fault. The first place
 // is uniform over members. Were the domains drawn first, a daemon alone in its
 // domain would get the callers that three share elsewhere.
-func (l lister) spread(out, members []vm.Member, used map[string]int) []vm.Member {
+func (l lister) spread(out, members []*vm.Member, used map[string]int) []*vm.Member {
+	members = slices.Clone(members)
 	l.shuffle(members)
 	for len(members) > 0 && len(out) < maxAddresses {
 		best := 0
@@ -141,14 +200,14 @@
 	return out
 }
 
-func (l lister) shuffle(members []vm.Member) {
+func (l lister) shuffle(members []*vm.Member) {
 	for i := len(members) - 1; i > 0; i-- {
 		j := l.rand(i + 1)
 		members[i], members[j] = members[j], members[i]
 	}
 }
 
-func addresses(members []vm.Member) []contract.Address {
+func addresses(members []*vm.Member) []contract.Address {
 	out := make([]contract.Address, len(members))
 	for i, m := range members {
 		out[i] = contract.Address{VM: m.Name, URL: m.CallerAddr, Domain: m.Domain}
