--- a/internal/cli/change.go
+++ b/internal/cli/change.go
@@ -59,7 +59,7 @@
 // change makes edits on the tree, shows what they do, and waits until they are in
 // force. old is the tree at base.
 func (a *app) change(f *changeFlags, old *settings.Tree, base uint64, edits []settings.Edit) error {
-	out := &changed{DryRun: f.dryRun, Version: base}
+	out := &changed{DryRun: f.dryRun, Version: base, Edits: []settings.Edit{}, Effects: []settings.Effect{}}
 	next, err := old.Apply(base+1, edits)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/cli/inforce_test.go
@@ -0,0 +1,86 @@
+package cli
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"storj.io/drpc/drpcmux"
+
+	"pearmoor/internal/link/peer"
+	"pearmoor/internal/link/wire"
+)
+
+// slowTier accepts every change; entry-3 confirms a version at the confirmAt-th
+// time it is asked for.
+type slowTier struct {
+	wire.DRPCControlUnimplementedServer
+	confirmAt int32
+	asked     atomic.Int32
+}
+
+func (s *slowTier) Read(context.Context, *wire.ReadRequest) (*wire.ReadReply, error) {
+	return &wire.ReadReply{}, nil
+}
+
+func (s *slowTier) Change(context.Context, *wire.ChangeRequest) (*wire.ChangeReply, error) {
+	return &wire.ChangeReply{Outcome: wire.Outcome_ACCEPTED, Version: 1}, nil
+}
+
+func (s *slowTier) InForce(context.Context, *wire.InForceRequest) (*wire.InForceReply, error) {
+	if s.asked.Add(1) >= s.confirmAt {
+		return &wire.InForceReply{InForce: true}, nil
+	}
+	return &wire.InForceReply{Unconfirmed: []string{"entry-3"}}, nil
+}
+
+func (s *slowTier) start(t *testing.T) (addr string, stop func()) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterControl(mux, s); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- peer.Serve(ctx, lis, mux, nil) }()
+	return lis.Addr().String(), func() {
+		cancel()
+		<-done
+	}
+}
+
+// A daemon can't be reached when a change is accepted. The operator must learn
+// both that it will not be lost and who does not go by it yet.
+func TestNotInForce(t *testing.T) {
+	Convey("A change that is not in force everywhere", t, func() {
+		set := []string{"set", "/desk", "--hedge-after=20ms", "--reason=x"}
+		Convey("is reported as accepted, with who has not confirmed", func() {
+			tier := &slowTier{confirmAt: 1 << 30}
+			addr, stop := tier.start(t)
+			defer stop()
+			c := testTier(t, addr)
+			r := c.run(append(set, "--wait=300ms")...)
+			So(r.code, ShouldEqual, ExitUnconfirmed)
+			So(r.out, ShouldContainSubstring, "accepted as version 1")
+			So(r.out, ShouldContainSubstring, "entry-3")
+			So(r.err, ShouldContainSubstring, "will come into force")
+
+			So(c.run(append(set, "--wait=0s")...).code, ShouldEqual, ExitOK)
+		})
+		Convey("is waited for", func() {
+			tier := &slowTier{confirmAt: 3}
+			addr, stop := tier.start(t)
+			defer stop()
+			r := testTier(t, addr).must(append(set, "--wait=20s")...)
+			So(r.out, ShouldContainSubstring, "in force everywhere after")
+			So(tier.asked.Load(), ShouldEqual, 3)
+		})
+	})
+}
+
+func testTier(t *testing.T, addr string) *tier { return &tier{t: t, addr: addr} }
