--- a/internal/link/peer/health_test.go
+++ b/internal/link/peer/health_test.go
@@ -121,6 +121,25 @@
 	return value
 }
 
+// VMs are replaced for years under a daemon that goes on: what its pool knows of
+// addresses that are gone must not pile up.
+func TestPoolForgets(t *testing.T) {
+	Convey("A pool forgets addresses that nobody calls", t, func() {
+		pool := NewPool(nil)
+		defer pool.Close()
+		for _, addr := range []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"} {
+			_, err := pool.Conn(context.Background(), addr)
+			So(err, ShouldBeNil)
+		}
+		pool.peers["127.0.0.1:2"].slots <- struct{}{} // a call under way
+		pool.forgetUnused(time.Now())
+		So(len(pool.peers), ShouldEqual, 3)
+		pool.forgetUnused(time.Now().Add(2 * forgetAfter))
+		So(len(pool.peers), ShouldEqual, 1)
+		So(pool.peers, ShouldContainKey, "127.0.0.1:2")
+	})
+}
+
 // Slow answers pile up at one home. Connections to it must not grow with the
 // calls: the one too many waits for its turn, and if its time ends first it is
 // certain that it was not sent.
--- a/internal/link/peer/pool.go
+++ b/internal/link/peer/pool.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,6 +25,8 @@
 	// made together are not replaced together.
 	maxAge    = 10 * time.Minute
 	ageSpread = 5
+	// forgetAfter is how long an unused address is remembered.
+	forgetAfter = time.Hour
 )
 
 // Pool keeps connections to other processes and reuses them. The zero value is
@@ -58,12 +61,24 @@
 	}
 	to, ok := p.peers[addr]
 	if !ok {
+		p.forgetUnused(time.Now())
 		to = &address{slots: make(chan struct{}, connsPerAddr)}
 		p.peers[addr] = to
 	}
+	to.used.Store(time.Now().UnixNano())
 	return &handle{pool: p, addr: addr, to: to, closed: make(chan struct{})}, nil
 }
 
+// forgetUnused drops what is known of addresses that nobody calls any more. VMs
+// are replaced every day; in a daemon that runs for years they would pile up.
+func (p *Pool) forgetUnused(now time.Time) {
+	for addr, to := range p.peers {
+		if len(to.slots) == 0 && now.Sub(time.Unix(0, to.used.Load())) > forgetAfter {
+			delete(p.peers, addr)
+		}
+	}
+}
+
 // Close closes the idle connections and refuses new calls. Calls under way go on.
 func (p *Pool) Close() error {
 	p.mu.Lock()
@@ -81,6 +96,7 @@
 // address is what a pool knows of one address.
 type address struct {
 	slots chan struct{} // one for each call under way
+	used  atomic.Int64  // Unix time of the newest handle or call, ns
 	health
 }
 
@@ -177,6 +193,7 @@
 }
 
 func (h *handle) acquire(ctx context.Context) error {
+	h.to.used.Store(time.Now().UnixNano())
 	select {
 	case <-h.closed:
 		return errors.New("the connection is closed")
