Tell only leaves that listen, and know which leaves were asked

Cause: a leaf that ignores cancellation cost a connection for each attempt given up, and freed nothing. A home with a new share reported shards as lost that it had not asked for yet. What a leaf answers instead of a reply after it was told is no failure. Prober.Known says whether every leaf of a service has been asked; the first probe comes within 10 ms (100 before).

--- /dev/null
+++ b/internal/link/leaf/cancel_bench_test.go
@@ -0,0 +1,116 @@
+package leaf
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"pearmoor/internal/admit"
+	"pearmoor/internal/contract"
+	"pearmoor/internal/settings"
+)
+
+const (
+	cancelUsual     = 2 * time.Millisecond
+	cancelStraggler = 100 * time.Millisecond
+	cancelAfter     = 10 * time.Millisecond // a hedge has won by then
+	cancelEvery     = 10                    // one request in so many straggles
+)
+
+// BenchmarkCancel compares what may be done with a straggler that its caller
+// has given up: close the connection and give the permit back at once, wait for
+// the reply, or wait for as long as a connection costs and then tell the leaf.
+// The leaf gives this daemon one slot and honours cancellation or does not.
+// A request that was given up counts as done. most-in-flight above 1 is overload.
+func BenchmarkCancel(b *testing.B) {
+	for _, honours := range []bool{true, false} {
+		for _, way := range []string{"close", "wait", "tell"} {
+			b.Run(fmt.Sprintf("%s/honours=%v", way, honours), func(b *testing.B) {
+				f := stragglingLeaf(b, honours)
+				link := Link{Conns: 8, ConnectCost: 6 * time.Millisecond}
+				if way == "wait" {
+					link.ConnectCost = time.Hour
+				}
+				r := newRig(b, f.leaf(), 1, link)
+				send := func(ctx context.Context, p *admit.Permit) {
+					r.sender.Send(ctx, r.leaf, request("1"), p)
+				}
+				if way == "close" {
+					send = closing(b, r.leaf)
+				}
+				b.ResetTimer()
+				f.load(b, r.gates, r.leaf, send)
+				b.ReportMetric(float64(f.most.Load()), "most-in-flight")
+				b.ReportMetric(float64(f.opened.Load())/float64(b.N)*100, "conns/100req")
+			})
+		}
+	}
+}
+
+func stragglingLeaf(b *testing.B, honours bool) *fakeLeaf {
+	f := newFakeLeaf(b)
+	var n atomic.Int64
+	f.handle = func(w http.ResponseWriter, r *http.Request, q *contract.LeafRequest) {
+		d := cancelUsual
+		if n.Add(1)%cancelEvery == 0 {
+			d = cancelStraggler
+		}
+		var gone <-chan struct{}
+		if honours {
+			gone = r.Context().Done()
+		}
+		select {
+		case <-time.After(d):
+			answer(w, r, q)
+		case <-gone:
+		}
+	}
+	return f
+}
+
+// closing is a net/http client whose caller's end closes the connection.
+func closing(b *testing.B, leaf settings.Leaf) func(context.Context, *admit.Permit) {
+	tr := &http.Transport{MaxConnsPerHost: 8}
+	b.Cleanup(tr.CloseIdleConnections)
+	c := &http.Client{Transport: tr}
+	return func(ctx context.Context, p *admit.Permit) {
+		defer p.Done(admit.Answered, 0)
+		body, _ := json.Marshal(request("1"))
+		req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+leaf.Addr+contract.LeafQueryPath, bytes.NewReader(body))
+		if resp, err := c.Do(req); err == nil {
+			io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+		}
+	}
+}
+
+// load sends b.N requests from two callers.
+func (f *fakeLeaf) load(b *testing.B, g *admit.Gates, leaf settings.Leaf, send func(context.Context, *admit.Permit)) {
+	var left atomic.Int64
+	left.Store(int64(b.N))
+	var wg sync.WaitGroup
+	for range 2 {
+		wg.Go(func() {
+			for left.Add(-1) >= 0 {
+				p, err := g.Acquire(context.Background(), leaf.Addr, settings.Urgent)
+				if err != nil {
+					b.Error(err)
+					return
+				}
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				timer := time.AfterFunc(cancelAfter, cancel)
+				send(ctx, p)
+				timer.Stop()
+				cancel()
+			}
+		})
+	}
+	wg.Wait()
+}
--- a/internal/link/leaf/cancel_test.go
+++ b/internal/link/leaf/cancel_test.go
@@ -125,6 +125,46 @@
 	})
 }
 
+// A leaf answers in full however often it is told to stop. Telling it frees
+// nothing and costs a connection each time, so after a few it is told rarely.
+func TestDeafLeafKeepsItsConnections(t *testing.T) {
+	Convey("A leaf that ignores cancellation", t, func() {
+		f := newFakeLeaf(t)
+		release := make(chan struct{})
+		f.handle = func(w http.ResponseWriter, r *http.Request, q *contract.LeafRequest) {
+			select {
+			case <-release:
+			case <-time.After(2 * generous):
+			}
+			answer(w, r, q)
+		}
+		r := newRig(t, f.leaf(), 1, Link{Conns: 4})
+		r.sender.pool(r.leaf.Addr).cost = time.Nanosecond
+		const attempts = 20
+		for range attempts {
+			before := cancelled.Count()
+			told := r.sender.pool(r.leaf.Addr).hearing.ignored < deafAfter
+			ctx, cancel := context.WithCancel(deadline(t, generous))
+			done := r.sendAsync(ctx, t, "1")
+			eventually(t, "the leaf works", func() bool { return f.inFlight.Load() == 1 })
+			cancel()
+			<-done
+			if told {
+				eventually(t, "the leaf is told", func() bool { return cancelled.Count() > before })
+				time.Sleep(2 * r.sender.pool(r.leaf.Addr).connectCost()) // what comes sooner has crossed with the word
+			}
+			select {
+			case release <- struct{}{}:
+			case <-time.After(generous):
+				t.Fatal("the leaf does not wait")
+			}
+			eventually(t, "the leaf is done", func() bool { return r.inFlight() == 0 })
+		}
+		So(f.opened.Load(), ShouldBeLessThanOrEqualTo, deafAfter+1)
+		So(f.most.Load(), ShouldEqual, 1)
+	})
+}
+
 // A leaf takes a request and is never heard of again. Its slot and connection
 // are given up a fixed time after the deadline that it was told, the gate counts
 // a failure, and nothing is left behind.
--- a/internal/link/leaf/exchange.go
+++ b/internal/link/leaf/exchange.go
@@ -42,9 +42,10 @@
 	killed atomic.Bool        // closed by kill
 	cancel context.CancelFunc // ends the wait for a connection
 
-	mu    sync.Mutex
-	conn  *conn // nil before and after its use, when it may be another exchange's
-	timer *time.Timer
+	mu     sync.Mutex
+	conn   *conn // nil before and after its use, when it may be another exchange's
+	timer  *time.Timer
+	toldAt vm.Instant // 0: not told to stop
 
 	done  chan struct{}
 	reply *contract.LeafReply
@@ -146,14 +147,19 @@
 
 // leave is called when the caller no longer waits. It reports whether nothing
 // was and will be sent. Otherwise the reply is let come in for as long as a new
-// connection would cost; then the leaf is told, and at last the connection is closed.
+// connection would cost, or until the deadline if the leaf is known not to
+// listen; then the leaf is told, and at last the connection is closed.
 func (x *exchange) leave() (nothingSent bool) {
 	x.left.Store(true)
 	if x.state.CompareAndSwap(pending, aborted) {
 		x.cancel()
 		return true
 	}
-	x.schedule(x.pool.connectCost(), x.tell)
+	wait := x.pool.connectCost()
+	if !x.pool.worthTelling() {
+		wait = max(wait, x.deadline.Sub(x.clock()))
+	}
+	x.schedule(wait, x.tell)
 	return false
 }
 
@@ -170,6 +176,7 @@
 	x.mu.Lock()
 	if x.conn != nil {
 		cancelled.Inc(1)
+		x.toldAt = x.clock()
 		x.conn.wire.closeWrite()
 	}
 	x.mu.Unlock()
--- a/internal/link/leaf/pool.go
+++ b/internal/link/leaf/pool.go
@@ -42,6 +42,7 @@
 	idle    []*conn     // the last used is taken first
 	waiting []chan struct{}
 	cost    time.Duration // learnt connect cost
+	hearing hearing
 }
 
 var (
--- a/internal/link/leaf/prober.go
+++ b/internal/link/leaf/prober.go
@@ -18,9 +18,10 @@
 const (
 	defaultInterval = time.Second
 	probeTimeoutMin = 500 * time.Millisecond
-	firstProbe      = 100 * time.Millisecond // a new leaf is asked within this time
-	probeJitter     = 0.2                    // of the interval, either way
-	staleIntervals  = 5                      // a status older than so many intervals does not make a leaf live
+	firstProbe      = 10 * time.Millisecond // a new leaf is asked within this time
+	knownLimit      = time.Second           // a new leaf that is silent for so long counts as tried
+	probeJitter     = 0.2                   // of the interval, either way
+	staleIntervals  = 5                     // a status older than so many intervals does not make a leaf live
 	staleMin        = 3 * time.Second
 )
 
@@ -61,6 +62,8 @@
 	leaf     settings.Leaf
 	every    time.Duration
 	services []string
+	since    time.Time // watched from then on
+	tried    bool      // a probe has ended
 	due      time.Time
 	probing  bool
 	failing  bool
@@ -142,7 +145,8 @@
 		return
 	}
 	if t == nil {
-		t = &target{due: time.Now().Add(rand.N(firstProbe))}
+		now := time.Now()
+		t = &target{since: now, due: now.Add(rand.N(firstProbe))}
 	}
 	t.leaf, t.every, t.services = l, every, []string{service}
 	p.targets[l.Addr] = t
@@ -220,6 +224,24 @@
 	return s.catalog
 }
 
+// Known reports whether every leaf of a service has been asked for its status
+// since it is watched, so that what the catalog does not have is missing and
+// not just unknown yet.
+func (p *Prober) Known(service string) bool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	s := p.services[service]
+	if s == nil {
+		return false
+	}
+	for _, l := range s.leaves {
+		if t := p.targets[l.Addr]; !t.tried && time.Since(t.since) < knownLimit {
+			return false
+		}
+	}
+	return true
+}
+
 func (p *Prober) signal() {
 	select {
 	case p.wake <- struct{}{}:
@@ -286,7 +308,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t := d.target
-	t.probing = false
+	t.probing, t.tried = false, true
 	if err != nil {
 		probesFailed.Inc(1)
 		if !t.failing {
--- a/internal/link/leaf/prober_test.go
+++ b/internal/link/leaf/prober_test.go
@@ -191,3 +191,30 @@
 		So(err, ShouldNotBeNil)
 	})
 }
+
+// A home that has just been given a share knows nothing of its leaves yet. It
+// must be able to say so, else it reports shards as lost that it has not asked
+// for. A leaf that is down must not keep it from serving the others.
+func TestKnownOnceEveryLeafWasAsked(t *testing.T) {
+	Convey("A service with one leaf that is up and one that is down", t, func() {
+		f := newFakeLeaf(t)
+		f.set(func() { holding(f) })
+		r, p, e := watching(t, f, "")
+		So(p.Known("/s"), ShouldBeTrue)
+		So(p.Known("/other"), ShouldBeFalse)
+		down := settings.Leaf{Name: "b", Addr: "127.0.0.1:1"}
+		r.sender.Limit(down, Link{Conns: 1})
+		more := *e
+		more.Leaves = append(more.Leaves, down)
+		p.Watch("/s", &more)
+		eventually(t, "the one that is down was tried", func() bool { return p.Known("/s") })
+		So(p.holders(), ShouldEqual, 1)
+	})
+	Convey("A prober that has asked nobody yet", t, func() {
+		f := newFakeLeaf(t)
+		r := newRig(t, f.leaf(), 1, Link{Conns: 1})
+		p := NewProber(ProberConfig{Sender: r.sender, Gates: r.gates})
+		p.Watch("/s", &settings.Effective{Path: "/s", Leaves: []settings.Leaf{r.leaf}})
+		So(p.Known("/s"), ShouldBeFalse)
+	})
+}
--- a/internal/link/leaf/roundtrip.go
+++ b/internal/link/leaf/roundtrip.go
@@ -66,12 +66,32 @@
 		return x.failed(c, err)
 	}
 	x.setConn(nil)
+	half := c.wire.half.Load()
 	if resp.Close {
 		c.close()
 	} else {
 		x.pool.put(c)
 	}
-	return judge(resp, buf.Bytes(), &x.req)
+	out := judge(resp, buf.Bytes(), &x.req)
+	if half {
+		x.told(&out)
+	}
+	return out
+}
+
+// told judges the answer of a leaf that was told to stop: what is not a reply
+// is the leaf's way of saying that it has, and no fault. A whole reply right
+// after it was told has crossed with the word and says nothing.
+func (x *exchange) told(out *outcome) {
+	x.mu.Lock()
+	after := x.clock().Sub(x.toldAt)
+	x.mu.Unlock()
+	if out.reply == nil || after > x.pool.connectCost() {
+		x.pool.told(out.reply == nil)
+	}
+	if out.reply == nil && out.learnt == admit.Failed {
+		out.learnt = admit.Cancelled
+	}
 }
 
 // failed judges an exchange without a whole reply and closes its connection.
@@ -91,7 +111,7 @@
 	}
 	out := broken(contract.ReasonTargetFailed, err)
 	if half && !x.killed.Load() {
-		out.learnt = admit.Cancelled
+		x.told(&out)
 	}
 	return out
 }
