--- /dev/null
+++ b/bench/control/main.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+)
+
+// options are the command's flags.
+type options struct {
+	bin      string
+	sizes    []int
+	controls int
+	changes  int
+	rest     time.Duration
+	above    int
+	fanout   int
+	memory   int
+	out      string
+}
+
+func main() {
+	opt := parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := run(ctx, opt); err != nil {
+		fmt.Fprintf(os.Stderr, "control: %v\n", err)
+		os.Exit(1)
+	}
+}
+
+func parse() *options {
+	opt := &options{}
+	app := kingpin.New("control", "Measures what control costs at several sizes of a tier.")
+	app.Flag("bin", "Folder with pearmoord.").Default("bin").StringVar(&opt.bin)
+	app.Flag("size", "Entry daemons of a tier; repeat for each size.").Default("12", "50", "100", "200").IntsVar(&opt.sizes)
+	app.Flag("controls", "Control VMs of each tier.").Default("3").IntVar(&opt.controls)
+	app.Flag("changes", "Changes to time at each size.").Default("60").IntVar(&opt.changes)
+	app.Flag("rest", "How long a tier at rest is measured.").Default("20s").DurationVar(&opt.rest)
+	app.Flag("relay-above", "As pearmoord's; 0 leaves its default.").IntVar(&opt.above)
+	app.Flag("relay-fanout", "As pearmoord's; 0 leaves its default.").IntVar(&opt.fanout)
+	app.Flag("memory", "Most MB that all daemons may use together; a size that exceeds it is given up.").Default("12000").IntVar(&opt.memory)
+	app.Flag("out", "Also write the results here as JSON.").StringVar(&opt.out)
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	return opt
+}
+
+func run(ctx context.Context, opt *options) error {
+	var results []result
+	for _, size := range opt.sizes {
+		r, err := measure(ctx, opt, size)
+		if err != nil {
+			return fmt.Errorf("%d daemons: %w", size, err)
+		}
+		results = append(results, r)
+		printResults(os.Stdout, results[len(results)-1:], len(results) == 1)
+	}
+	printSlopes(os.Stdout, results)
+	if opt.out == "" {
+		return nil
+	}
+	body, err := json.MarshalIndent(results, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(opt.out, body, 0o644)
+}
--- /dev/null
+++ b/bench/control/measure.go
@@ -0,0 +1,276 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+	"github.com/prometheus/procfs"
+	"gonum.org/v1/gonum/stat"
+
+	"pearmoor/internal/link/peer"
+	"pearmoor/internal/link/wire"
+)
+
+const (
+	// settle lets relays and leases find their steady state before the rest.
+	settle = 8 * time.Second
+	// gap between changes, so that each is timed alone.
+	gap      = 100 * time.Millisecond
+	callMax  = 20 * time.Second
+	megabyte = 1 << 20
+)
+
+// result is what one size gave.
+type result struct {
+	Daemons    int       `json:"daemons"`
+	Relays     int       `json:"relays"`
+	ChangesMS  []float64 `json:"changes_ms"` // change sent to in force everywhere, sorted
+	P50        float64   `json:"p50_ms"`
+	P99        float64   `json:"p99_ms"`
+	Entry      cost      `json:"entry"`     // mean over entries that are no relay
+	Relay      cost      `json:"relay"`     // mean over entries that are
+	RelayMax   cost      `json:"relay_max"` // the most of each over relays
+	Leader     cost      `json:"leader"`    // the control VM that used most
+	Follower   cost      `json:"follower"`  // mean over the others
+	MachineCPU float64   `json:"all_cores"` // all daemons together, in cores
+}
+
+// cost is what one daemon uses at rest.
+type cost struct {
+	CPU     float64 `json:"cpu_percent"` // of one core
+	RSS     float64 `json:"rss_mb"`
+	Payload float64 `json:"payload_bytes_per_s"` // read and written, without TCP/IP headers
+	Calls   float64 `json:"syscalls_per_s"`      // reads and writes
+}
+
+func measure(ctx context.Context, opt *options, size int) (result, error) {
+	r := result{Daemons: size}
+	t, err := startTier(ctx, opt, size)
+	if t != nil {
+		defer t.stop()
+	}
+	if err != nil {
+		return r, err
+	}
+	if err := t.checkMemory(); err != nil {
+		return r, err
+	}
+	if r.ChangesMS, err = t.timeChanges(ctx, opt.changes); err != nil {
+		return r, err
+	}
+	r.P50 = stat.Quantile(0.5, stat.Empirical, r.ChangesMS, nil)
+	r.P99 = stat.Quantile(0.99, stat.Empirical, r.ChangesMS, nil)
+	return r, t.rest(ctx, &r)
+}
+
+// timeChanges makes changes one after another, and times each from its being sent
+// until control says that it is in force everywhere.
+func (t *tier) timeChanges(ctx context.Context, n int) ([]float64, error) {
+	pool := peer.NewPool(nil)
+	defer pool.Close()
+	addr := t.controls[0].peer
+	var took []float64
+	for i := range n {
+		start := time.Now()
+		next, err := change(ctx, pool, addr, i)
+		if err != nil {
+			return nil, err
+		}
+		addr = next
+		took = append(took, float64(time.Since(start).Microseconds())/1000)
+		time.Sleep(gap)
+	}
+	slices.Sort(took)
+	return took, nil
+}
+
+// change makes one change and waits until it is in force. It returns the address
+// of the leader.
+func change(ctx context.Context, pool *peer.Pool, addr string, i int) (string, error) {
+	ctx, cancel := context.WithTimeout(peer.WithOperator(ctx, "bench"), callMax)
+	defer cancel()
+	for {
+		conn, err := pool.Conn(ctx, addr)
+		if err != nil {
+			return addr, err
+		}
+		client := wire.NewDRPCControlClient(conn)
+		read, err := client.Read(ctx, &wire.ReadRequest{})
+		if err != nil {
+			return addr, err
+		}
+		if read.GetRedirect() != "" {
+			addr = read.GetRedirect()
+			continue
+		}
+		reply, err := client.Change(ctx, &wire.ChangeRequest{
+			ChangeId:    fmt.Sprintf("bench-%d-%d", i, time.Now().UnixNano()),
+			BaseVersion: read.GetVersion(),
+			Edits:       []*wire.Edit{{Path: "/desk", Name: "queue-limit", Value: fmt.Sprint(64 + i%8)}},
+			Reason:      "bench",
+			Operator:    "bench",
+		})
+		if err != nil {
+			return addr, err
+		}
+		if reply.GetOutcome() != wire.Outcome_ACCEPTED || reply.GetRedirect() != "" {
+			return addr, errors.Newf("change %d: %v", i, reply)
+		}
+		force, err := client.InForce(ctx, &wire.InForceRequest{Version: reply.GetVersion(), WaitMs: uint32(callMax.Milliseconds())})
+		if err != nil {
+			return addr, err
+		}
+		if !force.GetInForce() {
+			return addr, errors.Newf("version %d is not in force: %v", reply.GetVersion(), force)
+		}
+		return addr, nil
+	}
+}
+
+// rest measures every process over the same time while nothing changes.
+func (t *tier) rest(ctx context.Context, r *result) error {
+	all := append(slices.Clone(t.controls), t.entries...)
+	if err := pause(ctx, settle); err != nil {
+		return err
+	}
+	before := make([]usage, len(all))
+	for i, d := range all {
+		var err error
+		if before[i], err = d.usage(); err != nil {
+			return err
+		}
+	}
+	if err := pause(ctx, t.opt.rest); err != nil {
+		return err
+	}
+	costs := make([]cost, len(all))
+	for i, d := range all {
+		after, err := d.usage()
+		if err != nil {
+			return err
+		}
+		costs[i] = before[i].until(after)
+		r.MachineCPU += costs[i].CPU / 100
+	}
+	return t.sort(ctx, costs, r)
+}
+
+// sort tells the roles apart and fills in what each costs.
+func (t *tier) sort(ctx context.Context, costs []cost, r *result) error {
+	controls := costs[:len(t.controls)]
+	busiest := 0
+	for i := range controls {
+		if controls[i].CPU > controls[busiest].CPU {
+			busiest = i
+		}
+	}
+	r.Leader = controls[busiest]
+	r.Follower = mean(slices.Delete(slices.Clone(controls), busiest, busiest+1))
+	var relays, entries []cost
+	for i, d := range t.entries {
+		children, err := d.metric(ctx, "relay_children")
+		if err != nil {
+			return err
+		}
+		if children > 0 {
+			relays = append(relays, costs[len(t.controls)+i])
+		} else {
+			entries = append(entries, costs[len(t.controls)+i])
+		}
+	}
+	r.Relays, r.Entry, r.Relay, r.RelayMax = len(relays), mean(entries), mean(relays), most(relays)
+	return nil
+}
+
+// usage is what a process has used so far.
+type usage struct {
+	at    time.Time
+	cpu   float64 // seconds
+	bytes float64
+	calls float64
+	rss   float64
+}
+
+func (d *daemon) usage() (usage, error) {
+	p, err := procfs.NewProc(d.cmd.Process.Pid)
+	if err != nil {
+		return usage{}, err
+	}
+	s, err := p.Stat()
+	if err != nil {
+		return usage{}, err
+	}
+	io, err := p.IO()
+	if err != nil {
+		return usage{}, err
+	}
+	return usage{
+		at: time.Now(), cpu: s.CPUTime(), rss: float64(s.ResidentMemory()),
+		bytes: float64(io.RChar + io.WChar), calls: float64(io.SyscR + io.SyscW),
+	}, nil
+}
+
+func (u usage) until(o usage) cost {
+	seconds := o.at.Sub(u.at).Seconds()
+	return cost{
+		CPU:     100 * (o.cpu - u.cpu) / seconds,
+		RSS:     o.rss / megabyte,
+		Payload: (o.bytes - u.bytes) / seconds,
+		Calls:   (o.calls - u.calls) / seconds,
+	}
+}
+
+// metric reads one value from the daemon's operator port.
+func (d *daemon) metric(ctx context.Context, name string) (float64, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.operator+"/metrics", nil)
+	if err != nil {
+		return 0, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	parser := expfmt.NewTextParser(model.LegacyValidation)
+	families, err := parser.TextToMetricFamilies(resp.Body)
+	if err != nil {
+		return 0, err
+	}
+	for full, f := range families {
+		if full == name || full == "pearmoor_"+name {
+			return f.GetMetric()[0].GetGauge().GetValue() + f.GetMetric()[0].GetUntyped().GetValue(), nil
+		}
+	}
+	return 0, errors.Newf("%s has no metric %s", d.name, name)
+}
+
+// checkMemory fails when the tier uses more memory than it may.
+func (t *tier) checkMemory() error {
+	total := 0.0
+	for _, d := range append(slices.Clone(t.controls), t.entries...) {
+		u, err := d.usage()
+		if err != nil {
+			return err
+		}
+		total += u.rss / megabyte
+	}
+	if total > float64(t.opt.memory) {
+		return errors.Newf("the daemons use %.0f MB, %d are allowed", total, t.opt.memory)
+	}
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/bench/control/tier.go
@@ -0,0 +1,210 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	startLimit = 2 * time.Minute
+	stopLimit  = 30 * time.Second
+	pollEvery  = 20 * time.Millisecond
+	// startGap keeps the start of many processes from starving those that run.
+	startGap = 15 * time.Millisecond
+)
+
+// daemon is one pearmoord process.
+type daemon struct {
+	name     string
+	cmd      *exec.Cmd
+	done     chan struct{}
+	peer     string // host:port
+	operator string // host:port
+}
+
+// tier is a running tier; the first daemons are its control VMs.
+type tier struct {
+	dir      string
+	opt      *options
+	controls []*daemon
+	entries  []*daemon
+}
+
+// startTier starts control VMs, then size entries, and waits until all serve.
+func startTier(ctx context.Context, opt *options, size int) (*tier, error) {
+	dir, err := os.MkdirTemp("", "pearmoor-control-")
+	if err != nil {
+		return nil, err
+	}
+	t := &tier{dir: dir, opt: opt}
+	if err := t.startControls(ctx); err != nil {
+		return t, err
+	}
+	for i := range size {
+		d, err := t.spawn(fmt.Sprintf("entry-%03d", i), i, nil)
+		if err != nil {
+			return t, err
+		}
+		t.entries = append(t.entries, d)
+		time.Sleep(startGap)
+	}
+	for _, d := range t.entries {
+		if err := t.awaitReady(ctx, d); err != nil {
+			return t, err
+		}
+	}
+	return t, t.awaitServing(ctx)
+}
+
+func (t *tier) startControls(ctx context.Context) error {
+	addrs, err := freePorts(t.opt.controls)
+	if err != nil {
+		return err
+	}
+	var voters []string
+	for i, addr := range addrs {
+		voters = append(voters, fmt.Sprintf("--bootstrap-voter=%d=%s", i+1, addr))
+	}
+	for i, addr := range addrs {
+		flags := append([]string{
+			"--no-entry", "--control-id=" + strconv.Itoa(i+1), "--bootstrap", "--peer-listen=" + addr,
+			"--data-dir=" + filepath.Join(t.dir, "control-"+strconv.Itoa(i+1)),
+		}, voters...)
+		d, err := t.spawn(fmt.Sprintf("control-%d", i+1), i, flags)
+		if err != nil {
+			return err
+		}
+		t.controls = append(t.controls, d)
+	}
+	for _, d := range t.controls {
+		if err := t.awaitReady(ctx, d); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// spawn starts one pearmoord. Without further flags it is an entry of the tier.
+func (t *tier) spawn(name string, index int, flags []string) (*daemon, error) {
+	args := append([]string{
+		"--name=" + name, "--region=valley", fmt.Sprintf("--domain=hall-%d", index%3), "--plaintext-peers",
+		"--operator-listen=127.0.0.1:0", "--ready-file=" + t.readyFile(name),
+	}, flags...)
+	if flags == nil {
+		args = append(args, "--peer-listen=127.0.0.1:0", "--caller-listen=127.0.0.1:0", "--control="+t.controlAddrs())
+	}
+	if t.opt.above > 0 {
+		args = append(args, "--relay-above="+strconv.Itoa(t.opt.above))
+	}
+	if t.opt.fanout > 0 {
+		args = append(args, "--relay-fanout="+strconv.Itoa(t.opt.fanout))
+	}
+	log, err := os.Create(filepath.Join(t.dir, name+".log"))
+	if err != nil {
+		return nil, err
+	}
+	defer log.Close()
+	d := &daemon{name: name, cmd: exec.Command(filepath.Join(t.opt.bin, "pearmoord"), args...), done: make(chan struct{})}
+	d.cmd.Stdout, d.cmd.Stderr = log, log
+	// The processes end with the experiment, however it ends.
+	d.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	d.cmd.Env = append(os.Environ(), "GOMAXPROCS=2")
+	if err := d.cmd.Start(); err != nil {
+		return nil, errors.Wrap(err, name)
+	}
+	go func() {
+		_ = d.cmd.Wait()
+		close(d.done)
+	}()
+	return d, nil
+}
+
+func (t *tier) controlAddrs() string {
+	addrs := make([]string, len(t.controls))
+	for i, d := range t.controls {
+		addrs[i] = d.peer
+	}
+	return strings.Join(addrs, ",")
+}
+
+func (t *tier) readyFile(name string) string { return filepath.Join(t.dir, name+".json") }
+
+// awaitReady reads the addresses that the daemon has bound.
+func (t *tier) awaitReady(ctx context.Context, d *daemon) error {
+	return await(ctx, d, func() bool {
+		body, err := os.ReadFile(t.readyFile(d.name))
+		if err != nil {
+			return false
+		}
+		var bound struct{ Peer, Operator string }
+		if json.Unmarshal(body, &bound) != nil {
+			return false
+		}
+		d.peer, d.operator = bound.Peer, bound.Operator
+		return true
+	})
+}
+
+// awaitServing waits until every entry takes work.
+func (t *tier) awaitServing(ctx context.Context) error {
+	for _, d := range t.entries {
+		err := await(ctx, d, func() bool {
+			resp, err := http.Get("http://" + d.operator + "/readyz")
+			if err != nil {
+				return false
+			}
+			defer resp.Body.Close()
+			return resp.StatusCode == http.StatusOK
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func await(ctx context.Context, d *daemon, done func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	for !done() {
+		select {
+		case <-d.done:
+			return errors.Newf("%s ended early", d.name)
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "waiting for %s", d.name)
+		case <-time.After(pollEvery):
+		}
+	}
+	return nil
+}
+
+// stop ends every process by its id, entries first, and removes the folder. One
+// that does not end in time is killed.
+func (t *tier) stop() {
+	for _, ds := range [][]*daemon{t.entries, t.controls} {
+		for _, d := range ds {
+			_ = d.cmd.Process.Signal(syscall.SIGTERM)
+		}
+		limit := time.After(stopLimit)
+		for _, d := range ds {
+			select {
+			case <-d.done:
+			case <-limit:
+				_ = d.cmd.Process.Kill()
+				<-d.done
+			}
+		}
+	}
+	_ = os.RemoveAll(t.dir)
+}
