Be patient with callers and not with processes that hang

The user timeout also ends a connection whose other side lives and reads nothing: 4 s would cut off a caller that stalls in a long answer. Callers get 30 s.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -85,7 +85,7 @@
 // Serve answers callers on lis until ctx ends; it then stops accepting, waits
 // for the requests under way and returns nil. tlsConf nil means plain HTTP.
 func (s *Server) Serve(ctx context.Context, lis net.Listener, tlsConf *tls.Config) error {
-	lis = peer.Watch(lis)
+	lis = peer.WatchCallers(lis)
 	if tlsConf != nil {
 		lis = tls.NewListener(lis, tlsConf)
 	}
--- a/internal/link/peer/dial.go
+++ b/internal/link/peer/dial.go
@@ -67,7 +67,7 @@
 }
 
 func secure(ctx context.Context, raw net.Conn, addr string, conf *tls.Config) (net.Conn, error) {
-	if err := watchSocket(raw); err != nil {
+	if err := betweenProcesses.apply(raw); err != nil {
 		return nil, err
 	}
 	if conf == nil {
--- a/internal/link/peer/server.go
+++ b/internal/link/peer/server.go
@@ -95,7 +95,7 @@
 
 // open shakes hands and learns who the client is.
 func (s *server) open(raw net.Conn) (*serverConn, error) {
-	if err := watchSocket(raw); err != nil {
+	if err := betweenProcesses.apply(raw); err != nil {
 		return nil, err
 	}
 	if s.conf == nil {
--- a/internal/link/peer/socket.go
+++ b/internal/link/peer/socket.go
@@ -9,25 +9,35 @@
 	"k8s.io/klog/v2"
 )
 
-// A connection whose other side vanished without a reset looks open to both
-// ends. Keep-alives find it while nothing is being sent; the user timeout finds
-// it while sent bytes stay unacknowledged, which keep-alives do not probe.
-const (
-	keepAliveIdle     = 2 * time.Second
-	keepAliveInterval = time.Second
-	keepAliveCount    = 3
-	userTimeout       = 4 * time.Second
+// patience says how long the kernel keeps a connection whose other side has gone
+// silent. Such a connection looks open to both ends for a quarter of an hour.
+// Keep-alives find it while nothing is being sent. The user timeout finds it while
+// sent bytes stay unacknowledged, which keep-alives do not probe, or while the
+// other side lives and takes nothing.
+type patience struct {
+	Idle        time.Duration // before the first keep-alive
+	Interval    time.Duration // between keep-alives, of which keepAliveCount may fail
+	UserTimeout time.Duration // without progress of what was sent
+}
+
+const keepAliveCount = 3
+
+// Between the tier's processes a silent link is given up within 5 s. A caller may
+// stall for longer, on a phone in the hills, and still gets its whole answer.
+var (
+	betweenProcesses = patience{Idle: 2 * time.Second, Interval: time.Second, UserTimeout: 4 * time.Second}
+	withCallers      = patience{Idle: 15 * time.Second, Interval: 5 * time.Second, UserTimeout: 30 * time.Second}
 )
 
-func watchSocket(conn net.Conn) error {
+func (p patience) apply(conn net.Conn) error {
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
 		return nil
 	}
 	keepAlive := net.KeepAliveConfig{
 		Enable:   true,
-		Idle:     keepAliveIdle,
-		Interval: keepAliveInterval,
+		Idle:     p.Idle,
+		Interval: p.Interval,
 		Count:    keepAliveCount,
 	}
 	if err := tcp.SetKeepAliveConfig(keepAlive); err != nil {
@@ -39,7 +49,7 @@
 	}
 	var setErr error
 	err = raw.Control(func(fd uintptr) {
-		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(p.UserTimeout.Milliseconds()))
 	})
 	return errors.Wrap(errors.CombineErrors(err, setErr), "peer: set user timeout")
 }
@@ -56,11 +66,14 @@
 	return nil
 }
 
-// Watch returns lis with keep-alives and a user timeout on every connection it
-// accepts.
-func Watch(lis net.Listener) net.Listener { return watchedListener{lis} }
+// WatchCallers returns lis with keep-alives and a user timeout, patient enough for
+// callers far away, on every connection it accepts.
+func WatchCallers(lis net.Listener) net.Listener { return watchedListener{lis, withCallers} }
 
-type watchedListener struct{ net.Listener }
+type watchedListener struct {
+	net.Listener
+	patience patience
+}
 
 // Accept implements net.Listener.
 func (l watchedListener) Accept() (net.Conn, error) {
@@ -68,7 +81,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := watchSocket(conn); err != nil {
+	if err := l.patience.apply(conn); err != nil {
 		klog.Warningf("%v", err) // it serves without the probes
 	}
 	return conn, nil
