Set a write deadline for each part of an answer

The HTTP library hides the connection's deadlines, so the one for the whole answer was never set: a caller that took nothing held its connection until the kernel gave up. One deadline of 30 s for a large answer would have cut off callers on slow lines, so each 256 KiB has its own.

--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -41,7 +41,7 @@
 			b.Run(fmt.Sprintf("%s-%d-hits", name, hits), func(b *testing.B) {
 				b.ReportAllocs()
 				for range b.N {
-					w := httptest.NewRecorder()
+					w := newRecorder()
 					handlers[name].ServeHTTP(w, httptest.NewRequest(http.MethodPost, QueryPath, strings.NewReader(goodRequest)))
 					if w.Code != http.StatusOK {
 						b.Fatal(w.Code)
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -75,8 +75,22 @@
 	return s
 }
 
-func post(s *Server, body string) (*httptest.ResponseRecorder, contract.Failure) {
-	w := httptest.NewRecorder()
+// recorder counts the deadlines set on the connection.
+type recorder struct {
+	*httptest.ResponseRecorder
+	deadlines int
+}
+
+func newRecorder() *recorder { return &recorder{ResponseRecorder: httptest.NewRecorder()} }
+
+// SetWriteDeadline is found by http.ResponseController.
+func (r *recorder) SetWriteDeadline(time.Time) error {
+	r.deadlines++
+	return nil
+}
+
+func post(s *Server, body string) (*recorder, contract.Failure) {
+	w := newRecorder()
 	s.ServeHTTP(w, httptest.NewRequest(http.MethodPost, QueryPath, strings.NewReader(body)))
 	var f contract.Failure
 	_ = json.Unmarshal(w.Body.Bytes(), &f)
@@ -167,7 +181,7 @@
 	})
 	Convey("Unknown routes and methods are answered in JSON", t, func() {
 		for target, status := range map[string]int{"/v2/query": 404, QueryPath: 405} {
-			w := httptest.NewRecorder()
+			w := newRecorder()
 			s.ServeHTTP(w, httptest.NewRequest(http.MethodGet, target, nil))
 			var f contract.Failure
 			So(json.Unmarshal(w.Body.Bytes(), &f), ShouldBeNil)
@@ -224,7 +238,7 @@
 }
 
 func getAddresses(s *Server, path string) (int, contract.Addresses) {
-	w := httptest.NewRecorder()
+	w := newRecorder()
 	s.ServeHTTP(w, httptest.NewRequest(http.MethodGet, AddressesPath+"?service="+path, nil))
 	var a contract.Addresses
 	_ = json.Unmarshal(w.Body.Bytes(), &a)
@@ -307,6 +321,21 @@
 	})
 }
 
+// A caller on a slow line takes a large answer for longer than any one deadline,
+// and another takes nothing at all: the first must get the whole of it, the second
+// must not hold its connection for ever. So each part has a deadline of its own.
+func TestWriteDeadlines(t *testing.T) {
+	Convey("Each part of an answer sets a new deadline", t, func() {
+		s := testServer(t, &fakeEngine{run: func(context.Context, string, *contract.Request) (*contract.Answer, error) {
+			return &contract.Answer{Verdict: contract.Ran, ServedBy: strings.Repeat("x", 3*writePart)}, nil
+		}}, false)
+		w, _ := post(s, goodRequest)
+		So(w.Code, ShouldEqual, 200)
+		So(w.deadlines, ShouldEqual, 4)
+		So(w.Body.Len(), ShouldBeGreaterThan, 3*writePart)
+	})
+}
+
 // A daemon leaves, and a caller keeps a connection to it open until the port is
 // closed. A request sent into the closing is lost in doubt, so callers have to be
 // told to come by other connections while the daemon still answers.
@@ -337,7 +366,7 @@
 		return &contract.Answer{RequestID: id, Verdict: contract.Ran}, nil
 	}}, false)
 	f.Fuzz(func(t *testing.T, body []byte) {
-		w := httptest.NewRecorder()
+		w := newRecorder()
 		s.ServeHTTP(w, httptest.NewRequest(http.MethodPost, QueryPath, bytes.NewReader(body)))
 		var out struct {
 			Verdict contract.Verdict `json:"verdict"`
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -95,7 +95,7 @@
 // minRetryAfter is the shortest Retry-After, whose unit is the second.
 const minRetryAfter = time.Second
 
-func writeFailure(w http.ResponseWriter, id string, err error) {
+func writeFailure(w responseWriter, id string, err error) {
 	status, f := failureOf(err)
 	f.RequestID = id
 	countFailure(f.Reason)
@@ -115,22 +115,44 @@
 
 // writeJSON sends body with its length, so that a caller tells a whole answer
 // from one that was cut off.
-func writeJSON(w http.ResponseWriter, status int, body any) {
+func writeJSON(w responseWriter, status int, body any) {
 	raw, err := json.Marshal(body)
 	if err != nil {
 		klog.Errorf("entry: answer can't be encoded: %v", err)
 		status, raw = http.StatusInternalServerError, encodeFailed
 	}
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	h.Set("Content-Length", strconv.Itoa(len(raw)))
 	w.WriteHeader(status)
-	if _, err := w.Write(raw); err != nil {
+	if err := writeAll(w, raw); err != nil {
 		writeErrors.Inc(1) // the caller has left
 	}
 }
 
+// responseWriter is the HTTP library's, which hides what sets deadlines.
+type responseWriter interface {
+	http.ResponseWriter
+	Naive() http.ResponseWriter
+}
+
+// writeAll gives each part of the answer its own time: a caller on a slow line
+// gets the whole of a large one, and one that takes nothing ends its connection.
+func writeAll(w responseWriter, raw []byte) error {
+	control := http.NewResponseController(w.Naive())
+	for len(raw) > 0 {
+		part := raw[:min(len(raw), writePart)]
+		if err := control.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return err
+		}
+		if _, err := w.Write(part); err != nil {
+			return err
+		}
+		raw = raw[len(part):]
+	}
+	return nil
+}
+
 // encodeFailed is sent when the engine's answer is not JSON, which a target that
 // sends broken data could cause.
 var encodeFailed = []byte(`{"verdict":"may_have_run","reason":"internal","message":"the answer can't be encoded"}`)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -22,7 +22,8 @@
 const (
 	headerTimeout = 5 * time.Second
 	readTimeout   = 30 * time.Second
-	writeTimeout  = 30 * time.Second
+	writeTimeout  = 30 * time.Second // of each part of an answer
+	writePart     = 256 << 10        // bytes
 	idleTimeout   = 2 * time.Minute
 	maxHeader     = 16 << 10 // bytes
 )
