--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -2,15 +2,17 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
-	"storj.io/drpc"
 
 	"pearmoor/internal/settings"
 )
@@ -37,11 +39,11 @@
 		c := startTier(t)
 		c.must("set", "/desk/a", "--leaves="+oneLeaf, "--reason=first")
 		var changes atomic.Int32
-		c.setHook(func(rpc string) func(drpc.Stream) {
+		c.setHook(func(rpc string) fate {
 			if rpc == changeRPC && changes.Add(1) == 1 {
-				return loseReply
+				return replyLost
 			}
-			return nil
+			return delivered
 		})
 		var got outcome
 		c.must("--output=json", "set", "/desk", "--hedge-after=20ms", "--reason=tail").decode(t, &got)
@@ -56,11 +58,11 @@
 	Convey("An operator learns the outcome after the tool gave up", t, func() {
 		c := startTier(t)
 		c.must("set", "/desk/a", "--leaves="+oneLeaf, "--reason=first")
-		c.setHook(func(rpc string) func(drpc.Stream) {
+		c.setHook(func(rpc string) fate {
 			if rpc == changeRPC {
-				return loseReply
+				return replyLost
 			}
-			return nil
+			return delivered
 		})
 		args := []string{"set", "/desk", "--hedge-after=20ms", "--reason=tail", "--change-id=c-1", "--base=1"}
 		r := c.run(append([]string{"--timeout=1s"}, args...)...)
@@ -75,6 +77,37 @@
 	})
 }
 
+// A third of all calls break on their way, before the control VM saw them or after
+// it answered, and the tool can't tell which. Each command still ends with its
+// change made once: a lost request is sent again, a lost reply asked for again.
+func TestLossyLink(t *testing.T) {
+	Convey("Over a lossy link every change is made exactly once", t, func() {
+		const changes = 15
+		c := startTier(t)
+		c.must("set", "/desk/a", "--leaves="+oneLeaf, "--reason=first")
+		random := rand.New(rand.NewPCG(7, 7))
+		var mu sync.Mutex
+		c.setHook(func(string) fate {
+			mu.Lock()
+			defer mu.Unlock()
+			switch random.IntN(6) {
+			case 0:
+				return requestLost
+			case 1:
+				return replyLost
+			}
+			return delivered
+		})
+		for i := range changes {
+			var got outcome
+			c.must("--output=json", "set", "/desk", fmt.Sprintf("--queue-limit=%d", i), "--reason=x", "--wait=0s").decode(t, &got)
+			So(got.Version, ShouldEqual, i+2)
+		}
+		c.setHook(nil)
+		So(version(c), ShouldEqual, changes+1)
+	})
+}
+
 // Two operators read version 1. One changes the tree before the other's change
 // arrives: the second is refused, told who won and why, and nothing of it is in
 // the tree.
@@ -83,11 +116,11 @@
 		c := startTier(t)
 		c.must("set", "/desk/a", "--leaves="+oneLeaf, "--reason=first")
 		var raced atomic.Bool
-		c.setHook(func(rpc string) func(drpc.Stream) {
+		c.setHook(func(rpc string) fate {
 			if rpc == changeRPC && raced.CompareAndSwap(false, true) {
 				c.must("--operator-name=ravi", "set", "/desk", "--hedge-budget=0.05", "--reason=dawn vans")
 			}
-			return nil
+			return delivered
 		})
 		r := c.run("set", "/desk", "--hedge-after=20ms", "--reason=tail")
 		So(r.code, ShouldEqual, ExitConflict)
--- a/internal/cli/harness_test.go
+++ b/internal/cli/harness_test.go
@@ -27,22 +27,41 @@
 	goleak.VerifyTestMain(m, goleak.IgnoreTopFunction("github.com/rcrowley/go-metrics.(*meterArbiter).tick"))
 }
 
-// tier is a control VM, alone in its group, on a loopback port. hook sees each
-// call before it is answered; what it returns is done after the handler ran.
+// fate is what becomes of a call on its way.
+type fate uint8
+
+const (
+	delivered   fate = iota
+	requestLost      // the connection breaks before the control VM sees the call
+	replyLost        // it breaks after the control VM has answered
+)
+
+// tier is a control VM, alone in its group, on a loopback port. hook decides the
+// fate of each call.
 type tier struct {
 	t    *testing.T
 	addr string
 
 	mu   sync.Mutex
-	hook func(rpc string) (after func(drpc.Stream))
+	hook func(rpc string) fate
 }
 
-func (c *tier) setHook(h func(rpc string) func(drpc.Stream)) {
+func (c *tier) setHook(h func(rpc string) fate) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.hook = h
 }
 
+func (c *tier) fateOf(rpc string) fate {
+	c.mu.Lock()
+	hook := c.hook
+	c.mu.Unlock()
+	if hook == nil {
+		return delivered
+	}
+	return hook(rpc)
+}
+
 // hooked wraps the control VM's handler.
 type hooked struct {
 	tier  *tier
@@ -51,33 +70,26 @@
 
 // HandleRPC implements drpc.Handler.
 func (h hooked) HandleRPC(stream drpc.Stream, rpc string) error {
-	h.tier.mu.Lock()
-	hook := h.tier.hook
-	h.tier.mu.Unlock()
-	var after func(drpc.Stream)
-	if hook != nil {
-		after = hook(rpc)
+	switch h.tier.fateOf(rpc) {
+	case requestLost:
+		breakConn(stream)
+		return nil
+	case replyLost:
+		return h.inner.HandleRPC(&mute{stream}, rpc)
 	}
-	if after == nil {
-		return h.inner.HandleRPC(stream, rpc)
-	}
-	return h.inner.HandleRPC(&afterStream{Stream: stream, after: after}, rpc)
+	return h.inner.HandleRPC(stream, rpc)
 }
 
-// afterStream runs after in place of sending the reply.
-type afterStream struct {
-	drpc.Stream
-	after func(drpc.Stream)
-}
+// mute breaks the connection in place of sending the reply.
+type mute struct{ drpc.Stream }
 
 // MsgSend implements drpc.Stream.
-func (s *afterStream) MsgSend(msg drpc.Message, enc drpc.Encoding) error {
-	s.after(s.Stream)
+func (s *mute) MsgSend(msg drpc.Message, enc drpc.Encoding) error {
+	breakConn(s.Stream)
 	return s.Stream.MsgSend(msg, enc)
 }
 
-// loseReply cuts the connection after the handler has run.
-func loseReply(stream drpc.Stream) {
+func breakConn(stream drpc.Stream) {
 	if tr, ok := drpcctx.Transport(stream.Context()); ok {
 		_ = tr.Close()
 	}
--- a/internal/link/peer/reloader.go
+++ b/internal/link/peer/reloader.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
 	"k8s.io/klog/v2"
 )
 
@@ -22,7 +23,7 @@
 		return nil, err
 	}
 	r.stamps = f.stamps()
-	r.current = loaded
+	r.use(loaded)
 	return r, nil
 }
 
@@ -118,10 +119,17 @@
 	}
 	klog.Infof("peer: certificate files reloaded, now %s %q until %s",
 		loaded.identity.Kind, loaded.identity.Name, loaded.cert.Leaf.NotAfter.Format(time.RFC3339))
-	r.current = loaded
+	r.use(loaded)
 	return r.current
 }
 
+func (r *Reloader) use(m *material) {
+	r.current = m
+	notAfter.Update(m.cert.Leaf.NotAfter.Unix())
+}
+
+var notAfter = metrics.GetOrRegisterGauge("peer.certificate.not_after", metrics.DefaultRegistry)
+
 // ServerConfig returns a configuration that demands a certificate of the
 // authority from every client.
 func (r *Reloader) ServerConfig() *tls.Config {
