Leave a margin in the queue while it is overloaded

Cause: at twice the capacity most refusals came late: what was let in because it just fitted was pushed back and refused after it had waited. Change: in a queue that has stood for four times as long as a request can wait, an ordinary one must be able to wait twice its expected wait, an urgent one 1.5 times.

--- a/internal/admit/gate.go
+++ b/internal/admit/gate.go
@@ -22,7 +22,8 @@
 	over     bool      // more are out than the share allows
 	draining bool      // the leaf is leaving
 	queue    queue
-	service  ewma // how long a permit is held
+	standing vm.Instant // since when the queue has not been empty; 0: it is
+	service  ewma       // how long a permit is held
 	health   health
 	hint     hint
 	timer    stopper
@@ -107,6 +108,8 @@
 		return
 	}
 	g.queue.push(w)
+	for g.shed(now, w) {
+	}
 	g.dispatch(now)
 }
 
@@ -115,6 +118,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.queue.remove(w)
+	if g.queue.len() == 0 {
+		g.standing = 0
+	}
 }
 
 // deadlineOf converts ctx's deadline to the boot-time clock.
@@ -148,23 +154,6 @@
 	return nil
 }
 
-// makePlace reports whether the queue can take w. In a full one w takes the
-// place of the weakest, if that is weaker: a flood of ordinary requests would
-// otherwise keep urgent ones out, and homes would each drop other queries.
-func (g *gate) makePlace(now vm.Instant, w *waiter) bool {
-	if g.queue.len() < g.limits.Queue {
-		return true
-	}
-	low := g.queue.weakest()
-	if low == nil || !low.weaker(w) {
-		return false
-	}
-	g.queue.remove(low)
-	refusedFull.Inc(1)
-	low.refuse(errOverload(g.wait(now, g.queue.ahead()), ErrQueueFull))
-	return true
-}
-
 // tryAcquire leaves a failing leaf alone: a hedge is not the request to find
 // out whether it has recovered.
 func (g *gate) tryAcquire() (*Permit, bool) {
@@ -234,55 +223,27 @@
 func (g *gate) dispatch(now vm.Instant) {
 	g.queue.prune()
 	if g.queue.len() == 0 {
+		g.standing = 0
 		return
 	}
 	if err := g.closed(now); err != nil {
 		for g.queue.len() > 0 {
 			g.queue.pop().refuse(err)
 		}
+		g.standing = 0
 		return
 	}
-	for g.shed(now) {
+	for g.shed(now, nil) {
 	}
 	for g.queue.len() > 0 && g.room(now) {
 		if w := g.queue.pop(); w.claim() {
 			w.result <- grant{permit: g.grant(now)}
 		}
 	}
+	g.noteQueue(now)
 	g.arm(now)
 }
 
-// shed refuses one waiter if there is one that can't end by its deadline, and
-// reports whether it did. What can't end even if it were next is refused
-// itself; else the weakest up to it, which makes every home drop the same queries.
-func (g *gate) shed(now vm.Instant) bool {
-	var victim *waiter
-	var after time.Duration
-	var low *waiter
-	soonest := g.wait(now, 0)
-	g.queue.each(func(w *waiter, ahead float64) bool {
-		if low == nil || !low.weaker(w) {
-			low = w
-		}
-		wait := g.wait(now, ahead)
-		if fits(now, wait, g.service.mean, w.deadline) {
-			return true
-		}
-		victim, after = low, now.Add(wait+g.service.mean).Sub(w.deadline)
-		if !fits(now, soonest, g.service.mean, w.deadline) {
-			victim = w
-		}
-		return false
-	})
-	if victim == nil {
-		return false
-	}
-	g.queue.remove(victim)
-	refusedNoFit.Inc(1)
-	victim.refuse(errOverload(after, ErrNoFit))
-	return true
-}
-
 // arm sets the timer for the next moment at which something changes without an
 // event: a block ends, a permit that was expected back has not come, a waiter's
 // latest start passes, the lease ends. A timer that is set for earlier stays;
--- a/internal/admit/gate_test.go
+++ b/internal/admit/gate_test.go
@@ -222,3 +222,33 @@
 		t.Fatalf("left over: %+v", l)
 	}
 }
+
+// A queue has stood for five seconds: it is overload, not a burst. A request
+// that would just fit when it comes is likely to be pushed back, so it is told
+// at once and not after it has waited; the same request in a burst is let wait.
+func TestOverloadLeavesAMargin(t *testing.T) {
+	Convey("Fourteen wait for a slot of 10 ms, and one comes with 305 ms", t, func() {
+		w := newWorld()
+		w.Configure(leafA, Limits{Slots: 1, Queue: 64})
+		w.teach(t, 10*ms)
+		w.TryAcquire(leafA)
+		for range 14 {
+			w.ask(300*ms, settings.Ordinary)
+		}
+		gt := w.get(leafA)
+		So(gt.queue.len(), ShouldEqual, 14)
+		Convey("in a burst it waits", func() {
+			_, x, _ := w.ask(305*ms, settings.Ordinary)
+			_, ended := x.ended()
+			So(ended, ShouldBeFalse)
+		})
+		Convey("in a queue that has stood for long it is refused at once", func() {
+			gt.standing = w.now.Add(-5 * time.Second)
+			_, x, _ := w.ask(305*ms, settings.Ordinary)
+			r, ended := x.ended()
+			So(ended, ShouldBeTrue)
+			So(refusalOf(t, r.err).RetryAfter, ShouldBeGreaterThan, 0)
+			So(gt.queue.len(), ShouldEqual, 14)
+		})
+	})
+}
