--- /dev/null
+++ b/internal/domain/bench_test.go
@@ -0,0 +1,45 @@
+package domain
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pearmoor/internal/settings"
+)
+
+// BenchmarkSpread gives the time to choose the homes of all services, and how
+// evenly they fall on the daemons: the leaves of the daemon with most, and with
+// fewest, over the mean.
+func BenchmarkSpread(b *testing.B) {
+	for _, size := range []struct{ daemons, domains, services, leaves int }{
+		{12, 3, 52, 2},
+		{3600, 17, 49, 470},
+	} {
+		b.Run(fmt.Sprintf("daemons=%d/services=%d/leaves=%d", size.daemons, size.services, size.leaves), func(b *testing.B) {
+			m := membership(size.daemons, size.domains)
+			leaves := make([]settings.Leaf, size.leaves)
+			held := make(map[string]int)
+			for b.Loop() {
+				clear(held)
+				for s := range size.services {
+					for _, g := range Groups(fmt.Sprintf("/desk/s%d", s), leaves, m) {
+						for _, h := range Homes(m, g.Key, 2) {
+							held[h.Name] += g.Leaves
+						}
+					}
+				}
+			}
+			var counts []int
+			for _, member := range m.Members {
+				counts = append(counts, held[member.Name])
+			}
+			slices.Sort(counts)
+			mean := 2 * float64(size.services*size.leaves) / float64(size.daemons)
+			b.ReportMetric(mean, "leaves/daemon")
+			b.ReportMetric(float64(counts[len(counts)-1]), "most")
+			b.ReportMetric(float64(counts[len(counts)*99/100]), "p99")
+			b.ReportMetric(float64(counts[0]), "fewest")
+		})
+	}
+}
--- a/internal/domain/homes.go
+++ b/internal/domain/homes.go
@@ -22,7 +22,7 @@
 	if m == nil || n <= 0 {
 		return nil
 	}
-	near, far := rank(m, key, region)
+	near, far := rank(m, key, region, n)
 	homes := spread(make([]vm.Member, 0, n), near, n)
 	return spread(homes, far, n)
 }
@@ -34,19 +34,25 @@
 }
 
 // rank scores the Serving members and sorts them, best first, those of region
-// apart from the others.
-func rank(m *vm.Membership, key, region string) (near, far []candidate) {
+// apart from the others. Of each failure domain only the n best are kept, as no
+// more of them can be chosen.
+func rank(m *vm.Membership, key, region string, n int) (near, far []candidate) {
 	seed := xxhash.Sum64String(key)
+	best := make(map[string][]candidate)
 	for i := range m.Members {
 		member := &m.Members[i]
-		if member.Phase != vm.Serving {
-			continue
+		if member.Phase == vm.Serving {
+			c := candidate{member: member, score: score(seed, member.Name)}
+			best[member.Domain] = keepBest(best[member.Domain], c, n)
 		}
-		c := candidate{member: member, score: score(seed, member.Name)}
-		if region == "" || member.Region == region {
-			near = append(near, c)
-		} else {
-			far = append(far, c)
+	}
+	for _, cs := range best {
+		for _, c := range cs {
+			if region == "" || c.member.Region == region {
+				near = append(near, c)
+			} else {
+				far = append(far, c)
+			}
 		}
 	}
 	byScore(near)
@@ -54,13 +60,31 @@
 	return near, far
 }
 
-func byScore(cs []candidate) {
-	sort.Slice(cs, func(i, j int) bool {
-		if cs[i].score != cs[j].score {
-			return cs[i].score > cs[j].score
+// keepBest adds c to the at most n best of a failure domain, best first.
+func keepBest(cs []candidate, c candidate, n int) []candidate {
+	if len(cs) == n {
+		if !c.before(cs[n-1]) {
+			return cs
 		}
-		return cs[i].member.Name < cs[j].member.Name
-	})
+		cs = cs[:n-1]
+	}
+	cs = append(cs, c)
+	for i := len(cs) - 1; i > 0 && cs[i].before(cs[i-1]); i-- {
+		cs[i], cs[i-1] = cs[i-1], cs[i]
+	}
+	return cs
+}
+
+// before reports whether c ranks above o.
+func (c candidate) before(o candidate) bool {
+	if c.score != o.score {
+		return c.score > o.score
+	}
+	return c.member.Name < o.member.Name
+}
+
+func byScore(cs []candidate) {
+	sort.Slice(cs, func(i, j int) bool { return cs[i].before(cs[j]) })
 }
 
 // score depends on the name and not on the incarnation, so that a restarted
