--- a/internal/cli/caller.go
+++ b/internal/cli/caller.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"io"
 	"net"
@@ -25,10 +26,15 @@
 	http *http.Client
 }
 
-func newCaller(timeout time.Duration) *caller {
+func newCaller(f *entryFlags, timeout time.Duration) (*caller, error) {
+	conf, err := f.tlsConfig()
+	if err != nil {
+		return nil, err
+	}
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.DisableKeepAlives = true // one command, one request to each address
-	return &caller{http: &http.Client{Transport: transport, Timeout: timeout}}
+	transport.TLSClientConfig = conf
+	return &caller{http: &http.Client{Transport: transport, Timeout: timeout}}, nil
 }
 
 // refusal is a failure that a daemon answered with.
@@ -89,11 +95,12 @@
 func verdictOf(err error) contract.Verdict {
 	var refused *refusal
 	var dial *net.OpError
+	var untrusted *tls.CertificateVerificationError
 	switch {
 	case errors.As(err, &refused):
 		return refused.Verdict
-	case errors.As(err, &dial) && dial.Op == "dial":
-		return contract.NotRun
+	case errors.As(err, &dial) && dial.Op == "dial", errors.As(err, &untrusted):
+		return contract.NotRun // nothing was written
 	}
 	return contract.MayHaveRun
 }
--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -14,11 +14,12 @@
 
 func (a *app) declareLoad(k *kingpin.Application) {
 	var conf load.Config
+	var entries entryFlags
 	var dir string
 	c := k.Command("load", `Put open-loop load on a tier with stand-in leaves, and measure latency, coverage and the load on the leaves.
 
 Example: pearmoor load --entry=http://127.0.0.1:7400 --path=/kathmandu-valley/counter-desk --rate=200 --duration=30s --out=results`)
-	entryFlag(c, &conf.Entries)
+	entries.declare(c)
 	c.Flag("path", "Nodes to query in turn, separated by commas.").Required().SetValue((*commaList)(&conf.Paths))
 	c.Flag("rate", "Requests a second, over all paths.").Default("50").FloatVar(&conf.Rate)
 	c.Flag("duration", "How long new requests start.").Default("10s").DurationVar(&conf.Duration)
@@ -32,7 +33,14 @@
 	c.Flag("seed", "Seed of the arrivals.").Default("1").Uint64Var(&conf.Seed)
 	c.Flag("standin", "Control URL of the stand-in leaves, to measure their load.").StringVar(&conf.Standin)
 	c.Flag("out", "Folder for result.json and the plots; left out: none.").StringVar(&dir)
-	c.Action(func(*kingpin.ParseContext) error { return a.load(conf, dir) })
+	c.Action(func(*kingpin.ParseContext) error {
+		var err error
+		if conf.TLS, err = entries.tlsConfig(); err != nil {
+			return err
+		}
+		conf.Entries = entries.urls
+		return a.load(conf, dir)
+	})
 }
 
 func (a *app) load(conf load.Config, dir string) error {
--- a/internal/cli/query.go
+++ b/internal/cli/query.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"io"
+	"os"
 	"slices"
 	"time"
 
@@ -21,9 +24,37 @@
 	maxShownData    = 80 // characters of a hit's data
 )
 
+// entryFlags say how callers' ports are reached.
+type entryFlags struct {
+	urls []string
+	ca   string
+}
+
+func (f *entryFlags) declare(c *kingpin.CmdClause) {
+	c.Flag("entry", "Base URLs of daemons to ask for addresses, separated by commas.").Required().
+		Envar("PEARMOOR_ENTRIES").SetValue((*commaList)(&f.urls))
+	c.Flag("entry-ca", "PEM file of the authority of https entries; left out: the system's.").StringVar(&f.ca)
+}
+
+// tlsConfig returns nil for the system's authorities.
+func (f *entryFlags) tlsConfig() (*tls.Config, error) {
+	if f.ca == "" {
+		return nil, nil
+	}
+	text, err := os.ReadFile(f.ca)
+	if err != nil {
+		return nil, errors.Wrap(err, "read --entry-ca")
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(text) {
+		return nil, usage("--entry-ca %s holds no PEM certificate", f.ca)
+	}
+	return &tls.Config{RootCAs: roots}, nil
+}
+
 // queryFlags make up a request.
 type queryFlags struct {
-	entries    []string
+	entry      entryFlags
 	path       string
 	body       string
 	deadline   time.Duration
@@ -41,7 +72,7 @@
 	c := k.Command("query", `Ask a query as a caller would: get the addresses for the path, then query the first that answers.
 
 Example: pearmoor query --entry=http://10.0.0.5:7400 /kathmandu-valley/counter-desk --body='{"q":"letter"}' --limit=3`)
-	entryFlag(c, &f.entries)
+	f.entry.declare(c)
 	c.Arg("path", "A query service, or a node above several.").Required().StringVar(&f.path)
 	c.Flag("body", "What the targets are asked, as JSON; - reads the standard input.").Required().StringVar(&f.body)
 	c.Flag("deadline", "The request's deadline; left out, the tree's deadline-default.").DurationVar(&f.deadline)
@@ -53,15 +84,19 @@
 	c.Flag("require-coverage", "Exit with 10 if the answer covers less than this, 0 to 1.").FloatVar(&f.require)
 	c.Action(func(*kingpin.ParseContext) error { return a.query(&f) })
 
-	var entries []string
+	var entries entryFlags
 	var path string
 	c = k.Command("addresses", `Show which entry addresses a caller of a path is told to use, and for how long.
 
 Example: pearmoor addresses --entry=http://10.0.0.5:7400 /kathmandu-valley/counter-desk`)
-	entryFlag(c, &entries)
+	entries.declare(c)
 	c.Arg("path", "A query service, or a node above several.").Required().StringVar(&path)
 	c.Action(func(*kingpin.ParseContext) error {
-		list, err := a.askAddresses(newCaller(a.timeout), entries, path)
+		caller, err := newCaller(&entries, a.timeout)
+		if err != nil {
+			return err
+		}
+		list, err := a.askAddresses(caller, entries.urls, path)
 		if err != nil {
 			return err
 		}
@@ -69,11 +104,6 @@
 	})
 }
 
-func entryFlag(c *kingpin.CmdClause, entries *[]string) {
-	c.Flag("entry", "Base URLs of daemons to ask for addresses, separated by commas.").Required().
-		Envar("PEARMOOR_ENTRIES").SetValue((*commaList)(entries))
-}
-
 // askAddresses asks the entries in turn.
 func (a *app) askAddresses(c *caller, entries []string, path string) (*contract.Addresses, error) {
 	var last error
@@ -84,7 +114,7 @@
 		}
 		last = err
 	}
-	return nil, queryError(last, nil)
+	return nil, &exitError{code: ExitNotRun, cause: errors.Wrap(last, "no entry gave an address list; no request was run")}
 }
 
 func (f *queryFlags) request(in io.Reader) (*contract.Request, error) {
@@ -114,8 +144,11 @@
 	if err != nil {
 		return err
 	}
-	c := newCaller(a.timeout)
-	list, err := a.askAddresses(c, f.entries, f.path)
+	c, err := newCaller(&f.entry, a.timeout)
+	if err != nil {
+		return err
+	}
+	list, err := a.askAddresses(c, f.entry.urls, f.path)
 	if err != nil {
 		return err
 	}
@@ -180,7 +213,7 @@
 	verdict := "the request was not run"
 	if code == ExitInDoubt {
 		verdict = "the request may have run"
-		if r != nil && !r.IsRepeatable() {
+		if !r.IsRepeatable() {
 			verdict += fmt.Sprintf("; learn its outcome with --key=%s --session=%s", r.Key, r.Session)
 		}
 	}
--- a/internal/cli/query_test.go
+++ b/internal/cli/query_test.go
@@ -2,9 +2,14 @@
 
 import (
 	"encoding/json"
+	"encoding/pem"
 	"fmt"
+	"io"
+	"log"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -95,6 +100,20 @@
 		So(runQuery(e).code, ShouldEqual, ExitOK)
 		So(ran.Load(), ShouldEqual, 2)
 	})
+	Convey("An https entry is trusted by its authority only", t, func() {
+		var e *httptest.Server
+		e = fakeEntry(func() []string { return []string{e.URL} }, goodAnswer)
+		defer e.Close()
+		secure := httptest.NewTLSServer(e.Config.Handler)
+		defer secure.Close()
+		secure.Config.ErrorLog = log.New(io.Discard, "", 0)
+		ca := filepath.Join(t.TempDir(), "ca.pem")
+		So(os.WriteFile(ca, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: secure.Certificate().Raw}), 0o600), ShouldBeNil)
+		c := &tier{}
+		ask := []string{"addresses", "--entry=" + secure.URL, "/desk/a"}
+		So(c.runWith(nil, ask...).code, ShouldEqual, ExitNotRun)
+		So(c.runWith(nil, append(ask, "--entry-ca="+ca)...).code, ShouldEqual, ExitOK)
+	})
 	Convey("Bad JSON in --body is a usage error", t, func() {
 		c := &tier{}
 		r := c.runWith(nil, "query", "--entry=http://127.0.0.1:1", "/desk/a", "--body={")
