--- a/test/tier_test.go
+++ b/test/tier_test.go
@@ -260,13 +260,17 @@
 func (tr *tier) awaitReady(ps ...*process) {
 	tr.t.Helper()
 	for _, p := range ps {
-		why := ""
-		await(tr.t, p.name+" takes work", func() bool {
-			ok, reason := p.ready()
-			why = reason
-			return ok
-		})
-		_ = why
+		var why string
+		for end := time.Now().Add(patience); ; time.Sleep(poll) {
+			var ok bool
+			if ok, why = p.ready(); ok {
+				break
+			}
+			if time.Now().After(end) {
+				st, _ := p.status()
+				tr.t.Fatalf("%s takes no work: %s; status %+v", p.name, why, st)
+			}
+		}
 	}
 }
 
