settings: let hedges be 3% of first attempts by default

Cause: with 2%, a desk of 20 services hedged too few of its stragglers. Conclusion: 0.03, which is also the most extra load that is wanted.

--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -83,7 +83,7 @@
 		{Name: nameHedgeAfter, Kind: Duration, Unit: "duration", Min: "0s", Max: "10m", Default: "0s", Inherits: true,
 			Doc:  "How long a repeatable attempt may take before a second one is sent to another replica; 0s learns it from the query service's own latency. Shorter than deadline-default.",
 			bind: func(e *Effective, _ *Tier, v *value) { e.HedgeAfter = v.duration() }},
-		{Name: "hedge-budget", Kind: Ratio, Unit: "0 to 1", Min: "0", Max: "1", Default: "0.02", Inherits: true,
+		{Name: "hedge-budget", Kind: Ratio, Unit: "0 to 1", Min: "0", Max: "1", Default: "0.03", Inherits: true,
 			Doc:  "The most hedges for each first attempt; 0 switches hedging off.",
 			bind: func(e *Effective, _ *Tier, v *value) { e.HedgeBudget = v.ratio }},
 		{Name: "retry-budget", Kind: Ratio, Unit: "0 to 1", Min: "0", Max: "1", Default: "0.1", Inherits: true,
