--- a/bench/query/cpu.go
+++ b/bench/query/cpu.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"path/filepath"
+	"runtime"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -20,11 +21,23 @@
 	"pearmoor/internal/load"
 )
 
-// cpuPerRequest compares the processor time of all daemons per leaf request
+// cpuPerRequest compares the processor time of the daemons per leaf request
 // with that of a loop which only sends leaf requests and decodes the replies,
-// at the same rate.
+// at the same rate and on as many processors as one daemon has. One daemon that
+// is the home of everything has no hop and wakes as often as the loop does;
+// twelve daemons have the hop and wake twelve times as often for little work.
 func cpuPerRequest(ctx context.Context, e *env) error {
-	cfg := e.tierConfig()
+	for _, size := range []struct{ daemons, controls int }{{1, 1}, {daemons, controls}} {
+		cfg := e.tierConfig()
+		cfg.Daemons, cfg.Controls = size.daemons, size.controls
+		if err := e.cpuOf(ctx, cfg); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (e *env) cpuOf(ctx context.Context, cfg tier.Config) error {
 	t, err := tier.Start(ctx, cfg)
 	if err != nil {
 		return err
@@ -43,56 +56,58 @@
 		return err
 	}
 	span := e.span(5*time.Second, 20*time.Second)
-	rate := 0.5 * capacity(latency)
+	p := phase{rate: 0.5 * capacity(latency), span: span}
 	var ratios []float64
 	for round := range e.rounds() {
-		bare, err := bareLoop(ctx, targets, rate, span, uint64(round+1))
-		if err != nil {
-			return err
-		}
-		atRest, err := e.restCPU(t, span/2)
-		if err != nil {
-			return err
-		}
-		before, err := t.CPU()
-		if err != nil {
-			return err
-		}
-		act := func() error { return e.profileAll(ctx, t, span/2) }
-		run := func() (*load.Result, error) {
-			return e.tierSide(ctx, t, phase{rate: rate, span: span, seed: uint64(round + 1)})
-		}
-		res, err := during(span/4, act, run)
+		p.seed = uint64(round + 1)
+		bare, err := bareLoop(ctx, targets, p)
 		if err != nil {
 			return err
 		}
-		after, err := t.CPU()
+		per, err := e.tierCPU(ctx, t, p)
 		if err != nil {
 			return err
 		}
-		used := after - before
-		per := used / time.Duration(max(res.Leaves.Runs.Total, 1))
-		fmt.Printf("bare loop %v per leaf request; daemons %v per leaf request (%d in %v; at rest all daemons use %.1f%% of a core)\n",
-			bare, per, res.Leaves.Runs.Total, span, atRest*100)
+		fmt.Printf("%d daemons: bare loop %v per leaf request, daemons %v\n", cfg.Daemons, bare, per)
 		ratios = append(ratios, float64(per)/float64(bare))
 	}
-	figure("cpu", "daemons over a bare loop, per leaf request", median(ratios), "at most 1.5")
+	rest, err := restCPU(t, span/2)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%d daemons at rest use %.2f%% of a core each\n", cfg.Daemons, rest*100/float64(cfg.Daemons))
+	figure("cpu", fmt.Sprintf("%d daemons over a bare loop, per leaf request", cfg.Daemons), median(ratios), "at most 1.5")
 	return t.Stop()
 }
 
+// tierCPU returns the processor time of all daemons per leaf request.
+func (e *env) tierCPU(ctx context.Context, t *tier.Tier, p phase) (time.Duration, error) {
+	before, err := t.CPU()
+	if err != nil {
+		return 0, err
+	}
+	act := func() error { return e.profileAll(ctx, t, p.span/2) }
+	res, err := during(p.span/4, act, func() (*load.Result, error) { return e.tierSide(ctx, t, p) })
+	if err != nil {
+		return 0, err
+	}
+	after, err := t.CPU()
+	return (after - before) / time.Duration(max(res.Leaves.Runs.Total, 1)), err
+}
+
 // profileAll profiles every daemon at once; go tool pprof adds the files up.
 func (e *env) profileAll(ctx context.Context, t *tier.Tier, span time.Duration) error {
 	var g errgroup.Group
 	for i := range t.Daemons() {
 		g.Go(func() error {
-			return t.Profile(ctx, i, span, filepath.Join(e.out, "cpu", t.Name(i)+".pprof"))
+			return t.Profile(ctx, i, span, filepath.Join(e.out, fmt.Sprintf("cpu-%d", t.Daemons()), t.Name(i)+".pprof"))
 		})
 	}
 	return g.Wait()
 }
 
 // restCPU returns the share of a core that all daemons use without load.
-func (e *env) restCPU(t *tier.Tier, span time.Duration) (float64, error) {
+func restCPU(t *tier.Tier, span time.Duration) (float64, error) {
 	before, err := t.CPU()
 	if err != nil {
 		return 0, err
@@ -103,8 +118,9 @@
 }
 
 // bareLoop returns this process's own processor time per leaf request.
-func bareLoop(ctx context.Context, targets []baseline.Target, queries float64, span time.Duration, seed uint64) (time.Duration, error) {
-	schedule, err := load.NewSchedule(load.Poisson, queries, span, seed)
+func bareLoop(ctx context.Context, targets []baseline.Target, p phase) (time.Duration, error) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(tier.DaemonProcs))
+	schedule, err := load.NewSchedule(load.Poisson, p.rate, p.span, p.seed)
 	if err != nil {
 		return 0, err
 	}
--- a/bench/query/experiment.go
+++ b/bench/query/experiment.go
@@ -20,6 +20,7 @@
 		{"index", "rolling index change and repartition under load: mixed, lost and doubled hits, coverage", indexChange},
 		{"connections", "connections per leaf over its cap, and reconnects once warm, against naive fan-out", connections},
 		{"restart", "rolling restart of every daemon under load: failed and doubled requests", rollingRestart},
+		{"crashes", "kill -9 and restart at once of daemons under load: doubled runs of requests that are not repeatable", crashes},
 		{"drain", "a leaving leaf: time from its word, and from the operator's, to the last new work", drainLeaf},
 		{"cpu", "processor time of the daemons per leaf request, over a bare net/http loop", cpuPerRequest},
 	}
--- a/bench/query/homes.go
+++ b/bench/query/homes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"syscall"
 	"time"
 
@@ -91,62 +90,3 @@
 	time.Sleep(d)
 	return t.Signal(i, syscall.SIGCONT)
 }
-
-// rollingRestart stops and starts every daemon in turn, control VMs too. Half
-// of the requests are not repeatable, and some of these are sent twice.
-func rollingRestart(ctx context.Context, e *env) error {
-	t, err := tier.Start(ctx, e.tierConfig())
-	if err != nil {
-		return err
-	}
-	defer t.Kill()
-	if err := e.warm(ctx, t); err != nil {
-		return err
-	}
-	count := daemons
-	if e.quick {
-		count = controls + 1
-	}
-	loadCtx, stopLoad := context.WithCancel(ctx)
-	defer stopLoad()
-	acted := make(chan error, 1)
-	go func() {
-		defer stopLoad()
-		acted <- e.restartAll(ctx, t, count)
-	}()
-	p := phase{rate: 100, span: time.Hour, once: 0.5, resend: 0.2, seed: 1}
-	started := time.Now()
-	res, err := e.tierSide(loadCtx, t, p)
-	if err != nil {
-		return err
-	}
-	if err := <-acted; err != nil {
-		return err
-	}
-	fmt.Printf("%d of %d daemons restarted in %v\n", count, daemons, time.Since(started).Round(time.Second))
-	if err := printResult(res); err != nil {
-		return err
-	}
-	figure("restart", "requests without a whole answer", float64(res.Scheduled-res.Whole), "0")
-	figure("restart", "doubled runs of not-repeatable requests", float64(res.Leaves.Runs.Doubled), "0")
-	figure("restart", "most in flight over slots", res.Leaves.MostOverSlots, "at most 1")
-	if err := t.Stop(); err != nil {
-		return err
-	}
-	return e.save("restart", []row{{"tier", res}})
-}
-
-func (e *env) restartAll(ctx context.Context, t *tier.Tier, count int) error {
-	time.Sleep(time.Second)
-	for k := range count {
-		i := (daemons - 1 - k + daemons) % daemons
-		if e.quick {
-			i = k // the control VMs first, then one other
-		}
-		if err := e.restartOne(ctx, t, i); err != nil {
-			return errors.Wrap(err, t.Name(i))
-		}
-		time.Sleep(time.Second)
-	}
-	return nil
-}
--- a/bench/tier/process.go
+++ b/bench/tier/process.go
@@ -15,13 +15,15 @@
 // Limits of each process, so that an experiment can't fill the machine.
 const (
 	memoryLimit  = "GOMEMLIMIT=512MiB"
-	daemonProcs  = "GOMAXPROCS=2" // a small VM
 	standinProcs = "GOMAXPROCS=8" // stands for many VMs
 	logMode      = 0o644
 	killWait     = 10 * time.Second
 	clockTicks   = 100 // per second in /proc/PID/stat on Linux
 )
 
+// DaemonProcs is how many processors a daemon uses: it runs on a small VM.
+const DaemonProcs = 2
+
 // process is one program with its log file; it may be started again.
 type process struct {
 	name string
--- a/bench/tier/tier.go
+++ b/bench/tier/tier.go
@@ -154,7 +154,7 @@
 			name: name,
 			path: filepath.Join(cfg.Dir, "bin", daemonProgram),
 			args: append(args, cfg.Flags...),
-			env:  []string{memoryLimit, daemonProcs},
+			env:  []string{memoryLimit, fmt.Sprintf("GOMAXPROCS=%d", DaemonProcs)},
 			log:  filepath.Join(t.dir, name+".log"),
 		}
 		if err := d.start(); err != nil {
