--- a/internal/link/peer/peer_test.go
+++ b/internal/link/peer/peer_test.go
@@ -190,6 +190,35 @@
 		})
 	})
 
+	// The client checks servers itself, so that a replaced authority counts at once.
+	// What the library would have refused must still be refused.
+	Convey("A server is refused whose certificate", t, func() {
+		cases := []struct {
+			name     string
+			id       Identity
+			host     string
+			validity time.Duration
+			why      string
+		}{
+			{"is for another address", Identity{Name: "c1", Kind: VM}, "127.0.0.9", testValidity, "127.0.0.9, not 127.0.0.1"},
+			{"has expired", Identity{Name: "c1", Kind: VM}, "127.0.0.1", -time.Minute, "expired"},
+		}
+		for _, bad := range cases {
+			Convey(bad.name, func() {
+				dir, a := t.TempDir(), authority(t)
+				files := issue(t, a, dir, bad.id)
+				So(a.Issue(bad.id, []string{bad.host}, bad.validity, files.Cert, files.Key), ShouldBeNil)
+				server := start(t, &control{}, load(t, files).ServerConfig())
+				defer func() { So(server.stop(), ShouldBeNil) }()
+				pool := NewPool(load(t, issue(t, a, dir, Identity{Name: "asha", Kind: Operator})).ClientConfig())
+				defer pool.Close()
+				_, err := read(pool, server.addr)
+				So(NotSent(err), ShouldBeTrue)
+				So(err.Error(), ShouldContainSubstring, bad.why)
+			})
+		}
+	})
+
 	Convey("A server that shows an operator's certificate is refused", t, func() {
 		dir, a := t.TempDir(), authority(t)
 		r := load(t, issue(t, a, dir, Identity{Name: "asha", Kind: Operator}))
