--- a/internal/domain/group.go
+++ b/internal/domain/group.go
@@ -26,6 +26,7 @@
 // together, and a leaf added at the end moves no other group.
 func Groups(service string, leaves []settings.Leaf, m *vm.Membership) []Group {
 	n := max(1, len(leaves)/GroupSize)
+	regions := regionsOf(m)
 	groups := make([]Group, n)
 	for k := range groups {
 		g := Group{Key: service, First: k * GroupSize, Leaves: GroupSize}
@@ -35,7 +36,7 @@
 		if k == n-1 {
 			g.Leaves = len(leaves) - g.First
 		}
-		g.Region = regionOf(leaves[g.First:g.First+g.Leaves], m)
+		g.Region = mostCommon(leaves[g.First:g.First+g.Leaves], regions)
 		groups[k] = g
 	}
 	return groups
@@ -47,16 +48,21 @@
 	return min(leafIndex/GroupSize, max(1, leaves/GroupSize)-1)
 }
 
-// regionOf returns the region of most of the leaves, by the regions that the
-// members of the leaves' failure domains state; the first leaf decides a tie.
-func regionOf(leaves []settings.Leaf, m *vm.Membership) string {
+// regionsOf returns the region of each failure domain, as its members state it.
+func regionsOf(m *vm.Membership) map[string]string {
+	regions := make(map[string]string)
 	if m == nil {
-		return ""
+		return regions
 	}
-	regions := make(map[string]string)
 	for i := range m.Members {
 		regions[m.Members[i].Domain] = m.Members[i].Region
 	}
+	return regions
+}
+
+// mostCommon returns the region of most of the leaves, the first to reach that
+// number; a leaf in a failure domain without members counts for none.
+func mostCommon(leaves []settings.Leaf, regions map[string]string) string {
 	count := make(map[string]int)
 	best := ""
 	for _, l := range leaves {
--- a/internal/relay/advance.go
+++ b/internal/relay/advance.go
@@ -36,7 +36,7 @@
 	if sameTree && sameMembers && next.InForce == v.InForce {
 		return v, nil
 	}
-	next.placements = &placements{}
+	next.placements = v.placements.follow(v, &next)
 	return &next, nil
 }
 
--- a/internal/relay/placement.go
+++ b/internal/relay/placement.go
@@ -1,8 +1,6 @@
 package relay
 
 import (
-	"sync"
-
 	"pearmoor/internal/domain"
 	"pearmoor/internal/settings"
 	"pearmoor/internal/vm"
@@ -15,20 +13,6 @@
 	Homes []vm.Member
 }
 
-// placements caches what rendezvous hashing gives for the services asked for.
-type placements struct {
-	byEpoch sync.Map // epochKey -> []Placed: homes by one membership alone
-	usable  sync.Map // *settings.Effective -> []Placed: homes that hold a share
-	owners  sync.Map // *settings.Tree -> map[string]string: leaf address to service
-}
-
-// epochKey keeps the trees of different versions apart by their Effective, which
-// is one pointer per node and tree.
-type epochKey struct {
-	effective *settings.Effective
-	epoch     uint64
-}
-
 // Placement returns the groups of a service's leaves and the homes of each that
 // hold a share now. A group may have no home for as long as a transition lasts.
 // E is the service's own; its path is the key, however the caller spells it.
@@ -96,13 +80,7 @@
 	if v.placements == nil {
 		return place(e, m)
 	}
-	key := epochKey{effective: e, epoch: m.Epoch}
-	if got, ok := v.placements.byEpoch.Load(key); ok {
-		return got.([]Placed)
-	}
-	got := place(e, m)
-	v.placements.byEpoch.Store(key, got)
-	return got
+	return v.placements.placed(e, m)
 }
 
 func place(e *settings.Effective, m *vm.Membership) []Placed {
--- /dev/null
+++ b/internal/relay/placements_test.go
@@ -0,0 +1,92 @@
+package relay
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"pearmoor/internal/settings"
+	"pearmoor/internal/vm"
+)
+
+func largeTree(services, leaves int) *settings.Tree {
+	var edits []settings.Edit
+	for s := range services {
+		list := make([]settings.Leaf, leaves)
+		for i := range list {
+			list[i] = settings.Leaf{Name: fmt.Sprintf("s%d-l%03d", s, i), Addr: fmt.Sprintf("10.%d.%d.%d:80", s, i/250, i%250), Domain: "hall-0"}
+		}
+		edits = append(edits, set(fmt.Sprintf("/desk/s%d", s), "leaves", settings.FormatLeaves(list)))
+	}
+	return settings.New().Replay(1, edits)
+}
+
+func someMembers(n, domains int) *vm.Membership {
+	m := &vm.Membership{Epoch: 1}
+	for i := range n {
+		id := vm.Identity{Name: fmt.Sprintf("vm-%04d", i), Incarnation: 1, Domain: fmt.Sprintf("hall-%d", i%domains), Region: fmt.Sprintf("r%d", i%domains%2)}
+		m.Members = append(m.Members, vm.Member{Identity: id, Phase: vm.Serving})
+	}
+	return m
+}
+
+// changeOne gives one member another phase or incarnation in the next epoch.
+func changeOne(m *vm.Membership, i int, p vm.Phase) *vm.Membership {
+	next := &vm.Membership{Epoch: m.Epoch + 1, Members: slices.Clone(m.Members)}
+	next.Members[i].Phase = p
+	next.Members[i].Incarnation++
+	return next
+}
+
+// A daemon that was told of each epoch must choose the same homes as one that
+// starts now: two that differ would both send to a leaf, each with a full share.
+func TestDerivedHomesAreTheSame(t *testing.T) {
+	tree := largeTree(3, 45)
+	rapid.Check(t, func(t *rapid.T) {
+		m := someMembers(rapid.IntRange(2, 12).Draw(t, "members"), rapid.IntRange(1, 5).Draw(t, "domains"))
+		v := &View{ConfigVersion: 1, Tree: tree, InForce: 1, Settled: m, placements: &placements{}}
+		for range 8 {
+			for _, path := range tree.Services("") {
+				e, _ := tree.Effective(path)
+				if got, want := v.placed(e, v.Settled), place(e, v.Settled); !reflect.DeepEqual(got, want) {
+					t.Fatalf("epoch %d: %+v, chosen anew: %+v", v.Settled.Epoch, got, want)
+				}
+			}
+			who := rapid.IntRange(0, len(m.Members)-1).Draw(t, "who")
+			p := rapid.SampledFrom([]vm.Phase{vm.Serving, vm.Starting, vm.Draining}).Draw(t, "phase")
+			m = changeOne(m, who, p)
+			next := *v
+			next.Settled = m
+			next.placements = v.placements.follow(v, &next)
+			v = &next
+		}
+	})
+}
+
+// BenchmarkEpoch gives the time to know all homes after one member has changed.
+func BenchmarkEpoch(b *testing.B) {
+	tree := largeTree(49, 470)
+	m := someMembers(3600, 17)
+	v := &View{ConfigVersion: 1, Tree: tree, InForce: 1, Settled: m, placements: &placements{}}
+	know := func(v *View) {
+		for _, path := range tree.Services("") {
+			e, _ := tree.Effective(path)
+			v.placed(e, v.Settled)
+		}
+	}
+	know(v)
+	for i := 0; b.Loop(); i++ {
+		p := vm.Draining
+		if v.Settled.Members[i%3600].Phase == vm.Draining {
+			p = vm.Serving
+		}
+		next := *v
+		next.Settled = changeOne(v.Settled, i%3600, p)
+		next.placements = v.placements.follow(v, &next)
+		know(&next)
+		v = &next
+	}
+}
