--- /dev/null
+++ b/internal/quorum/bench_test.go
@@ -0,0 +1,30 @@
+package quorum
+
+import "testing"
+
+// BenchmarkCommit measures the processor time of three machines, messages encoded
+// and decoded, for one change of 300 bytes: proposed, replicated, committed.
+func BenchmarkCommit(b *testing.B) {
+	c := newCluster(b, 7, 3)
+	l := c.mustLead()
+	for _, h := range c.up() {
+		h.m.cfg.MaxAppendBytes = 256 << 10
+	}
+	data := make([]byte, 300)
+	b.ResetTimer()
+	for i := range b.N {
+		index, _, err := l.m.Propose(data)
+		if err != nil {
+			b.Fatal(err)
+		}
+		for c.newest < index {
+			c.pump(l)
+			c.deliver()
+		}
+		if i%1000 == 999 {
+			for _, h := range c.up() {
+				c.compact(h, 10)
+			}
+		}
+	}
+}
--- a/internal/quorum/chaos_test.go
+++ b/internal/quorum/chaos_test.go
@@ -96,6 +96,7 @@
 	w.loss = rapid.SampledFrom([]float64{0, 0, 0.1, 0.4}).Draw(t, "loss")
 	w.repeat = rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "repeat")
 	w.eager = rapid.SampledFrom([]float64{0, 0.5}).Draw(t, "eager")
+	w.fragile = rapid.SampledFrom([]float64{0, 0.003, 0.03}).Draw(t, "fragile")
 	w.delay = rapid.SampledFrom([]float64{0, 0.3, 0.8}).Draw(t, "delay")
 }
 
--- a/internal/quorum/cluster_test.go
+++ b/internal/quorum/cluster_test.go
@@ -96,6 +96,7 @@
 
 	loss, repeat, delay float64 // chances per message
 	eager               float64 // chance that messages come before a sync is done
+	fragile             float64 // chance of a crash in the middle of a Ready
 	nested              bool
 
 	leaders   map[uint64]uint64     // term -> disk
@@ -245,14 +246,21 @@
 		h.stored.HardState = proto.CloneOf(rd.HardState)
 	}
 	if len(rd.Entries) > 0 {
-		first := rd.Entries[0].Index
-		keep := slices.DeleteFunc(slices.Clone(h.stored.Entries), func(e *Entry) bool { return e.Index >= first })
-		h.stored.Entries = append(keep, rd.Entries...)
+		es := h.stored.Entries
+		for len(es) > 0 && es[len(es)-1].Index >= rd.Entries[0].Index {
+			es = es[:len(es)-1]
+		}
+		h.stored.Entries = append(es, rd.Entries...)
 	}
 }
 
 func (c *cluster) pump(h *host) {
 	for h.m != nil && h.m.HasReady() {
+		if c.rng.Float64() < c.fragile {
+			c.crash(h, c.rng.IntN(wholly))
+			c.start(h)
+			return
+		}
 		c.carryOut(h, wholly)
 	}
 }
@@ -349,7 +357,7 @@
 
 // calm ends all faults of the network and lets time pass.
 func (c *cluster) calm(rounds int) {
-	c.loss, c.repeat, c.delay, c.eager = 0, 0, 0, 0
+	c.loss, c.repeat, c.delay, c.eager, c.fragile = 0, 0, 0, 0, 0
 	clear(c.cut)
 	c.rounds(rounds)
 }
--- a/internal/quorum/linear_test.go
+++ b/internal/quorum/linear_test.go
@@ -125,7 +125,7 @@
 			}
 			k.onApply, k.onRead = k.applied, k.granted
 			k.mustLead()
-			k.loss, k.repeat, k.delay, k.eager = 0.1, 0.1, 0.5, 0.3
+			k.loss, k.repeat, k.delay, k.eager, k.fragile = 0.1, 0.1, 0.5, 0.3, 0.002
 			for range 120 {
 				k.step()
 			}
