--- a/internal/cli/change.go
+++ b/internal/cli/change.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
-	"github.com/cockroachdb/errors"
 
 	"pearmoor/internal/contract"
 	"pearmoor/internal/link/wire"
@@ -112,15 +111,9 @@
 	reply, sent, err := call(a.ctx, c, 0, func(ctx context.Context, cc wire.DRPCControlClient) (*wire.ChangeReply, error) {
 		return cc.Change(ctx, req)
 	})
-	var coded *exitError
-	switch {
-	case errors.As(err, &coded):
+	unknown := fmt.Sprintf("repeat the command with --base=%d --change-id=%s to learn it without changing anything twice", base, id)
+	if err := outcomeOf(err, sent && !f.dryRun, unknown); err != nil {
 		return nil, err
-	case err != nil && (!sent || f.dryRun):
-		return nil, &exitError{code: ExitUnreachable, cause: errors.Wrap(err, "no control VM answered; nothing was changed")}
-	case err != nil:
-		return nil, &exitError{code: ExitUnknown, cause: errors.Wrapf(err,
-			"the outcome is not known; repeat the command with --base=%d --change-id=%s to learn it without changing anything twice", base, id)}
 	}
 	return reply, outcomeError(reply)
 }
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -182,3 +182,18 @@
 	}
 	return reply, nil
 }
+
+// outcomeOf turns what call returned for a request that changes something into
+// the error for the operator; unknown says how to learn an outcome that was lost.
+func outcomeOf(err error, sent bool, unknown string) error {
+	var coded *exitError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &coded):
+		return err
+	case !sent:
+		return &exitError{code: ExitUnreachable, cause: errors.Wrap(err, "no control VM answered; nothing was changed")}
+	}
+	return &exitError{code: ExitUnknown, cause: errors.Wrap(err, "the outcome is not known; "+unknown)}
+}
--- a/internal/cli/domains.go
+++ b/internal/cli/domains.go
@@ -25,11 +25,7 @@
 	c.Flag("region", "List the nodes right below the root instead.").Envar("PEARMOOR_DOMAINS_REGION").BoolVar(&region)
 	c.Flag("desks", "List the nodes of the second level instead.").BoolVar(&desks)
 	c.Action(func(*kingpin.ParseContext) error {
-		text, err := a.readFile(file)
-		if err != nil {
-			return err
-		}
-		tree, err := settings.ParseFile(text)
+		tree, _, err := a.readTreeFile(file)
 		if err != nil {
 			return err
 		}
--- a/internal/cli/file.go
+++ b/internal/cli/file.go
@@ -42,11 +42,7 @@
 }
 
 func (a *app) apply(file string, f *changeFlags) error {
-	text, err := a.readFile(file)
-	if err != nil {
-		return err
-	}
-	wanted, err := settings.ParseFile(text)
+	wanted, text, err := a.readTreeFile(file)
 	if err != nil {
 		return err
 	}
@@ -93,6 +89,16 @@
 		base, newest, conflictText(w), base, newest)
 }
 
+// readTreeFile reads a tree from a file, and returns its text too.
+func (a *app) readTreeFile(name string) (*settings.Tree, []byte, error) {
+	text, err := a.readFile(name)
+	if err != nil {
+		return nil, nil, err
+	}
+	tree, err := settings.ParseFile(text)
+	return tree, text, err
+}
+
 func (a *app) readFile(name string) ([]byte, error) {
 	if name == "-" {
 		text, err := io.ReadAll(io.LimitReader(a.in, settings.MaxFile+1))
--- a/internal/cli/group.go
+++ b/internal/cli/group.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
-	"github.com/cockroachdb/errors"
 
 	"pearmoor/internal/link/wire"
 )
@@ -103,16 +102,11 @@
 	reply, sent, err := call(a.ctx, c, c.timeout, func(ctx context.Context, cc wire.DRPCControlClient) (*wire.GroupReply, error) {
 		return cc.Group(ctx, req)
 	})
-	var coded *exitError
-	switch {
-	case errors.As(err, &coded):
+	unknown := "look at 'pearmoor status', or repeat the command with --change-id=" + req.GetChangeId()
+	if err := outcomeOf(err, sent, unknown); err != nil {
 		return nil, err
-	case err != nil && !sent:
-		return nil, &exitError{code: ExitUnreachable, cause: errors.Wrap(err, "no control VM answered; nothing was changed")}
-	case err != nil:
-		return nil, &exitError{code: ExitUnknown, cause: errors.Wrapf(err,
-			"the outcome is not known; look at 'pearmoor status', or repeat the command with --change-id=%s", req.GetChangeId())}
-	case !reply.GetDone():
+	}
+	if !reply.GetDone() {
 		return nil, failWith(ExitInvalid, "not done: %s", reply.GetError())
 	}
 	return groupOf(reply.GetGroup()), nil
--- a/internal/cli/plan.go
+++ b/internal/cli/plan.go
@@ -62,11 +62,7 @@
 }
 
 func (a *app) planFile(file string, old *settings.Tree, version uint64) error {
-	text, err := a.readFile(file)
-	if err != nil {
-		return err
-	}
-	next, err := settings.ParseFile(text)
+	next, _, err := a.readTreeFile(file)
 	if err != nil {
 		return err
 	}
