Probe no later than the interval

Cause: jitter either way made a word on draining up to a fifth older than probe-interval, beyond 3 s at the longest interval allowed. Change: jitter only shortens the interval.

--- a/internal/link/leaf/prober.go
+++ b/internal/link/leaf/prober.go
@@ -20,7 +20,7 @@
 	probeTimeoutMin = 500 * time.Millisecond
 	firstProbe      = 10 * time.Millisecond // a new leaf is asked within this time
 	knownLimit      = time.Second           // a new leaf that is silent for so long counts as tried
-	probeJitter     = 0.2                   // of the interval, either way
+	probeJitter     = 0.2                   // of the interval; it only shortens it, so that a leaf's word is no older
 	staleIntervals  = 5                     // a status older than so many intervals does not make a leaf live
 	staleMin        = 3 * time.Second
 )
@@ -300,7 +300,7 @@
 }
 
 func jittered(d time.Duration) time.Duration {
-	return d + time.Duration((2*rand.Float64()-1)*probeJitter*float64(d))
+	return d - time.Duration(rand.Float64()*probeJitter*float64(d))
 }
 
 func (p *Prober) probe(d dueProbe) {
