--- a/internal/quorum/chaos_test.go
+++ b/internal/quorum/chaos_test.go
@@ -26,6 +26,7 @@
 			w.mustLead()
 			w.rounds(5)
 		}
+		w.fragile = rapid.SampledFrom([]float64{0, 0.01, 0.1}).Draw(t, "fragile")
 		t.Repeat(map[string]func(*rapid.T){
 			"":         w.passTime, // after each of the others
 			"elect":    w.actElect,
@@ -96,7 +97,6 @@
 	w.loss = rapid.SampledFrom([]float64{0, 0, 0.1, 0.4}).Draw(t, "loss")
 	w.repeat = rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "repeat")
 	w.eager = rapid.SampledFrom([]float64{0, 0.5}).Draw(t, "eager")
-	w.fragile = rapid.SampledFrom([]float64{0, 0.003, 0.03}).Draw(t, "fragile")
 	w.delay = rapid.SampledFrom([]float64{0, 0.3, 0.8}).Draw(t, "delay")
 }
 
