--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -13,7 +13,7 @@
 const (
 	DefaultInterval = time.Second
 	DefaultDirect   = 64
-	DefaultFanout   = 8
+	DefaultFanout   = 5
 )
 
 // Conns gives connections to other daemons; Close of one hands it back.
