load: a caller whose time is over before it asked says so

ask returned neither a list nor an error when its context had ended before the first try, and the caller used the missing list: the tool panicked when the machine stalled.

--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -23,6 +23,8 @@
 	failoverPause = 20 * time.Millisecond // before a second round over a fresh list
 )
 
+var errNoEntry = errors.New("no daemon is known to ask for addresses")
+
 // caller keeps address lists for their lifetime, one per path.
 type caller struct {
 	http    *http.Client
@@ -119,10 +121,16 @@
 			i = -1
 		}
 	}
-	if without != nil {
+	switch {
+	case without != nil:
 		return without, nil
+	case last != nil:
+		return nil, last
+	case ctx.Err() != nil:
+		return nil, ctx.Err()
+	default:
+		return nil, errNoEntry
 	}
-	return nil, last
 }
 
 func urls(a *contract.Addresses) []string {
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -165,6 +165,18 @@
 	})
 }
 
+// A caller's time is over before it has asked anybody for addresses, as when a
+// machine stalls. It must be told so; it once took the missing list for one.
+func TestCallerWithoutTimeLeft(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	c := newCaller(http.DefaultClient, []string{"http://127.0.0.1:1"})
+	o := c.Ask(ctx, contract.Request{Path: testPath}, time.Now())
+	if o.Answer != nil || o.Err == nil {
+		t.Fatalf("%+v", o)
+	}
+}
+
 // An answer with one thing wrong must be found out, whatever its size.
 func TestCheckFindsEveryFault(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
