--- a/internal/query/check_test.go
+++ b/internal/query/check_test.go
@@ -71,7 +71,7 @@
 	defer w.mu.Unlock()
 	for s := range w.services {
 		for shard := range uint32(8) {
-			n := w.runs[runKey(body(key), fmt.Sprintf("/desk/s%d", s), shard)]
+			n := w.runs[runKey(body(key), fmt.Sprintf("desk/s%d", s), shard)]
 			total += n
 			most = max(most, n)
 		}
