--- /dev/null
+++ b/internal/daemon/config_test.go
@@ -0,0 +1,64 @@
+package daemon
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"pearmoor/internal/contract"
+)
+
+func validConfig() Config {
+	return Config{
+		Name: "entry-1", Domain: "lalitpur-hall", Region: "kathmandu-valley", Entry: true,
+		CallerListen: "127.0.0.1:0", PeerListen: "127.0.0.1:0", OperatorListen: "127.0.0.1:0",
+		PlaintextPeers: true, Control: []string{"127.0.0.1:7401"},
+		PlatformEvery: time.Second, SyncEvery: time.Second, Direct: 64, Fanout: 8,
+	}
+}
+
+// An operator who starts a daemon with several wrong settings sees all of them at
+// once, each with its flag and what to write instead, and nothing is bound.
+func TestValidateListsEveryFault(t *testing.T) {
+	Convey("Given settings that are right", t, func() {
+		c := validConfig()
+		So(c.Validate(), ShouldBeNil)
+
+		Convey("several wrong ones are all listed", func() {
+			c.Name, c.Domain, c.PeerListen, c.Fanout = "", "a/b", "nowhere", 0
+			faults, ok := c.Validate().(contract.Faults)
+			So(ok, ShouldBeTrue)
+			var fields []string
+			for _, f := range faults {
+				fields = append(fields, f.Field)
+				So(f.Why, ShouldNotBeEmpty)
+				So(f.Fix, ShouldNotBeEmpty)
+			}
+			So(strings.Join(fields, " "), ShouldEqual, "--name --domain --peer-listen --relay-fanout")
+		})
+		Convey("plain text is refused on an address that others reach", func() {
+			c.PeerListen = "10.0.0.5:7401"
+			So(c.Validate().Error(), ShouldContainSubstring, "not a loopback address")
+		})
+		Convey("an address of every interface can't be told to others", func() {
+			c.CallerListen = "0.0.0.0:7400"
+			So(c.Validate().Error(), ShouldContainSubstring, "--caller-url")
+		})
+		Convey("without plain text every TLS file is wanted", func() {
+			c.PlaintextPeers = false
+			for _, flag := range []string{"--peer-ca", "--peer-cert", "--peer-key"} {
+				So(c.Validate().Error(), ShouldContainSubstring, flag)
+			}
+		})
+		Convey("a control VM wants a data folder, and its own id among the first voters", func() {
+			c.ControlID, c.Bootstrap, c.BootstrapVoters = 1, true, []string{"2=127.0.0.1:7401", "2=127.0.0.1:7402", "x"}
+			text := c.Validate().Error()
+			So(text, ShouldContainSubstring, "--data-dir")
+			So(text, ShouldContainSubstring, "repeats an id")
+			So(text, ShouldContainSubstring, "has no '='")
+			So(text, ShouldContainSubstring, "does not name this VM's own --control-id")
+		})
+	})
+}
