Test two safeguards that no test held

Cause: mutation trials survived two faults: shedding by arrival in place of the lowest order when a deadline sheds, and a write after its caller had been told that nothing was sent. Change: both are tested; the second shares a table with the lapsed lease (a rename of TestLapsedLeaseStopsTheWriteItself with one case more).

--- a/internal/admit/gate_test.go
+++ b/internal/admit/gate_test.go
@@ -47,6 +47,14 @@
 			t.Fatalf("number %d, which fits, ended with %v", i, r.err)
 		}
 	}
+	// One of a query that ranks higher stays: all homes shed the lowest.
+	_, x, _ = w.askAny(118*ms, Ask{Order: 1}, leafA)
+	if _, ok := x.ended(); ok {
+		t.Fatal("a query was shed before one of lower order")
+	}
+	if w.get(leafA).queue.len() != len(queued) {
+		t.Fatal("none was shed in its place")
+	}
 }
 
 // A leaf hangs with this daemon's only permit, while one waits with 200 ms. The
--- a/internal/link/leaf/verdict_test.go
+++ b/internal/link/leaf/verdict_test.go
@@ -137,26 +137,31 @@
 	})
 }
 
-// The same with the pause between the last check and the first byte: the check
-// in the write itself stops it.
-func TestLapsedLeaseStopsTheWriteItself(t *testing.T) {
-	Convey("A lease that runs out after the connection was taken", t, func() {
-		f := newFakeLeaf(t)
-		r := newRig(t, f.leaf(), 1, Link{Conns: 1})
-		p, _ := r.gates.TryAcquire(r.leaf.Addr)
-		pool := r.sender.pool(r.leaf.Addr)
-		c, err := pool.get(deadline(t, generous))
-		So(err, ShouldBeNil)
-		x := &exchange{pool: pool, permit: p, clock: vm.Now, req: *request("1"), done: make(chan struct{})}
-		x.setConn(c)
-		r.gates.Fence(vm.Now())
-		out := x.roundTrip(c)
-		So(out.err.Verdict, ShouldEqual, contract.NotRun)
-		So(out.err.Reason, ShouldEqual, contract.ReasonUnconfirmed)
-		So(out.dead, ShouldBeFalse)
-		So(f.runs.Load(), ShouldEqual, 0)
-		p.Release()
-	})
+// The same between the last check and the first byte: the lease runs out, or the
+// caller leaves and is told that nothing was sent. The write itself stops it.
+func TestNothingIsWrittenOnceItMayNot(t *testing.T) {
+	for reason, stop := range map[contract.Reason]func(*rig, *exchange){
+		contract.ReasonUnconfirmed: func(r *rig, _ *exchange) { r.gates.Fence(vm.Now()) },
+		contract.ReasonDeadline:    func(_ *rig, x *exchange) { x.leave() },
+	} {
+		Convey("With the connection in hand: "+string(reason), t, func() {
+			f := newFakeLeaf(t)
+			r := newRig(t, f.leaf(), 1, Link{Conns: 1})
+			p, _ := r.gates.TryAcquire(r.leaf.Addr)
+			pool := r.sender.pool(r.leaf.Addr)
+			c, err := pool.get(deadline(t, generous))
+			So(err, ShouldBeNil)
+			x := &exchange{pool: pool, permit: p, clock: vm.Now, req: *request("1"), cancel: func() {}, done: make(chan struct{})}
+			x.setConn(c)
+			stop(r, x)
+			out := x.roundTrip(c)
+			So(out.err.Verdict, ShouldEqual, contract.NotRun)
+			So(out.err.Reason, ShouldEqual, reason)
+			So(out.dead, ShouldBeFalse)
+			So(f.runs.Load(), ShouldEqual, 0)
+			p.Release()
+		})
+	}
 }
 
 // The leaf is told no more time than the lease has left, so that what outlives
