control: transient errors of group changes are asked again; tests hold under load

A group change caught by a move of leadership answered in the error field, which tools take for a refusal: it now returns the error, or the leader's address. Founders' names are learnt from their messages, so that status shows them. Records that no control VM holds any more are given up, or a trail with a gap would have taken no new ones.

--- a/internal/audit/trail.go
+++ b/internal/audit/trail.go
@@ -92,6 +92,16 @@
 	}
 }
 
+// Skip gives up the versions up to that one, which nobody holds any more. It is
+// not written: after a restart they are missing again until they are skipped.
+func (t *Trail) Skip(version uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if version > t.newest() && len(t.buffered) == 0 {
+		t.last = version
+	}
+}
+
 // Flush makes the appended records durable. After journal.ErrFull it may be
 // called again; any other error ends the process.
 func (t *Trail) Flush() error {
--- a/internal/control/backfill.go
+++ b/internal/control/backfill.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"pearmoor/internal/link/wire"
+	"pearmoor/internal/quorum"
 )
 
 const (
@@ -71,12 +72,33 @@
 }
 
 // fillGap appends what the other VMs hold of the versions from..to, oldest first,
-// and reports whether there was anything. Versions are passed over only when
-// every member has answered that it lacks them.
+// and reports whether that changed anything. Versions are given up only when
+// every other member has answered that it lacks them.
 func (n *Node) fillGap(ctx context.Context, from, to uint64) bool {
-	var best []*wire.AuditRecord
-	all := true
-	for _, m := range n.lead.Load().conf.GetMembers() {
+	conf := n.lead.Load().conf
+	if conf == nil {
+		return false
+	}
+	best, all := n.oldestRecords(ctx, conf, from)
+	if len(best) > 0 && best[0].Version == from {
+		return n.appendTrail(ctx, best, to, 0)
+	}
+	if !all {
+		return false
+	}
+	missing := to
+	if len(best) > 0 {
+		missing = min(to, best[0].Version-1)
+	}
+	klog.Warningf("control: no control VM holds the audit records from version %d to %d any more", from, missing)
+	return n.appendTrail(ctx, best, to, missing)
+}
+
+// oldestRecords asks the other members for records from a version on, and returns
+// those that begin the earliest. all tells whether every member answered.
+func (n *Node) oldestRecords(ctx context.Context, conf *quorum.Conf, from uint64) (best []*wire.AuditRecord, all bool) {
+	all = true
+	for _, m := range conf.GetMembers() {
 		if m.Id == n.cfg.ID {
 			continue
 		}
@@ -93,13 +115,7 @@
 			break
 		}
 	}
-	if best == nil || (best[0].Version != from && !all) {
-		return false
-	}
-	if best[0].Version > from {
-		klog.Warningf("control: no control VM holds the audit records from version %d to %d any more", from, best[0].Version-1)
-	}
-	return n.appendTrail(ctx, best, to)
+	return best, all
 }
 
 func (n *Node) askTrail(ctx context.Context, addr string, from uint64) ([]*wire.AuditRecord, error) {
@@ -114,11 +130,13 @@
 	return r.GetRecords(), err
 }
 
-// appendTrail hands records to the driver, which owns the trail.
-func (n *Node) appendTrail(ctx context.Context, records []*wire.AuditRecord, to uint64) bool {
+// appendTrail hands records to the driver, which owns the trail. Versions up to
+// missing are given up.
+func (n *Node) appendTrail(ctx context.Context, records []*wire.AuditRecord, to, missing uint64) bool {
 	done := make(chan struct{})
 	err := n.driver.call(ctx, func() {
 		defer close(done)
+		n.trail.Skip(missing)
 		for _, r := range records {
 			if r.Version <= to {
 				n.trail.Append(r)
--- a/internal/control/deliver.go
+++ b/internal/control/deliver.go
@@ -14,6 +14,7 @@
 // dropped, as on any lossy link.
 func (s *quorumServer) Deliver(_ context.Context, in *wire.QuorumMessage) (*wire.QuorumAck, error) {
 	s.links.learn(in.From, in.FromAddr)
+	s.links.learnName(in.From, in.FromName)
 	for _, b := range in.Payloads {
 		m, err := quorum.Decode(b)
 		if err != nil {
--- a/internal/control/disk_test.go
+++ b/internal/control/disk_test.go
@@ -59,6 +59,7 @@
 }
 
 func TestDiskFaults(t *testing.T) {
+	t.Parallel()
 	Convey("Given a control VM whose disk fails on demand", t, func() {
 		disk := &badDisk{}
 		v := startVM(t, Config{ID: 1, Name: "ctl-1", DataDir: t.TempDir(), Bootstrap: true, FS: disk}, listen(t, "127.0.0.1:0"))
--- a/internal/control/duties_test.go
+++ b/internal/control/duties_test.go
@@ -76,6 +76,7 @@
 }
 
 func TestEpochsWaitForAcksAndLeases(t *testing.T) {
+	t.Parallel()
 	Convey("Given a control VM and two daemons that are settled members", t, func() {
 		clock := &skipClock{}
 		v := startVM(t, Config{ID: 1, Name: "ctl-1", DataDir: t.TempDir(), Bootstrap: true, Clock: clock.now}, listen(t, "127.0.0.1:0"))
--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"pearmoor/internal/link/peer"
 	"pearmoor/internal/link/wire"
 	"pearmoor/internal/quorum"
 )
@@ -30,14 +31,27 @@
 	default:
 		err = errors.Newf("control: op=%v is unknown; use GROUP_ADD or GROUP_REMOVE", req.Op)
 	}
-	reply := &wire.GroupReply{Done: err == nil, Group: s.lead.Load().group()}
+	if transient(err) {
+		redirect, _ := s.toLeader()
+		if redirect == "" {
+			return nil, err
+		}
+		return &wire.GroupReply{Redirect: redirect}, nil
+	}
+	reply := &wire.GroupReply{Done: err == nil, Group: s.group()}
 	if err != nil {
 		reply.Error = err.Error()
-		reply.Redirect, _ = s.toLeader()
 	}
 	return reply, nil
 }
 
+// transient reports whether err says no more than that leadership has moved or
+// is not ready: the request itself may be right, and asking again may do it.
+func transient(err error) bool {
+	var refused *quorum.ConfError
+	return err != nil && peer.IsNotDone(err) && !errors.As(err, &refused)
+}
+
 // addMember adds a learner and makes it a voter once it has caught up.
 func (n *Node) addMember(ctx context.Context, req *wire.GroupRequest) error {
 	m, err := n.askMember(ctx, req)
@@ -117,7 +131,8 @@
 }
 
 // group returns the control group as this VM sees it.
-func (l *leadership) group() []*wire.ControlVm {
+func (n *Node) group() []*wire.ControlVm {
+	l := n.lead.Load()
 	match := map[uint64]uint64{l.status.ID: l.status.LastIndex}
 	for _, p := range l.status.Peers {
 		match[p.ID] = p.Match
@@ -125,9 +140,22 @@
 	var out []*wire.ControlVm
 	for _, m := range l.conf.GetMembers() {
 		out = append(out, &wire.ControlVm{
-			Id: m.Id, Name: m.Name, PeerAddr: m.PeerAddr, Voter: !m.Learner,
+			Id: m.Id, Name: n.nameOf(m), PeerAddr: m.PeerAddr, Voter: !m.Learner,
 			Leader: m.Id == l.leader, MatchIndex: match[m.Id],
 		})
 	}
 	return out
 }
+
+// nameOf returns a member's name. The group's founders are recorded without one,
+// since each knows only its own when it starts; the others tell it with every
+// message.
+func (n *Node) nameOf(m *quorum.Member) string {
+	switch {
+	case m.Name != "":
+		return m.Name
+	case m.Id == n.cfg.ID:
+		return n.cfg.Name
+	}
+	return n.links.nameOf(m.Id)
+}
--- a/internal/control/node_test.go
+++ b/internal/control/node_test.go
@@ -14,6 +14,7 @@
 }
 
 func TestOneControlVM(t *testing.T) {
+	t.Parallel()
 	Convey("Given one control VM that founded its group", t, func() {
 		v := startVM(t, Config{ID: 1, Name: "ctl-1", DataDir: t.TempDir(), Bootstrap: true}, listen(t, "127.0.0.1:0"))
 		Reset(func() { v.cancel() })
--- a/internal/control/read.go
+++ b/internal/control/read.go
@@ -165,7 +165,7 @@
 	v := s.view()
 	out := &wire.StatusReply{
 		Redirect: l.redirect(), Term: l.term, Commit: l.status.Commit,
-		ConfigVersion: v.version, SettledEpoch: v.settled.Epoch, Group: l.group(),
+		ConfigVersion: v.version, SettledEpoch: v.settled.Epoch, Group: s.group(),
 	}
 	if v.pending != nil {
 		out.PendingEpoch = v.pending.Epoch
--- a/internal/control/tls_test.go
+++ b/internal/control/tls_test.go
@@ -33,6 +33,7 @@
 // name, edits the tree. The trail must name who it was by certificate, and a VM
 // may edit nothing.
 func TestOperatorIsNamedByCertificate(t *testing.T) {
+	t.Parallel()
 	Convey("Given a control VM that demands certificates", t, func() {
 		dir := t.TempDir()
 		a, err := peer.NewAuthority(time.Hour)
--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -28,10 +28,11 @@
 	wg    sync.WaitGroup
 	links map[uint64]*peerLink
 	addrs map[uint64]string
+	names map[uint64]string
 }
 
 func newTransport(cfg *Config) *transport {
-	t := &transport{cfg: cfg, links: make(map[uint64]*peerLink), addrs: make(map[uint64]string)}
+	t := &transport{cfg: cfg, links: make(map[uint64]*peerLink), addrs: make(map[uint64]string), names: make(map[uint64]string)}
 	for id, addr := range cfg.Voters {
 		t.addrs[id] = addr
 	}
@@ -68,6 +69,22 @@
 	}
 }
 
+// learnName notes what a member calls itself.
+func (t *transport) learnName(id uint64, name string) {
+	if name == "" {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.names[id] = name
+}
+
+func (t *transport) nameOf(id uint64) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.names[id]
+}
+
 func (t *transport) send(msgs []*quorum.Message) {
 	for _, m := range msgs {
 		if l := t.link(m.To); l != nil {
@@ -152,7 +169,7 @@
 func (l *peerLink) take() (*wire.QuorumMessage, string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	batch := &wire.QuorumMessage{From: l.cfg.ID, FromAddr: l.cfg.PeerAddr}
+	batch := &wire.QuorumMessage{From: l.cfg.ID, FromAddr: l.cfg.PeerAddr, FromName: l.cfg.Name}
 	size, n := 0, 0
 	for _, m := range l.queue {
 		if size >= batchBytes {
