--- a/internal/quorum/membership_test.go
+++ b/internal/quorum/membership_test.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"testing"
+
+	"pearmoor/internal/quorum/quorumpb"
 )
 
 // A repaired VM is added. It counts only once it holds every committed entry and
@@ -21,15 +23,29 @@
 		t.Fatalf("promoted while behind: %v", err)
 	}
 	c.calm(40)
-	c.mustChange(l, Promote, &Member{Id: 4})
 	c.crash(c.host(2), wholly)
+	c.crash(c.host(3), wholly)
+	c.rounds(60)
+	if c.leader() != nil {
+		t.Fatalf("a learner's vote was counted: %s", c)
+	}
+	c.start(c.hosts[1002])
+	c.start(c.hosts[1003])
+	c.rounds(60)
+	l = c.mustLead()
+	c.mustChange(l, Promote, &Member{Id: 4})
+	second := c.host(5 - l.id) // 2 or 3, whichever does not lead
+	if l.id == 1 {
+		second = c.host(2)
+	}
+	c.crash(second, wholly)
 	c.mustCommit(l)
 	c.crash(l, wholly)
 	c.rounds(100)
 	if c.leader() != nil {
 		t.Fatalf("two of four elected a leader: %s", c)
 	}
-	c.start(c.hosts[1002])
+	c.start(second)
 	c.rounds(60)
 	c.mustCommit(c.mustLead())
 	if n.state.value != 12 {
@@ -53,6 +69,9 @@
 		} else {
 			c.deliver()
 		}
+		if committed && l.m.role == Leader {
+			t.Fatal("leads on after its removal")
+		}
 		c.crash(f, wholly)
 		c.start(f)
 		f.m.Tick()
@@ -89,6 +108,10 @@
 func TestMembershipRefusals(t *testing.T) {
 	c, l := formed(t, 3)
 	c.mustChange(l, Remove, &Member{Id: 3})
+	c.rounds(20)
+	if why := c.host(3).m.Status().Refused; why != quorumpb.Refusal_REMOVED {
+		t.Fatalf("the removed VM was told %v", why)
+	}
 	refuse := func(op ConfOp, b *Member) {
 		t.Helper()
 		last := l.m.log.last()
