--- /dev/null
+++ b/test/operator_test.go
@@ -0,0 +1,191 @@
+package test
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"pearmoor/internal/cli"
+)
+
+// operatorLog is what one operator was told of the changes it made.
+type operatorLog struct {
+	accepted map[string]uint64 // version by change id
+	order    []string
+}
+
+// operator makes changes one after the other and resends each under its change id
+// until its outcome is known, as after a lost reply.
+type operator struct {
+	tr   *tier
+	stop chan struct{}
+	done sync.WaitGroup
+
+	mu  sync.Mutex
+	log operatorLog
+	err error
+}
+
+func (tr *tier) startOperator() *operator {
+	o := &operator{tr: tr, stop: make(chan struct{}), log: operatorLog{accepted: map[string]uint64{}}}
+	o.done.Go(o.run)
+	tr.t.Cleanup(o.end)
+	return o
+}
+
+func (o *operator) run() {
+	for n := 1; ; n++ {
+		id := fmt.Sprintf("change-%d", n)
+		for !o.try(id, n) {
+			if o.stopped() {
+				return // its outcome stays unknown
+			}
+		}
+		if o.stopped() {
+			return
+		}
+	}
+}
+
+// try makes one change and reports whether its outcome is known.
+func (o *operator) try(id string, n int) bool {
+	code, out, errOut := o.tr.operate("set", desk, fmt.Sprintf("--hedge-after=%dms", 20+n%500), "--change-id="+id,
+		"--reason="+id, "--wait=0s", "--output=json", "--timeout=5s")
+	if code == cli.ExitUnknown || code == cli.ExitUnreachable {
+		return false
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if code != cli.ExitOK {
+		o.err = fmt.Errorf("change %s: exit %d: %s", id, code, errOut)
+		return true
+	}
+	var made struct {
+		Version uint64 `json:"version"`
+	}
+	o.tr.decode(out, &made)
+	o.log.accepted[id] = made.Version
+	o.log.order = append(o.log.order, id)
+	return true
+}
+
+func (o *operator) stopped() bool {
+	select {
+	case <-o.stop:
+		return true
+	case <-time.After(50 * time.Millisecond):
+		return false
+	}
+}
+
+func (o *operator) count() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.log.order)
+}
+
+// awaitChanges waits until n further changes are accepted.
+func (o *operator) awaitChanges(n int) {
+	o.tr.t.Helper()
+	from, began := o.count(), time.Now()
+	await(o.tr.t, "a change is accepted", func() bool { return o.count() >= from+1 })
+	o.tr.t.Logf("next change accepted after %v", time.Since(began).Round(time.Millisecond))
+	await(o.tr.t, "further changes are accepted", func() bool { return o.count() >= from+n })
+}
+
+func (o *operator) end() {
+	o.mu.Lock()
+	select {
+	case <-o.stop:
+	default:
+		close(o.stop)
+	}
+	o.mu.Unlock()
+	o.done.Wait()
+}
+
+// check compares what the operator was told with the audit trail: no accepted
+// change lost, none there twice, each at the version that was told.
+func (o *operator) check() {
+	t := o.tr.t
+	t.Helper()
+	o.end()
+	if o.err != nil {
+		t.Error(o.err)
+	}
+	var trail struct {
+		Records []struct {
+			Version  uint64 `json:"version"`
+			ChangeID string `json:"change_id"`
+		} `json:"records"`
+	}
+	o.tr.decode(o.tr.must("audit", "--limit=100000", "--output=json"), &trail)
+	seen := map[string]uint64{}
+	for _, r := range trail.Records {
+		if seen[r.ChangeID] != 0 {
+			t.Errorf("change %s is in the trail at versions %d and %d", r.ChangeID, seen[r.ChangeID], r.Version)
+		}
+		seen[r.ChangeID] = r.Version
+	}
+	for id, version := range o.log.accepted {
+		if seen[id] != version {
+			t.Errorf("change %s was accepted as version %d; the trail has it at %d", id, version, seen[id])
+		}
+	}
+	t.Logf("operator: %d changes accepted", len(o.log.order))
+}
+
+// versionWatch asks the entries all the time, and fails the test when one answers
+// at a configuration that is older than one that was in force everywhere before
+// the question, or older than one that the entry itself answered at before.
+type versionWatch struct {
+	tr   *tier
+	stop chan struct{}
+	done sync.WaitGroup
+}
+
+func (tr *tier) watchVersions() *versionWatch {
+	w := &versionWatch{tr: tr, stop: make(chan struct{})}
+	for _, p := range tr.entries {
+		w.done.Go(func() { w.run(p) })
+	}
+	tr.t.Cleanup(w.end)
+	return w
+}
+
+func (w *versionWatch) run(p *process) {
+	var newest, inForce uint64
+	for {
+		select {
+		case <-w.stop:
+			return
+		case <-time.After(10 * time.Millisecond):
+		}
+		for _, q := range w.tr.entries {
+			if s, ok := q.status(); ok {
+				inForce = max(inForce, s.InForce)
+			}
+		}
+		r := w.tr.send(p, w.tr.query(ledger))
+		if r.answer == nil {
+			continue
+		}
+		got := r.answer.ConfigVersion
+		if got < inForce {
+			w.tr.t.Errorf("%s answered at configuration %d, version %d was in force before", p.name, got, inForce)
+		}
+		if got < newest {
+			w.tr.t.Errorf("%s went from configuration %d to %d", p.name, newest, got)
+		}
+		newest = got
+	}
+}
+
+func (w *versionWatch) end() {
+	select {
+	case <-w.stop:
+	default:
+		close(w.stop)
+	}
+	w.done.Wait()
+}
