Run exchanges on goroutines that are used again

Cause: each exchange had a new goroutine, whose stack grew several times: 8% of the samples of the sending side.

--- a/internal/link/leaf/sender.go
+++ b/internal/link/leaf/sender.go
@@ -29,13 +29,15 @@
 	hold  time.Duration // see holdLimit
 	over  atomic.Int64  // pools with more connections open than their share
 
+	workers *workers
+
 	mu    sync.RWMutex
 	pools map[string]*pool // by address
 }
 
 // NewSender returns a sender that reaches no leaf until Limit has named its link.
 func NewSender(c Config) *Sender {
-	s := &Sender{clock: c.Clock, tls: c.TLS, hold: holdLimit, pools: make(map[string]*pool)}
+	s := &Sender{clock: c.Clock, tls: c.TLS, hold: holdLimit, workers: newWorkers(), pools: make(map[string]*pool)}
 	if s.clock == nil {
 		s.clock = vm.Now
 	}
@@ -101,6 +103,7 @@
 
 // Close closes idle connections, and the others when their exchange is over.
 func (s *Sender) Close() {
+	s.workers.close()
 	s.mu.RLock()
 	addrs := slices.Collect(maps.Keys(s.pools))
 	s.mu.RUnlock()
@@ -131,7 +134,7 @@
 		cancel:   cancel,
 		done:     make(chan struct{}),
 	}
-	go x.run(wait)
+	s.workers.run(task{ctx: wait, x: x})
 	select {
 	case <-x.done:
 		return x.result()
