settings: probe at least every 2 s; the fault's example follows the default

Cause: with probe-interval at 3 s a leaf that leaves by its own word could get new work for longer than 3 s; and TestRefusedValues had been left red by the new default of hedge-budget, which its hint quotes. Change: the greatest probe-interval is 2 s, the expected hint is the new default. Conclusion: leaving targets are seen within 2 s plus one probe.

--- a/internal/settings/fault_test.go
+++ b/internal/settings/fault_test.go
@@ -28,7 +28,7 @@
 			{"gj-west", "body-limit", "18014398509481985KiB", "gj-west:body-limit", "", ""},
 			{"gj-west", "homes", "2.5", "gj-west:homes", "not a whole number", "from 1 to 64"},
 			{"gj-west", "homes", "0", "gj-west:homes", "below the least", "from 1 to 64"},
-			{"gj-west", "hedge-budget", "3%", "gj-west:hedge-budget", "not a plain number", "such as 0.02"},
+			{"gj-west", "hedge-budget", "3%", "gj-west:hedge-budget", "not a plain number", "such as 0.03"},
 			{"gj-west", "hedge-budget", "NaN", "gj-west:hedge-budget", "not a plain number", ""},
 			{"gj-west", "goal", "speed", "gj-west:goal", "none of coverage, tail", "write coverage or tail"},
 			{"gj-west", "leaf-tls", "yes", "gj-west:leaf-tls", "neither true nor false", "write true or false"},
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -95,7 +95,7 @@
 		{Name: "ramp", Kind: Duration, Unit: "duration", Min: "0s", Max: "10m", Default: "10s", Inherits: true,
 			Doc:  "How long a new or returning leaf takes to get its whole share of work; 0s gives it at once.",
 			bind: func(e *Effective, _ *Tier, v *value) { e.Ramp = v.duration() }},
-		{Name: nameProbeInterval, Kind: Duration, Unit: "duration", Min: "100ms", Max: "3s", Default: "500ms", Inherits: true,
+		{Name: nameProbeInterval, Kind: Duration, Unit: "duration", Min: "100ms", Max: "2s", Default: "500ms", Inherits: true,
 			Doc:  "How often a home asks a leaf for its state, and so about how long a leaf that is leaving may still get new work.",
 			bind: func(e *Effective, _ *Tier, v *value) { e.ProbeInterval = v.duration() }},
 	}
