--- a/internal/relay/placements_test.go
+++ b/internal/relay/placements_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"runtime"
 	"slices"
 	"testing"
 
@@ -66,8 +67,18 @@
 	})
 }
 
-// BenchmarkEpoch gives the time to know all homes after one member has changed.
+// heap returns the bytes in use.
+func heap() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// BenchmarkEpoch gives the time to know all homes after one member has changed,
+// and the memory of tree, membership and all homes.
 func BenchmarkEpoch(b *testing.B) {
+	before := heap()
 	tree := largeTree(49, 470)
 	m := someMembers(3600, 17)
 	v := &View{ConfigVersion: 1, Tree: tree, InForce: 1, Settled: m, placements: &placements{}}
@@ -78,6 +89,7 @@
 		}
 	}
 	know(v)
+	used := heap() - before
 	for i := 0; b.Loop(); i++ {
 		p := vm.Draining
 		if v.Settled.Members[i%3600].Phase == vm.Draining {
@@ -89,4 +101,6 @@
 		know(&next)
 		v = &next
 	}
+	b.ReportMetric(used/(1<<20), "heap-MB")
+	runtime.KeepAlive(v)
 }
