load: callers try a daemon that did not answer last for a while

A list now has to come within 250 ms. The test of a broken connection gives each request its own caller, since one caller now avoids the daemon; its assertions are unchanged.

--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -21,6 +21,11 @@
 	queryPath     = "/v1/query"
 	answerLimit   = 64 << 20
 	failoverPause = 20 * time.Millisecond // before a second round over a fresh list
+
+	// A daemon that is paused accepts connections and answers nothing. A caller
+	// that asked it again first each time would lose every request to it.
+	askLimit = 250 * time.Millisecond // for one daemon to give a list
+	avoidFor = 5 * time.Second        // a daemon that did not answer is tried last
 )
 
 var errNoEntry = errors.New("no daemon is known to ask for addresses")
@@ -30,8 +35,9 @@
 	http    *http.Client
 	entries []string
 
-	mu    sync.Mutex
-	lists map[string]*addressList
+	mu     sync.Mutex
+	lists  map[string]*addressList
+	silent map[string]time.Time // base URL of a daemon that did not answer, and until when it is tried last
 }
 
 // addressList is filled once, by the first request that needs it.
@@ -42,7 +48,7 @@
 }
 
 func newCaller(client *http.Client, entries []string) *caller {
-	return &caller{http: client, entries: entries, lists: make(map[string]*addressList)}
+	return &caller{http: client, entries: entries, lists: make(map[string]*addressList), silent: make(map[string]time.Time)}
 }
 
 // Outcome is how one request ended.
@@ -106,12 +112,14 @@
 	for _, i := range rand.Perm(len(c.entries)) {
 		bases = append(bases, c.entries[i])
 	}
+	bases = c.silentLast(bases)
 	var last error
 	var without *contract.Addresses
 	for i := 0; i < len(bases) && ctx.Err() == nil; i++ {
 		reply, err := c.askOne(ctx, bases[i], path)
 		switch {
 		case err != nil:
+			c.avoid(bases[i])
 			last = err
 		case reply.Session != "":
 			return reply, nil
@@ -133,6 +141,28 @@
 	}
 }
 
+func (c *caller) avoid(base string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silent[base] = time.Now().Add(avoidFor)
+}
+
+// silentLast returns bases with those that did not answer lately at the end.
+func (c *caller) silentLast(bases []string) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	var heard, silent []string
+	for _, b := range bases {
+		if now.Before(c.silent[b]) {
+			silent = append(silent, b)
+		} else {
+			heard = append(heard, b)
+		}
+	}
+	return append(heard, silent...)
+}
+
 func urls(a *contract.Addresses) []string {
 	out := make([]string, len(a.Addresses))
 	for i := range a.Addresses {
@@ -142,6 +172,8 @@
 }
 
 func (c *caller) askOne(ctx context.Context, base, path string) (*contract.Addresses, error) {
+	ctx, cancel := context.WithTimeout(ctx, askLimit)
+	defer cancel()
 	u := base + addressesPath + "?service=" + url.QueryEscape(path)
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, u, nil)
 	if err != nil {
@@ -185,8 +217,8 @@
 			q.Session = list.Session
 		}
 		out.Session = q.Session
-		for _, a := range list.Addresses {
-			if c.try(ctx, a.URL, q, deadline, &out) {
+		for _, base := range c.silentLast(urls(list)) {
+			if c.try(ctx, base, q, deadline, &out) {
 				return out
 			}
 			out.Failovers++
@@ -207,6 +239,7 @@
 	q.DeadlineMS = left.Milliseconds()
 	status, body, wrote, err := c.post(ctx, base+queryPath, &q)
 	if err != nil {
+		c.avoid(base)
 		out.Err, out.Failure = err, nil
 		if wrote && !q.IsRepeatable() {
 			out.Resends++
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -153,6 +153,7 @@
 			}
 			second.reply = func(_ http.ResponseWriter, q *contract.Request) bool { note(q); return false }
 			cfg.NotRepeatable = 1
+			cfg.Callers = 100 // one for each request: a caller avoids what broke
 			res, err := Run(context.Background(), cfg)
 			So(err, ShouldBeNil)
 			So(res.Once.Ran, ShouldEqual, res.Scheduled)
