relay: ask every control VM in turn, and take no work before membership

Cause: (1) pick returned the first control address whose pause had ended; with two of three lost, pauses end as fast as calls repeat, the two took turns and the third, living one was never asked: a daemon stayed without a lease for over 40 s (test/ TestControlDiskReplaced, red about 1 in 3 on a busy machine). (2) A daemon used its lease before the agreed membership held it, although control does not wait for it when it says in force everywhere. Change: control addresses are ordered by when they failed last; the lease counts from membership on. Ruled out for (2): withholding the lease inside the client, which made all newcomers call again at once (1,141 calls in the first second of TestRestartOfAllMakesNoHerd, bound 600). Before: TestLivingControlIsNotStarved and TestLeaseCountsFromMembershipOn fail. After: both pass, as does the package. Conclusion: mended.

--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -59,6 +59,7 @@
 	whole      bool   // ask for the whole state
 	resend     bool   // send heartbeats in full
 	lease      time.Duration
+	until      vm.Instant // end of the lease, usable once the membership holds this run
 	confirmed  vm.Instant // send instant of the last call that was granted
 	up         *upstreams
 	superseded error
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -205,7 +205,7 @@
 // renewed reports whether the lease is as long as a working upstream keeps it, or
 // the leader itself declines to confirm this daemon.
 func (c *Client) renewed(now vm.Instant, r *wire.SyncReply) bool {
-	return c.view.Lease.Sub(now) >= c.lease/2 || slices.Contains(r.GetRefused(), c.cfg.Self.Name)
+	return c.until.Sub(now) >= c.lease/2 || slices.Contains(r.GetRefused(), c.cfg.Self.Name)
 }
 
 // install joins the reply's state to the view. Again reports that the request has
@@ -254,13 +254,26 @@
 	c.lease = lease
 	age := time.Duration(r.GetAgeMs()) * time.Millisecond
 	until := sent.Add(lease - lease/driftParts - age)
-	if until > c.view.Lease {
+	c.until = max(c.until, until)
+	if c.until > c.view.Lease && c.isMember() {
 		next := *c.view
-		next.Lease = until
+		next.Lease = c.until
 		c.view = &next
 	}
 }
 
+// isMember reports whether the agreed membership holds this run. Control does not
+// wait for other runs before it says that a configuration is in force everywhere,
+// so one that took work on its lease alone might still go by an older one.
+func (c *Client) isMember() bool {
+	members := c.view.Members()
+	if members == nil {
+		return false
+	}
+	m, ok := members.Find(c.cfg.Self.Name)
+	return ok && m.Same(c.cfg.Self) && m.Phase != vm.Gone
+}
+
 // publish wakes those who wait for a view newer than before.
 func (c *Client) publish(before *View) {
 	if c.view == before {
--- a/internal/relay/leader_test.go
+++ b/internal/relay/leader_test.go
@@ -72,12 +72,6 @@
 	l.quorum = q
 }
 
-func (l *modelLeader) inForce() (uint64, *settings.Tree, *vm.Membership) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.state.InForce, l.state.Tree, l.state.Settled
-}
-
 func (l *modelLeader) Sync(ctx context.Context, req *wire.SyncRequest) (*wire.SyncReply, error) {
 	unknown := l.hear(req)
 	timer := time.NewTimer(time.Duration(req.GetWaitMs()) * time.Millisecond)
--- a/internal/relay/upstream.go
+++ b/internal/relay/upstream.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -67,13 +68,20 @@
 	u.control = slices.Compact(sorted)
 }
 
-// candidates lists the addresses to sync with, best first.
+// candidates lists the addresses to sync with, best first. Of the control VMs the
+// one that failed longest ago comes first: in a fixed order two dead ones, whose
+// pauses end as fast as calls are repeated, would be asked in turn for ever, and
+// the daemon would lose its lease beside a third one that works.
 func (u *upstreams) candidates() []string {
 	list := slices.Clone(u.relays)
 	if u.leader != "" {
 		list = append(list, u.leader)
 	}
-	for _, addr := range u.control {
+	control := slices.Clone(u.control)
+	slices.SortStableFunc(control, func(a, b string) int {
+		return cmp.Compare(u.paused[a].until, u.paused[b].until)
+	})
+	for _, addr := range control {
 		if addr != u.leader {
 			list = append(list, addr)
 		}
--- /dev/null
+++ b/internal/relay/upstream_test.go
@@ -0,0 +1,71 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"pearmoor/internal/link/wire"
+	"pearmoor/internal/vm"
+)
+
+// Two of three control VMs are lost, and the daemon's pauses between calls are as
+// long as those after which a lost address is tried again. Callers would be told
+// unconfirmed for as long as the two are lost: asked in a fixed order, they take
+// turns and the third, which works, is never asked.
+func TestLivingControlIsNotStarved(t *testing.T) {
+	Convey("Given three control addresses of which two fail every time", t, func() {
+		u := newUpstreams(identity("d1", 1), []string{"a", "b", "c"})
+		works := u.control[2]
+		now := vm.Instant(time.Second)
+		Convey("the third is asked within three calls", func() {
+			for range 3 {
+				addr, _ := u.pick(now)
+				if addr == works {
+					return
+				}
+				u.failed(addr, now)
+				now = now.Add(2 * maxControlPause)
+			}
+			So("never asked", ShouldEqual, works)
+		})
+		Convey("it is asked as long as the others' failures are remembered", func() {
+			for range 8 {
+				u.failed(u.control[0], now)
+				u.failed(u.control[1], now)
+				now = now.Add(2 * maxControlPause)
+			}
+			addr, wait := u.pick(now)
+			So(addr, ShouldEqual, works)
+			So(wait, ShouldEqual, 0)
+		})
+	})
+}
+
+// A daemon has just started and control has confirmed its configuration, but the
+// agreed membership does not hold this run yet. It must not take work: control
+// says "in force everywhere" without waiting for it, so callers could be answered
+// under an older configuration. With the membership the same lease counts.
+func TestLeaseCountsFromMembershipOn(t *testing.T) {
+	Convey("Given a daemon whose lease is granted before it is a member", t, func() {
+		self := identity("d1", 2)
+		now := vm.Instant(time.Second)
+		c := NewClient(Config{Self: self, Clock: func() vm.Instant { return now }})
+		reply := &wire.SyncReply{Granted: true, LeaseMs: 6000, SettledEpoch: 1, Settled: &wire.MembershipDelta{
+			ToEpoch: 1, Upserts: []*wire.Vm{vm.ToWire(vm.Member{Identity: identity("d1", 1), Phase: vm.Serving})},
+		}}
+		c.install(&wire.SyncRequest{}, reply)
+		c.renew(now, reply)
+		So(c.Current().Confirmed(now), ShouldBeFalse)
+
+		Convey("the lease counts once its own run is agreed on", func() {
+			reply.PendingEpoch = 2
+			reply.Pending = &wire.MembershipDelta{FromEpoch: 1, ToEpoch: 2,
+				Upserts: []*wire.Vm{vm.ToWire(vm.Member{Identity: self, Phase: vm.Serving})}}
+			c.install(&wire.SyncRequest{HaveSettled: 1}, reply)
+			c.renew(now, reply)
+			So(c.Current().Confirmed(now), ShouldBeTrue)
+		})
+	})
+}
