Wait with a context in one place

Cause: the same wait stood in five packages. Change: vm.Sleep; the five call it. Conclusion: one wait.

--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -9,6 +9,7 @@
 
 	"pearmoor/internal/link/peer"
 	"pearmoor/internal/link/wire"
+	"pearmoor/internal/vm"
 )
 
 const (
@@ -110,7 +111,7 @@
 		if last == nil || ctx.Err() == nil {
 			last = err // what the end of the whole time brings says nothing
 		}
-		if !sleep(ctx, retryPause) {
+		if !vm.Sleep(ctx, retryPause) {
 			return reply, sent, last
 		}
 		addr, redirects = c.following(), 0
@@ -149,17 +150,6 @@
 	return reply, err
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // read calls a method that changes nothing.
 func read[R redirected](a *app, do func(context.Context, wire.DRPCControlClient) (R, error)) (R, error) {
 	return readHeld(a, 0, do)
--- a/internal/cli/group.go
+++ b/internal/cli/group.go
@@ -10,6 +10,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"pearmoor/internal/link/wire"
+	"pearmoor/internal/vm"
 )
 
 // member names a control VM to add.
@@ -142,7 +143,7 @@
 		if time.Now().After(deadline) {
 			return failWith(ExitUnconfirmed, "control VM %d is added and did not catch up within %v; the old one is kept: once 'pearmoor status' shows %d as a voter, run 'pearmoor control remove'", id, wait, id)
 		}
-		if !sleep(a.ctx, retryPause) {
+		if !vm.Sleep(a.ctx, retryPause) {
 			return a.ctx.Err()
 		}
 	}
--- a/internal/cli/inforce.go
+++ b/internal/cli/inforce.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pearmoor/internal/link/wire"
+	"pearmoor/internal/vm"
 )
 
 // inForceHold is how long a control VM may hold one answer back.
@@ -30,7 +31,7 @@
 		if time.Now().After(deadline) {
 			return failWith(ExitUnconfirmed, "version %d is accepted and will come into force; it was not in force everywhere within %v", out.Version, wait)
 		}
-		sleep(a.ctx, retryPause)
+		vm.Sleep(a.ctx, retryPause)
 		if a.ctx.Err() != nil {
 			return &exitError{code: ExitUnconfirmed, cause: a.ctx.Err()}
 		}
--- a/internal/link/peer/server.go
+++ b/internal/link/peer/server.go
@@ -10,6 +10,8 @@
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 	"storj.io/drpc"
+
+	"pearmoor/internal/vm"
 )
 
 const (
@@ -64,20 +66,11 @@
 			return errors.Wrap(err, "peer: accept")
 		default:
 			klog.Warningf("peer: accept: %v", err)
-			pause(ctx, acceptPause)
+			vm.Sleep(ctx, acceptPause)
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 func (s *server) serveConn(raw net.Conn) {
 	defer s.wg.Done()
 	c, err := s.open(raw)
--- a/internal/load/schedule.go
+++ b/internal/load/schedule.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"pearmoor/internal/vm"
 )
 
 // Arrivals names how the gaps between requests are drawn.
@@ -92,16 +94,5 @@
 }
 
 func sleepUntil(ctx context.Context, at time.Time) bool {
-	d := time.Until(at)
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return vm.Sleep(ctx, time.Until(at))
 }
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -126,7 +126,7 @@
 
 // Run syncs until ctx is done or a later run of the daemon is known.
 func (c *Client) Run(ctx context.Context) error {
-	if !sleep(ctx, c.randomUpTo(startJitter)) {
+	if !vm.Sleep(ctx, c.randomUpTo(startJitter)) {
 		return nil
 	}
 	g, ctx := errgroup.WithContext(ctx)
@@ -146,7 +146,7 @@
 			return err
 		}
 		failures = out.failures(failures)
-		sleep(ctx, c.pause(out, failures, c.cfg.Clock().Sub(start)))
+		vm.Sleep(ctx, c.pause(out, failures, c.cfg.Clock().Sub(start)))
 	}
 	return nil
 }
@@ -179,7 +179,7 @@
 			return nil
 		case <-c.urgent:
 			timer.Stop()
-			sleep(ctx, c.batching())
+			vm.Sleep(ctx, c.batching())
 		case <-timer.C:
 			if !c.children.waiting(c.cfg.Clock()) {
 				continue
@@ -241,18 +241,3 @@
 	defer c.mu.Unlock()
 	return time.Duration(c.up.rng.Int64N(int64(d)))
 }
-
-// sleep waits for d and reports whether ctx is still good.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/relay/daemon_test.go
+++ b/internal/relay/daemon_test.go
@@ -91,7 +91,7 @@
 		v := d.client.Current()
 		shares := d.shares(v)
 		if d.exceeds(shares) {
-			sleep(ctx, drainedNote)
+			vm.Sleep(ctx, drainedNote)
 		}
 		d.fill(ctx, v, shares)
 		if v.Tree != nil && ctx.Err() == nil {
--- a/internal/relay/leader_test.go
+++ b/internal/relay/leader_test.go
@@ -126,7 +126,7 @@
 
 // run steps the leader until ctx is done.
 func (l *modelLeader) run(ctx context.Context) {
-	for sleep(ctx, 50*time.Millisecond) {
+	for vm.Sleep(ctx, 50*time.Millisecond) {
 		l.mu.Lock()
 		before := l.state
 		l.settle()
--- a/internal/standin/handle.go
+++ b/internal/standin/handle.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"pearmoor/internal/contract"
+	"pearmoor/internal/vm"
 )
 
 const bodyLimit = 4 << 20
@@ -122,29 +123,15 @@
 		return nil, false
 	case l.chance(b.LateShare):
 		late := time.Duration(q.DeadlineMS)*time.Millisecond + time.Duration(b.LateBy)
-		if !sleep(r.Context(), late) {
+		if !vm.Sleep(r.Context(), late) {
 			return nil, false
 		}
-	case !sleep(ctx, l.latency(b)):
+	case !vm.Sleep(ctx, l.latency(b)):
 		return nil, false
 	}
 	return l.reply(q, b), true
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // latency draws the time of one run.
 func (l *Leaf) latency(b Behavior) time.Duration {
 	d := float64(b.Latency)
