--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -41,7 +41,7 @@
 	unconfirmed                // a reply that renews no lease
 	redirected                 // the leader is known now
 	unchanged                  // the lease is renewed
-	changed                    // the lease is renewed and the view is newer
+	changed                    // the lease is renewed, and there was news
 )
 
 // failures counts the exchanges in a row that were of no use.
@@ -187,12 +187,23 @@
 		return unconfirmed, granted
 	}
 	c.up.worked(addr)
-	if c.view.placements != before.placements {
+	// A reply may bring what a reply to the other lane has just brought. It came
+	// early all the same: waiting for the rest of the interval would leave no call
+	// held, and the next change unheard for as long.
+	if hasNews(req, r) {
 		return changed, granted
 	}
 	return unchanged, granted
 }
 
+// hasNews reports whether a reply holds something that the request said was not
+// known.
+func hasNews(req *wire.SyncRequest, r *wire.SyncReply) bool {
+	return r.GetConfigVersion() > req.GetHaveConfig() || r.GetInForce() > req.GetHaveInForce() ||
+		r.GetSettledEpoch() > req.GetHaveSettled() ||
+		r.GetPendingEpoch() > max(req.GetHavePending(), req.GetHaveSettled())
+}
+
 // follow takes the leader that the daemon at addr named.
 func (c *Client) follow(addr, leader string, now vm.Instant) outcome {
 	if c.up.redirected(leader, now) {
