--- a/bench/query/env.go
+++ b/bench/query/env.go
@@ -43,19 +43,21 @@
 // env is what all experiments share.
 type env struct {
 	quick bool
+	turns int // 0 takes the default
 	out   string
 	dir   string // binaries, logs, data
 	http  *http.Client
 }
 
-func newEnv(quick bool, out string) (*env, error) {
+// open makes the working folder.
+func (e *env) open() error {
 	dir, err := os.MkdirTemp("", "pearmoor-bench-")
 	if err != nil {
-		return nil, err
+		return err
 	}
-	e := &env{quick: quick, out: out, dir: dir, http: &http.Client{Transport: &http.Transport{}}}
+	e.dir, e.http = dir, &http.Client{Transport: &http.Transport{}}
 	fmt.Printf("logs: %s\n", dir)
-	return e, nil
+	return nil
 }
 
 // close keeps the logs and drops the binaries.
@@ -74,10 +76,14 @@
 
 // rounds is how often sides take turns.
 func (e *env) rounds() int {
-	if e.quick {
+	switch {
+	case e.turns > 0:
+		return e.turns
+	case e.quick:
 		return 1
+	default:
+		return 3
 	}
-	return 3
 }
 
 func (e *env) tierConfig(standinFlags ...string) tier.Config {
--- a/bench/query/main.go
+++ b/bench/query/main.go
@@ -18,6 +18,7 @@
 	app.HelpFlag.Short('h')
 	names := app.Arg("experiment", "What to run; all by default. See --list.").Strings()
 	quick := app.Flag("quick", "A short run, to see that it works rather than to quote.").Bool()
+	rounds := app.Flag("rounds", "How often the sides take turns; 0 is 1 in a short run, 3 in a long one.").Default("0").Int()
 	list := app.Flag("list", "List the experiments and end.").Bool()
 	out := app.Flag("out", "Folder for results as JSON and plots.").Default("out/bench").String()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
@@ -29,19 +30,18 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	os.Exit(runAll(ctx, *names, *quick, *out))
+	os.Exit(runAll(ctx, *names, &env{quick: *quick, turns: *rounds, out: *out}))
 }
 
 // runAll returns the exit status: 1 when an experiment could not be run.
-func runAll(ctx context.Context, names []string, quick bool, out string) int {
+func runAll(ctx context.Context, names []string, e *env) int {
 	for _, n := range names {
 		if !slices.ContainsFunc(experiments(), func(x experiment) bool { return x.name == n }) {
 			fmt.Fprintf(os.Stderr, "query: experiment %q is unknown; see --list\n", n)
 			return 2
 		}
 	}
-	e, err := newEnv(quick, out)
-	if err != nil {
+	if err := e.open(); err != nil {
 		fmt.Fprintf(os.Stderr, "query: %v\n", err)
 		return 1
 	}
