--- a/bench/control/measure.go
+++ b/bench/control/measure.go
@@ -24,6 +24,7 @@
 	// gap between changes, so that each is timed alone.
 	gap      = 100 * time.Millisecond
 	callMax  = 20 * time.Second
+	slow     = 500.0 // ms from which a change is named
 	megabyte = 1 << 20
 )
 
@@ -90,6 +91,11 @@
 		took = append(took, float64(time.Since(start).Microseconds())/1000)
 		time.Sleep(gap)
 	}
+	for i, ms := range took {
+		if ms > slow {
+			fmt.Fprintf(os.Stderr, "control: change %d of %d took %.0f ms\n", i+1, n, ms)
+		}
+	}
 	slices.Sort(took)
 	return took, nil
 }
