--- a/bench/query/drain.go
+++ b/bench/query/drain.go
@@ -62,7 +62,7 @@
 		}
 		rows = append(rows, row{c.name, res})
 		quiet := last.Sub(left).Seconds()
-		fmt.Printf("%s: last new work %.3f s after it; refused by the draining leaf %d; stopped there %d\n",
+		fmt.Printf("%s: last new work %.3f s after it; refused by leaving leaves %d; stopped at all leaves, as losers of hedges are, %d\n",
 			c.name, quiet, res.Leaves.WhileDraining, res.Leaves.Cancelled)
 		figure("drain", c.name+": seconds to the last new work", quiet, "at most 3")
 		figure("drain", c.name+": mean coverage", res.Coverage, "1")
