relay: keep the newer word when a daemon's calls arrive crossed

A held call that was sent before an ack and arrived after it replaced the ack, which then waited for the daemon's next call, an interval later. A push that fails is tried again before the next interval.

--- a/internal/relay/children.go
+++ b/internal/relay/children.go
@@ -81,12 +81,32 @@
 		cs.byRun[key] = k
 		childCount.Update(int64(len(cs.byRun)))
 	}
-	news := k.heartbeat == nil || saysNew(k.heartbeat, hb)
-	k.heartbeat, k.arrived = hb, now
+	newest := newestOf(k.heartbeat, hb)
+	news := k.heartbeat == nil || saysNew(k.heartbeat, newest)
+	k.heartbeat, k.arrived = newest, now
 	k.seq++
 	return news || k.grant.left(now) < k.grant.lease/2, true
 }
 
+// newestOf joins two heartbeats of one run. A held call and a push of one daemon
+// may arrive crossed, the older word after the newer one: were it to replace
+// that, an ack would be unheard until the next call, an interval later. What a
+// run has confirmed never shrinks, and its phase only advances.
+func newestOf(old, hb *wire.Heartbeat) *wire.Heartbeat {
+	if old == nil || !saysNew(hb, old) {
+		return hb
+	}
+	newest := hb.GetVm()
+	if old.GetVm().GetPhase() > newest.GetPhase() {
+		newest = old.GetVm()
+	}
+	return &wire.Heartbeat{
+		Vm:            newest,
+		ConfigVersion: max(old.GetConfigVersion(), hb.GetConfigVersion()),
+		AckedEpoch:    max(old.GetAckedEpoch(), hb.GetAckedEpoch()),
+	}
+}
+
 func saysNew(old, hb *wire.Heartbeat) bool {
 	return old.GetConfigVersion() != hb.GetConfigVersion() || old.GetAckedEpoch() != hb.GetAckedEpoch() ||
 		old.GetVm().GetPhase() != hb.GetVm().GetPhase()
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -23,6 +23,8 @@
 	// batchDelay gathers what a relay's children report at one moment, such as a
 	// new configuration in force, into one call.
 	batchDelay = 20 * time.Millisecond
+	// pushRetry bounds the pause after a push that failed.
+	pushRetry = 200 * time.Millisecond
 	// leaseParts is how many intervals fit a lease at least. Through a relay a
 	// lease is up to two intervals and a call old when it is renewed, which leaves
 	// time to find another relay when this one is lost.
@@ -185,8 +187,10 @@
 				continue
 			}
 		}
-		if ctx.Err() == nil {
-			c.exchange(ctx, 0, true)
+		if ctx.Err() == nil && c.exchange(ctx, 0, true) == callFailed {
+			// What had to be said at once was not heard.
+			vm.Sleep(ctx, c.randomUpTo(pushRetry))
+			c.pushNow()
 		}
 	}
 }
