--- a/test/process_test.go
+++ b/test/process_test.go
@@ -209,9 +209,3 @@
 	all := b.buf.Bytes()
 	return string(all[max(0, len(all)-most):])
 }
-
-func (b *logBuffer) contains(text string) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return bytes.Contains(b.buf.Bytes(), []byte(text))
-}
