--- a/bench/query/cpu.go
+++ b/bench/query/cpu.go
@@ -38,19 +38,12 @@
 }
 
 func (e *env) cpuOf(ctx context.Context, cfg tier.Config) error {
-	t, err := tier.Start(ctx, cfg)
+	t, direct, err := e.startBoth(ctx, cfg)
 	if err != nil {
 		return err
 	}
 	defer t.Kill()
-	direct, err := tier.StartLeaves(ctx, cfg)
-	if err != nil {
-		return err
-	}
 	defer direct.Stop()
-	if err := e.warm(ctx, t); err != nil {
-		return err
-	}
 	targets, err := baseline.Discover(ctx, e.http, direct.URL, deskPath)
 	if err != nil {
 		return err
--- a/bench/query/drain.go
+++ b/bench/query/drain.go
@@ -22,14 +22,11 @@
 func drainLeaf(ctx context.Context, e *env) error {
 	cfg := e.tierConfig()
 	cfg.Platform = true
-	t, err := tier.Start(ctx, cfg)
+	t, err := e.startTier(ctx, cfg)
 	if err != nil {
 		return err
 	}
 	defer t.Kill()
-	if err := e.warm(ctx, t); err != nil {
-		return err
-	}
 	var rows []row
 	for i, c := range []struct {
 		name string
--- a/bench/query/env.go
+++ b/bench/query/env.go
@@ -178,6 +178,34 @@
 	return load.Command(ctx, e.http, l.URL, c)
 }
 
+// startTier starts a tier and warms it; the caller ends it.
+func (e *env) startTier(ctx context.Context, cfg tier.Config) (*tier.Tier, error) {
+	t, err := tier.Start(ctx, cfg)
+	if err != nil {
+		return nil, err
+	}
+	if err := e.warm(ctx, t); err != nil {
+		t.Kill()
+		return nil, err
+	}
+	return t, nil
+}
+
+// startBoth starts a warm tier and, for the other side, leaves of its own that
+// are asked without one; the caller ends both.
+func (e *env) startBoth(ctx context.Context, cfg tier.Config) (*tier.Tier, *tier.Leaves, error) {
+	t, err := e.startTier(ctx, cfg)
+	if err != nil {
+		return nil, nil, err
+	}
+	direct, err := tier.StartLeaves(ctx, cfg)
+	if err != nil {
+		t.Kill()
+		return nil, nil, err
+	}
+	return t, direct, nil
+}
+
 // warm runs queries until the whole desk answers, so that connections are open
 // and slow starts are over.
 func (e *env) warm(ctx context.Context, t *tier.Tier) error {
--- a/bench/query/homes.go
+++ b/bench/query/homes.go
@@ -20,14 +20,11 @@
 // homes counts at the leaves while one home daemon leaves, dies or pauses. All
 // of it happens under more load than the slots can carry.
 func homes(ctx context.Context, e *env) error {
-	t, err := tier.Start(ctx, e.tierConfig())
+	t, err := e.startTier(ctx, e.tierConfig())
 	if err != nil {
 		return err
 	}
 	defer t.Kill()
-	if err := e.warm(ctx, t); err != nil {
-		return err
-	}
 	pause := e.span(10*time.Second, 30*time.Second)
 	cases := []struct {
 		name string
--- a/bench/query/index.go
+++ b/bench/query/index.go
@@ -18,14 +18,11 @@
 // moment it gets the new one, so every query pinned just before meets a leaf
 // that no longer has its version.
 func indexChange(ctx context.Context, e *env) error {
-	t, err := tier.Start(ctx, e.tierConfig())
+	t, err := e.startTier(ctx, e.tierConfig())
 	if err != nil {
 		return err
 	}
 	defer t.Kill()
-	if err := e.warm(ctx, t); err != nil {
-		return err
-	}
 	settle := e.span(3*time.Second, 6*time.Second)
 	span := 3*settle + 2*services*rollStep
 	var rows []row
--- a/bench/query/limits.go
+++ b/bench/query/limits.go
@@ -38,19 +38,12 @@
 // limits adds the homes of a tier as the third side.
 func limits(ctx context.Context, e *env) error {
 	cfg := e.tierConfig()
-	t, err := tier.Start(ctx, cfg)
+	t, direct, err := e.startBoth(ctx, cfg)
 	if err != nil {
 		return err
 	}
 	defer t.Kill()
-	direct, err := tier.StartLeaves(ctx, cfg)
-	if err != nil {
-		return err
-	}
 	defer direct.Stop()
-	if err := e.warm(ctx, t); err != nil {
-		return err
-	}
 	var rows []row
 	for _, factor := range []float64{0.6, 2} {
 		p := phase{rate: factor * capacity(latency), span: e.span(5*time.Second, 20*time.Second), seed: 1}
@@ -80,14 +73,11 @@
 }
 
 func overload(ctx context.Context, e *env) error {
-	t, err := tier.Start(ctx, e.tierConfig())
+	t, err := e.startTier(ctx, e.tierConfig())
 	if err != nil {
 		return err
 	}
 	defer t.Kill()
-	if err := e.warm(ctx, t); err != nil {
-		return err
-	}
 	var rows []row
 	var kept, refusal []float64
 	for round := range e.rounds() {
@@ -120,19 +110,12 @@
 // connections compares what the naive side and the tier open at the leaves.
 func connections(ctx context.Context, e *env) error {
 	cfg := e.tierConfig()
-	t, err := tier.Start(ctx, cfg)
+	t, direct, err := e.startBoth(ctx, cfg)
 	if err != nil {
 		return err
 	}
 	defer t.Kill()
-	direct, err := tier.StartLeaves(ctx, cfg)
-	if err != nil {
-		return err
-	}
 	defer direct.Stop()
-	if err := e.warm(ctx, t); err != nil {
-		return err
-	}
 	p := phase{rate: 0.6 * capacity(latency), span: e.span(5*time.Second, 30*time.Second), seed: 1}
 	n, err := e.directSide(ctx, direct, p, naive)
 	if err != nil {
--- a/bench/query/restart.go
+++ b/bench/query/restart.go
@@ -18,14 +18,11 @@
 // rollingRestart stops and starts every daemon in turn, control VMs too. Half
 // of the requests are not repeatable, and some of these are sent twice.
 func rollingRestart(ctx context.Context, e *env) error {
-	t, err := tier.Start(ctx, e.tierConfig())
+	t, err := e.startTier(ctx, e.tierConfig())
 	if err != nil {
 		return err
 	}
 	defer t.Kill()
-	if err := e.warm(ctx, t); err != nil {
-		return err
-	}
 	count := daemons
 	if e.quick {
 		count = controls + 1
@@ -82,14 +79,11 @@
 // crashes kills daemons one after the other without warning and starts each at
 // once at the same address, while half of the requests are not repeatable.
 func crashes(ctx context.Context, e *env) error {
-	t, err := tier.Start(ctx, e.tierConfig())
+	t, err := e.startTier(ctx, e.tierConfig())
 	if err != nil {
 		return err
 	}
 	defer t.Kill()
-	if err := e.warm(ctx, t); err != nil {
-		return err
-	}
 	victims := []int{victim, victim - 1, 0, victim - 2} // one of them a control VM
 	if e.quick {
 		victims = victims[:2]
--- a/bench/query/stragglers.go
+++ b/bench/query/stragglers.go
@@ -24,24 +24,17 @@
 func stragglers(ctx context.Context, e *env) error {
 	slow := []string{fmt.Sprintf("--straggler-share=%v", stragglerShare), fmt.Sprintf("--straggler-factor=%v", stragglerFactor)}
 	cfg := e.tierConfig(slow...)
-	t, err := tier.Start(ctx, cfg)
+	t, direct, err := e.startBoth(ctx, cfg)
 	if err != nil {
 		return err
 	}
 	defer t.Kill()
-	direct, err := tier.StartLeaves(ctx, cfg)
-	if err != nil {
-		return err
-	}
 	defer direct.Stop()
 	fast, err := tier.StartLeaves(ctx, e.tierConfig())
 	if err != nil {
 		return err
 	}
 	defer fast.Stop()
-	if err := e.warm(ctx, t); err != nil {
-		return err
-	}
 	var overNaive, overOracle []float64
 	var rows []row
 	for round := range e.rounds() {
@@ -84,19 +77,12 @@
 // shard is left.
 func replicas(ctx context.Context, e *env) error {
 	cfg := e.tierConfig()
-	t, err := tier.Start(ctx, cfg)
+	t, direct, err := e.startBoth(ctx, cfg)
 	if err != nil {
 		return err
 	}
 	defer t.Kill()
-	direct, err := tier.StartLeaves(ctx, cfg)
-	if err != nil {
-		return err
-	}
 	defer direct.Stop()
-	if err := e.warm(ctx, t); err != nil {
-		return err
-	}
 	p := phase{rate: 0.3 * capacity(latency), span: e.span(6*time.Second, 20*time.Second), seed: 1}
 	third := p.span / 3
 	lose := func(l *tier.Leaves) func() error {
--- a/bench/tier/tier.go
+++ b/bench/tier/tier.go
@@ -177,22 +177,9 @@
 // Daemons returns how many daemons there are.
 func (t *Tier) Daemons() int { return len(t.daemons) }
 
-// IsControl reports whether daemon i is a control VM.
-func (t *Tier) IsControl(i int) bool { return t.daemons[i].control }
-
 // Name returns the VM name of daemon i.
 func (t *Tier) Name(i int) string { return t.daemons[i].name }
 
-// ByURL returns the number of the daemon with that caller URL, and -1 else.
-func (t *Tier) ByURL(url string) int {
-	for i, d := range t.daemons {
-		if url == "http://"+d.caller {
-			return i
-		}
-	}
-	return -1
-}
-
 // WaitReady waits until daemon i says on its operator port that it serves.
 func (t *Tier) WaitReady(ctx context.Context, i int) error {
 	d := t.daemons[i]
--- a/internal/link/peer/reloader.go
+++ b/internal/link/peer/reloader.go
@@ -101,9 +101,6 @@
 // Identity returns the name in the certificate now in use.
 func (r *Reloader) Identity() Identity { return r.get().identity }
 
-// NotAfter returns when the certificate now in use expires.
-func (r *Reloader) NotAfter() time.Time { return r.get().cert.Leaf.NotAfter }
-
 func (r *Reloader) get() *material {
 	r.mu.Lock()
 	defer r.mu.Unlock()
