--- a/cmd/pearmoor-entry/main.go
+++ b/cmd/pearmoor-entry/main.go
@@ -135,7 +135,7 @@
 	}
 	var out entryvm.Listeners
 	var err error
-	if out.Peers, err = bind("peers", conf(set).PeerAddr); err != nil {
+	if out.Peers, err = bind("peers", set.VM.PeerAddr); err != nil {
 		return out, nil, err
 	}
 	if set.Callers != "" {
@@ -143,7 +143,7 @@
 			return out, nil, err
 		}
 	}
-	host, _, _ := net.SplitHostPort(conf(set).PeerAddr) // was put together from an IP and a port
+	host, _, _ := net.SplitHostPort(set.VM.PeerAddr) // was put together from an IP and a port
 	sides := []struct {
 		what, addr string
 		handler    http.Handler
@@ -166,8 +166,6 @@
 	return out, closeAll, nil
 }
 
-func conf(set *platform.Settings) *entryvm.Config { return &set.VM }
-
 func metricsAddr(host, port string) string {
 	if port == "" || port == "0" {
 		return ""
--- a/internal/discovery/book.go
+++ b/internal/discovery/book.go
@@ -286,11 +286,11 @@
 	return touched, true
 }
 
-// receive joins a reply to the book. It reports
-// whether the reply tells of a newer reading than the one held.
-func (b *Book) receive(r *wire.LeavesReply) bool {
+// receive joins a reply to the book, unless it tells of an older reading than the
+// one held.
+func (b *Book) receive(r *wire.LeavesReply) {
 	if r.Run == 0 {
-		return false
+		return
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -298,7 +298,7 @@
 	// The reading is at least as old as it was when the reply was written.
 	readAt := now.Add(-time.Duration(r.AgeMs) * time.Millisecond)
 	if b.known && readAt < b.readAt-equalReading {
-		return false
+		return
 	}
 	readAt = max(readAt, b.readAt)
 	b.setQuiet(r.Quiet)
@@ -324,7 +324,6 @@
 		b.put(next, "received")
 	}
 	b.known = true
-	return true
 }
 
 func (b *Book) reuse(entries []*wire.LeafEntry, now vm.Instant) []*Leaf {
@@ -340,16 +339,10 @@
 }
 
 func (b *Book) patched(r *wire.LeavesReply, now vm.Instant) []*Leaf {
-	drop := make(map[string]bool, len(r.Removed)+len(r.Entries))
-	for _, id := range r.Removed {
-		drop[id] = true
-	}
-	for _, e := range r.Entries {
-		drop[e.Id] = true
-	}
+	replaced := named(r)
 	out := b.reuse(r.Entries, now)
 	for _, l := range b.snap.leaves {
-		if !drop[l.ID] {
+		if !replaced[l.ID] {
 			out = append(out, l)
 		}
 	}
--- a/internal/entryvm/contacts.go
+++ b/internal/entryvm/contacts.go
@@ -101,15 +101,12 @@
 func (v *VM) findGroup(ctx context.Context) {
 	for ctx.Err() == nil {
 		group, member := v.group()
-		pause := tellEvery
-		switch {
-		case member:
-			v.exchangeAll(ctx, group, true)
-		case v.lost():
-			v.exchangeAll(ctx, group, false)
-			pause = askEvery
-		default:
-			pause = askEvery
+		if member || v.lost() {
+			v.exchangeAll(ctx, group, member)
+		}
+		pause := askEvery
+		if member {
+			pause = tellEvery
 		}
 		vm.Sleep(ctx, pause)
 	}
@@ -167,7 +164,7 @@
 				out = append(out, addr)
 			}
 		}
-		if len(disk) >= len(seeds) && allSaid(disk, seeds) {
+		if allSaid(disk, seeds) {
 			return out
 		}
 		vm.Sleep(ctx, askEvery/4)
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -85,9 +85,8 @@
 }
 
 type flight struct {
-	call  *target.Call
-	leaf  *discovery.Leaf
-	hedge bool
+	call *target.Call
+	leaf *discovery.Leaf
 }
 
 type result struct {
@@ -287,7 +286,7 @@
 	}
 	link := r.e.cfg.Board.Link(leaf, r.e.limit(r.a, s.service))
 	call := &target.Call{}
-	s.flights = append(s.flights, flight{call, leaf, hedge})
+	s.flights = append(s.flights, flight{call, leaf})
 	s.tried = append(s.tried, leaf)
 	s.tries++
 	s.stuck = false
@@ -313,11 +312,14 @@
 	}
 }
 
+// end leaves a shard without another send for good.
+func (s *shard) end() { s.stuck, s.tries = true, mostSends }
+
 // noBudget leaves a shard whose leaf has failed without another send for now. A
 // caller whose one reply is a failure gets it at once.
 func (r *run) noBudget(s *shard) {
 	if !r.entry.Gathers() && r.last != nil {
-		s.stuck, s.tries = true, mostSends
+		s.end()
 		return
 	}
 	r.roundOver(s)
@@ -343,9 +345,7 @@
 	out := r.learned(reply, err)
 	board.End(leaf.ID, began, out, usual, reply)
 	switch {
-	case out == replied:
-		r.know.pace.Observe(took)
-	case out == overdue:
+	case out == replied, out == overdue:
 		r.know.pace.Observe(took)
 	case out == unlearned && err != nil && err.Reason == contract.ReasonTargetFailed:
 		board.Unreachable(leaf.ID)
@@ -475,12 +475,10 @@
 	case len(s.flights) > 0:
 		return
 	case s.runs > 0 && !r.mayRepeat(s), s.tries >= mostSends, r.send.Stream != nil && !notRun:
-		s.stuck = true
-		s.tries = mostSends
+		s.end()
 		return
 	case r.send.Stream != nil && res.err == nil:
-		s.stuck = true // part of the body is gone
-		s.tries = mostSends
+		s.end() // part of the body is gone
 		return
 	case isStale(res.err) && r.entry.Repeatable:
 		// The leaf itself is well: it only dropped a connection.
--- a/internal/link/leaf/bench_test.go
+++ b/internal/link/leaf/bench_test.go
@@ -46,7 +46,7 @@
 		json.NewEncoder(w).Encode(reply)
 	})
 	go http.Serve(lis, mux)
-	io.Copy(io.Discard, os.Stdin) // until the benchmark ends
+	io.Copy(io.Discard, os.Stdin) // closed by the process that measures
 }
 
 func startBenchLeaf(b *testing.B) settings.Leaf {
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -84,13 +84,6 @@
 	}
 }
 
-// Self returns the identity of this run, as other daemons know it.
-func (c *Client) Self() vm.Identity {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.cfg.Self
-}
-
 // SetSeeds names other control addresses to fall back to when none of those
 // learned from the group answers.
 func (c *Client) SetSeeds(addrs []string) {
