daemons connect a second time early, and are not held by one that knows nothing

Ruled out: the reading of the list itself, the jitter of the first call. Change: another connection is tried every 200 ms until one comes about; a daemon without state holds a call for 200 ms at most. A shorter hold was tried and dropped: 639 (100 ms) and 801 (none) calls in the first second of a leader of 300 daemons in place of 585.

--- a/internal/link/peer/dial.go
+++ b/internal/link/peer/dial.go
@@ -16,6 +16,13 @@
 // dialTimeout bounds connecting and the TLS handshake together.
 const dialTimeout = time.Second
 
+// connectAgain is the time after which another connection is tried beside those that
+// have not come about yet. The kernel repeats a lost opening packet after a second,
+// and one that comes to a VM which is only starting is lost: after a power cut of
+// all VMs, daemons that were up before the control VMs got the list of leaves 0.6 to
+// 0.8 s after these had it. A VM that is lost for good costs five packets a call.
+const connectAgain = 200 * time.Millisecond
+
 // softCancelGrace lets a request that is still being written finish, so that
 // cancelling it does not cost the connection.
 const softCancelGrace = 5 * time.Millisecond
@@ -53,8 +60,7 @@
 			return nil, err
 		}
 	}
-	var d net.Dialer
-	raw, err := d.DialContext(ctx, "tcp", addr)
+	raw, err := connect(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
@@ -66,6 +72,43 @@
 	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()}), nil
 }
 
+// connect returns the first of several connections to come about, and closes the
+// others.
+func connect(ctx context.Context, addr string) (net.Conn, error) {
+	type result struct {
+		conn net.Conn
+		err  error
+	}
+	results := make(chan result)
+	won := make(chan struct{})
+	defer close(won)
+	try := func() {
+		var d net.Dialer
+		conn, err := d.DialContext(ctx, "tcp", addr)
+		select {
+		case results <- result{conn, err}:
+		case <-won:
+			if err == nil {
+				_ = conn.Close()
+			}
+		}
+	}
+	again := time.NewTicker(connectAgain)
+	defer again.Stop()
+	go try()
+	for open := 1; ; {
+		select {
+		case r := <-results:
+			if open--; r.err == nil || open == 0 {
+				return r.conn, r.err
+			}
+		case <-again.C:
+			open++
+			go try()
+		}
+	}
+}
+
 func secure(ctx context.Context, raw net.Conn, addr string, conf *tls.Config) (net.Conn, error) {
 	if err := betweenProcesses.apply(raw); err != nil {
 		return nil, err
--- a/internal/relay/client_test.go
+++ b/internal/relay/client_test.go
@@ -100,6 +100,28 @@
 	})
 }
 
+// Everything was restarted, and a daemon is told of another one that has only just
+// started too and knows nothing. Held there for an interval, it would turn its callers
+// away all the while, though the leader beside it could tell it everything.
+func TestRelayWithoutStateSaysSoSoon(t *testing.T) {
+	inWorld(t, func(w *world) {
+		lost := w.startDaemon(identity("d1", 1), 64, 8)
+		lost.upstreams(func(u *upstreams) { u.control, u.seeds = []string{"nowhere"}, nil })
+		began := w.clock()
+		reply, err := lost.client.Server().Sync(w.ctx, &wire.SyncRequest{
+			WaitMs:     uint32(DefaultInterval.Milliseconds()),
+			Heartbeats: []*wire.Heartbeat{{Vm: vm.ToWire(vm.Member{Identity: identity("d2", 1)})}},
+		})
+		took := w.clock().Sub(began)
+		Convey("it answers long before an interval is over and grants nothing", t, func() {
+			So(err, ShouldBeNil)
+			So(reply.Granted, ShouldBeFalse)
+			So(reply.ConfigVersion, ShouldEqual, 0)
+			So(took, ShouldBeLessThanOrEqualTo, statelessHold)
+		})
+	})
+}
+
 // A relay dies with all its children attached. They see silence, choose another
 // relay or control, and no lease runs out, so no caller is refused.
 func TestRelayLost(t *testing.T) {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -17,6 +17,14 @@
 	errBusy        = errors.New("relay: too many daemons sync here; use another relay or control")
 )
 
+// statelessHold is how long a call is held at a daemon that knows no state itself.
+// In a restart of everything a daemon may ask one that has only just started too;
+// held there for an interval of 0.5 s, it learns of the leader that much later. With
+// a shorter hold children turn to the leader before their relay has heard it: of 300
+// daemons 585 calls in the first second with 200 ms or an interval, 639 with 100 ms,
+// 801 with none.
+const statelessHold = 200 * time.Millisecond
+
 // Server returns the server that answers the daemons for which this one is a
 // relay. It passes their heartbeats up and grants nothing of its own.
 func (c *Client) Server() wire.DRPCSpreadServer { return &server{client: c} }
@@ -54,6 +62,9 @@
 		c.pushNow()
 	}
 	hold := min(time.Duration(req.GetWaitMs())*time.Millisecond, c.interval())
+	if v.Tree == nil {
+		hold = min(hold, statelessHold)
+	}
 	s.hold(ctx, req, hbs, arrived, hold)
 	reply := &wire.SyncReply{}
 	// Grants before state: a grant must never be newer than the state that goes
