forward: the line of a request says what allowed or denied another send

A request that was given up after one send did not tell why there was no second: route, attempts or budget.

--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -62,6 +62,7 @@
 	due      bool // answerBy has passed
 	hedges   int
 	sends    int
+	denied   int // further sends that the budget did not allow
 	verdict  contract.Verdict
 	last     *target.Reply
 	lastErr  *contract.Error
@@ -279,6 +280,7 @@
 	}
 	s.listed = true
 	if s.sends+len(s.flights) > 0 && !r.e.cfg.Budgets.Spend(s.service, hedge) {
+		r.denied++
 		if !hedge {
 			r.noBudget(s)
 		}
