--- a/cmd/pearmoor-entry/main.go
+++ b/cmd/pearmoor-entry/main.go
@@ -39,6 +39,7 @@
 type flags struct {
 	settings string
 	metrics  string
+	peers    string
 	gcShare  int
 }
 
@@ -50,6 +51,7 @@
 	app.Version(version)
 	app.Flag("settings", "The platform's settings file.").Envar(platform.SettingsVariable).Required().StringVar(&f.settings)
 	app.Flag("metrics-port", "Port of the metrics, on the VM's own address; 0 is none.").Envar("PEARMOOR_METRICS_PORT").Default("9464").StringVar(&f.metrics)
+	app.Flag("peers-listen", "Address to take other daemons' connections at, as IP:PORT, where it is not the one they are told of, as behind a forwarder.").Envar("PEARMOOR_PEERS_LISTEN").StringVar(&f.peers)
 	app.Flag("gc-percent", "Garbage collection target, in percent of the live heap. A low one costs processor time and keeps the process small.").Envar("PEARMOOR_GC_PERCENT").Default("50").IntVar(&f.gcShare)
 	_, err := app.Parse(args)
 	return f, err
@@ -135,7 +137,11 @@
 	}
 	var out entryvm.Listeners
 	var err error
-	if out.Peers, err = bind("peers", set.VM.PeerAddr); err != nil {
+	peers := set.VM.PeerAddr
+	if f.peers != "" {
+		peers = f.peers
+	}
+	if out.Peers, err = bind("peers", peers); err != nil {
 		return out, nil, err
 	}
 	if set.Callers != "" {
--- a/soak/doc_test.go
+++ b/soak/doc_test.go
@@ -1,10 +1,17 @@
 // Package soak runs the real programs as separate processes on loopback under random
 // faults, and checks what callers and leaves see while it runs.
 //
-// A seed decides the faults: processes killed, paused, stopped gracefully and restarted,
-// also several at once; disks wiped; leaves that are slow, silent, reset, refuse, lose
-// their answers, answer twice, leave or crash; a list of leaves that fails; operators
-// that send configurations, again and invalid ones, to any VM.
+// A seed decides the order, places and times of the faults, which overlap; each run goes
+// through every kind before any comes again: processes killed, paused, stopped gracefully
+// and restarted; settings that change, with a signal and without; disks wiped, writes
+// torn; links to VMs and leaves that delay, hold everything, hold what comes back, or
+// are reset, by a proxy before each of them; leaves that are slow, silent, reset, refuse,
+// lose their answers, answer twice, leave or crash; a list of leaves that fails;
+// operators that send configurations, again and invalid ones, to any VM.
+//
+// Not here: clocks that step and disks that are slow or full, which nothing outside a
+// process can feign without rights over the machine; internal/control and internal/journal
+// test those with clocks and file systems of their own.
 //
 // Checked: an answer names parts of its own request only, of the shards of one
 // configuration, each once, and holds their greatest records; "not run" is true; a
--- a/soak/leaves_test.go
+++ b/soak/leaves_test.go
@@ -45,7 +45,8 @@
 	w       *world
 	id      string
 	service string
-	addr    string
+	addr    string // of the link, which is what the list shows
+	link    *proxy
 	server  *http.Server
 	mode    atomic.Int32
 	conns   atomic.Int32
@@ -81,7 +82,12 @@
 		w.fail("leaf: %v", err)
 		return nil
 	}
-	l := &leaf{w: w, id: fmt.Sprintf("i-%d", w.nextLeaf.Add(1)), service: service, addr: lis.Addr().String()}
+	link, err := newProxy("127.0.0.1:0", lis.Addr().String())
+	if err != nil {
+		w.fail("link to a leaf: %v", err)
+		return nil
+	}
+	l := &leaf{w: w, id: fmt.Sprintf("i-%d", w.nextLeaf.Add(1)), service: service, addr: link.addr(), link: link}
 	l.server = &http.Server{Handler: l, ConnState: l.count}
 	go func() { _ = l.server.Serve(lis) }()
 	w.mu.Lock()
@@ -214,6 +220,7 @@
 	w.mu.Lock()
 	w.leaves = slices.DeleteFunc(w.leaves, func(o *leaf) bool { return o == l })
 	w.mu.Unlock()
+	l.link.close()
 	_ = l.server.Close()
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 )
@@ -85,102 +84,6 @@
 	w.report(t, seed)
 }
 
-// faults plays random faults for that long.
-func (w *world) faults(d time.Duration) {
-	var wg sync.WaitGroup
-	for end := time.Now().Add(d); time.Now().Before(end); {
-		w.fault(&wg)
-		time.Sleep(time.Duration(50+w.rng.IntN(900)) * time.Millisecond)
-	}
-	wg.Wait()
-}
-
-// fault plays one; what takes time goes on beside the next ones.
-func (w *world) fault(wg *sync.WaitGroup) {
-	v := w.vms[w.rng.IntN(daemons)]
-	l := w.anyLeaf()
-	pause := time.Duration(200+w.rng.IntN(2500)) * time.Millisecond
-	behave := mode(w.rng.IntN(int(modes)))
-	if !v.claim() {
-		return
-	}
-	release := func() { v.release() }
-	switch n := w.rng.IntN(12); {
-	case n == 0:
-		wg.Go(func() { defer release(); v.kill(); time.Sleep(pause / 3); v.start() })
-	case n == 1:
-		wg.Go(func() { defer release(); w.pause(v, pause) })
-	case n <= 3:
-		wg.Go(func() { defer release(); v.stopPlanned(); v.start() })
-	case n == 4 && v.disk && w.mayLoseDisk():
-		wg.Go(func() { defer release(); v.kill(); _ = os.RemoveAll(v.folder()); v.start() })
-	case n == 5:
-		release()
-		w.listFails.Store(true)
-		w.disturb()
-		wg.Go(func() { time.Sleep(pause); w.listFails.Store(false); w.disturb() })
-	case n == 6 && l != nil:
-		release()
-		l.drain()
-		w.startLeaf(l.service)
-		wg.Go(func() { time.Sleep(drainTime + 2*time.Second); w.drop(l) })
-	case n == 7 && l != nil:
-		release()
-		w.startLeaf(l.service)
-		_ = l.server.Close() // it stays on the list for a while
-		wg.Go(func() { time.Sleep(pause); w.drop(l) })
-	case l != nil:
-		release()
-		l.mode.Store(int32(behave))
-		wg.Go(func() { time.Sleep(pause); l.mode.Store(int32(well)) })
-	default:
-		release()
-	}
-}
-
-func (w *world) anyLeaf() *leaf {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if len(w.leaves) == 0 {
-		return nil
-	}
-	l := w.leaves[w.rng.IntN(len(w.leaves))]
-	if w.rng.IntN(3) == 0 { // those whose requests must not run twice
-		for _, o := range w.leaves {
-			if o.service == ledger {
-				l = o
-			}
-		}
-	}
-	if l.state() != "ready" {
-		return nil
-	}
-	return l
-}
-
-func (w *world) pause(v *vmProcess, d time.Duration) {
-	w.disturb()
-	v.signal(syscall.SIGSTOP)
-	time.Sleep(d)
-	v.signal(syscall.SIGCONT)
-	w.disturb()
-}
-
-// stopPlanned asks the process to stop and waits for its end.
-func (v *vmProcess) stopPlanned() {
-	v.signal(syscall.SIGTERM)
-	if v.w.nextID.Load()%2 == 0 {
-		v.signal(syscall.SIGHUP)
-	}
-	select {
-	case <-v.done:
-	case <-time.After(5 * time.Second):
-		v.w.fail("%s has not stopped 5 s after it was told to, its grace is 3 s", v.name)
-		v.kill()
-	}
-	v.w.disturb()
-}
-
 // heal ends what still goes on and lets the tier settle.
 func (w *world) heal() {
 	w.listFails.Store(false)
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -51,7 +51,8 @@
 const (
 	daemons  = 5
 	disks    = 3
-	firstNet = "127.0.10."
+	firstNet = "127.0.10." // where VMs are told to be, and take callers
+	innerNet = "127.0.11." // where they take other daemons, behind a proxy
 )
 
 // ports are the same on all VMs.
@@ -122,6 +123,7 @@
 	ip   string
 	name string
 	disk bool
+	link *proxy // what other daemons connect to
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
@@ -187,6 +189,9 @@
 	go func() { _ = w.list.Serve(lis) }()
 	for i := range daemons {
 		v := &vmProcess{w: w, ip: fmt.Sprintf("%s%d", firstNet, i+1), name: fmt.Sprintf("vm-%d", i+1), disk: i < disks, first: true}
+		if v.link, err = newProxy(v.addr(w.ports.peers), v.inner()); err != nil {
+			t.Fatalf("link to %s: %v", v.name, err)
+		}
 		w.vms = append(w.vms, v)
 	}
 	w.disturb()
@@ -204,34 +209,49 @@
 
 func (v *vmProcess) addr(port int) string { return fmt.Sprintf("%s:%d", v.ip, port) }
 
+func (v *vmProcess) inner() string {
+	return fmt.Sprintf("%s%s:%d", innerNet, strings.TrimPrefix(v.ip, firstNet), v.w.ports.peers)
+}
+
 func (v *vmProcess) folder() string { return filepath.Join(v.w.dir, v.name) }
 
-// start runs the process; what it writes goes to a file of its own.
-func (v *vmProcess) start() {
+func (v *vmProcess) settingsFile() string { return filepath.Join(v.w.dir, v.name+".json") }
+
+// writeSettings writes the settings file whole, with the seeds in that order.
+func (v *vmProcess) writeSettings(order []int) {
 	w := v.w
 	dir := ""
 	if v.disk {
 		dir = v.folder()
 	}
 	var seeds []string
-	for i := range disks {
+	for _, i := range order {
 		seeds = append(seeds, fmt.Sprintf("%q", w.vms[i].addr(w.ports.operators)))
 	}
 	text := fill(settingsText, "@name", v.name, "@ip", v.ip, "@zone", "hall-1", "@callers", fmt.Sprint(w.ports.callers),
 		"@ready", fmt.Sprint(w.ports.ready), "@operators", fmt.Sprint(w.ports.operators), "@directory", fmt.Sprint(w.ports.directory),
 		"@peers", fmt.Sprint(w.ports.peers), "@seeds", strings.Join(seeds, ","), "@first", fmt.Sprint(v.first), "@dir", dir, "@list", w.lists)
-	path := filepath.Join(w.dir, v.name+".json")
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		w.fail("settings: %v", err)
-		return
+	fresh := v.settingsFile() + ".new"
+	err := os.WriteFile(fresh, []byte(text), 0o600)
+	if err == nil {
+		err = os.Rename(fresh, v.settingsFile())
+	}
+	if err != nil {
+		w.fail("settings of %s: %v", v.name, err)
 	}
+}
+
+// start runs the process; what it writes goes to a file of its own.
+func (v *vmProcess) start() {
+	w := v.w
+	v.writeSettings([]int{0, 1, 2})
 	out, err := os.OpenFile(filepath.Join(w.dir, v.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		w.fail("log: %v", err)
 		return
 	}
-	cmd := exec.Command(w.bin, "--metrics-port=0")
-	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+path)
+	cmd := exec.Command(w.bin, "--metrics-port=0", "--peers-listen="+v.inner())
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+v.settingsFile())
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
 		w.fail("start %s: %v", v.name, err)
@@ -271,6 +291,13 @@
 	v.w.disturb()
 }
 
+// harm notes that the VM may have missed what happened until now.
+func (v *vmProcess) harm() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.harmed = time.Now()
+}
+
 // harmedWithin reports whether the process was killed, paused or started so lately.
 func (v *vmProcess) harmedWithin(d time.Duration) bool {
 	v.mu.Lock()
@@ -293,11 +320,13 @@
 		if v.cmd != nil {
 			v.kill()
 		}
+		v.link.close()
 	}
 	w.mu.Lock()
 	leaves := w.leaves
 	w.mu.Unlock()
 	for _, l := range leaves {
+		l.link.close()
 		_ = l.server.Close()
 	}
 	_ = w.list.Close()
