control: a member let go stays silent until every daemon knows

Cause: the list of silent members was made of the pending membership alone, and it travels faster than the membership. A daemon that is cut off in between would send callers to a VM without power again.

--- a/internal/control/presence/member.go
+++ b/internal/control/presence/member.go
@@ -1,6 +1,7 @@
 package presence
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -127,18 +128,24 @@
 	return len(t.runs)
 }
 
-// Quiet returns the names of the members that have not been heard for that long,
-// sorted.
-func (t *Table) Quiet(members *vm.Membership, now vm.Instant, after time.Duration) []string {
+// Quiet returns the names of the members of any of the memberships that have not been
+// heard for that long, sorted. nil memberships have none.
+func (t *Table) Quiet(now vm.Instant, after time.Duration, of ...*vm.Membership) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []string
-	for i := range members.Members {
-		name := members.Members[i].Name
-		r := t.runs[key{name, t.newest[name]}]
-		if r == nil || now.Sub(r.heard) > after {
-			out = append(out, name)
+	for _, members := range of {
+		if members == nil {
+			continue
+		}
+		for i := range members.Members {
+			name := members.Members[i].Name
+			r := t.runs[key{name, t.newest[name]}]
+			if r == nil || now.Sub(r.heard) > after {
+				out = append(out, name)
+			}
 		}
 	}
-	return out
+	slices.Sort(out)
+	return slices.Compact(out)
 }
--- a/internal/control/presence/table_test.go
+++ b/internal/control/presence/table_test.go
@@ -145,6 +145,24 @@
 	})
 }
 
+// A VM loses power and is let go. Daemons that are cut off before they know the
+// membership without it would send callers to it again, were it taken off the list of
+// silent ones when the new membership is only pending.
+func TestLetGoMemberIsSilentUntilAllKnow(t *testing.T) {
+	Convey("A lost member is silent while the membership that holds it is the settled one", t, func() {
+		now := vm.Instant(time.Hour)
+		table := New()
+		settled := &vm.Membership{Epoch: 1, Members: []vm.Member{member("a", 1), member("lost", 1)}}
+		pending := &vm.Membership{Epoch: 2, Members: []vm.Member{member("a", 1)}}
+		table.Reset(now, now.Add(lease), settled)
+		now = now.Add(lease)
+		table.Beat([]*wire.Heartbeat{beatOf("a", 1, vm.Serving, 0, 0)}, now, &Terms{Lease: lease})
+		So(table.Quiet(now, time.Second, settled, nil), ShouldResemble, []string{"lost"})
+		So(table.Quiet(now, time.Second, settled, pending), ShouldResemble, []string{"lost"})
+		So(table.Quiet(now, time.Second, pending, nil), ShouldBeEmpty)
+	})
+}
+
 // A daemon stops in good order. Its share must move on at once instead of after a
 // lease, and a heartbeat of it that comes late must not bring it back.
 func TestGoneDaemonFreesItsShareAtOnce(t *testing.T) {
--- a/internal/control/seat.go
+++ b/internal/control/seat.go
@@ -264,17 +264,15 @@
 func (n *Node) Leads() bool { return n.lead.Load().confirmed(n.cfg.Clock()) }
 
 // Quiet returns the names of the members of the tier that the leader has not heard
-// for that long; none on any other VM.
+// for that long; none on any other VM. One that is let go stays among them until every
+// daemon knows the membership without it: a daemon that is cut off before it does goes
+// on telling callers of the members it knows, and of who of them is silent.
 func (n *Node) Quiet(after time.Duration) []string {
 	if !n.Leads() {
 		return nil
 	}
 	v := n.view()
-	members := v.settled
-	if v.pending != nil {
-		members = v.pending
-	}
-	return n.table.Quiet(members, n.cfg.Clock(), after)
+	return n.table.Quiet(n.cfg.Clock(), after, v.settled, v.pending)
 }
 
 // Group returns the peer addresses of the control group, the leader's first.
