relay: addresses heard of later are asked at once, and first

Cause: where the seeds are no control VMs, a daemon that has heard of the group finished its pause, and then asked the seeds again, each of which holds a call for 0.2 s. Change: new addresses end the pause of a daemon that no leader has confirmed, and come before the seeds of its start until the group has named itself.

--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -51,6 +51,7 @@
 	history  *History
 	children *children
 	urgent   chan struct{} // holds a token when something has to be said at once
+	found    chan struct{} // holds a token when there are new addresses to ask
 
 	mu         sync.Mutex
 	view       *View
@@ -78,6 +79,7 @@
 		history:  NewHistory(),
 		children: newChildren(),
 		urgent:   make(chan struct{}, 1),
+		found:    make(chan struct{}, 1),
 		view:     &View{},
 		changed:  make(chan struct{}),
 		up:       newUpstreams(cfg.Self, cfg.Control),
@@ -85,11 +87,25 @@
 }
 
 // SetSeeds names other control addresses to fall back to when none of those
-// learned from the group answers.
+// learned from the group answers. A daemon that no leader has confirmed asks them at
+// once: after a restart of everything with seeds that are not of the group, the pause
+// it was in made its callers wait up to 0.2 s more.
 func (c *Client) SetSeeds(addrs []string) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.up.seeds = slices.Clone(addrs)
+	c.up.setSeeds(addrs)
+	waits := c.confirmed == 0
+	c.mu.Unlock()
+	if waits {
+		token(c.found)
+	}
+}
+
+// token leaves one token in a channel that holds one at most.
+func token(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
 }
 
 // ControlGroup returns the peer addresses that the control group named last.
@@ -144,12 +160,7 @@
 	}
 }
 
-func (c *Client) pushNow() {
-	select {
-	case c.urgent <- struct{}{}:
-	default:
-	}
-}
+func (c *Client) pushNow() { token(c.urgent) }
 
 // Run syncs until ctx is done or a later run of the daemon is known.
 func (c *Client) Run(ctx context.Context) error {
@@ -176,11 +187,22 @@
 			return err
 		}
 		failures = out.failures(failures)
-		vm.Sleep(ctx, c.pause(out, failures, c.cfg.Clock().Sub(start)))
+		c.rest(ctx, c.pause(out, failures, c.cfg.Clock().Sub(start)))
 	}
 	return nil
 }
 
+// rest waits that long, or until there are new addresses to ask.
+func (c *Client) rest(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.found:
+	case <-ctx.Done():
+	}
+}
+
 // holdAfter is how long the next poll may be held. After a failure the lease has
 // to be renewed before anything else, so the reply is wanted at once. A relay
 // first has to ask the leader, and replies when that has answered.
--- a/internal/relay/client_test.go
+++ b/internal/relay/client_test.go
@@ -122,6 +122,23 @@
 	})
 }
 
+// A daemon starts and is told of VMs that are not of the group; it hears where the
+// group is while it waits to ask again. It asks at once: callers are turned away until
+// it has an answer.
+func TestNewSeedsAreAskedAtOnce(t *testing.T) {
+	inWorld(t, func(w *world) {
+		d := w.startDaemon(identity("d1", 1), 64, 8)
+		d.upstreams(func(u *upstreams) { u.control, u.seeds = []string{"nowhere"}, nil })
+		time.Sleep(4 * time.Second)
+		d.client.SetSeeds([]string{"nowhere", leaderAddr})
+		time.Sleep(20 * time.Millisecond)
+		synctest.Wait()
+		Convey("the daemon has its configuration", t, func() {
+			So(d.client.Current().Tree, ShouldNotBeNil)
+		})
+	})
+}
+
 // A relay dies with all its children attached. They see silence, choose another
 // relay or control, and no lease runs out, so no caller is refused.
 func TestRelayLost(t *testing.T) {
--- a/internal/relay/upstream.go
+++ b/internal/relay/upstream.go
@@ -30,6 +30,7 @@
 type upstreams struct {
 	self    vm.Identity
 	control []string // peer addresses of the control group
+	named   bool     // the group itself has named them
 	seeds   []string // peer addresses given at start or since, which may be out of date
 	leader  string   // who was last said to lead, empty if not known
 	paused  map[string]pause
@@ -51,23 +52,42 @@
 		paused: make(map[string]pause),
 		rng:    rand.New(rand.NewPCG(seed, self.Incarnation)),
 	}
-	u.setControl(control)
-	u.seeds = slices.Clone(control)
+	u.control = u.spread(control)
+	u.seeds = slices.Clone(u.control)
 	return u
 }
 
-// setControl takes the control group's addresses. Each daemon starts at another
-// one, so that none is asked first by all.
+// setControl takes the control group's addresses, as the group names them.
 func (u *upstreams) setControl(addrs []string) {
-	if len(addrs) == 0 {
-		return
+	if len(addrs) > 0 {
+		u.control, u.named = u.spread(addrs), true
 	}
-	sorted := slices.Clone(addrs)
-	slices.Sort(sorted)
-	if first := int(xxhash.Sum64String(u.self.Name) % uint64(len(sorted))); first > 0 {
-		sorted = append(sorted[first:], sorted[:first]...)
+}
+
+// setSeeds takes addresses to fall back to. Those not known before come first: an
+// earlier one that is no control VM holds a call for statelessHold before it says that
+// it knows nothing.
+func (u *upstreams) setSeeds(addrs []string) {
+	var fresh, known []string
+	for _, a := range addrs {
+		if slices.Contains(u.seeds, a) || slices.Contains(u.control, a) {
+			known = append(known, a)
+		} else {
+			fresh = append(fresh, a)
+		}
 	}
-	u.control = slices.Compact(sorted)
+	u.seeds = append(u.spread(fresh), known...)
+}
+
+// spread returns the addresses in an order of this daemon's own, so that none is asked
+// first by all.
+func (u *upstreams) spread(addrs []string) []string {
+	sorted := slices.Compact(slices.Sorted(slices.Values(addrs)))
+	if len(sorted) == 0 {
+		return nil
+	}
+	first := int(xxhash.Sum64String(u.self.Name) % uint64(len(sorted)))
+	return slices.Concat(sorted[first:], sorted[:first])
 }
 
 // candidates lists the addresses to sync with, best first. Of the control VMs the
@@ -79,10 +99,14 @@
 	if u.leader != "" {
 		list = append(list, u.leader)
 	}
-	control := slices.Clone(u.control)
 	// All that were learned may have been replaced while this daemon was cut off,
 	// and those named at its start may never have been of the group.
-	for _, addr := range u.seeds {
+	first, last := u.control, u.seeds
+	if !u.named {
+		first, last = u.seeds, u.control
+	}
+	control := slices.Clone(first)
+	for _, addr := range last {
 		if !slices.Contains(control, addr) {
 			control = append(control, addr)
 		}
--- a/internal/relay/upstream_test.go
+++ b/internal/relay/upstream_test.go
@@ -78,7 +78,7 @@
 func TestSeedsHeardLaterAreAsked(t *testing.T) {
 	useless := []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}
 	u := newUpstreams(vm.Identity{Name: "vm"}, useless)
-	u.seeds = append(slices.Clone(useless), "10.0.0.9:1")
+	u.setSeeds(append(slices.Clone(useless), "10.0.0.9:1"))
 	now := vm.Instant(0)
 	for range 5 {
 		addr, _ := u.pick(now)
@@ -90,3 +90,17 @@
 	}
 	t.Fatal("the address heard later was never asked")
 }
+
+// The same, but the useless ones answer: each holds a call before it says that it knows
+// nothing, and callers are turned away meanwhile.
+func TestSeedsHeardLaterAreAskedFirst(t *testing.T) {
+	u := newUpstreams(vm.Identity{Name: "vm"}, []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"})
+	u.setSeeds([]string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1", "10.0.0.9:1"})
+	if addr, _ := u.pick(0); addr != "10.0.0.9:1" {
+		t.Fatalf("%s is asked first, not the address heard last", addr)
+	}
+	u.setControl([]string{"10.0.0.4:1"})
+	if addr, _ := u.pick(0); addr != "10.0.0.4:1" {
+		t.Fatalf("%s is asked first, not the one that the group has named", addr)
+	}
+}
