spec, docs: what is told before a leader is elected

The model of the daemons has requests that need no lease: they never meet a lower version than before in one run, nor one that was never agreed on.

--- a/spec/daemons.pml
+++ b/spec/daemons.pml
@@ -2,7 +2,9 @@
  * Configuration at the daemons: a daemon takes configuration from any source and
  * never goes to a lower version; it works only while a lease confirms that its
  * configuration is in force; a change is reported as in force everywhere only
- * when no daemon can work under an older one.
+ * when no daemon can work under an older one. Forwarded requests need no lease: there
+ * a daemon works under whatever was agreed on, also as told by a control VM that knows
+ * no leader, and never goes back in one run.
  *
  * Agreement is taken as proved (agreement.pml): versions are accepted in one
  * order, and an old leader has no quorum from the moment another is elected.
@@ -39,6 +41,7 @@
 	byte heard;    /* ticks until the leader takes the daemon for gone */
 	byte acked;    /* version that the leader knows the daemon to have */
 	byte worked;   /* observer: the highest version that callers saw at work */
+	byte loose;    /* observer: the same for work without a lease, in this run */
 }
 Daemon d[DAEMONS];
 
@@ -174,7 +177,11 @@
 
 	:: atomic { pick(); /* some source offers any version ever accepted */
 		do
+#ifdef MUTATE_OFFER_UNAGREED
+		:: v <= newest -> v++
+#else
 		:: v < newest -> v++
+#endif
 		:: break
 		od;
 		take(v);
@@ -183,6 +190,7 @@
 
 	:: atomic { pick(); /* restart without a disk */
 		d[i].version = 0;
+		d[i].loose = 0;
 		d[i].lease = 0;
 		if
 		:: d[i].exchange == ASKED -> d[i].exchange = ORPHAN
@@ -209,6 +217,13 @@
 		i = 0
 	   }
 
+	:: atomic { pick(); /* a request that needs no lease */
+		assert(d[i].version >= d[i].loose);
+		assert(d[i].version <= newest);
+		d[i].loose = d[i].version;
+		i = 0
+	   }
+
 	:: atomic { /* time passes */
 		do
 		:: i < DAEMONS ->
