audit: the trail is bounded where the disk is small

Cause: the trail grew for ever; on a disk of 64 MB some 300,000 changes of 200 bytes fill it, and then no change is accepted any more. Change: pearmoor-entry gives the trail an eighth of the disk; above it the oldest file goes as a whole. pearmoord keeps everything, as before. A reader that meets a file just dropped passes on to the next one. Test: 1,500 records over three starts stay within 40 KB, the newest ones there.

--- a/internal/audit/trail.go
+++ b/internal/audit/trail.go
@@ -1,9 +1,12 @@
 package audit
 
 import (
+	"os"
 	"sync"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
 
 	"pearmoor/internal/journal"
 	"pearmoor/internal/link/wire"
@@ -12,13 +15,17 @@
 const (
 	filePrefix   = "audit"
 	segmentBytes = 4 << 20 // what a read of one old record costs
+	// limitFiles is how many files a bounded trail has at its limit; the oldest one
+	// goes as a whole.
+	limitFiles = 4
 )
 
 // Trail is an append-only list of audit records, ascending by version. Records
 // are kept in memory only until the next Flush. Append, Flush and Close are for
 // one goroutine; Read and Last may run beside them.
 type Trail struct {
-	log *journal.Segments
+	log   *journal.Segments
+	limit int64 // bytes; 0: none
 
 	mu       sync.RWMutex
 	buffered []*wire.AuditRecord
@@ -31,12 +38,13 @@
 	first  uint64
 }
 
-// Open reads the trail in dir. A nil fs is the machine's own.
-func Open(dir string, fs journal.FS) (*Trail, error) {
+// Open reads the trail in dir. A nil fs is the machine's own. Above limit bytes the
+// oldest records are dropped; 0 keeps them all.
+func Open(dir string, fs journal.FS, limit int64) (*Trail, error) {
 	if fs == nil {
 		fs = journal.OS{}
 	}
-	t := &Trail{}
+	t := &Trail{limit: limit}
 	var err error
 	t.log, err = journal.OpenSegments(fs, dir, filePrefix, func(number uint64, payload []byte) error {
 		records, err := decode(payload)
@@ -111,7 +119,7 @@
 	if len(records) == 0 {
 		return nil
 	}
-	if _, size := t.log.Current(); size >= segmentBytes {
+	if _, size := t.log.Current(); size >= t.fileBytes() {
 		if err := t.log.Rotate(); err != nil {
 			return err
 		}
@@ -128,6 +136,33 @@
 	t.mu.Lock()
 	t.buffered = nil
 	t.mu.Unlock()
+	return t.trim()
+}
+
+func (t *Trail) fileBytes() int64 {
+	if t.limit <= 0 {
+		return segmentBytes
+	}
+	return min(segmentBytes, max(t.limit/limitFiles, 1))
+}
+
+// trim drops the oldest files above the limit. Without it a trail on a disk of 64 MB
+// fills it after some 300,000 changes of 200 bytes, and then no change is taken any more.
+func (t *Trail) trim() error {
+	for t.limit > 0 && t.log.Size() > t.limit {
+		t.mu.Lock()
+		if len(t.files) < 2 {
+			t.mu.Unlock()
+			return nil
+		}
+		next := t.files[1]
+		t.files = t.files[1:]
+		t.mu.Unlock()
+		if err := t.log.RemoveBefore(next.number); err != nil {
+			return err
+		}
+		klog.Infof("audit: records before version %d dropped, limit=%d bytes", next.first, t.limit)
+	}
 	return nil
 }
 
@@ -148,6 +183,9 @@
 			}
 			return nil
 		})
+		if errors.Is(err, os.ErrNotExist) {
+			continue // dropped in between, as the oldest of a bounded trail
+		}
 		if err != nil || len(out) >= limit {
 			return out, err
 		}
--- a/internal/audit/trail_test.go
+++ b/internal/audit/trail_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"strings"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -27,7 +29,7 @@
 	Convey("Records appended again after a restart are left out, and all read back", t, func() {
 		dir := t.TempDir()
 		for _, from := range []uint64{1, 41, 61} {
-			trail, err := Open(dir, nil)
+			trail, err := Open(dir, nil, 0)
 			So(err, ShouldBeNil)
 			for v := max(from, 11) - 10; v < from+50; v++ {
 				trail.Append(record(v))
@@ -37,7 +39,7 @@
 			}
 			So(trail.Close(), ShouldBeNil)
 		}
-		trail, err := Open(dir, nil)
+		trail, err := Open(dir, nil, 0)
 		So(err, ShouldBeNil)
 		So(trail.Last(), ShouldEqual, 110)
 		all, err := trail.Read(1, 1000)
@@ -50,7 +52,7 @@
 	})
 
 	Convey("Records are found over many files", t, func() {
-		trail, err := Open(t.TempDir(), nil)
+		trail, err := Open(t.TempDir(), nil, 0)
 		So(err, ShouldBeNil)
 		long := make([]byte, 1<<20)
 		for v := uint64(1); v <= 20; v++ {
@@ -68,3 +70,40 @@
 		So(trail.Close(), ShouldBeNil)
 	})
 }
+
+// A small disk. Changes come for years; the trail must not fill the disk, or no change
+// is taken any more, and the newest records must stay, also over restarts.
+func TestTrailKeepsToItsLimit(t *testing.T) {
+	const limit = 40 << 10
+	Convey("A bounded trail drops its oldest records and keeps the newest", t, func() {
+		dir := t.TempDir()
+		last := uint64(0)
+		for range 3 {
+			trail, err := Open(dir, nil, limit)
+			So(err, ShouldBeNil)
+			So(trail.Last(), ShouldEqual, last)
+			for range 500 {
+				last++
+				r := record(last)
+				r.Reason = strings.Repeat("x", 200)
+				trail.Append(r)
+				So(trail.Flush(), ShouldBeNil)
+			}
+			got, err := trail.Read(1, 10_000)
+			So(err, ShouldBeNil)
+			So(len(got), ShouldBeBetween, 100, 200)
+			So(got[len(got)-1].Version, ShouldEqual, last)
+			So(got[0].Version, ShouldEqual, last-uint64(len(got))+1)
+			So(trail.Close(), ShouldBeNil)
+			files, err := os.ReadDir(dir)
+			So(err, ShouldBeNil)
+			size := int64(0)
+			for _, f := range files {
+				info, err := f.Info()
+				So(err, ShouldBeNil)
+				size += info.Size()
+			}
+			So(size, ShouldBeLessThanOrEqualTo, limit)
+		}
+	})
+}
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -31,6 +31,7 @@
 	Tick            time.Duration // of the quorum machine; 0: DefaultTick
 	ReserveBytes    uint64        // free space below which changes are refused; 0: DefaultReserveBytes
 	SnapshotEntries uint64        // entries between two snapshots; 0: DefaultSnapshotEntries
+	AuditBytes      int64         // of the audit trail, above which its oldest records go; 0: it is kept whole
 	FS              journal.FS    // nil: the machine's own
 	Upkeep          Upkeep        // of the group; the zero value leaves it to operators
 }
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -77,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	trail, err := audit.Open(cfg.DataDir, cfg.FS)
+	trail, err := audit.Open(cfg.DataDir, cfg.FS, cfg.AuditBytes)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/entryvm/config.go
+++ b/internal/entryvm/config.go
@@ -48,6 +48,9 @@
 	// diskReserve is the part of the disk below which no change is taken, so that
 	// votes and snapshots still fit.
 	diskReserve = 8
+	// auditShare is the part of the disk that the audit trail may take: on 64 MB, 8 MB
+	// or some 40,000 changes, three weeks of 1,900 a day.
+	auditShare = 8
 	// silentAfter is how long a voter is silent, beyond the second after which it
 	// counts as such, before the group lets it go if it may. A process that was
 	// killed is back within that time.
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -88,8 +88,9 @@
 		Config: control.Config{
 			Name: v.conf.Name, DataDir: v.conf.DataDir, PeerAddr: v.conf.PeerAddr, Conns: v.controlConns,
 			Tick: controlTick, ReserveBytes: max(v.conf.DiskBytes/diskReserve, 1), SnapshotEntries: 500,
-			Upkeep: control.Upkeep{MinVoters: 2*v.conf.Tolerated + 1, SilentAfter: silentAfter},
-			FS:     journal.OS{},
+			AuditBytes: int64(v.conf.DiskBytes / auditShare),
+			Upkeep:     control.Upkeep{MinVoters: 2*v.conf.Tolerated + 1, SilentAfter: silentAfter},
+			FS:         journal.OS{},
 		},
 		Found: v.conf.FirstStart, Founders: v.founders, Contacts: v.contacts,
 		OnNode: func(n *control.Node) {
