--- /dev/null
+++ b/internal/entryvm/contacts_test.go
@@ -0,0 +1,80 @@
+package entryvm
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"pearmoor/internal/link/peer"
+)
+
+func TestContactsKeepTheNewestFirst(t *testing.T) {
+	Convey("What was heard last comes first, once, and old ones are forgotten", t, func() {
+		c := &contacts{}
+		So(c.learn([]string{"a", "b"}), ShouldBeTrue)
+		So(c.learn([]string{"b", "c"}), ShouldBeTrue)
+		So(c.learn([]string{"c"}), ShouldBeFalse)
+		So(c.list(), ShouldResemble, []string{"c", "b", "a"})
+		for i := range mostContacts {
+			c.learn([]string{string(rune('k' + i))})
+		}
+		So(len(c.list()), ShouldEqual, mostContacts)
+		So(c.list(), ShouldNotContain, "a")
+	})
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return lis
+}
+
+func serve(t *testing.T, v *VM, lis net.Listener) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- peer.ServeTrusted(ctx, lis, v) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// A tier starts for the first time and one of three seeds is up later than the others.
+// Two that took different VMs for founders would found two groups, each with its own
+// configuration; so all wait until each seed has said whether it has a disk.
+func TestFoundersWaitForEverySeed(t *testing.T) {
+	Convey("Given three seeds of which two have a disk and one is not up yet", t, func() {
+		first, second, late := listen(t), listen(t), listen(t)
+		seeds := []string{first.Addr().String(), second.Addr().String(), late.Addr().String()}
+		v := testVM(t, "first", seeds[0], t.TempDir(), seeds...)
+		serve(t, v, first)
+		serve(t, testVM(t, "second", seeds[1], "", seeds...), second)
+		founders := make(chan []string, 1)
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		Reset(cancel)
+		go func() { founders <- v.founders(ctx) }()
+
+		Convey("they are known only once it has said, and are those with a disk", func() {
+			select {
+			case out := <-founders:
+				So(out, ShouldBeEmpty) // too early, whatever it is
+				t.Fatal("founders were named before every seed had said")
+			case <-time.After(300 * time.Millisecond):
+			}
+			serve(t, testVM(t, "late", seeds[2], t.TempDir(), seeds...), late)
+			got := <-founders
+			So(got, ShouldHaveLength, 2)
+			So(got, ShouldContain, seeds[0])
+			So(got, ShouldContain, seeds[2])
+		})
+	})
+}
--- a/internal/entryvm/tier.go
+++ b/internal/entryvm/tier.go
@@ -51,8 +51,14 @@
 		}
 		return []string{v.conf.CallerAddr}, keep
 	}
+	return nearest(v.takers(ms), region, domain), keep
+}
+
+// nearest returns the addresses of the daemons in the caller's domain, if there are
+// enough of them, else in its region, else of all.
+func nearest(takers []*vm.Member, region, domain string) []string {
 	var near, same, all []string
-	for _, m := range v.takers(ms) {
+	for _, m := range takers {
 		all = append(all, m.CallerAddr)
 		if m.Region == region {
 			same = append(same, m.CallerAddr)
@@ -61,17 +67,16 @@
 			}
 		}
 	}
+	out := all
 	switch {
 	case len(near) >= fewInDomain:
-		return cut(near), keep
+		out = near
 	case len(same) > 0:
-		return cut(same), keep
+		out = same
 	}
-	return cut(all), keep
+	return out[:min(len(out), mostAddrs)]
 }
 
-func cut(list []string) []string { return list[:min(len(list), mostAddrs)] }
-
 // PutRelease makes r the configuration in force everywhere unless a newer one is.
 // Any other error than contract.Faults leaves open whether it was accepted; the
 // same call may be made again.
