platform/standin: one writer of the platform's side of its formats

The soak filled templates of its own; they are functions beside the decoders now, with a test that the decoders take what they write.

--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -14,6 +13,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"pearmoor/platform/standin"
 )
 
 const (
@@ -56,14 +57,17 @@
 		client := &http.Client{Timeout: time.Second}
 		for _, i := range c.rng.Perm(daemons) {
 			v := c.w.vms[i]
-			status, body := get(client, http.MethodGet, "http://"+v.addr(c.w.ports.directory)+calls["lookup"]+"?name=soak.example&region=valley&zone=hall-1", "")
-			var list struct {
-				Addrs []string `json:"addrs"`
+			status, body := get(client, http.MethodGet, "http://"+v.addr(c.w.ports.directory)+standin.LookupPath(host, region, domain), "")
+			if status != http.StatusOK {
+				continue
 			}
-			if status == http.StatusOK && json.Unmarshal(body, &list) == nil && len(list.Addrs) > 0 {
-				c.addrs, c.asked = list.Addrs, time.Now()
-				break
+			addrs, _, err := standin.Addresses(body)
+			if err != nil {
+				c.w.fail("%s: %v", v.name, err)
+				continue
 			}
+			c.addrs, c.asked = addrs, time.Now()
+			break
 		}
 		client.CloseIdleConnections()
 	}
@@ -101,7 +105,7 @@
 	if body != "" {
 		req.ContentLength = int64(len(body))
 	}
-	req.Host = "soak.example"
+	req.Host = host
 	req.Header.Set(dialect.RequestID, id)
 	req.Header.Set(dialect.Deadline, strconv.FormatInt(callerWait.Milliseconds(), 10))
 	var reused atomic.Bool
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"pearmoor/internal/journal"
+	"pearmoor/platform/standin"
 )
 
 // event is one fault of a run: of what kind, for how long, and where.
@@ -129,7 +130,7 @@
 	defer w.mu.Unlock()
 	var fit []*leaf
 	for _, l := range w.leaves {
-		if l.state() == "ready" && mode(l.mode.Load()) == well && (!once || l.service == ledger) {
+		if l.state() == standin.Ready && mode(l.mode.Load()) == well && (!once || l.service == ledger) {
 			fit = append(fit, l)
 		}
 	}
--- a/soak/leaves_test.go
+++ b/soak/leaves_test.go
@@ -16,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"pearmoor/platform"
+	"pearmoor/platform/standin"
 )
 
 var dialect = platform.Dialect()
@@ -210,9 +211,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.leaving.IsZero() {
-		return "ready"
+		return standin.Ready
 	}
-	return "draining"
+	return standin.Leaving
 }
 
 // drop ends the leaf and takes it off the list.
@@ -233,9 +234,13 @@
 	w.mu.Lock()
 	leaves := slices.Clone(w.leaves)
 	w.mu.Unlock()
-	var entries []string
-	for _, l := range leaves {
-		entries = append(entries, fill(leafText, "@id", l.id, "@service", l.service, "@address", l.addr, "@zone", "hall-1", "@state", l.state()))
+	rows := make([]standin.Leaf, len(leaves))
+	for i, l := range leaves {
+		rows[i] = standin.Leaf{ID: l.id, Service: l.service, Addr: l.addr, Domain: domain, Slots: 8, State: l.state()}
 	}
-	_, _ = io.WriteString(rw, fill(calls["page"], "@leaves", strings.Join(entries, ",")))
+	text, err := standin.Page(rows, "")
+	if err != nil {
+		w.fail("list: %v", err)
+	}
+	_, _ = rw.Write(text)
 }
--- a/soak/operator_test.go
+++ b/soak/operator_test.go
@@ -2,14 +2,16 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"time"
+
+	"pearmoor/internal/route"
+	"pearmoor/platform"
+	"pearmoor/platform/standin"
 )
 
 // applyTime is how long after its acknowledgement a configuration is in force
@@ -59,20 +61,33 @@
 	rng.Shuffle(len(set), func(i, k int) { set[i], set[k] = set[k], set[i] })
 	set = set[:shardsOfOne]
 	o.sets = append(o.sets, set)
-	var services []string
-	for _, s := range allServices() {
-		services = append(services, fill(serviceText, "@name", s))
-	}
-	quoted := make([]string, len(set))
-	for i, s := range set {
-		quoted[i] = fmt.Sprintf("%q", s)
-	}
 	if o.texts == nil {
 		o.texts = make(map[int]string)
 	}
-	text := fill(configurationText, "@number", fmt.Sprint(o.number), "@services", strings.Join(services, ","), "@shards", strings.Join(quoted, ","))
-	o.texts[o.number] = text
-	return o.number, text
+	text, err := platform.EncodeRelease(release(o.number, set))
+	if err != nil {
+		panic(err) // it is made of constants
+	}
+	o.texts[o.number] = string(text)
+	return o.number, o.texts[o.number]
+}
+
+// release returns a configuration with these shards.
+func release(number int, shards []string) *route.Release {
+	r := &route.Release{
+		Number: uint64(number),
+		Limits: route.Limits{HeaderBytes: 16 << 10, BodyBytes: 256 << 10, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
+		Routes: []route.Route{
+			{Name: "search", Host: host, Prefix: "/search/", Repeatable: true, Timeout: 2 * time.Second, TargetLatency: 250 * time.Millisecond,
+				Shards: shards, Attempts: 2, Top: topOfAnswer, LeastCoverage: 0.6},
+			{Name: "charge", Host: host, Prefix: "/charge/", Timeout: 2 * time.Second, TargetLatency: 400 * time.Millisecond, Priority: 1,
+				Service: ledger, Attempts: 2},
+		},
+	}
+	for _, s := range allServices() {
+		r.Services = append(r.Services, route.Service{Name: s, HealthPath: "/health", Connections: leafConns, Protocol: "h1"})
+	}
+	return r
 }
 
 // earlier returns a configuration that was sent before.
@@ -113,7 +128,7 @@
 	defer client.CloseIdleConnections()
 	for ctx.Err() == nil {
 		v := w.vms[rng.IntN(daemons)]
-		status, body := get(client, http.MethodPost, "http://"+v.addr(w.ports.operators)+calls["put"], text)
+		status, body := get(client, http.MethodPost, "http://"+v.addr(w.ports.operators)+standin.PutPath, text)
 		switch {
 		case status == http.StatusOK:
 			w.ops.acked(number)
@@ -157,7 +172,7 @@
 	client := &http.Client{Timeout: time.Second}
 	defer client.CloseIdleConnections()
 	v := w.vms[rng.IntN(daemons)]
-	if status, _ := get(client, http.MethodPost, "http://"+v.addr(w.ports.operators)+calls["put"], text[:len(text)/2]); status == http.StatusOK {
+	if status, _ := get(client, http.MethodPost, "http://"+v.addr(w.ports.operators)+standin.PutPath, text[:len(text)/2]); status == http.StatusOK {
 		w.fail("%s acknowledged half a configuration", v.name)
 	}
 }
@@ -168,19 +183,18 @@
 	client := &http.Client{Timeout: 1500 * time.Millisecond}
 	defer client.CloseIdleConnections()
 	v := w.vms[rng.IntN(daemons)]
-	status, body := get(client, http.MethodGet, "http://"+v.addr(w.ports.operators)+calls["get"], "")
+	status, body := get(client, http.MethodGet, "http://"+v.addr(w.ports.operators)+standin.GetPath, "")
 	if status != http.StatusOK {
 		return 0, false
 	}
-	var got struct {
-		Version int `json:"version"`
-	}
-	if err := json.Unmarshal(body, &got); err != nil {
+	number, err := standin.Number(body)
+	if err != nil {
 		w.fail("%s gives back %q", v.name, body)
 		return 0, false
 	}
-	if got.Version < want {
-		w.fail("%s gives back configuration %d, %d was acknowledged more than %v before", v.name, got.Version, want, applyTime)
+	got := int(number)
+	if got < want {
+		w.fail("%s gives back configuration %d, %d was acknowledged more than %v before", v.name, got, want, applyTime)
 	}
-	return got.Version, true
+	return got, true
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -25,9 +25,6 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	if err := loadTexts(); err != nil {
-		panic(err)
-	}
 	os.Exit(m.Run())
 }
 
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -18,39 +18,15 @@
 	"time"
 
 	"pearmoor/platform"
+	"pearmoor/platform/standin"
 )
 
-var (
-	settingsText, configurationText, serviceText, leafText string
-	calls                                                  = map[string]string{}
-)
-
-func loadTexts() error {
-	for name, into := range map[string]*string{
-		"settings.json": &settingsText, "configuration.json": &configurationText, "service.json": &serviceText, "leaf.json": &leafText,
-	} {
-		text, err := os.ReadFile(filepath.Join("testdata", name))
-		if err != nil {
-			return err
-		}
-		*into = strings.TrimSpace(string(text))
-	}
-	text, err := os.ReadFile(filepath.Join("testdata", "calls.txt"))
-	if err != nil {
-		return err
-	}
-	for _, line := range strings.Split(strings.TrimSpace(string(text)), "\n") {
-		name, path, _ := strings.Cut(line, " ")
-		calls[name] = path
-	}
-	return nil
-}
-
-func fill(text string, pairs ...string) string { return strings.NewReplacer(pairs...).Replace(text) }
-
 const (
 	daemons  = 5
 	disks    = 3
+	domain   = "hall-1"
+	region   = "valley"
+	host     = "soak.example"
 	firstNet = "127.0.10." // where VMs are told to be, and take callers
 	innerNet = "127.0.11." // where they take other daemons, behind a proxy
 )
@@ -184,7 +160,7 @@
 		t.Fatal(err)
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc(calls["list"], w.serveList)
+	mux.HandleFunc(standin.ListPath, w.serveList)
 	w.list, w.lists = &http.Server{Handler: mux}, lis.Addr().String()
 	go func() { _ = w.list.Serve(lis) }()
 	for i := range daemons {
@@ -220,19 +196,27 @@
 // writeSettings writes the settings file whole, with the seeds in that order.
 func (v *vmProcess) writeSettings(order []int) {
 	w := v.w
-	dir := ""
+	port := func(n int) string { return fmt.Sprint(n) }
+	vm := standin.VM{
+		Name: v.name, IP: v.ip, Domain: domain, Region: region,
+		Ports: standin.Ports{
+			Callers: port(w.ports.callers), Ready: port(w.ports.ready), Operators: port(w.ports.operators),
+			Directory: port(w.ports.directory), Peers: port(w.ports.peers),
+		},
+		FirstStart: v.first, DiskMB: 64, Cores: 1, Tolerated: 1, DrainMS: 3000, GraceS: 3,
+		BudgetRatio: 0.2, BudgetBurst: 62, BudgetWindowS: 10, ListAddr: w.lists, ListRate: 50,
+	}
 	if v.disk {
-		dir = v.folder()
+		vm.DataDir = v.folder()
 	}
-	var seeds []string
 	for _, i := range order {
-		seeds = append(seeds, fmt.Sprintf("%q", w.vms[i].addr(w.ports.operators)))
+		vm.Seeds = append(vm.Seeds, w.vms[i].addr(w.ports.operators))
 	}
-	text := fill(settingsText, "@name", v.name, "@ip", v.ip, "@zone", "hall-1", "@callers", fmt.Sprint(w.ports.callers),
-		"@ready", fmt.Sprint(w.ports.ready), "@operators", fmt.Sprint(w.ports.operators), "@directory", fmt.Sprint(w.ports.directory),
-		"@peers", fmt.Sprint(w.ports.peers), "@seeds", strings.Join(seeds, ","), "@first", fmt.Sprint(v.first), "@dir", dir, "@list", w.lists)
+	text, err := vm.Settings()
 	fresh := v.settingsFile() + ".new"
-	err := os.WriteFile(fresh, []byte(text), 0o600)
+	if err == nil {
+		err = os.WriteFile(fresh, text, 0o600)
+	}
 	if err == nil {
 		err = os.Rename(fresh, v.settingsFile())
 	}
