bench/forward: forwarded requests on a platform of our own

Real pearmoor-entry processes on loopback; leaves that pause, differ in speed, start cold, refuse, lose answers, answer twice, fall silent and leave their addresses to others; a list that lags and comes in pages; callers that keep address lists; an operator. A table, JSON and plots; every answer is checked.

--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,7 @@
 
 bench: build
 	$(GO) run ./bench/query --quick
+	$(GO) run ./bench/forward --duration=10s
 
 generate:
 	./scripts/generate
--- /dev/null
+++ b/bench/forward/main.go
@@ -0,0 +1,195 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
+
+	"pearmoor/internal/load"
+)
+
+// settings are what a run is told.
+type settings struct {
+	bin      string
+	vms      int
+	shards   int
+	copies   int
+	rate     float64
+	duration time.Duration
+	seed     uint64
+	faults   string
+	out      string
+}
+
+func main() {
+	var s settings
+	app := kingpin.New("forward", "A small platform on loopback around real pearmoor-entry processes, with a table and plots.")
+	app.HelpFlag.Short('h')
+	app.Flag("bin", "The pearmoor-entry program; make build makes it.").Default("bin/pearmoor-entry").StringVar(&s.bin)
+	app.Flag("vms", "VMs of the tier, the first three with a disk.").Default("6").IntVar(&s.vms)
+	app.Flag("shards", "Services that a gather asks.").Default("20").IntVar(&s.shards)
+	app.Flag("copies", "Leaves of each service.").Default("2").IntVar(&s.copies)
+	app.Flag("rate", "Requests a second, with Poisson arrivals.").Default("80").Float64Var(&s.rate)
+	app.Flag("duration", "How long requests arrive.").Default("20s").DurationVar(&s.duration)
+	app.Flag("seed", "Of the leaves, callers and arrivals.").Default("1").Uint64Var(&s.seed)
+	app.Flag("faults", "script plays the faults of script.go, none leaves them out.").Default("script").EnumVar(&s.faults, "script", "none")
+	app.Flag("out", "Folder for the report and its plots.").Default("out/forward").StringVar(&s.out)
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if err := measure(ctx, s); err != nil {
+		fmt.Fprintf(os.Stderr, "forward: %v\n", err)
+		os.Exit(1)
+	}
+}
+
+// run is one run under way.
+type run struct {
+	settings
+	platform *platformSide
+	tier     *entryTier
+	tallies  []*tally
+	events   []event
+	cpu      time.Duration // of the tier while requests arrived
+}
+
+func measure(ctx context.Context, s settings) error {
+	if s.vms < disks || s.shards < 2 || s.copies < 1 {
+		return errors.Newf("%d VMs, %d shards, %d copies are too few: %d, 2 and 1 are the least", s.vms, s.shards, s.copies, disks)
+	}
+	dir, err := os.MkdirTemp("", "forward")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	r := &run{settings: s}
+	if err := r.open(ctx, dir); err != nil {
+		r.close()
+		return errors.Wrapf(err, "%s", logsOf(dir))
+	}
+	defer r.close()
+	if err := r.drive(ctx); err != nil {
+		return err
+	}
+	rep := r.report()
+	rep.print(os.Stdout)
+	if err := r.save(rep, s.out); err != nil {
+		return err
+	}
+	fmt.Println("plots and figures:", s.out)
+	if len(rep.Faults) > 0 {
+		return errors.Newf("%d answers are wrong", len(rep.Faults))
+	}
+	return nil
+}
+
+// open starts the leaves and the tier and waits until it serves.
+func (r *run) open(ctx context.Context, dir string) error {
+	bin, err := filepath.Abs(r.bin)
+	if err != nil {
+		return err
+	}
+	if r.platform, err = newPlatformSide(r.seed); err != nil {
+		return err
+	}
+	if r.tier, err = newTier(dir, bin, r.vms, r.platform.addr); err != nil {
+		return err
+	}
+	for i := range r.shards {
+		r.tier.shards = append(r.tier.shards, fmt.Sprintf("shard-%d", i))
+	}
+	for _, service := range append([]string{singleService, singleService}, r.tier.shards...) {
+		for range r.copies {
+			if _, err := r.platform.startLeaf(service, "", false); err != nil {
+				return err
+			}
+		}
+	}
+	r.platform.snapshot()
+	for _, v := range r.tier.vms {
+		if err := v.start(); err != nil {
+			return err
+		}
+	}
+	return r.tier.configure(ctx)
+}
+
+func (r *run) close() {
+	if r.tier != nil {
+		r.tier.stop()
+	}
+	if r.platform != nil {
+		r.platform.close()
+	}
+}
+
+// drive lets requests arrive for the duration and waits for their answers.
+func (r *run) drive(ctx context.Context) error {
+	time.Sleep(2 * time.Second) // every VM has the configuration and the list
+	start := time.Now()
+	r.platform.began = start
+	done := make(chan struct{})
+	var side sync.WaitGroup
+	side.Go(func() { r.platform.watch(done) })
+	inner, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if r.faults == "script" {
+		side.Go(func() { r.play(inner) })
+	}
+	before := r.tier.cpu()
+	var callers []*caller
+	for i := range callerCount {
+		callers = append(callers, r.newCaller(i))
+	}
+	var wg sync.WaitGroup
+	for i, k := range kinds {
+		t := &tally{kind: k, recorder: load.NewRecorder(start, plotWindow)}
+		r.tallies = append(r.tallies, t)
+		arrivals, err := load.NewSchedule(load.Poisson, r.rate*k.share, r.duration, r.seed+uint64(i))
+		if err != nil {
+			return err
+		}
+		wg.Go(func() { arrive(inner, &wg, start, arrivals, t, callers) })
+	}
+	wg.Wait()
+	r.cpu = r.tier.cpu() - before
+	close(done)
+	cancel()
+	side.Wait()
+	return ctx.Err()
+}
+
+// arrive starts each request when it is due, whatever became of those before.
+func arrive(ctx context.Context, wg *sync.WaitGroup, start time.Time, s *load.Schedule, t *tally, callers []*caller) {
+	for n := 0; ctx.Err() == nil; n++ {
+		at, ok := s.Next()
+		if !ok {
+			return
+		}
+		intended := start.Add(at)
+		time.Sleep(time.Until(intended))
+		c := callers[(n*7+len(t.kind.name))%len(callers)]
+		wg.Go(func() { c.ask(ctx, t, intended) })
+	}
+}
+
+// logsOf returns where to look when a tier did not come up.
+func logsOf(dir string) string {
+	names, err := filepath.Glob(filepath.Join(dir, "*.log"))
+	if err != nil || len(names) == 0 {
+		return "no process has written anything"
+	}
+	text, err := os.ReadFile(names[0])
+	if err != nil {
+		return err.Error()
+	}
+	return string(text[max(0, len(text)-2000):])
+}
--- /dev/null
+++ b/bench/forward/main_test.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// A short run without faults: every request is served whole, no answer is wrong, and
+// the report with its plots is there.
+func TestShortRun(t *testing.T) {
+	Convey("Given the program and a folder", t, func() {
+		dir := t.TempDir()
+		bin := filepath.Join(dir, "pearmoor-entry")
+		out, err := exec.Command("go", "build", "-o", bin, "../../cmd/pearmoor-entry").CombinedOutput()
+		So(string(out), ShouldBeEmpty)
+		So(err, ShouldBeNil)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		s := settings{
+			bin: bin, vms: 3, shards: 4, copies: 2, rate: 20, duration: 3 * time.Second, seed: 1,
+			faults: "none", out: filepath.Join(dir, "out"),
+		}
+		So(measure(ctx, s), ShouldBeNil)
+		for _, name := range []string{"forward.json", "wide.svg", "quick.svg", "single.svg", "leaves.svg"} {
+			info, err := os.Stat(filepath.Join(s.out, name))
+			So(err, ShouldBeNil)
+			So(info.Size(), ShouldBeGreaterThan, 100)
+		}
+	})
+}
--- /dev/null
+++ b/bench/forward/report.go
@@ -0,0 +1,121 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"pearmoor/internal/load"
+)
+
+// event is what happened, and when, in seconds from the start.
+type event struct {
+	At   float64 `json:"at_s"`
+	What string  `json:"what"`
+}
+
+// row is one kind of request; shares are of its requests.
+type row struct {
+	Kind     string  `json:"kind"`
+	Requests int     `json:"requests"`
+	InAim    float64 `json:"in_aim"`
+	Late     float64 `json:"late"`
+	Refused  float64 `json:"refused"`
+	Failed   float64 `json:"failed"`
+	Again    float64 `json:"asked_again"`
+	Coverage float64 `json:"coverage"` // mean, of what was served
+	load.Quantiles
+}
+
+// report is the outcome of a run.
+type report struct {
+	Rows          []row    `json:"rows"`
+	Extra         float64  `json:"extra_sends"` // share of the first ones
+	MostOverSlots float64  `json:"most_in_flight_over_slots"`
+	MeanOverSlots float64  `json:"mean_most_in_flight_over_slots"`
+	Opened        int64    `json:"connections_opened"`
+	PerPartMicros float64  `json:"processor_us_per_send"`
+	Events        []event  `json:"events"`
+	Faults        []string `json:"wrong_answers"`
+}
+
+func (r *run) report() *report {
+	out := &report{Events: r.events}
+	for _, t := range r.tallies {
+		t.mu.Lock()
+		n := float64(max(t.count, 1))
+		out.Rows = append(out.Rows, row{
+			Kind: t.kind.name, Requests: t.count, InAim: float64(t.inAim) / n, Late: float64(t.late) / n,
+			Refused: float64(t.refused) / n, Failed: float64(t.failed) / n, Again: float64(t.again) / n,
+			Coverage: t.coverage / float64(max(t.inAim+t.late, 1)), Quantiles: t.recorder.Total(),
+		})
+		out.Faults = append(out.Faults, t.faults...)
+		t.mu.Unlock()
+	}
+	p := r.platform
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	sends := p.firsts + p.extra
+	out.Extra = float64(p.extra) / float64(max(p.firsts, 1))
+	out.PerPartMicros = float64(r.cpu.Microseconds()) / float64(max(sends, 1))
+	windows := 0
+	for l, s := range p.series {
+		out.Opened += l.opened.Load()
+		for _, m := range s.Most {
+			over := float64(m) / float64(s.Slots)
+			out.MostOverSlots = max(out.MostOverSlots, over)
+			out.MeanOverSlots += over
+			windows++
+		}
+	}
+	out.MeanOverSlots /= float64(max(windows, 1))
+	return out
+}
+
+func (r *report) print(w io.Writer) {
+	fmt.Fprintf(w, "%-8s %8s %7s %6s %8s %7s %6s %9s %8s %8s %8s\n",
+		"kind", "requests", "in aim", "late", "refused", "failed", "again", "coverage", "p50 ms", "p90 ms", "p99 ms")
+	for _, x := range r.Rows {
+		fmt.Fprintf(w, "%-8s %8d %6.1f%% %5.1f%% %7.2f%% %6.2f%% %5.1f%% %8.2f%% %8.1f %8.1f %8.1f\n",
+			x.Kind, x.Requests, 100*x.InAim, 100*x.Late, 100*x.Refused, 100*x.Failed, 100*x.Again, 100*x.Coverage, x.P50, x.P90, x.P99)
+	}
+	fmt.Fprintf(w, "leaves: %.1f%% extra sends; in flight over slots at most %.1f, mean of the windows %.2f; %d connections opened; %.0f us of the tier's processor a send\n",
+		100*r.Extra, r.MostOverSlots, r.MeanOverSlots, r.Opened, r.PerPartMicros)
+	for _, e := range r.Events {
+		fmt.Fprintf(w, "%6.1f s  %s\n", e.At, e.What)
+	}
+	for _, f := range r.Faults {
+		fmt.Fprintln(w, "WRONG ANSWER:", f)
+	}
+}
+
+// save writes the report and its plots.
+func (r *run) save(rep *report, dir string) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	text, err := json.MarshalIndent(rep, "", "  ")
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(dir, "forward.json"), text, 0o644); err != nil {
+		return err
+	}
+	for _, t := range r.tallies {
+		if err := load.PlotLatency(filepath.Join(dir, t.kind.name+".svg"), t.recorder.Windows()); err != nil {
+			return err
+		}
+	}
+	leaves := &load.LeafReport{}
+	r.platform.mu.Lock()
+	for _, s := range r.platform.series {
+		leaves.Series = append(leaves.Series, *s)
+	}
+	r.platform.mu.Unlock()
+	return load.PlotLeaves(filepath.Join(dir, "leaves.svg"), leaves)
+}
+
+const plotWindow = 500 * time.Millisecond
--- /dev/null
+++ b/bench/forward/script.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// step is something that happens at a share of the run.
+type step struct {
+	at   float64
+	name string
+	do   func(ctx context.Context, r *run) error
+}
+
+// script is what a run with faults goes through.
+var script = []step{
+	{0.05, "two leaves fall silent for a tenth of the run", misbehave(dark, 2, 0.1)},
+	{0.15, "four leaves turn slow for a fifth of the run", misbehave(slow, 4, 0.2)},
+	{0.25, "a leaf ends and its address goes to another service", reuse},
+	{0.35, "a VM without a disk is killed and comes back after a second", killVM},
+	{0.45, "five leaves refuse half of their requests for a tenth of the run", misbehave(sheds, 5, 0.1)},
+	{0.55, "another configuration", func(ctx context.Context, r *run) error { return r.tier.configure(ctx) }},
+	{0.6, "a leaf leaves and a cold one comes", replace},
+	{0.7, "five leaves lose answers for a tenth of the run", misbehave(loses, 5, 0.1)},
+	{0.8, "five leaves answer twice for a tenth of the run", misbehave(repeats, 5, 0.1)},
+}
+
+// play goes through the script until ctx ends.
+func (r *run) play(ctx context.Context) {
+	began := time.Now()
+	for _, s := range script {
+		select {
+		case <-time.After(time.Until(began.Add(time.Duration(s.at * float64(r.duration))))):
+		case <-ctx.Done():
+			return
+		}
+		r.events = append(r.events, event{At: time.Since(began).Seconds(), What: s.name})
+		if err := s.do(ctx, r); err != nil {
+			r.events = append(r.events, event{At: time.Since(began).Seconds(), What: "failed: " + err.Error()})
+		}
+	}
+}
+
+// misbehave makes one leaf of each of some shards misbehave for a share of the run.
+func misbehave(f fault, leaves int, share float64) func(context.Context, *run) error {
+	return func(_ context.Context, r *run) error {
+		for _, i := range rand.Perm(len(r.tier.shards))[:min(leaves, len(r.tier.shards))] {
+			l, err := r.oneOf(r.tier.shards[i])
+			if err != nil {
+				return err
+			}
+			l.fault.Store(int32(f))
+			time.AfterFunc(time.Duration(share*float64(r.duration)), func() { l.fault.Store(int32(sound)) })
+		}
+		return nil
+	}
+}
+
+func (r *run) oneOf(service string) (*leaf, error) {
+	all := r.platform.of(service)
+	if len(all) == 0 {
+		return nil, errors.Newf("%s has no leaf", service)
+	}
+	return all[rand.N(len(all))], nil
+}
+
+// reuse ends a leaf; another service's gets its address before the list shows it.
+func reuse(_ context.Context, r *run) error {
+	l, err := r.oneOf(r.tier.shards[0])
+	if err != nil {
+		return err
+	}
+	addr := l.lis.Addr().String()
+	r.platform.drop(l)
+	if _, err := r.platform.startLeaf(r.tier.shards[1], addr, true); err != nil {
+		return err
+	}
+	_, err = r.platform.startLeaf(r.tier.shards[0], "", true)
+	return err
+}
+
+func killVM(_ context.Context, r *run) error {
+	v := r.tier.vms[len(r.tier.vms)-1]
+	v.kill()
+	time.Sleep(time.Second)
+	return v.start()
+}
+
+// replace lets a leaf leave as the platform does: it says so, serves on, and ends.
+func replace(_ context.Context, r *run) error {
+	service := r.tier.shards[len(r.tier.shards)-1]
+	l, err := r.oneOf(service)
+	if err != nil {
+		return err
+	}
+	l.leaving.Store(true)
+	time.AfterFunc(listLag+3*time.Second, func() { r.platform.drop(l) })
+	_, err = r.platform.startLeaf(service, "", true)
+	return err
+}
--- /dev/null
+++ b/bench/forward/tier.go
@@ -0,0 +1,212 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/procfs"
+
+	"pearmoor/internal/route"
+	"pearmoor/platform"
+	"pearmoor/platform/standin"
+)
+
+const (
+	network   = "127.0.20."
+	disks     = 3
+	startTime = 30 * time.Second
+	callTime  = 2 * time.Second
+)
+
+// entryVM is one VM: an address of its own and the process on it.
+type entryVM struct {
+	spec standin.VM
+	dir  string
+	bin  string
+	cmd  *exec.Cmd
+	used time.Duration // processor time of the processes before this one
+}
+
+// entryTier is all of them.
+type entryTier struct {
+	vms    []*entryVM
+	client *http.Client
+	number uint64
+	shards []string
+}
+
+func newTier(dir, bin string, n int, listAddr string) (*entryTier, error) {
+	ports, err := freePorts(5)
+	if err != nil {
+		return nil, err
+	}
+	t := &entryTier{client: &http.Client{Timeout: callTime}}
+	for i := range n {
+		v := &entryVM{dir: dir, bin: bin, spec: standin.VM{
+			Name: fmt.Sprintf("vm-%d", i+1), IP: network + strconv.Itoa(i+1), Domain: domains[i%len(domains)], Region: region,
+			Ports:      standin.Ports{Callers: ports[0], Ready: ports[1], Operators: ports[2], Directory: ports[3], Peers: ports[4]},
+			FirstStart: true, DiskMB: 64, Cores: 1, Tolerated: 1, DrainMS: 3000, GraceS: 6,
+			BudgetRatio: 0.2, BudgetBurst: 62, BudgetWindowS: 10, ListAddr: listAddr, ListRate: 50,
+		}}
+		if i < disks {
+			v.spec.DataDir = filepath.Join(dir, v.spec.Name)
+		}
+		t.vms = append(t.vms, v)
+	}
+	for _, v := range t.vms {
+		for _, s := range t.vms[:min(disks, n)] {
+			v.spec.Seeds = append(v.spec.Seeds, s.at(s.spec.Ports.Operators))
+		}
+	}
+	return t, nil
+}
+
+func freePorts(n int) ([]string, error) {
+	var out []string
+	for range n {
+		lis, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer lis.Close()
+		_, port, err := net.SplitHostPort(lis.Addr().String())
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, port)
+	}
+	return out, nil
+}
+
+func (v *entryVM) at(port string) string { return net.JoinHostPort(v.spec.IP, port) }
+
+// start runs the VM's process; what it writes goes to a file beside its settings.
+func (v *entryVM) start() error {
+	text, err := v.spec.Settings()
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(v.dir, v.spec.Name+".json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return err
+	}
+	out, err := os.OpenFile(filepath.Join(v.dir, v.spec.Name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer out.Close()
+	v.cmd = exec.Command(v.bin, "--metrics-port=0")
+	v.cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+path, "GOMAXPROCS=1")
+	v.cmd.Stdout, v.cmd.Stderr = out, out
+	// The process ends with this one, whatever ends it.
+	v.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	return errors.Wrap(v.cmd.Start(), v.spec.Name)
+}
+
+// kill ends the process at once.
+func (v *entryVM) kill() {
+	v.used = v.cpu()
+	_ = v.cmd.Process.Kill()
+	_ = v.cmd.Wait() // killed, which it says
+}
+
+// cpu returns the processor time that the VM's processes have used.
+func (v *entryVM) cpu() time.Duration {
+	proc, err := procfs.NewProc(v.cmd.Process.Pid)
+	if err != nil {
+		return v.used
+	}
+	stat, err := proc.Stat()
+	if err != nil {
+		return v.used
+	}
+	return v.used + time.Duration(stat.CPUTime()*float64(time.Second))
+}
+
+// release returns the configuration of the run: a wide and a quick gather over all
+// shards, and single requests to one service, that may run once.
+func (t *entryTier) release() *route.Release {
+	r := &route.Release{
+		Number: t.number,
+		Limits: route.Limits{HeaderBytes: 16 << 10, BodyBytes: 256 << 10, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
+	}
+	for _, k := range kinds {
+		one := route.Route{
+			Name: k.name, Host: host, Prefix: k.prefix, Repeatable: k.gathers, Timeout: k.wait, TargetLatency: k.aim,
+			Priority: k.priority, Attempts: 2,
+		}
+		if k.gathers {
+			one.Shards, one.Top, one.LeastCoverage = t.shards, topRecords, k.least
+		} else {
+			one.Service = singleService
+		}
+		r.Routes = append(r.Routes, one)
+	}
+	for _, s := range append([]string{singleService}, t.shards...) {
+		r.Services = append(r.Services, route.Service{Name: s, HealthPath: "/health", Connections: leafConns, Protocol: "h1"})
+	}
+	return r
+}
+
+// configure sends the next configuration until a VM acknowledges it.
+func (t *entryTier) configure(ctx context.Context) error {
+	t.number++
+	text, err := platform.EncodeRelease(t.release())
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, startTime)
+	defer cancel()
+	last := errors.New("no VM was asked")
+	for ctx.Err() == nil {
+		for _, v := range t.vms {
+			if last = t.put(ctx, v, string(text)); last == nil {
+				return nil
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return errors.Wrap(last, "the configuration is not acknowledged")
+}
+
+func (t *entryTier) put(ctx context.Context, v *entryVM, text string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+v.at(v.spec.Ports.Operators)+standin.PutPath, strings.NewReader(text))
+	if err != nil {
+		return err
+	}
+	resp, err := t.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Newf("%s answers %s", v.spec.Name, resp.Status)
+	}
+	return nil
+}
+
+func (t *entryTier) cpu() time.Duration {
+	sum := time.Duration(0)
+	for _, v := range t.vms {
+		sum += v.cpu()
+	}
+	return sum
+}
+
+func (t *entryTier) stop() {
+	for _, v := range t.vms {
+		if v.cmd != nil && v.cmd.Process != nil {
+			v.kill()
+		}
+	}
+}
