--- a/bench/forward/callers.go
+++ b/bench/forward/callers.go
@@ -222,7 +222,7 @@
 	if err != nil || missing+len(services) != len(shards) {
 		t.wrong("%s: %d parts and %q missing of %d", id, len(services), h.Get(dialect.Missing), len(shards))
 	}
-	if want := topOf(services, id, topRecords); text != want {
+	if want := standin.Top(services, id, topRecords); text != want {
 		t.wrong("%s: other records than the greatest of its parts", id)
 	}
 	return float64(len(services)) / float64(len(shards))
--- a/bench/forward/leaf.go
+++ b/bench/forward/leaf.go
@@ -7,15 +7,12 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"sort"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"pearmoor/platform"
 	"pearmoor/platform/standin"
 )
@@ -33,7 +30,6 @@
 	workSpread  = 0.35 // sigma of the lognormal work
 	coldFor     = 2 * time.Second
 	coldFactor  = 3.0
-	partRecords = 6
 )
 
 var dialect = platform.Dialect()
@@ -203,7 +199,7 @@
 
 func (l *leaf) answer(w http.ResponseWriter, id string, behave fault) {
 	stamp := strings.Join([]string{l.service, id, strconv.FormatInt(l.p.stamps.Add(1), 10)}, "/")
-	text := strings.Join(records(l.service, id), "")
+	text := standin.Part(l.service, id)
 	switch {
 	case behave == loses && l.chance(0.1):
 		l.hijack(w, nil)
@@ -230,25 +226,6 @@
 	}
 }
 
-// records returns what a service answers to a request, in no order.
-func records(service, id string) []string {
-	out := make([]string, partRecords)
-	for i := range out {
-		out[i] = fmt.Sprintf("%016x", xxhash.Sum64String(service+"/"+id+"/"+strconv.Itoa(i)))
-	}
-	return out
-}
-
-// topOf returns the greatest k records of the services' parts, falling.
-func topOf(services []string, id string, k int) string {
-	var all []string
-	for _, s := range services {
-		all = append(all, records(s, id)...)
-	}
-	sort.Sort(sort.Reverse(sort.StringSlice(all)))
-	return strings.Join(all[:min(k, len(all))], "")
-}
-
 // end takes the leaf off the machine; its address is free then.
 func (l *leaf) end() { _ = l.server.Close() }
 
--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -184,7 +184,7 @@
 	if !c.w.ops.oneConfiguration(services) {
 		c.w.fail("request %s: parts %v are of no one configuration", id, services)
 	}
-	if want := topOf(services, id, topOfAnswer); text != want {
+	if want := standin.Top(services, id, topOfAnswer); text != want {
 		c.w.fail("request %s: got %q, want %q", id, text, want)
 	}
 }
--- a/soak/leaves_test.go
+++ b/soak/leaves_test.go
@@ -6,15 +6,12 @@
 	"net"
 	"net/http"
 	"slices"
-	"sort"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"pearmoor/platform"
 	"pearmoor/platform/standin"
 )
@@ -56,27 +53,6 @@
 	leaving time.Time // since when the list shows it; zero: it does not
 }
 
-const recordsOfPart = 6
-
-// records returns what a service answers to a request, in no order.
-func records(service, request string) []string {
-	out := make([]string, recordsOfPart)
-	for i := range out {
-		out[i] = fmt.Sprintf("%016x", xxhash.Sum64String(service+"/"+request+"/"+strconv.Itoa(i)))
-	}
-	return out
-}
-
-// topOf returns the greatest k records of the services' parts, falling.
-func topOf(services []string, request string, k int) string {
-	var all []string
-	for _, s := range services {
-		all = append(all, records(s, request)...)
-	}
-	sort.Sort(sort.Reverse(sort.StringSlice(all)))
-	return strings.Join(all[:min(k, len(all))], "")
-}
-
 func (w *world) startLeaf(service string) *leaf {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -150,7 +126,7 @@
 		return
 	}
 	stamp := strings.Join([]string{l.service, id, strconv.FormatInt(l.w.stamps.Add(1), 10)}, "/")
-	text := strings.Join(records(l.service, id), "")
+	text := standin.Part(l.service, id)
 	if m == twice {
 		l.answerTwice(rw, id, stamp, text)
 		return
