--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -2,13 +2,11 @@
 
 import (
 	"bytes"
-	"context"
 	"io"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -280,47 +278,3 @@
 	}
 	http.Error(w, string(a.Reason)+", "+a.Verdict.String(), a.Status)
 }
-
-// idleConns closes callers' connections that have been idle for longer than the
-// configuration allows. A server's own limit is fixed when it starts, before the
-// configuration is known.
-type idleConns struct {
-	mu    sync.Mutex
-	since map[io.Closer]time.Time
-}
-
-func (c *idleConns) note(conn io.Closer, idle bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if idle {
-		c.since[conn] = time.Now()
-	} else {
-		delete(c.since, conn)
-	}
-}
-
-func (c *idleConns) closeOld(limit time.Duration) {
-	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for conn, since := range c.since {
-		if now.Sub(since) > limit {
-			_ = conn.Close()
-			delete(c.since, conn)
-		}
-	}
-}
-
-// runIdle closes idle connections until ctx ends.
-func (c *idleConns) run(ctx context.Context, limit func() time.Duration) {
-	ticker := time.NewTicker(time.Second)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			c.closeOld(limit())
-		}
-	}
-}
