--- a/internal/forward/bench_test.go
+++ b/internal/forward/bench_test.go
@@ -87,10 +87,16 @@
 	return e
 }
 
-// BenchmarkGather tells the time of one gather over 90 shards, the leaves' side
+// BenchmarkGather tells the time of one gather over that many shards, the leaves' side
 // included.
 func BenchmarkGather(b *testing.B) {
-	e := benchWorld(b, 90)
+	for _, shards := range []int{10, 30, 90, 470} {
+		b.Run(fmt.Sprint(shards), func(b *testing.B) { benchGather(b, shards) })
+	}
+}
+
+func benchGather(b *testing.B, shards int) {
+	e := benchWorld(b, shards)
 	for i := 0; b.Loop(); i++ {
 		req := &Request{ID: fmt.Sprint(i), Method: http.MethodGet, URI: "/x", Path: "/x", Host: "h",
 			Header: http.Header{"Request-Id": {fmt.Sprint(i)}}, Arrived: time.Now()}
