--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -192,8 +192,12 @@
 	return nil
 }
 
-// rest waits that long, or until there are new addresses to ask.
+// rest waits that long, or until there are new addresses to ask. A d that is not
+// positive does not wait.
 func (c *Client) rest(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
