--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -11,6 +11,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"pearmoor/platform/standin"
 )
 
 var (
@@ -89,7 +91,36 @@
 		l.mode.Store(int32(well))
 	}
 	w.mu.Unlock()
-	time.Sleep(8 * time.Second)
+	time.Sleep(5 * time.Second)
+	w.leaveInCalm()
+}
+
+// leaveInCalm lets a leaf of each service leave while nothing else happens. Among the
+// faults there is hardly a moment in which every daemon must have heard of it.
+func (w *world) leaveInCalm() {
+	var leaving []*leaf
+	for _, s := range allServices() {
+		if l := w.readyLeaf(s); l != nil {
+			l.drain()
+			w.startLeaf(s)
+			leaving = append(leaving, l)
+		}
+	}
+	time.Sleep(drainTime + 2*time.Second)
+	for _, l := range leaving {
+		w.drop(l)
+	}
+}
+
+func (w *world) readyLeaf(service string) *leaf {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, l := range w.leaves {
+		if l.service == service && l.state() == standin.Ready {
+			return l
+		}
+	}
+	return nil
 }
 
 // checkWell holds that everything is served again, and that what was acknowledged is
