forward: a leaf's limit is worked out when its link is made

Every send of every part worked out how many daemons take callers, over all members and routes, for a limit that only a new link reads; so did each leaf twice a second. It is done once for each look now, and for a new link. The node names of a release are looked up in a set, not in the list of all before them. Nothing else changes.

--- a/internal/forward/board.go
+++ b/internal/forward/board.go
@@ -70,13 +70,13 @@
 	loadAt   vm.Instant
 }
 
-// Link returns the link to a leaf, made if need be with that limit.
-func (b *Board) Link(l *discovery.Leaf, limit int) *target.Link {
+// Link returns the link to a leaf, made if need be with the limit of its service.
+func (b *Board) Link(l *discovery.Leaf, limit func(service string) int) *target.Link {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.of(l.ID)
 	if s.link == nil {
-		s.link = target.NewLink(l.ID, l.Addr, limit)
+		s.link = target.NewLink(l.ID, l.Addr, limit(l.Service))
 	}
 	return s.link
 }
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -145,19 +145,21 @@
 	return e.newRun(a, entry, req).do(ctx)
 }
 
-// limit returns how many connections this daemon may have open to a leaf of the
+// limits returns how many connections this daemon may have open to a leaf of each
 // service. The leaf's own limit is for all daemons together. Two are kept at
 // least: with one, a request behind a straggler could not be sent at all.
-func (e *Engine) limit(a *active, service string) int {
-	s, ok := a.table.Service(service)
-	if !ok || s.Connections <= 0 {
-		return unstatedConnections
-	}
+func (e *Engine) limits(a *active) func(service string) int {
 	n := e.cfg.Senders()
 	if n <= 0 {
 		n = unknownDaemons
 	}
-	return max(leastConnections, int(connectionUse*float64(s.Connections)/float64(n)))
+	return func(service string) int {
+		s, ok := a.table.Service(service)
+		if !ok || s.Connections <= 0 {
+			return unstatedConnections
+		}
+		return max(leastConnections, int(connectionUse*float64(s.Connections)/float64(n)))
+	}
 }
 
 const (
@@ -173,7 +175,7 @@
 		snap := e.cfg.Book.Snapshot()
 		e.cfg.Board.Keep(snap)
 		if a := e.active.Load(); a != nil {
-			e.cfg.Board.SetLimits(snap, func(service string) int { return e.limit(a, service) })
+			e.cfg.Board.SetLimits(snap, e.limits(a))
 		}
 	}
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -32,7 +32,7 @@
 		}
 		return
 	}
-	link := r.e.cfg.Board.Link(leaf, r.e.limit(r.a, s.service))
+	link := r.e.cfg.Board.Link(leaf, func(service string) int { return r.e.limits(r.a)(service) })
 	call := &target.Call{}
 	s.flights = append(s.flights, flight{call, leaf})
 	s.tried = append(s.tried, leaf)
--- a/internal/route/tree.go
+++ b/internal/route/tree.go
@@ -108,7 +108,7 @@
 // states returns, by path, what the tree states for a release.
 func states(r *Release) map[string]map[string]string {
 	out := make(map[string]map[string]string, len(r.Routes)+len(r.Services)+2)
-	routes, services := segments{}, segments{}
+	routes, services := segments{taken: make(map[string]bool)}, segments{taken: make(map[string]bool)}
 	for i := range r.Routes {
 		rt := &r.Routes[i]
 		seg := routes.add(rt.Name)
@@ -247,7 +247,10 @@
 }
 
 // segments gives each name a node of its own.
-type segments struct{ list []string }
+type segments struct {
+	list  []string
+	taken map[string]bool
+}
 
 // add returns the node's name: the name itself where it may be one, else a hash
 // of it, which stays the same over releases.
@@ -261,9 +264,10 @@
 		}
 		seg = "x-" + hex.EncodeToString(sum[:])
 	}
-	for n := 2; slices.Contains(s.list, seg); n++ {
+	for n := 2; s.taken[seg]; n++ {
 		seg = strings.TrimSuffix(seg, "."+strconv.Itoa(n-1)) + "." + strconv.Itoa(n)
 	}
+	s.taken[seg] = true
 	s.list = append(s.list, seg)
 	return seg
 }
