clean up: one copy of what stood twice, and code that nothing calls

Faults to and from messages stand together in settings (two readers of their own before); bench/forward uses the free ports of bench/tier; the loop over idle connections uses vm.Sleep. Link.Room, Link.Warm, Budgets.Left and two fields of the VM had no users. Behaviour is as it was.

--- a/bench/forward/tier.go
+++ b/bench/forward/tier.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/procfs"
 
+	"pearmoor/bench/tier"
 	"pearmoor/internal/route"
 	"pearmoor/platform"
 	"pearmoor/platform/standin"
@@ -46,7 +47,7 @@
 }
 
 func newTier(dir, bin string, n int, listAddr string) (*entryTier, error) {
-	ports, err := freePorts(5)
+	ports, err := sharedPorts(5)
 	if err != nil {
 		return nil, err
 	}
@@ -71,19 +72,18 @@
 	return t, nil
 }
 
-func freePorts(n int) ([]string, error) {
-	var out []string
-	for range n {
-		lis, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		defer lis.Close()
-		_, port, err := net.SplitHostPort(lis.Addr().String())
-		if err != nil {
+// sharedPorts returns ports that are free now; all VMs use the same, each on its
+// own address.
+func sharedPorts(n int) ([]string, error) {
+	addrs, err := tier.FreePorts(n)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]string, n)
+	for i, addr := range addrs {
+		if _, out[i], err = net.SplitHostPort(addr); err != nil {
 			return nil, err
 		}
-		out = append(out, port)
 	}
 	return out, nil
 }
--- a/bench/tier/ports.go
+++ b/bench/tier/ports.go
@@ -2,9 +2,9 @@
 
 import "net"
 
-// freePorts asks the kernel for n addresses that are free now. They are released
+// FreePorts asks the kernel for n addresses that are free now. They are released
 // before use, since a restarted daemon must come back at the address it had.
-func freePorts(n int) ([]string, error) {
+func FreePorts(n int) ([]string, error) {
 	var held []net.Listener
 	defer func() {
 		for _, l := range held {
--- a/bench/tier/tier.go
+++ b/bench/tier/tier.go
@@ -121,7 +121,7 @@
 
 func (t *Tier) startDaemons(cfg Config) error {
 	const portsEach = 3
-	ports, err := freePorts(cfg.Daemons * portsEach)
+	ports, err := FreePorts(cfg.Daemons * portsEach)
 	if err != nil {
 		return err
 	}
--- a/internal/cli/change.go
+++ b/internal/cli/change.go
@@ -9,7 +9,6 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"pearmoor/internal/contract"
 	"pearmoor/internal/link/wire"
 	"pearmoor/internal/settings"
 )
@@ -127,11 +126,7 @@
 		return failWith(ExitConflict, "not accepted: %s",
 			conflictText(winner{Version: c.GetVersion(), Operator: c.GetOperator(), Reason: c.GetReason()}))
 	}
-	var faults contract.Faults
-	for _, f := range reply.GetFaults() {
-		faults = append(faults, contract.Fault{Field: f.GetField(), Value: f.GetValue(), Why: f.GetWhy(), Fix: f.GetFix()})
-	}
-	return &exitError{code: ExitInvalid, cause: faults}
+	return &exitError{code: ExitInvalid, cause: settings.FaultsFromWire(reply.GetFaults())}
 }
 
 func (c *changed) writeText(w io.Writer) {
--- a/internal/control/release.go
+++ b/internal/control/release.go
@@ -9,7 +9,6 @@
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
-	"pearmoor/internal/control/state"
 	"pearmoor/internal/link/peer"
 	"pearmoor/internal/link/wire"
 	"pearmoor/internal/route"
@@ -34,7 +33,7 @@
 		return nil, peer.Permanent(errors.Wrap(err, "control: release can't be read"))
 	}
 	if err := rel.Validate(); err != nil {
-		return &wire.ReleaseReply{Faults: state.FaultsToWire(err)}, nil
+		return &wire.ReleaseReply{Faults: settings.FaultsToWire(err)}, nil
 	}
 	// One at a time: two that are laid over the same tree would lose the race of
 	// their base versions in turn.
--- a/internal/control/state/change.go
+++ b/internal/control/state/change.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"slices"
 
-	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
 	"pearmoor/internal/contract"
@@ -104,18 +103,5 @@
 }
 
 func invalid(version uint64, err error) *wire.ChangeReply {
-	return &wire.ChangeReply{Outcome: wire.Outcome_INVALID, Version: version, Faults: FaultsToWire(err)}
-}
-
-// FaultsToWire returns the messages that carry the faults of err.
-func FaultsToWire(err error) []*wire.Fault {
-	var fs contract.Faults
-	if !errors.As(err, &fs) {
-		fs = contract.Faults{{Field: "edits", Why: err.Error(), Fix: "correct the edits"}}
-	}
-	out := make([]*wire.Fault, len(fs))
-	for i, f := range fs {
-		out[i] = &wire.Fault{Field: f.Field, Value: f.Value, Why: f.Why, Fix: f.Fix}
-	}
-	return out
+	return &wire.ChangeReply{Outcome: wire.Outcome_INVALID, Version: version, Faults: settings.FaultsToWire(err)}
 }
--- a/internal/entryvm/tier.go
+++ b/internal/entryvm/tier.go
@@ -11,10 +11,10 @@
 	"github.com/rcrowley/go-metrics"
 	"k8s.io/klog/v2"
 
-	"pearmoor/internal/contract"
 	"pearmoor/internal/link/peer"
 	"pearmoor/internal/link/wire"
 	"pearmoor/internal/route"
+	"pearmoor/internal/settings"
 	"pearmoor/internal/vm"
 )
 
@@ -107,11 +107,7 @@
 		return err
 	}
 	if len(reply.Faults) > 0 {
-		var fs contract.Faults
-		for _, f := range reply.Faults {
-			fs = append(fs, contract.Fault{Field: f.Field, Value: f.Value, Why: f.Why, Fix: f.Fix})
-		}
-		return fs
+		return settings.FaultsFromWire(reply.Faults)
 	}
 	putsAcked.Inc(1)
 	klog.Infof("operator: configuration acknowledged release=%d held=%d changed=%v took=%v", r.Number, reply.Held, reply.Changed, time.Since(began))
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -38,9 +38,7 @@
 	client       *relay.Client
 	book         *discovery.Book
 	finder       *discovery.Finder
-	board        *forward.Board
 	engine       *forward.Engine
-	handler      *forward.Handler
 	server       *forward.Server
 	log          *decision.Log
 	mux          atomic.Pointer[drpcmux.Mux]
@@ -70,13 +68,11 @@
 		Every: time.Duration(listEvery * float64(conf.DrainWithin)),
 		Alone: time.Duration(aloneAfter * float64(conf.DrainWithin)),
 	}, v.book)
-	v.board = forward.NewBoard(vm.Monotonic, conf.Domain)
 	v.engine = forward.New(forward.Config{
-		Clock: vm.Monotonic, Dialect: conf.Dialect, Book: v.book, Board: v.board, Log: v.log, Senders: v.senders,
+		Clock: vm.Monotonic, Dialect: conf.Dialect, Book: v.book, Board: forward.NewBoard(vm.Monotonic, conf.Domain), Log: v.log, Senders: v.senders,
 		Budgets: forward.NewBudgets(conf.Budget, vm.Monotonic, v.senders),
 	})
-	v.handler = &forward.Handler{Engine: v.engine, Dialect: conf.Dialect, Log: v.log, Draining: v.draining.Load}
-	v.server = forward.NewServer(v.handler)
+	v.server = forward.NewServer(&forward.Handler{Engine: v.engine, Dialect: conf.Dialect, Log: v.log, Draining: v.draining.Load})
 	if conf.DataDir != "" {
 		v.seat = v.newSeat()
 	}
--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -105,18 +105,6 @@
 	return true
 }
 
-// Left returns the part of the allowance that is not used, 0 to 1.
-func (b *Budgets) Left(service string) float64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	x := b.of(service)
-	allowed := b.allowed(x)
-	if allowed <= 0 {
-		return 0
-	}
-	return max(0, 1-float64(sum(&x.extra))/allowed)
-}
-
 // allowed returns this daemon's part of the terms. A daemon that was killed and
 // starts again has forgotten what it spent: for one window it goes without the
 // burst, so that a restart does not hand the burst out twice.
--- a/internal/forward/idle.go
+++ b/internal/forward/idle.go
@@ -5,6 +5,8 @@
 	"io"
 	"sync"
 	"time"
+
+	"pearmoor/internal/vm"
 )
 
 // idleConns closes callers' connections that have been idle for longer than the
@@ -37,16 +39,11 @@
 	}
 }
 
-// runIdle closes idle connections until ctx ends.
+// run closes idle connections until ctx ends.
 func (c *idleConns) run(ctx context.Context, limit func() time.Duration) {
-	ticker := time.NewTicker(time.Second)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			c.closeOld(limit())
-		}
+	for vm.Sleep(ctx, idleLookEvery) {
+		c.closeOld(limit())
 	}
 }
+
+const idleLookEvery = time.Second
--- a/internal/link/target/link.go
+++ b/internal/link/target/link.go
@@ -82,20 +82,6 @@
 	l.limit = n
 }
 
-// Room reports whether a request could be sent without waiting for another to end.
-func (l *Link) Room() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.idle) > 0 || l.open < l.limit
-}
-
-// Warm reports whether an idle connection is there.
-func (l *Link) Warm() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.idle) > 0
-}
-
 // Close closes idle connections now and the others when their exchange is over.
 func (l *Link) Close() {
 	l.mu.Lock()
