--- a/bench/control/tier.go
+++ b/bench/control/tier.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"pearmoor/internal/freeport"
 )
 
 const (
@@ -68,7 +70,7 @@
 }
 
 func (t *tier) startControls(ctx context.Context) error {
-	addrs, err := freePorts(t.opt.controls)
+	addrs, err := freeport.Addrs("127.0.0.1", t.opt.controls)
 	if err != nil {
 		return err
 	}
--- a/bench/forward/tier.go
+++ b/bench/forward/tier.go
@@ -16,7 +16,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/procfs"
 
-	"pearmoor/bench/tier"
+	"pearmoor/internal/freeport"
 	"pearmoor/internal/route"
 	"pearmoor/platform"
 	"pearmoor/platform/standin"
@@ -47,7 +47,7 @@
 }
 
 func newTier(dir, bin string, n int, listAddr string) (*entryTier, error) {
-	ports, err := sharedPorts(5)
+	ports, err := freeport.Ports("127.0.0.1", 5) // all VMs use the same
 	if err != nil {
 		return nil, err
 	}
@@ -72,22 +72,6 @@
 	return t, nil
 }
 
-// sharedPorts returns ports that are free now; all VMs use the same, each on its
-// own address.
-func sharedPorts(n int) ([]string, error) {
-	addrs, err := tier.FreePorts(n)
-	if err != nil {
-		return nil, err
-	}
-	out := make([]string, n)
-	for i, addr := range addrs {
-		if _, out[i], err = net.SplitHostPort(addr); err != nil {
-			return nil, err
-		}
-	}
-	return out, nil
-}
-
 func (v *entryVM) at(port string) string { return net.JoinHostPort(v.spec.IP, port) }
 
 // start runs the VM's process; what it writes goes to a file beside its settings.
--- a/bench/tier/tier.go
+++ b/bench/tier/tier.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"pearmoor/internal/freeport"
 	"pearmoor/internal/link/peer"
 )
 
@@ -121,7 +122,7 @@
 
 func (t *Tier) startDaemons(cfg Config) error {
 	const portsEach = 3
-	ports, err := FreePorts(cfg.Daemons * portsEach)
+	ports, err := freeport.Addrs("127.0.0.1", cfg.Daemons*portsEach)
 	if err != nil {
 		return err
 	}
--- a/cmd/pearmoor-entry/main_test.go
+++ b/cmd/pearmoor-entry/main_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -12,6 +11,7 @@
 	"testing"
 	"time"
 
+	"pearmoor/internal/freeport"
 	"pearmoor/platform"
 )
 
@@ -25,17 +25,6 @@
 	os.Exit(m.Run())
 }
 
-// freePort returns a port that was free a moment ago.
-func freePort(t *testing.T) int {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
-}
-
 // settingsOf writes the settings of a VM that is a tier of its own.
 func settingsOf(t *testing.T, dir string, graceS float64) string {
 	t.Helper()
@@ -44,8 +33,12 @@
 		t.Fatal(err)
 	}
 	fill := []string{"@dir", filepath.Join(dir, "data"), "@grace", fmt.Sprint(graceS)}
-	for i := 1; i <= 5; i++ {
-		fill = append(fill, fmt.Sprintf("@%d", i), fmt.Sprint(freePort(t)))
+	ports, err := freeport.Ports("127.0.0.1", 5)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, port := range ports {
+		fill = append(fill, fmt.Sprintf("@%d", i+1), port)
 	}
 	path := filepath.Join(dir, "settings.json")
 	if err := os.WriteFile(path, []byte(strings.NewReplacer(fill...).Replace(string(text))), 0o600); err != nil {
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -17,6 +17,7 @@
 	"testing"
 	"time"
 
+	"pearmoor/internal/freeport"
 	"pearmoor/platform"
 	"pearmoor/platform/standin"
 )
@@ -32,7 +33,7 @@
 )
 
 // ports are the same on all VMs.
-type ports struct{ callers, ready, operators, directory, peers int }
+type ports struct{ callers, ready, operators, directory, peers string }
 
 // world is one run: the VMs, their leaves, callers and operators.
 type world struct {
@@ -154,7 +155,11 @@
 	if out, err := exec.Command("go", "build", "-o", w.bin, "../cmd/pearmoor-entry").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	w.ports = ports{freePort(t), freePort(t), freePort(t), freePort(t), freePort(t)}
+	free, err := freeport.Ports("127.0.0.1", 5)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.ports = ports{free[0], free[1], free[2], free[3], free[4]}
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -174,19 +179,10 @@
 	return w
 }
 
-func freePort(t *testing.T) int {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
-}
-
-func (v *vmProcess) addr(port int) string { return fmt.Sprintf("%s:%d", v.ip, port) }
+func (v *vmProcess) addr(port string) string { return net.JoinHostPort(v.ip, port) }
 
 func (v *vmProcess) inner() string {
-	return fmt.Sprintf("%s%s:%d", innerNet, strings.TrimPrefix(v.ip, firstNet), v.w.ports.peers)
+	return net.JoinHostPort(innerNet+strings.TrimPrefix(v.ip, firstNet), v.w.ports.peers)
 }
 
 func (v *vmProcess) folder() string { return filepath.Join(v.w.dir, v.name) }
@@ -196,12 +192,11 @@
 // writeSettings writes the settings file whole, with the seeds in that order.
 func (v *vmProcess) writeSettings(order []int) {
 	w := v.w
-	port := func(n int) string { return fmt.Sprint(n) }
 	vm := standin.VM{
 		Name: v.name, IP: v.ip, Domain: domain, Region: region,
 		Ports: standin.Ports{
-			Callers: port(w.ports.callers), Ready: port(w.ports.ready), Operators: port(w.ports.operators),
-			Directory: port(w.ports.directory), Peers: port(w.ports.peers),
+			Callers: w.ports.callers, Ready: w.ports.ready, Operators: w.ports.operators,
+			Directory: w.ports.directory, Peers: w.ports.peers,
 		},
 		FirstStart: v.first, DiskMB: 64, Cores: 1, Tolerated: 1, DrainMS: 3000, GraceS: 3,
 		BudgetRatio: 0.2, BudgetBurst: 62, BudgetWindowS: 10, ListAddr: w.lists, ListRate: 50,
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -47,17 +46,6 @@
 	return fmt.Sprintf("127.%d.%d.%d", pid>>8&0xff, pid&0xff, first+hosts.Add(1)%250)
 }
 
-// freePort returns host:port that the kernel picked.
-func freePort(t *testing.T, host string) string {
-	t.Helper()
-	lis, err := net.Listen("tcp", host+":0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer lis.Close()
-	return lis.Addr().String()
-}
-
 // process is one daemon, which may be started several times.
 type process struct {
 	t      *testing.T
@@ -68,6 +56,7 @@
 	peer   string // as told to others
 	bound  string // peer address it listens on
 	oper   string
+	entry  string // host:port for callers, if it is an entry
 
 	log  *logBuffer
 	cmd  *exec.Cmd // nil while it is down
--- a/test/tier_test.go
+++ b/test/tier_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"pearmoor/internal/cli"
+	"pearmoor/internal/freeport"
 	"pearmoor/internal/standin"
 )
 
@@ -157,7 +158,11 @@
 	tr.t.Helper()
 	host := newHost()
 	p := &process{t: tr.t, name: name, dir: tr.dir, log: &logBuffer{}}
-	p.bound, p.oper = freePort(tr.t, host), freePort(tr.t, host)
+	addrs, err := freeport.Addrs(host, 3)
+	if err != nil {
+		tr.t.Fatal(err)
+	}
+	p.bound, p.oper, p.entry = addrs[0], addrs[1], addrs[2]
 	p.peer = p.bound
 	p.args = append([]string{
 		"--name=" + name, "--region=" + region, "--domain=" + failureDomains[place%len(failureDomains)],
@@ -174,10 +179,8 @@
 func (tr *tier) newEntry(name string, place int, flags []string) *process {
 	tr.t.Helper()
 	p := tr.newProcess(name, place, flags...)
-	host, _, _ := strings.Cut(p.bound, ":")
-	caller := freePort(tr.t, host)
-	p.caller = "http://" + caller
-	p.args = append(p.args, "--caller-listen="+caller, "--control="+tr.controlAddrs())
+	p.caller = "http://" + p.entry
+	p.args = append(p.args, "--caller-listen="+p.entry, "--control="+tr.controlAddrs())
 	return p
 }
 
