discovery: a leaf that starts again is another leaf; a bad entry names none

Cause: a leaf was known by its id alone, so one that started again under it kept what was learned of the life before, its connections and its requests in flight; one entry of the list with a fault made the whole list unreadable, and {}, null or an unknown state became leaves that requests were sent to. Change: a leaf is named by its id and its start (Life), in the list, between daemons and on the board. What was told by another daemon is kept apart from what is used, so that two daemons with different lives come to rest. Requests in flight at a life that is over end as ones that may have run. Each entry is decoded by itself; a fault is told once in a line and counted. Ruled out: only comparing lives at the reader (a daemon that read the list itself would quarrel with it).

--- a/internal/discovery/book.go
+++ b/internal/discovery/book.go
@@ -22,6 +22,8 @@
 	leavesGauge = metrics.GetOrRegisterGauge("discovery.leaves", metrics.DefaultRegistry)
 	readsMeter  = metrics.GetOrRegisterCounter("discovery.readings", metrics.DefaultRegistry)
 	readsFailed = metrics.GetOrRegisterCounter("discovery.readings.failed", metrics.DefaultRegistry)
+	// entriesUnreadable counts entries that named no leaf, each once while it is listed.
+	entriesUnreadable = metrics.GetOrRegisterCounter("discovery.entries.unreadable", metrics.DefaultRegistry)
 )
 
 // Book holds the newest snapshot, how old it is, and the last changes. It is safe
@@ -30,7 +32,9 @@
 	clock vm.Clock
 
 	mu      sync.Mutex
-	snap    *Snapshot
+	told    *Snapshot // as it was read or received
+	snap    *Snapshot // told with the latest life of each leaf; the same object if they don't differ
+	lives   lives
 	run     uint64 // of the reader
 	version uint64 // of the reader's list
 	readAt  vm.Instant
@@ -54,7 +58,8 @@
 	if clock == nil {
 		clock = vm.Now
 	}
-	return &Book{clock: clock, snap: newSnapshot(nil), changed: make(chan struct{})}
+	none := newSnapshot(nil)
+	return &Book{clock: clock, told: none, snap: none, lives: make(lives), changed: make(chan struct{})}
 }
 
 // Snapshot returns the newest leaves; it is never nil.
@@ -101,31 +106,25 @@
 // Take puts a list that this daemon has read itself in place. began is the instant
 // before its first call.
 func (b *Book) Take(list []Listed, began vm.Instant) {
+	list = onePerID(list)
 	leaves := make([]*Leaf, 0, len(list))
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock()
-	seen := make(map[string]bool, len(list))
 	for _, in := range list {
-		if seen[in.ID] {
-			continue // the list moved on between two pages
-		}
-		seen[in.ID] = true
 		l := &Leaf{
-			ID: in.ID, Service: in.Service, Addr: in.Addr, Domain: in.Domain,
+			ID: in.ID, Born: in.Born, Service: in.Service, Addr: in.Addr, Domain: in.Domain,
 			Slots: in.Slots, Draining: in.Draining, WarmAt: now.Add(in.WarmIn),
 		}
-		if old, ok := b.snap.byID[in.ID]; ok && old.same(l) {
-			l = old
-		}
-		leaves = append(leaves, l)
+		leaves = append(leaves, b.unchanged(l))
 	}
 	if b.run == 0 || !b.reading() {
 		// Another daemon's versions went before; the steps kept are in its count.
 		b.run, b.steps = rand.Uint64()|1, nil
 		b.own = b.run
 	}
-	next := newSnapshot(leaves)
+	b.told = newSnapshot(leaves)
+	next := b.lives.latest(b.told, b.snap, now)
 	if touched := difference(b.snap, next); len(touched) > 0 || !b.known {
 		b.version++
 		b.keep(step{b.version - 1, b.version, touched})
@@ -237,7 +236,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return &wire.LeavesRequest{
-		Run: b.run, Version: b.version, Digest: b.snap.digest, Quiet: quietDigest(b.quiet),
+		Run: b.run, Version: b.version, Digest: b.told.digest, Quiet: quietDigest(b.quiet),
 		WaitMs: uint32(wait.Milliseconds()),
 	}
 }
@@ -302,13 +301,13 @@
 	}
 	readAt = max(readAt, b.readAt)
 	b.setQuiet(r.Quiet)
-	next := b.snap
 	switch {
 	case r.Whole:
-		next = newSnapshot(b.reuse(r.Entries, now))
+		b.told = newSnapshot(b.reuse(r.Entries, now))
 	case len(r.Entries)+len(r.Removed) > 0:
-		next = newSnapshot(b.patched(r, now))
+		b.told = newSnapshot(b.patched(r, now))
 	}
+	next := b.lives.latest(b.told, b.snap, now)
 	touched := difference(b.snap, next)
 	from := b.version
 	told := len(r.Entries)+len(r.Removed) > 0
@@ -329,19 +328,23 @@
 func (b *Book) reuse(entries []*wire.LeafEntry, now vm.Instant) []*Leaf {
 	out := make([]*Leaf, 0, len(entries))
 	for _, e := range entries {
-		l := fromWire(e, now)
-		if old, ok := b.snap.byID[l.ID]; ok && old.same(l) {
-			l = old
-		}
-		out = append(out, l)
+		out = append(out, b.unchanged(fromWire(e, now)))
 	}
 	return out
 }
 
+// unchanged returns the leaf held before where it is the same as l.
+func (b *Book) unchanged(l *Leaf) *Leaf {
+	if old, ok := b.told.byID[l.ID]; ok && old.same(l) {
+		return old
+	}
+	return l
+}
+
 func (b *Book) patched(r *wire.LeavesReply, now vm.Instant) []*Leaf {
 	replaced := named(r)
 	out := b.reuse(r.Entries, now)
-	for _, l := range b.snap.leaves {
+	for _, l := range b.told.leaves {
 		if !replaced[l.ID] {
 			out = append(out, l)
 		}
--- a/internal/discovery/book_test.go
+++ b/internal/discovery/book_test.go
@@ -137,12 +137,12 @@
 
 type failingSource struct{ calls int }
 
-func (s *failingSource) List(context.Context) ([]Listed, error) {
+func (s *failingSource) List(context.Context) (Listing, error) {
 	s.calls++
 	if s.calls > 1 {
-		return nil, errors.New("page 2 does not come")
+		return Listing{}, errors.New("page 2 does not come")
 	}
-	return []Listed{listed(1, false)}, nil
+	return Listing{Leaves: []Listed{listed(1, false)}}, nil
 }
 
 // The list can't be read whole: what was known stays, and its age goes on to tell.
--- a/internal/discovery/leaf.go
+++ b/internal/discovery/leaf.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"encoding/binary"
 	"slices"
 	"time"
 
@@ -12,9 +13,10 @@
 	"pearmoor/internal/vm"
 )
 
-// Leaf is one run of a target. It is immutable.
+// Leaf is one run of a target, from a start to its end. It is immutable.
 type Leaf struct {
 	ID       string
+	Born     int64 // its start, in ms since 1970 by its own VM's clock; 0: not stated
 	Service  string
 	Addr     string // host:port
 	Domain   string // failure domain
@@ -23,18 +25,29 @@
 	WarmAt   vm.Instant
 }
 
+// Life names one run of a leaf. A leaf that starts again keeps its id and is another
+// one: nothing that was learned of the earlier life holds for it.
+type Life struct {
+	ID   string
+	Born int64
+}
+
+// Life returns the name of the leaf's run.
+func (l *Leaf) Life() Life { return Life{l.ID, l.Born} }
+
 // Cold reports whether the leaf is still slow after its start.
 func (l *Leaf) Cold(now vm.Instant) bool { return now < l.WarmAt }
 
 // same reports whether l and o say the same but for the time left to warm up.
 func (l *Leaf) same(o *Leaf) bool {
-	return l.ID == o.ID && l.Service == o.Service && l.Addr == o.Addr &&
+	return l.Life() == o.Life() && l.Service == o.Service && l.Addr == o.Addr &&
 		l.Domain == o.Domain && l.Slots == o.Slots && l.Draining == o.Draining
 }
 
 // Listed is a leaf as a Source lists it.
 type Listed struct {
 	ID       string
+	Born     int64 // ms since 1970; 0: not stated
 	Service  string
 	Addr     string
 	Domain   string
@@ -43,10 +56,23 @@
 	WarmIn   time.Duration
 }
 
+// Unreadable is an entry of a list that names no leaf.
+type Unreadable struct {
+	ID    string // as far as it can be told
+	Fault error
+}
+
+// Listing is one reading of a Source.
+type Listing struct {
+	Leaves     []Listed
+	Unreadable []Unreadable
+}
+
 // Source lists the leaves there are.
 type Source interface {
-	// List reads the whole list. It returns an error rather than a part of it.
-	List(ctx context.Context) ([]Listed, error)
+	// List reads the whole list. It returns an error rather than a part of it. An entry
+	// that can't be read is a part of the whole: it names no leaf, and the others hold.
+	List(ctx context.Context) (Listing, error)
 }
 
 // Snapshot is the leaves at one reading. It is immutable.
@@ -64,6 +90,7 @@
 		service: make(map[string][]*Leaf),
 	}
 	h := xxhash.New()
+	var number [8]byte
 	for _, l := range leaves {
 		s.byID[l.ID] = l
 		s.service[l.Service] = append(s.service[l.Service], l)
@@ -71,6 +98,8 @@
 			_, _ = h.WriteString(t)
 			_, _ = h.Write([]byte{0})
 		}
+		binary.LittleEndian.PutUint64(number[:], uint64(l.Born))
+		_, _ = h.Write(number[:])
 		_, _ = h.Write([]byte{byte(l.Slots), byte(l.Slots >> 8), boolByte(l.Draining)})
 	}
 	s.digest = h.Sum64()
@@ -100,7 +129,7 @@
 func toWire(l *Leaf, now vm.Instant) *wire.LeafEntry {
 	return &wire.LeafEntry{
 		Id: l.ID, Service: l.Service, Addr: l.Addr, Domain: l.Domain,
-		Slots: uint32(l.Slots), Draining: l.Draining,
+		Slots: uint32(l.Slots), Draining: l.Draining, Born: l.Born,
 		ColdMs: uint32(max(0, l.WarmAt.Sub(now)).Milliseconds()),
 	}
 }
@@ -108,7 +137,7 @@
 func fromWire(e *wire.LeafEntry, now vm.Instant) *Leaf {
 	return &Leaf{
 		ID: e.Id, Service: e.Service, Addr: e.Addr, Domain: e.Domain,
-		Slots: int(e.Slots), Draining: e.Draining,
+		Slots: int(e.Slots), Draining: e.Draining, Born: e.Born,
 		WarmAt: now.Add(time.Duration(e.ColdMs) * time.Millisecond),
 	}
 }
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -53,7 +53,9 @@
 type Finder struct {
 	cfg  Config
 	book *Book
-	lost bool // the source does not answer; of the reading goroutine
+	// Of the reading goroutine.
+	lost       bool                // the source does not answer
+	unreadable map[string]struct{} // entries of the last reading that named no leaf
 
 	started vm.Instant // a daemon that has just started gives others the time to tell it
 }
@@ -112,7 +114,7 @@
 func (f *Finder) readOnce(ctx context.Context, began vm.Instant) {
 	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	list, err := f.cfg.Source.List(readCtx)
+	listing, err := f.cfg.Source.List(readCtx)
 	if err != nil {
 		readsFailed.Inc(1)
 		if !f.lost {
@@ -127,7 +129,33 @@
 		klog.Infof("discovery: list can be read again")
 	}
 	f.lost = false
-	f.book.Take(list, began)
+	f.tellUnreadable(listing.Unreadable)
+	f.book.Take(listing.Leaves, began)
+}
+
+// mostTold bounds the lines about unreadable entries of one reading.
+const mostTold = 20
+
+// tellUnreadable logs the entries that name no leaf, each once for as long as it is
+// listed.
+func (f *Finder) tellUnreadable(list []Unreadable) {
+	now := make(map[string]struct{}, len(list))
+	told := 0
+	for _, u := range list {
+		key := u.ID + " " + u.Fault.Error()
+		now[key] = struct{}{}
+		if _, known := f.unreadable[key]; known {
+			continue
+		}
+		entriesUnreadable.Inc(1)
+		if told++; told <= mostTold {
+			klog.Warningf("discovery: entry names no leaf id=%q: %v", u.ID, u.Fault)
+		}
+	}
+	if told > mostTold {
+		klog.Warningf("discovery: entries that name no leaf, not told one by one: %d", told-mostTold)
+	}
+	f.unreadable = now
 }
 
 // watch asks another daemon for news while this one is not the reader.
--- a/internal/forward/board.go
+++ b/internal/forward/board.go
@@ -46,12 +46,12 @@
 	domain string
 
 	mu     sync.Mutex
-	leaves map[string]*standing // by leaf id
+	leaves map[discovery.Life]*standing
 }
 
 // NewBoard returns an empty board of a daemon in that failure domain.
 func NewBoard(clock vm.Clock, domain string) *Board {
-	return &Board{clock: clock, domain: domain, leaves: make(map[string]*standing)}
+	return &Board{clock: clock, domain: domain, leaves: make(map[discovery.Life]*standing)}
 }
 
 // standing is what is known of one leaf.
@@ -74,41 +74,53 @@
 func (b *Board) Link(l *discovery.Leaf, limit func(service string) int) *target.Link {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.of(l.ID)
+	s := b.of(l.Life())
 	if s.link == nil {
 		s.link = target.NewLink(l.ID, l.Addr, limit(l.Service))
 	}
 	return s.link
 }
 
-func (b *Board) of(id string) *standing {
-	s := b.leaves[id]
+func (b *Board) of(life discovery.Life) *standing {
+	s := b.leaves[life]
 	if s == nil {
 		s = &standing{}
-		b.leaves[id] = s
+		b.leaves[life] = s
 	}
 	return s
 }
 
 // Keep forgets the leaves that are not in the snapshot and closes their links, and
-// closes connections that have been idle for long.
+// closes connections that have been idle for long. Requests in flight at a leaf that
+// has left end as they will; those at the earlier life of one that has started again
+// end now, since nobody is there to answer them.
 func (b *Board) Keep(snap *discovery.Snapshot) {
-	var links, gone []*target.Link
+	var links, left, over []*target.Link
 	b.mu.Lock()
-	for id, s := range b.leaves {
-		if _, ok := snap.Find(id); !ok {
+	for life, s := range b.leaves {
+		now, ok := snap.Find(life.ID)
+		if ok && now.Life() == life {
 			if s.link != nil {
-				gone = append(gone, s.link)
+				links = append(links, s.link)
 			}
-			delete(b.leaves, id)
-		} else if s.link != nil {
-			links = append(links, s.link)
+			continue
+		}
+		delete(b.leaves, life)
+		switch {
+		case s.link == nil:
+		case ok:
+			over = append(over, s.link)
+		default:
+			left = append(left, s.link)
 		}
 	}
 	b.mu.Unlock()
-	for _, l := range gone {
+	for _, l := range left {
 		l.Close()
 	}
+	for _, l := range over {
+		l.Abort()
+	}
 	now := time.Now()
 	for _, l := range links {
 		l.CloseIdle(now)
@@ -119,19 +131,19 @@
 func (b *Board) SetLimits(snap *discovery.Snapshot, limit func(service string) int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for id, s := range b.leaves {
-		if l, ok := snap.Find(id); ok && s.link != nil {
+	for life, s := range b.leaves {
+		if l, ok := snap.Find(life.ID); ok && s.link != nil {
 			s.link.SetLimit(limit(l.Service))
 		}
 	}
 }
 
 // Begin counts a request as in flight and returns its start.
-func (b *Board) Begin(id string) vm.Instant {
+func (b *Board) Begin(life discovery.Life) vm.Instant {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock()
-	s := b.of(id)
+	s := b.of(life)
 	s.inFlight++
 	s.oldest = append(s.oldest, now)
 	return now
@@ -151,12 +163,12 @@
 
 // End counts a request out. usual is how long the service usually takes; it may be
 // 0 while that is not known.
-func (b *Board) End(id string, began vm.Instant, out outcome, usual time.Duration, reply *target.Reply) {
+func (b *Board) End(life discovery.Life, began vm.Instant, out outcome, usual time.Duration, reply *target.Reply) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.leaves[id]
+	s := b.leaves[life]
 	if s == nil {
-		return // it has left
+		return // it has left, or started again
 	}
 	now := b.clock()
 	s.inFlight--
@@ -228,19 +240,19 @@
 
 // Unreachable notes that a leaf could not be connected to. Nothing was sent, so
 // one failure is enough to pass it over.
-func (b *Board) Unreachable(id string) {
+func (b *Board) Unreachable(life discovery.Life) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.of(id)
+	s := b.of(life)
 	s.failures = max(s.failures+1, restAfter)
 	s.rest(b.clock())
 }
 
 // Misplaced notes that another leaf answers at a leaf's address.
-func (b *Board) Misplaced(id string) {
+func (b *Board) Misplaced(life discovery.Life) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.of(id).goneTill = b.clock().Add(misplacedFor)
+	b.of(life).goneTill = b.clock().Add(misplacedFor)
 }
 
 // Choose returns the best leaf of list for a request that usually takes that long:
@@ -258,7 +270,7 @@
 		if l.Draining || contains(tried, l) {
 			continue
 		}
-		s := b.leaves[l.ID]
+		s := b.leaves[l.Life()]
 		if s != nil && now < s.goneTill {
 			continue
 		}
@@ -321,7 +333,7 @@
 
 func contains(list []*discovery.Leaf, l *discovery.Leaf) bool {
 	for _, x := range list {
-		if x.ID == l.ID {
+		if x.Life() == l.Life() {
 			return true
 		}
 	}
--- a/internal/forward/board_test.go
+++ b/internal/forward/board_test.go
@@ -37,9 +37,9 @@
 }
 
 func (r *boardRig) exchange(l *discovery.Leaf, took time.Duration, out outcome, reply *target.Reply) {
-	began := r.board.Begin(l.ID)
+	began := r.board.Begin(l.Life())
 	r.now = r.now.Add(took)
-	r.board.End(l.ID, began, out, usualTime, reply)
+	r.board.End(l.Life(), began, out, usualTime, reply)
 }
 
 func TestChoiceTakesTurns(t *testing.T) {
@@ -74,12 +74,12 @@
 // passed over until it is heard again, at the cost of no extra send.
 func TestChoicePassesSilentLeaf(t *testing.T) {
 	r := newBoardRig()
-	began := r.board.Begin("a")
+	began := r.board.Begin(r.a.Life())
 	r.now = r.now.Add(3 * usualTime)
 	if n := r.share(); n != 0 {
 		t.Errorf("%d of 100 choices fall on the silent leaf", n)
 	}
-	r.board.End("a", began, replied, usualTime, &target.Reply{})
+	r.board.End(r.a.Life(), began, replied, usualTime, &target.Reply{})
 	r.now = r.now.Add(time.Second)
 	for range 30 {
 		r.exchange(r.a, usualTime, replied, &target.Reply{})
@@ -111,7 +111,7 @@
 // other is there: it may be back.
 func TestChoiceRestsUnreachableLeaf(t *testing.T) {
 	r := newBoardRig()
-	r.board.Unreachable("a")
+	r.board.Unreachable(r.a.Life())
 	if n := r.share(); n != 0 {
 		t.Errorf("%d of 100 choices fall on the leaf that can't be reached", n)
 	}
@@ -119,7 +119,7 @@
 		t.Errorf("the only leaf is not asked")
 	}
 	for range 12 {
-		r.board.Unreachable("a")
+		r.board.Unreachable(r.a.Life())
 	}
 	r.now = r.now.Add(restLongest)
 	if n := r.share(); n == 0 {
@@ -188,7 +188,7 @@
 // told that there is none.
 func TestChoiceNeverTakesMisplacedLeaf(t *testing.T) {
 	r := newBoardRig()
-	r.board.Misplaced("a")
+	r.board.Misplaced(r.a.Life())
 	if n := r.share(); n != 0 {
 		t.Errorf("%d of 100 go to the leaf that has lost its address", n)
 	}
@@ -200,3 +200,25 @@
 		t.Error("it is not asked again when the list has had time to change")
 	}
 }
+
+// A leaf crashes and starts again under its id. What was learned of the life before is
+// over: the new one gets requests at once, although the old one was slow, failing,
+// silent, and held to have lost its address.
+func TestNewLifeIsJudgedAnew(t *testing.T) {
+	r := newBoardRig()
+	for range 20 {
+		r.exchange(r.a, 6*usualTime, failed, nil)
+		r.exchange(r.b, usualTime, replied, &target.Reply{})
+	}
+	r.board.Misplaced(r.a.Life())
+	began := r.board.Begin(r.a.Life())
+	before := r.a.Life()
+	r.a = &discovery.Leaf{ID: "a", Born: 7, Service: "s", Domain: "here", Slots: 2}
+	if n := r.share(); n < 20 {
+		t.Errorf("%d of 100 choices fall on the leaf that has started again", n)
+	}
+	r.board.End(before, began, failed, usualTime, nil) // ends in the life before
+	if n := r.share(); n < 20 {
+		t.Errorf("%d of 100 after a failure of the life before", n)
+	}
+}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -86,19 +86,20 @@
 func (s send) perform() {
 	r, i, leaf, link, call := s.r, s.i, s.leaf, s.link, s.call
 	board := r.e.cfg.Board
-	began := board.Begin(leaf.ID)
+	life := leaf.Life()
+	began := board.Begin(life)
 	reply, err := link.Do(call, &r.send)
 	took := r.e.cfg.Clock().Sub(began)
 	usual := r.know.pace.Usual()
 	out := r.learned(reply, err)
-	board.End(leaf.ID, began, out, usual, reply)
+	board.End(life, began, out, usual, reply)
 	switch {
 	case out == replied, out == overdue:
 		r.know.pace.Observe(took)
 	case out == unlearned && err != nil && err.Reason == contract.ReasonTargetFailed:
-		board.Unreachable(leaf.ID)
+		board.Unreachable(life)
 	case reply != nil && reply.Status == http.StatusMisdirectedRequest:
-		board.Misplaced(leaf.ID)
+		board.Misplaced(life)
 	}
 	select {
 	case r.results <- result{i, call, leaf, reply, err}:
--- a/internal/link/target/link.go
+++ b/internal/link/target/link.go
@@ -67,12 +67,15 @@
 	limit  int
 	open   int // being dialled, idle or in use
 	idle   []*conn
+	busy   map[*conn]struct{} // in use
 	closed bool
 }
 
 // NewLink returns a link to the leaf of that id and address that opens at most
 // limit connections.
-func NewLink(id, addr string, limit int) *Link { return &Link{id: id, addr: addr, limit: limit} }
+func NewLink(id, addr string, limit int) *Link {
+	return &Link{id: id, addr: addr, limit: limit, busy: make(map[*conn]struct{})}
+}
 
 // SetLimit changes how many connections may be open; those above it are closed
 // when they are next idle.
@@ -94,6 +97,16 @@
 	}
 }
 
+// Abort closes all connections. Exchanges under way end as ones that may have run.
+func (l *Link) Abort() {
+	l.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.busy {
+		_ = c.Close() // its exchange sees the end and gives the place back
+	}
+}
+
 // CloseIdle closes connections that have been idle for as long as they may be.
 func (l *Link) CloseIdle(now time.Time) {
 	l.mu.Lock()
@@ -136,16 +149,34 @@
 			c, err = l.dial(ctx)
 			call.setCancel(nil)
 			cancel()
+			if err == nil {
+				err = l.engage(c)
+			}
 			return c, err
 		}
 		if c.sound() {
-			return c, nil
+			return c, l.engage(c)
 		}
 		connsStale.Inc(1)
 		l.drop(c)
 	}
 }
 
+// engage counts a connection as in use, unless the leaf has left meanwhile.
+func (l *Link) engage(c *conn) error {
+	l.mu.Lock()
+	closed := l.closed
+	if !closed {
+		l.busy[c] = struct{}{}
+	}
+	l.mu.Unlock()
+	if closed {
+		l.drop(c)
+		return errClosed
+	}
+	return nil
+}
+
 // takeIdle returns nil when the caller may dial: its place is counted.
 func (l *Link) takeIdle(maxIdle time.Duration) (*conn, error) {
 	now := time.Now()
@@ -175,6 +206,7 @@
 	c.idleAt = time.Now()
 	c.until = c.idleAt.Add(c.limit)
 	l.mu.Lock()
+	delete(l.busy, c)
 	if l.closed || l.open > l.limit {
 		l.mu.Unlock()
 		l.drop(c)
@@ -189,6 +221,7 @@
 	_ = c.Close()
 	countOpen(-1)
 	l.mu.Lock()
+	delete(l.busy, c)
 	l.open--
 	l.mu.Unlock()
 }
--- /dev/null
+++ b/internal/link/target/reply_test.go
@@ -0,0 +1,62 @@
+package target
+
+import (
+	"bufio"
+	"net"
+	"testing"
+	"time"
+)
+
+var testDialect = &Dialect{
+	RequestID: "Request-Id", Deadline: "Wait-Ms", LeafID: "Leaf", Stamp: "Signature", Load: "Load", NotRun: "Not-Run",
+	ParseLoad: func(string) (Load, bool) { return Load{}, false },
+}
+
+// exchangeWith performs one exchange with a leaf that answers with these bytes.
+func exchangeWith(answer []byte) (*Link, *Reply, bool) {
+	ours, theirs := net.Pipe()
+	go func() {
+		_, _ = theirs.Read(make([]byte, 4096))
+		_, _ = theirs.Write(answer)
+		_ = theirs.Close()
+	}()
+	l := NewLink("leaf", "127.0.0.1:1", 1)
+	l.open = 1
+	c := &conn{Conn: ours, reader: bufio.NewReaderSize(ours, readBuffer), limit: idleLimit}
+	req := &Request{
+		Dialect: testDialect, Method: "GET", ID: "id-1", Head: []byte("GET / HTTP/1.1\r\nHost: h\r\n"),
+		Deadline: time.Now().Add(5 * time.Second), Repeatable: true, BodyLimit: 1 << 16, WholeOnly: true,
+	}
+	reply, err := l.exchange(&Call{}, c, req, time.Second)
+	return l, reply, err == nil
+}
+
+// A leaf may send anything. Only a reply that names the request and is whole counts,
+// and a connection on which other bytes follow is not used again: the next caller
+// would get them.
+func FuzzReply(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nContent-Length: 2\r\n\r\nab"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nRequest-Id: id-1\r\nContent-Length: 2\r\n\r\nabHTTP/1.1 200 OK\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nRequest-Id: id-2\r\nContent-Length: 0\r\n\r\n"))
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 421 x\r\nRequest-Id: id-1\r\nKeep-Alive: timeout=-1\r\nLoad: x\r\nRetry-After: 1e999\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, answer []byte) {
+		l, reply, ok := exchangeWith(answer)
+		if l.open < 0 || l.open > 1 || len(l.idle) > l.open || len(l.busy) > 0 {
+			t.Fatalf("%d connections open, %d idle, %d in use", l.open, len(l.idle), len(l.busy))
+		}
+		if !ok {
+			if l.open != 0 {
+				t.Fatal("the connection of a failed exchange is kept")
+			}
+			return
+		}
+		if got := reply.Header["Request-Id"]; len(got) == 0 || got[0] != "id-1" {
+			t.Fatalf("a reply to %q is taken", got)
+		}
+		for _, c := range l.idle {
+			if c.reader.Buffered() > 0 {
+				t.Fatalf("a connection with %d bytes that belong to nobody is kept", c.reader.Buffered())
+			}
+		}
+	})
+}
