decision: one log of whole JSON lines, by zerolog over a ring; which VMs take callers in a package of its own

Cause: the two logs of a process went to one output, one of them in blocks of 8 KB cut wherever a line was, so that lines of the other stood inside lines. Change: both are events of one zerolog writer over its ring buffer; whole lines in blocks, in the order of events, typed fields, drops counted and told. klog stays the call for what the process believes. Weighed: zerologr behind klog (drops the severity of warnings) against a writer a severity, which keeps it. What stays: the choice of daemons is made at most ten times a second, told when it changes, and one that callers are not sent to counts for a small share.

--- a/cmd/pearmoor-entry/main.go
+++ b/cmd/pearmoor-entry/main.go
@@ -22,6 +22,7 @@
 	"k8s.io/klog/v2"
 
 	"pearmoor/internal/contract"
+	"pearmoor/internal/decision"
 	"pearmoor/internal/entryvm"
 	"pearmoor/platform"
 )
@@ -63,9 +64,12 @@
 		fmt.Fprintf(os.Stderr, "pearmoor-entry: %v; try --help\n", err)
 		return exitUsage
 	}
-	klog.LogToStderr(false)
-	klog.SetOutput(os.Stdout)
-	defer klog.Flush()
+	out := decision.New(os.Stdout)
+	defer out.Close()
+	if err := out.TakeKlog(); err != nil {
+		fmt.Fprintf(os.Stderr, "pearmoor-entry: %v\n", err)
+		return exitFault
+	}
 	debug.SetGCPercent(f.gcShare)
 	set, err := platform.ReadSettings(f.settings)
 	if err != nil {
@@ -73,7 +77,7 @@
 		return exitUsage
 	}
 	klog.Infof("entry: start version=%s vm=%s domain=%s disk=%q first_start=%v seeds=%v", version, set.VM.Name, set.VM.Domain, set.VM.DataDir, set.VM.FirstStart, set.VM.Seeds)
-	if err := serve(f, set); err != nil {
+	if err := serve(f, set, out); err != nil {
 		klog.Errorf("entry: stopped: %v", err)
 		return exitFault
 	}
@@ -92,12 +96,12 @@
 	}
 }
 
-func serve(f flags, set *platform.Settings) error {
+func serve(f flags, set *platform.Settings, out *decision.Log) error {
 	var listAddr atomic.Pointer[string]
 	listAddr.Store(&set.ListAddr)
 	conf := set.VM
 	conf.Source = platform.NewList(func() string { return *listAddr.Load() })
-	conf.Dialect = platform.Dialect()
+	conf.Dialect, conf.Log = platform.Dialect(), out
 	v, err := entryvm.New(conf)
 	if err != nil {
 		return err
--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -1,28 +1,32 @@
-// Package decision writes one structured line for each decision that touches a
-// request. Writing never blocks and is bounded: a line that would go beyond the
-// rate, or finds the buffer full, is left out, and how many were is told in a line
-// of its own.
+// Package decision writes the log of a process, one JSON object a line: its own lines,
+// one for each decision that touches a request, and those of klog, in the order in which
+// they were made. Writing never blocks and is bounded: a line that would go beyond the
+// rate, or that a slow reader of the output leaves no place for, is left out, and how
+// many were is told in a line of its own.
 package decision
 
 import (
-	"bufio"
-	"context"
 	"io"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
 )
 
 const (
-	bufferLines = 256
-	flushEvery  = 200 * time.Millisecond
-	// linesPerSecond bounds the processor time that lines take: about 3 µs each,
-	// and as much again to write them out in blocks.
+	// ringLines is how many lines wait to be written: some 2 flushes at the rate below.
+	ringLines  = 512
+	flushEvery = 200 * time.Millisecond
+	// linesPerSecond bounds the processor time that lines about requests take: 2 µs each
+	// (BenchmarkLine), and about as much again to write them out in blocks.
 	linesPerSecond = 400
-	longestValue   = 200
+	// longestValue bounds a text in a line, in bytes.
+	longestValue = 200
+	// closeWait bounds the wait for a reader of the output that does not read.
+	closeWait = time.Second
 )
 
 var (
@@ -30,9 +34,27 @@
 	leftOut = metrics.GetOrRegisterCounter("decision.lines.left_out", metrics.DefaultRegistry)
 )
 
+// Names of the fields of every line.
+const (
+	timeField  = "time" // UTC, to the millisecond
+	levelField = "level"
+	partField  = "part" // of the program
+	whatField  = "what" // it decided or met
+)
+
+func init() {
+	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00"
+	zerolog.TimestampFunc = func() time.Time { return time.Now().UTC() }
+	zerolog.TimestampFieldName = timeField
+	zerolog.MessageFieldName = whatField
+}
+
 // Log writes lines. A nil Log writes nothing.
 type Log struct {
-	lines chan []byte
+	out    zerolog.Logger
+	ring   diode.Writer
+	blocks *blockWriter
+	stop   chan struct{}
 
 	mu      sync.Mutex
 	second  int64
@@ -40,58 +62,77 @@
 	dropped int64
 }
 
-// New returns a log that keeps lines in its buffer until Run writes them.
-func New() *Log { return &Log{lines: make(chan []byte, bufferLines)} }
+// New returns a log that writes to w until Close.
+func New(w io.Writer) *Log {
+	l := &Log{blocks: newBlockWriter(w), stop: make(chan struct{})}
+	l.ring = diode.NewWriter(l.blocks, ringLines, flushEvery, l.missed)
+	l.out = zerolog.New(l.ring)
+	go l.flush()
+	return l
+}
+
+// Close writes out what there is. Lines that come later are lost.
+func (l *Log) Close() {
+	close(l.stop)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		l.tellDropped()
+		_ = l.ring.Close() // its writer is no closer
+		l.blocks.flush()
+	}()
+	select {
+	case <-done:
+	case <-time.After(closeWait):
+	}
+}
 
-// Run writes lines to w until ctx ends, and what is buffered then.
-func (l *Log) Run(ctx context.Context, w io.Writer) {
-	out := bufio.NewWriterSize(w, 8<<10)
+func (l *Log) flush() {
 	ticker := time.NewTicker(flushEvery)
 	defer ticker.Stop()
 	for {
 		select {
-		case b := <-l.lines:
-			_, _ = out.Write(b)
 		case <-ticker.C:
-			l.tellDropped(out)
-			_ = out.Flush()
-		case <-ctx.Done():
-			for {
-				select {
-				case b := <-l.lines:
-					_, _ = out.Write(b)
-					continue
-				default:
-				}
-				l.tellDropped(out)
-				_ = out.Flush()
-				return
-			}
+			l.tellDropped()
+			l.blocks.flush()
+		case <-l.stop:
+			return
 		}
 	}
 }
 
-func (l *Log) tellDropped(out *bufio.Writer) {
+// missed counts lines that were overwritten before they could be written.
+func (l *Log) missed(n int) {
+	leftOut.Inc(int64(n))
+	l.mu.Lock()
+	l.dropped += int64(n)
+	l.mu.Unlock()
+}
+
+func (l *Log) tellDropped() {
 	l.mu.Lock()
 	n := l.dropped
 	l.dropped = 0
 	l.mu.Unlock()
 	if n > 0 {
-		_, _ = out.WriteString("decision: left out lines=" + strconv.FormatInt(n, 10) + "\n")
+		l.line("warning", "decision").Int("lines", n).end("left out")
 	}
 }
 
-// Line begins a line: the part of the program, and what it decided. It returns nil
-// when the line is left out; every method of a nil Line does nothing.
-func (l *Log) Line(part, what string) *Line {
+func (l *Log) line(level, part string) Line {
+	return Line{l.out.Log().Timestamp().Str(levelField, level).Str(partField, part)}
+}
+
+// Line begins a line: the part of the program, and what it decided. Where the line is
+// left out, its methods do nothing.
+func (l *Log) Line(part, what string) Line {
 	if l == nil || !l.allow() {
-		return nil
+		return Line{}
 	}
-	b := make([]byte, 0, 192)
-	b = append(b, part...)
-	b = append(b, ": "...)
-	b = append(b, what...)
-	return &Line{log: l, b: b}
+	written.Inc(1)
+	line := l.line("info", part)
+	line.e.Str(whatField, what)
+	return line
 }
 
 func (l *Log) allow() bool {
@@ -111,75 +152,47 @@
 }
 
 // Line is one line being put together.
-type Line struct {
-	log *Log
-	b   []byte
-}
-
-func (l *Line) key(k string) {
-	l.b = append(l.b, ' ')
-	l.b = append(l.b, k...)
-	l.b = append(l.b, '=')
-}
+type Line struct{ e *zerolog.Event }
 
-// Str adds a text; one with spaces or control characters is quoted.
-func (l *Line) Str(k, v string) *Line {
-	if l == nil {
-		return nil
-	}
-	l.key(k)
+// Str adds a text.
+func (l Line) Str(k, v string) Line {
 	if len(v) > longestValue {
 		v = v[:longestValue]
 	}
-	if v == "" || strings.ContainsFunc(v, func(r rune) bool { return r <= ' ' || r == '"' || r == 0x7f || r == 0xfffd }) {
-		l.b = strconv.AppendQuote(l.b, v)
-	} else {
-		l.b = append(l.b, v...)
-	}
+	l.e.Str(k, v)
 	return l
 }
 
 // Int adds a number.
-func (l *Line) Int(k string, v int64) *Line {
-	if l == nil {
-		return nil
-	}
-	l.key(k)
-	l.b = strconv.AppendInt(l.b, v, 10)
+func (l Line) Int(k string, v int64) Line {
+	l.e.Int64(k, v)
+	return l
+}
+
+// Bool adds a yes or no.
+func (l Line) Bool(k string, v bool) Line {
+	l.e.Bool(k, v)
 	return l
 }
 
-// Ms adds a duration in milliseconds.
-func (l *Line) Ms(k string, d time.Duration) *Line {
-	if l == nil {
-		return nil
+// Ms adds a duration in milliseconds, to a tenth.
+func (l Line) Ms(k string, d time.Duration) Line {
+	if l.e != nil {
+		var b [24]byte
+		l.e.RawJSON(k, strconv.AppendFloat(b[:0], float64(d)/float64(time.Millisecond), 'f', 1, 64))
 	}
-	l.key(k)
-	l.b = strconv.AppendFloat(l.b, float64(d)/float64(time.Millisecond), 'f', 1, 64)
 	return l
 }
 
 // Err adds an error, if there is one.
-func (l *Line) Err(err error) *Line {
-	if l == nil || err == nil {
+func (l Line) Err(err error) Line {
+	if l.e == nil || err == nil {
 		return l
 	}
 	return l.Str("error", err.Error())
 }
 
 // End hands the line over.
-func (l *Line) End() {
-	if l == nil {
-		return
-	}
-	l.b = append(l.b, '\n')
-	select {
-	case l.log.lines <- l.b:
-		written.Inc(1)
-	default:
-		leftOut.Inc(1)
-		l.log.mu.Lock()
-		l.log.dropped++
-		l.log.mu.Unlock()
-	}
-}
+func (l Line) End() { l.e.Send() }
+
+func (l Line) end(what string) { l.e.Msg(what) }
--- /dev/null
+++ b/internal/decision/decision_test.go
@@ -0,0 +1,155 @@
+package decision
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"k8s.io/klog/v2"
+)
+
+// output keeps each write apart.
+type output struct {
+	mu     sync.Mutex
+	writes [][]byte
+}
+
+func (o *output) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.writes = append(o.writes, bytes.Clone(p))
+	return len(p), nil
+}
+
+func (o *output) lines(t *testing.T) []map[string]any {
+	t.Helper()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var out []map[string]any
+	for _, w := range o.writes {
+		if !bytes.HasSuffix(w, []byte("\n")) {
+			t.Errorf("a write ends inside a line: %q", w[max(0, len(w)-60):])
+		}
+		for _, text := range strings.Split(strings.TrimSuffix(string(w), "\n"), "\n") {
+			var line map[string]any
+			if err := json.Unmarshal([]byte(text), &line); err != nil {
+				t.Errorf("%v: %q", err, text)
+				continue
+			}
+			out = append(out, line)
+		}
+	}
+	return out
+}
+
+// Two logs of one process go to one output, in blocks. Whoever follows a request's id
+// through them needs whole lines, in the order in which things happened.
+func TestLinesAreWholeAndInOrder(t *testing.T) {
+	out := &output{}
+	log := New(out)
+	if err := log.TakeKlog(); err != nil {
+		t.Fatal(err)
+	}
+	defer klog.SetOutput(io.Discard)
+	const pairs = 150
+	for i := range pairs {
+		log.Line("gather", "answered").Str("id", fmt.Sprintf("a \"b\"\n%d", i)).Int("n", int64(i)).
+			Ms("took", 1500*time.Microsecond).Bool("repeatable", true).Err(errors.New("x\x00y")).End()
+		klog.Warningf("control: leads n=%d %s", i, strings.Repeat("long ", 20))
+	}
+	log.Close()
+	lines := out.lines(t)
+	if len(lines) != 2*pairs {
+		t.Fatalf("%d lines", len(lines))
+	}
+	for i := range pairs {
+		a, b := lines[2*i], lines[2*i+1]
+		if a["n"] != float64(i) || a["part"] != "gather" || a["what"] != "answered" || a["took"] != 1.5 || a["level"] != "info" {
+			t.Fatalf("line %d: %v", 2*i, a)
+		}
+		if b["part"] != "control" || b["level"] != "warning" || !strings.HasPrefix(b["what"].(string), fmt.Sprintf("leads n=%d ", i)) {
+			t.Fatalf("line %d: %v", 2*i+1, b)
+		}
+	}
+}
+
+// stuck blocks every write until it is let go.
+type stuck struct {
+	output
+	gate chan struct{}
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.gate
+	return s.output.Write(p)
+}
+
+// The reader of the output stops reading. Callers must go on being served: no line
+// blocks, what there is no place for is left out, and how much is told later.
+func TestLogNeverBlocks(t *testing.T) {
+	out := &stuck{gate: make(chan struct{})}
+	log := New(out)
+	const lines = 20 * ringLines
+	for i := range lines {
+		log.line("info", "gather").Int("n", int64(i)).end("answered")
+	}
+	close(out.gate)
+	time.Sleep(3 * flushEvery) // for what was overwritten to be counted and told
+	log.line("info", "gather").Int("n", lines).end("answered")
+	log.Close()
+	got := out.lines(t)
+	told, kept := 0.0, 0
+	for _, l := range got {
+		if l["what"] == "left out" {
+			told += l["lines"].(float64)
+		} else {
+			kept++
+		}
+	}
+	if kept+int(told) != lines+1 {
+		t.Errorf("%d lines written and %v told to be left out, of %d", kept, told, lines+1)
+	}
+	if last := got[len(got)-1]; last["n"] != float64(lines) {
+		t.Errorf("the last line is %v", last)
+	}
+}
+
+// More lines than the rate allows are left out, and their number is told.
+func TestRateOfLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &output{}
+		log := New(out)
+		time.Sleep(time.Millisecond)
+		for range linesPerSecond + 100 {
+			log.Line("single", "answered").End()
+		}
+		time.Sleep(2 * flushEvery)
+		log.Close()
+		got := out.lines(t)
+		if len(got) != linesPerSecond+1 || got[len(got)-1]["lines"] != 100.0 {
+			t.Errorf("%d lines, the last %v", len(got), got[len(got)-1])
+		}
+	})
+}
+
+func TestNilLog(*testing.T) {
+	var log *Log
+	log.Line("gather", "answered").Str("id", "x").Int("n", 1).Ms("took", 1).Bool("b", true).Err(io.EOF).End()
+}
+
+func BenchmarkLine(b *testing.B) {
+	log := New(io.Discard)
+	defer log.Close()
+	b.ReportAllocs()
+	for b.Loop() {
+		log.line("info", "gather").Str("id", "30fb27fe0a91d3f6").Str("route", "r-utvjfwk").Int("status", 200).
+			Ms("took", 139900*time.Microsecond).Ms("wait", time.Second).Int("sends", 56).Int("hedges", 2).Int("parts", 27).End()
+	}
+}
--- a/internal/entryvm/config.go
+++ b/internal/entryvm/config.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"pearmoor/internal/decision"
 	"pearmoor/internal/discovery"
 	"pearmoor/internal/forward"
 	"pearmoor/internal/link/target"
@@ -35,6 +36,7 @@
 
 	Source  discovery.Source
 	Dialect *target.Dialect
+	Log     *decision.Log
 }
 
 const (
--- a/internal/entryvm/steer.go
+++ b/internal/entryvm/steer.go
@@ -1,34 +1,57 @@
 package entryvm
 
 import (
+	"slices"
+	"sync"
 	"time"
 
+	"k8s.io/klog/v2"
+
+	"pearmoor/internal/policy"
 	"pearmoor/internal/route"
 	"pearmoor/internal/vm"
 )
 
-const (
-	// partCost is the processor time of one part of a gather on a whole core:
-	// sending, reading and merging it, with its share of everything else. Measured
-	// as processor time over arrivals at leaves on quiet days: 130 to 230 µs.
-	partCost = 150 * time.Microsecond
-	// gatherShare is the part of a route's target latency that the processor time of
-	// its gather may take on a VM that callers are sent to. The rest is for the way
-	// to the caller and the leaves' own work.
-	gatherShare = 0.5
-	// fewTakers is how many daemons must be fit for the widest gathers to leave the
-	// others out: the loss of one must not leave all callers to the next.
-	fewTakers = 3
-)
+// steerEvery is how long the choice of daemons that take callers is used: it is looked
+// at for every send, and its inputs change a few times a second at most.
+const steerEvery = 100 * time.Millisecond
 
-// takers returns the daemons that callers are sent to: those that serve and are
-// not silent, and of them those whose processor is fit for the widest gathers, if
-// there are enough.
-//
-// A gather over 90 shards takes 14 ms of a whole core and 70 ms on a fifth of one,
-// longer than some callers want to wait for the whole answer, however little the
-// VM has to do besides.
+// steering remembers the choice of daemons that take callers.
+type steering struct {
+	mu     sync.Mutex
+	of     *vm.Membership
+	at     vm.Instant
+	takers []*vm.Member
+}
+
+// takers returns the daemons that callers are sent to: of those that serve and are not
+// silent, those that policy.Takers chooses.
 func (v *VM) takers(ms *vm.Membership) []*vm.Member {
+	now := vm.Monotonic()
+	v.steer.mu.Lock()
+	defer v.steer.mu.Unlock()
+	if v.steer.of != ms || now.Sub(v.steer.at) >= steerEvery || v.draining.Load() {
+		before := v.steer.takers
+		v.steer.of, v.steer.at = ms, now
+		v.steer.takers = v.chooseTakers(ms)
+		if !slices.EqualFunc(before, v.steer.takers, sameName) {
+			klog.Infof("entry: callers are sent to %v of %d daemons", memberNames(v.steer.takers), len(ms.Members))
+		}
+	}
+	return v.steer.takers
+}
+
+func sameName(a, b *vm.Member) bool { return a.Name == b.Name }
+
+func memberNames(ms []*vm.Member) []string {
+	out := make([]string, len(ms))
+	for i, m := range ms {
+		out[i] = m.Name
+	}
+	return out
+}
+
+func (v *VM) chooseTakers(ms *vm.Membership) []*vm.Member {
 	quiet := v.book.Quiet()
 	var all []*vm.Member
 	for i := range ms.Members {
@@ -39,53 +62,37 @@
 		}
 		all = append(all, m)
 	}
-	return fittest(all, fitMillicores(v.engine.Table()))
+	return policy.Takers(all, widest(v.engine.Table()))
 }
 
-// fittest returns the daemons with at least need, or where too few have it, those
-// that come closest; all where even those are too few.
-func fittest(all []*vm.Member, need uint32) []*vm.Member {
-	largest := uint32(0)
-	for _, m := range all {
-		largest = max(largest, m.Millicores)
-	}
-	for _, least := range []uint32{need, largest - largest/10} {
-		var fit []*vm.Member
-		for _, m := range all {
-			if m.Millicores == 0 || m.Millicores >= least {
-				fit = append(fit, m)
-			}
-		}
-		if len(fit) >= fewTakers {
-			return fit
+// widest returns the processor that a table's widest gather asks of a VM.
+func widest(t *route.Table) uint32 {
+	need := uint32(0)
+	if t != nil {
+		for _, e := range t.Entries() {
+			need = max(need, policy.Millicores(len(e.Shards), e.TargetLatency))
 		}
 	}
-	return all
+	return need
 }
 
-// fitMillicores returns the processor that the table's gathers ask for.
-func fitMillicores(t *route.Table) uint32 {
-	if t == nil {
-		return 0
-	}
-	need := 0.0
-	for _, e := range t.Entries() {
-		if e.TargetLatency > 0 {
-			work := partCost * time.Duration(len(e.Shards))
-			need = max(need, 1000*float64(work)/(gatherShare*float64(e.TargetLatency)))
-		}
-	}
-	return uint32(need)
-}
+// idleSharers is how many times the tier's daemons a daemon counts that callers are not
+// sent to. It gets a few requests all the same, of callers with an old list, and the
+// shares of the others add up to the whole.
+const idleSharers = 4
 
-// senders returns how many daemons take callers, 0 while that is not known.
+// senders returns among how many daemons what is shared by those that send to leaves is
+// divided, 0 while that is not known.
 func (v *VM) senders() int {
 	ms := v.client.Current().Members()
 	if ms == nil {
 		return 0
 	}
-	if n := len(v.takers(ms)); n > 0 {
-		return n
+	takers := v.takers(ms)
+	for _, m := range takers {
+		if m.Name == v.conf.Name {
+			return len(takers)
+		}
 	}
-	return len(ms.Members)
+	return max(idleSharers*len(ms.Members), 1)
 }
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"os"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -15,7 +14,6 @@
 	"storj.io/drpc/drpcmux"
 
 	"pearmoor/internal/control"
-	"pearmoor/internal/decision"
 	"pearmoor/internal/discovery"
 	"pearmoor/internal/forward"
 	"pearmoor/internal/journal"
@@ -40,16 +38,16 @@
 	finder       *discovery.Finder
 	engine       *forward.Engine
 	server       *forward.Server
-	log          *decision.Log
 	mux          atomic.Pointer[drpcmux.Mux]
 
+	steer    steering
 	draining atomic.Bool
 	release  atomic.Uint64 // number of the release in force here
 }
 
 // New puts the parts together; nothing runs yet.
 func New(conf Config) (*VM, error) {
-	v := &VM{conf: conf, log: decision.New()}
+	v := &VM{conf: conf}
 	v.SetSeeds(conf.Seeds)
 	v.controlConns, v.otherConns = peer.NewTrustedPool(), peer.NewTrustedPool()
 	self := vm.Identity{
@@ -69,10 +67,10 @@
 		Alone: time.Duration(aloneAfter * float64(conf.DrainWithin)),
 	}, v.book)
 	v.engine = forward.New(forward.Config{
-		Clock: vm.Monotonic, Dialect: conf.Dialect, Book: v.book, Board: forward.NewBoard(vm.Monotonic, conf.Domain), Log: v.log, Senders: v.senders,
+		Clock: vm.Monotonic, Dialect: conf.Dialect, Book: v.book, Board: forward.NewBoard(vm.Monotonic, conf.Domain), Log: conf.Log, Senders: v.senders,
 		Budgets: forward.NewBudgets(conf.Budget, vm.Monotonic, v.senders),
 	})
-	v.server = forward.NewServer(&forward.Handler{Engine: v.engine, Dialect: conf.Dialect, Log: v.log, Draining: v.draining.Load})
+	v.server = forward.NewServer(&forward.Handler{Engine: v.engine, Dialect: conf.Dialect, Log: conf.Log, Draining: v.draining.Load})
 	if conf.DataDir != "" {
 		v.seat = v.newSeat()
 	}
@@ -200,10 +198,6 @@
 func (v *VM) Run(stop context.Context, lis Listeners) error {
 	base, end := context.WithCancel(context.WithoutCancel(stop))
 	defer end()
-	logDone := make(chan struct{})
-	logCtx, endLog := context.WithCancel(context.Background())
-	go func() { defer close(logDone); v.log.Run(logCtx, os.Stdout) }()
-	defer func() { endLog(); <-logDone }()
 	g, ctx := errgroup.WithContext(base)
 	g.Go(func() error { return peer.ServeTrusted(ctx, lis.Peers, v) })
 	if v.seat != nil {
--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -174,7 +173,7 @@
 	l := r.e.cfg.Log.Line(r.part(), what).Str("id", r.req.ID).Str("route", r.entry.Name).
 		Int("status", int64(a.Status)).Ms("took", time.Since(r.req.Arrived)).
 		Ms("wait", r.req.Wait).Ms("answer_by", r.answerBy.Sub(r.req.Arrived)).Int("release", int64(r.a.table.Number)).Int("sends", int64(r.sends)).Int("hedges", int64(r.hedges)).
-		Int("attempts", int64(r.attempts())).Str("repeatable", strconv.FormatBool(r.entry.Repeatable)).Int("denied", int64(r.denied))
+		Int("attempts", int64(r.attempts())).Bool("repeatable", r.entry.Repeatable).Int("denied", int64(r.denied))
 	if r.entry.Gathers() {
 		l = l.Int("parts", int64(r.have)).Int("of", int64(len(r.shards))).Int("need", int64(r.need))
 		if r.have < len(r.shards) {
