forward: parts of a gather from other failure domains come through a daemon there

Ruled out: callers only at VMs beside the leaves (every domain has leaves of two thirds of the shards). Change: one call to a daemon in the leaves' domain, which makes each send once and sends back the greatest records of all with each part's signature; the first daemon decides on everything else.

--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -32,6 +32,7 @@
 
 	controlConns *peer.Pool // heartbeats and the control group's messages
 	otherConns   *peer.Pool // everything that may be large or slow
+	partConns    *peer.Pool // parts of gathers
 	seat         *control.Seat
 	client       *relay.Client
 	book         *discovery.Book
@@ -49,7 +50,7 @@
 func New(conf Config) (*VM, error) {
 	v := &VM{conf: conf}
 	v.SetSeeds(conf.Seeds)
-	v.controlConns, v.otherConns = peer.NewTrustedPool(), peer.NewTrustedPool()
+	v.controlConns, v.otherConns, v.partConns = peer.NewTrustedPool(), peer.NewTrustedPool(), peer.NewTrustedPool()
 	self := vm.Identity{
 		Name: conf.Name, Incarnation: vm.NewIncarnation(0), Domain: conf.Domain, Region: conf.Region,
 		PeerAddr: conf.PeerAddr, CallerAddr: conf.CallerAddr,
@@ -68,6 +69,7 @@
 	}, v.book)
 	v.engine = forward.New(forward.Config{
 		Clock: vm.Monotonic, Dialect: conf.Dialect, Book: v.book, Board: forward.NewBoard(vm.Monotonic, conf.Domain), Log: conf.Log, Senders: v.senders,
+		SendersIn: v.sendersIn, Near: newNearDaemons(v),
 		Budgets: forward.NewBudgets(conf.Budget, vm.Monotonic, v.senders),
 	})
 	v.server = forward.NewServer(&forward.Handler{Engine: v.engine, Dialect: conf.Dialect, Log: conf.Log, Draining: v.draining.Load})
@@ -107,6 +109,7 @@
 	}
 	err = errors.CombineErrors(err, wire.DRPCRegisterLeaves(mux, v.finder.Server()))
 	err = errors.CombineErrors(err, wire.DRPCRegisterContacts(mux, contactsServer{v}))
+	err = errors.CombineErrors(err, wire.DRPCRegisterGather(mux, v.engine.Scatterer()))
 	v.mux.Store(mux)
 	return err
 }
@@ -224,6 +227,7 @@
 	err := g.Wait()
 	_ = v.controlConns.Close()
 	_ = v.otherConns.Close()
+	_ = v.partConns.Close()
 	return err
 }
 
--- a/internal/forward/board.go
+++ b/internal/forward/board.go
@@ -70,13 +70,13 @@
 	loadAt   vm.Instant
 }
 
-// Link returns the link to a leaf, made if need be with the limit of its service.
-func (b *Board) Link(l *discovery.Leaf, limit func(service string) int) *target.Link {
+// Link returns the link to a leaf, made if need be with its limit.
+func (b *Board) Link(l *discovery.Leaf, limit func(*discovery.Leaf) int) *target.Link {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.of(l.Life())
 	if s.link == nil {
-		s.link = target.NewLink(l.ID, l.Addr, limit(l.Service))
+		s.link = target.NewLink(l.ID, l.Addr, limit(l))
 	}
 	return s.link
 }
@@ -127,13 +127,13 @@
 	}
 }
 
-// SetLimits gives every link its limit, by the leaf's service.
-func (b *Board) SetLimits(snap *discovery.Snapshot, limit func(service string) int) {
+// SetLimits gives every link its limit.
+func (b *Board) SetLimits(snap *discovery.Snapshot, limit func(*discovery.Leaf) int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for life, s := range b.leaves {
 		if l, ok := snap.Find(life.ID); ok && s.link != nil {
-			s.link.SetLimit(limit(l.Service))
+			s.link.SetLimit(limit(l))
 		}
 	}
 }
@@ -161,9 +161,9 @@
 	misbehaved                // a reply to something else, or one that broke off
 )
 
-// End counts a request out. usual is how long the service usually takes; it may be
-// 0 while that is not known.
-func (b *Board) End(life discovery.Life, began vm.Instant, out outcome, usual time.Duration, reply *target.Reply) {
+// End counts a request out that took so long at the leaf. usual is how long the service
+// usually takes; it may be 0 while that is not known.
+func (b *Board) End(life discovery.Life, began vm.Instant, took time.Duration, out outcome, usual time.Duration, reply *target.Reply) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.leaves[life]
@@ -184,7 +184,7 @@
 			s.load, s.loadAt = reply.Load, now
 		}
 	}
-	s.learn(out, now, now.Sub(began), usual)
+	s.learn(out, now, took, usual)
 }
 
 func (s *standing) learn(out outcome, now vm.Instant, took, usual time.Duration) {
--- a/internal/forward/board_test.go
+++ b/internal/forward/board_test.go
@@ -39,7 +39,7 @@
 func (r *boardRig) exchange(l *discovery.Leaf, took time.Duration, out outcome, reply *target.Reply) {
 	began := r.board.Begin(l.Life())
 	r.now = r.now.Add(took)
-	r.board.End(l.Life(), began, out, usualTime, reply)
+	r.board.End(l.Life(), began, took, out, usualTime, reply)
 }
 
 func TestChoiceTakesTurns(t *testing.T) {
@@ -79,7 +79,7 @@
 	if n := r.share(); n != 0 {
 		t.Errorf("%d of 100 choices fall on the silent leaf", n)
 	}
-	r.board.End(r.a.Life(), began, replied, usualTime, &target.Reply{})
+	r.board.End(r.a.Life(), began, 3*usualTime, replied, usualTime, &target.Reply{})
 	r.now = r.now.Add(time.Second)
 	for range 30 {
 		r.exchange(r.a, usualTime, replied, &target.Reply{})
@@ -217,7 +217,7 @@
 	if n := r.share(); n < 20 {
 		t.Errorf("%d of 100 choices fall on the leaf that has started again", n)
 	}
-	r.board.End(before, began, failed, usualTime, nil) // ends in the life before
+	r.board.End(before, began, usualTime, failed, usualTime, nil) // ends in the life before
 	if n := r.share(); n < 20 {
 		t.Errorf("%d of 100 after a failure of the life before", n)
 	}
--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -105,10 +105,27 @@
 			a.Parts = append(a.Parts, s.stamp)
 		}
 	}
-	a.Body = r.top.bytes()
+	a.Body = r.merge()
 	return a
 }
 
+// merge returns the greatest records of the parts, falling.
+func (r *run) merge() []byte {
+	merged := top{k: r.entry.Top}
+	used := make(map[*partSet]bool)
+	for i := range r.shards {
+		switch s := &r.shards[i]; {
+		case !s.done:
+		case s.set == nil:
+			merged.add(s.body)
+		case !used[s.set]:
+			used[s.set] = true
+			merged.add(s.set.records)
+		}
+	}
+	return merged.bytes()
+}
+
 // comeBack bounds what a caller whose request did not run is told to wait.
 const (
 	comeBackFirst = 60 * time.Millisecond
@@ -137,7 +154,7 @@
 	case verdict == contract.NotRun:
 		a.Status = http.StatusServiceUnavailable
 		a.RetryAfter = r.comeBack()
-	case !r.entry.Gathers() && r.last != nil && !r.e.cfg.Dialect.Refused(r.last):
+	case !r.entry.Gathers() && r.last != nil && !r.last.Refused:
 		// A leaf's own word on its failure says more than ours.
 		a.Status, a.Header, a.Body, a.Rest = r.last.Status, http.Header(r.last.Header), r.last.Body, r.last.Rest
 	case reason == contract.ReasonDeadline:
@@ -163,6 +180,9 @@
 			f.call.Abandon(linger)
 		}
 	}
+	for _, b := range r.batches {
+		b.release()
+	}
 }
 
 func (r *run) log(a *Answer) {
@@ -175,7 +195,7 @@
 		Ms("wait", r.req.Wait).Ms("answer_by", r.answerBy.Sub(r.req.Arrived)).Int("release", int64(r.a.table.Number)).Int("sends", int64(r.sends)).Int("hedges", int64(r.hedges)).
 		Int("attempts", int64(r.attempts())).Bool("repeatable", r.entry.Repeatable).Int("denied", int64(r.denied))
 	if r.entry.Gathers() {
-		l = l.Int("parts", int64(r.have)).Int("of", int64(len(r.shards))).Int("need", int64(r.need))
+		l = l.Int("parts", int64(r.have)).Int("of", int64(len(r.shards))).Int("need", int64(r.need)).Int("delegated", int64(r.delegated))
 		if r.have < len(r.shards) {
 			l = l.Str("missing", r.missing())
 		}
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -11,6 +11,7 @@
 	"pearmoor/internal/decision"
 	"pearmoor/internal/discovery"
 	"pearmoor/internal/link/target"
+	"pearmoor/internal/policy"
 	"pearmoor/internal/route"
 	"pearmoor/internal/vm"
 	"pearmoor/internal/work"
@@ -24,8 +25,13 @@
 	Board   *Board
 	Budgets *Budgets
 	Log     *decision.Log
-	// Senders returns how many daemons take callers, 0 while that is not known.
+	// Senders returns among how many daemons what is shared by those that send to leaves
+	// is divided, 0 while that is not known.
 	Senders func() int
+	// SendersIn returns how many daemons in a failure domain send to leaves.
+	SendersIn func(domain string) int
+	// Near finds daemons near leaves; nil: every part is asked for directly.
+	Near Near
 }
 
 // Engine forwards requests by the newest table. It is safe for concurrent use.
@@ -52,7 +58,9 @@
 
 // New returns an engine that refuses every request until Install.
 func New(cfg Config) *Engine {
-	return &Engine{cfg: cfg, sends: work.NewPool(send.perform), ending: make(chan struct{})}
+	e := &Engine{cfg: cfg, ending: make(chan struct{})}
+	e.sends = work.NewPool(e.perform)
+	return e
 }
 
 // EndAll gives every request under way its final answer now, and every later one: the
@@ -145,30 +153,26 @@
 	return e.newRun(a, entry, req).do(ctx)
 }
 
-// limits returns how many connections this daemon may have open to a leaf of each
-// service. The leaf's own limit is for all daemons together. Two are kept at
-// least: with one, a request behind a straggler could not be sent at all.
-func (e *Engine) limits(a *active) func(service string) int {
+// limits returns how many connections this daemon may have open to each leaf. The leaf's
+// own limit is for all daemons together.
+func (e *Engine) limits(a *active) func(*discovery.Leaf) int {
 	n := e.cfg.Senders()
 	if n <= 0 {
 		n = unknownDaemons
 	}
-	return func(service string) int {
-		s, ok := a.table.Service(service)
-		if !ok || s.Connections <= 0 {
-			return unstatedConnections
+	return func(l *discovery.Leaf) int {
+		s, ok := a.table.Service(l.Service)
+		if !ok {
+			return policy.LeastConnections
 		}
-		return max(leastConnections, int(connectionUse*float64(s.Connections)/float64(n)))
+		sharing := policy.Sharing{Daemons: n, Local: l.Domain == e.cfg.Board.domain}
+		if e.cfg.Near != nil && a.table.IsShard(l.Service) {
+			sharing.Delegated, sharing.Near = true, e.cfg.SendersIn(l.Domain)
+		}
+		return policy.Connections(s.Connections, sharing)
 	}
 }
 
-const (
-	unstatedConnections = 8
-	leastConnections    = 2
-	// connectionUse leaves room for daemons that have just joined.
-	connectionUse = 0.9
-)
-
 // Tend adjusts links to the newest leaves and membership until ctx ends.
 func (e *Engine) Tend(ctx context.Context) {
 	for vm.Sleep(ctx, tendEvery) {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -49,22 +49,24 @@
 	req   *Request
 	send  target.Request // what goes to every leaf
 
-	shards   []shard
-	need     int // parts
-	have     int
-	top      top
-	results  chan result
-	over     chan struct{} // closed when do returns
-	end      time.Time     // final answer at the latest
-	answerBy time.Time     // with the parts there are, if they are enough
-	hedgeAt  time.Time
-	due      bool // answerBy has passed
-	hedges   int
-	sends    int
-	denied   int // further sends that the budget did not allow
-	verdict  contract.Verdict
-	last     *target.Reply
-	lastErr  *contract.Error
+	shards    []shard
+	need      int // parts
+	have      int
+	batches   []*batch
+	delegated int // first sends asked for at other daemons
+	results   chan result
+	over      chan struct{} // closed when do returns
+	end       time.Time     // final answer at the latest
+	answerBy  time.Time     // with the parts there are, if they are enough
+	hedgeAt   time.Time
+	lateAt    time.Time // the first hedgeAt
+	due       bool      // answerBy has passed
+	hedges    int
+	sends     int
+	denied    int // further sends that the budget did not allow
+	verdict   contract.Verdict
+	last      *target.Reply
+	lastErr   *contract.Error
 }
 
 // shard is one service that is to answer.
@@ -76,6 +78,8 @@
 	runs    int // that may have run
 	tries   int
 	stamp   string
+	body    []byte   // of the part, where it came alone
+	set     *partSet // where it came merged with others
 	done    bool
 	stuck   bool      // there is no leaf to send to now
 	gone    bool      // because none could be connected to
@@ -85,8 +89,9 @@
 }
 
 type flight struct {
-	call *target.Call
-	leaf *discovery.Leaf
+	call  *target.Call
+	leaf  *discovery.Leaf
+	batch *batch // of the daemon that is asked for it; nil: this one sends itself
 }
 
 type result struct {
@@ -95,6 +100,9 @@
 	leaf  *discovery.Leaf
 	reply *target.Reply
 	err   *contract.Error
+	took  time.Duration
+	set   *partSet // the parts that it came merged with; nil: it came alone
+	with  []result // those that came with it. Taken one by one, an answer between two of them would hold records of parts that it does not name
 }
 
 func (e *Engine) newRun(a *active, entry *route.Entry, req *Request) *run {
@@ -105,7 +113,6 @@
 			r.shards[i].service = s
 		}
 		r.need = max(1, ceilShare(entry.LeastCoverage, len(r.shards)))
-		r.top.k = entry.Top
 	} else {
 		r.shards = []shard{{service: entry.Pick()}}
 		r.need = 1
@@ -144,6 +151,7 @@
 		r.answerBy = r.end
 	}
 	r.hedgeAt = r.req.Arrived.Add(r.lateAfter())
+	r.lateAt = r.hedgeAt
 }
 
 // lateAfter returns the time after which a reply is late enough for a second send.
@@ -184,8 +192,8 @@
 	defer close(r.over)
 	for i := range r.shards {
 		r.e.cfg.Budgets.Request(r.shards[i].service)
-		r.launch(i, false)
 	}
+	r.launchAll()
 	timer := time.NewTimer(time.Until(r.next()))
 	defer timer.Stop()
 	for {
@@ -198,6 +206,9 @@
 		select {
 		case res := <-r.results:
 			r.take(res)
+			for _, w := range res.with {
+				r.take(w)
+			}
 		case <-timer.C:
 			r.wake(time.Now())
 		case <-r.e.ending:
@@ -252,7 +263,8 @@
 	if !r.entry.Repeatable || r.send.Stream != nil {
 		return
 	}
-	if missing := len(r.shards) - r.have; missing > hedgeFew && missing > len(r.shards)/hedgeMost {
+	missing := len(r.shards) - r.have - r.sendForSilent(now)
+	if missing > hedgeFew && missing > len(r.shards)/hedgeMost {
 		if again := now.Add(hedgeAgain); again.Before(r.end) {
 			r.hedgeAt = again
 			return
@@ -263,6 +275,44 @@
 		if s.done || len(s.flights) != 1 || !r.mayRepeat(s) {
 			continue
 		}
+		if s.unheard() {
+			r.hedgeAt = now.Add(hedgeAgain)
+			continue
+		}
 		r.launch(i, true)
 	}
 }
+
+// sendForSilent sends directly for the shards of daemons from which nothing has come
+// although the first parts are overdue, and returns how many of these are still missing.
+func (r *run) sendForSilent(now time.Time) int {
+	n := 0
+	for _, b := range r.batches {
+		first := !b.given && b.silent(now, r.lateAt)
+		if first {
+			b.given = true
+			r.e.cfg.Near.Suspect(b.addr)
+		}
+		if !b.given {
+			continue
+		}
+		for k := range b.sends {
+			i := b.sends[k].shard
+			s := &r.shards[i]
+			if s.done {
+				continue
+			}
+			n++
+			if first && len(s.flights) == 1 && r.mayRepeat(s) {
+				r.launch(i, true)
+			}
+		}
+	}
+	return n
+}
+
+// unheard reports whether a shard's one send is with a daemon whose first word is
+// still to come.
+func (s *shard) unheard() bool {
+	return len(s.flights) == 1 && s.flights[0].batch != nil && !s.flights[0].batch.heard
+}
--- /dev/null
+++ b/internal/forward/scatter.go
@@ -0,0 +1,193 @@
+package forward
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"pearmoor/internal/contract"
+	"pearmoor/internal/discovery"
+	"pearmoor/internal/link/target"
+	"pearmoor/internal/link/wire"
+)
+
+// Scatterer sends to leaves for gathers of other daemons. It implements
+// wire.DRPCGatherServer.
+//
+// It makes the sends it is asked for, each once: the daemon that has the gather decides
+// on further ones, since it alone knows what the whole still needs and may spend.
+type Scatterer struct{ e *Engine }
+
+// Scatterer returns what answers other daemons.
+func (e *Engine) Scatterer() *Scatterer { return &Scatterer{e} }
+
+// scatter is one such request under way.
+type scatter struct {
+	e       *Engine
+	a       *active
+	req     *wire.ScatterRequest
+	send    target.Request
+	usual   time.Duration
+	calls   []*target.Call
+	results chan result // result.shard is the place in the request
+	over    chan struct{}
+}
+
+var (
+	errNotHere     = errors.New("forward: the leaf is not known here, or leaves")
+	errNoTableHere = errors.New("forward: this daemon has no configuration")
+)
+
+// Scatter implements wire.DRPCGatherServer. What is there when the first parts are wanted
+// goes back together, and what comes later as it comes.
+func (s *Scatterer) Scatter(stream wire.DRPCGather_ScatterStream) error {
+	req, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	sc := &scatter{
+		e: s.e, a: s.e.active.Load(), req: req, usual: time.Duration(req.UsualUs) * time.Microsecond,
+		results: make(chan result, len(req.Sends)), over: make(chan struct{}),
+		calls: make([]*target.Call, len(req.Sends)),
+		send: target.Request{
+			Dialect: s.e.cfg.Dialect, Method: req.Method, ID: req.Id, Head: req.Head, Body: req.Body,
+			Deadline:   now.Add(time.Duration(req.LeftUs) * time.Microsecond),
+			Repeatable: true, BodyLimit: partLimit, WholeOnly: true,
+		},
+	}
+	defer sc.end()
+	left := make(chan struct{})
+	go func() {
+		_, _ = stream.Recv() // the asking daemon has closed its side, or is gone
+		close(left)
+	}()
+	sc.launch()
+	return sc.answer(stream, left, now.Add(time.Duration(req.FirstUs)*time.Microsecond))
+}
+
+func (sc *scatter) launch() {
+	snap := sc.e.cfg.Book.Snapshot()
+	for i, want := range sc.req.Sends {
+		call := &target.Call{}
+		sc.calls[i] = call
+		leaf, ok := snap.Find(want.Leaf)
+		switch {
+		case sc.a == nil:
+			sc.results <- result{shard: i, call: call, err: contract.Refuse(contract.ReasonUnconfirmed, errNoTableHere)}
+			continue
+		case !ok || leaf.Life() != (discovery.Life{ID: want.Leaf, Born: want.Born}) || leaf.Draining || leaf.Service != want.Service:
+			sc.results <- result{shard: i, call: call, err: contract.Refuse(contract.ReasonNoReplica, errNotHere)}
+			continue
+		}
+		link := sc.e.cfg.Board.Link(leaf, sc.e.limits(sc.a))
+		sc.e.sends.Run(send{to: sc, request: &sc.send, i: i, leaf: leaf, link: link, call: call})
+	}
+}
+
+// deliver implements sender.
+func (sc *scatter) deliver(res result) {
+	select {
+	case sc.results <- res:
+	case <-sc.over:
+	}
+}
+
+// learner implements sender: how long replies to this route usually take.
+func (sc *scatter) learner() (time.Duration, *Pace) { return sc.usual, nil }
+
+// end lets go of what is still under way.
+func (sc *scatter) end() {
+	close(sc.over)
+	for _, c := range sc.calls {
+		if c != nil {
+			c.Abandon(linger)
+		}
+	}
+}
+
+func (sc *scatter) answer(stream wire.DRPCGather_ScatterStream, left <-chan struct{}, first time.Time) error {
+	timer := time.NewTimer(time.Until(first))
+	defer timer.Stop()
+	var batch []result
+	due := false
+	for open := len(sc.calls); open > 0; {
+		select {
+		case res := <-sc.results:
+			batch = append(batch, res)
+			open--
+			batch, open = sc.more(batch, open)
+		case <-timer.C:
+			due = true
+		case <-left:
+			return nil
+		case <-stream.Context().Done():
+			return nil
+		case <-sc.e.ending:
+			return errors.New("forward: the daemon stops")
+		}
+		if len(batch) > 0 && (due || open == 0) {
+			if err := stream.Send(sc.reply(batch)); err != nil {
+				return err
+			}
+			batch = batch[:0]
+		}
+	}
+	return nil
+}
+
+// more takes what else is there already.
+func (sc *scatter) more(batch []result, open int) ([]result, int) {
+	for {
+		select {
+		case res := <-sc.results:
+			batch = append(batch, res)
+			open--
+		default:
+			return batch, open
+		}
+	}
+}
+
+// reply tells of a batch of sends and merges their parts.
+func (sc *scatter) reply(batch []result) *wire.ScatterReply {
+	out := &wire.ScatterReply{Ends: make([]*wire.PartEnd, 0, len(batch))}
+	merged := top{k: int(sc.req.Top)}
+	for i := range batch {
+		res := &batch[i]
+		e := &wire.PartEnd{Send: uint32(res.shard), TookUs: micros(res.took)}
+		if res.err != nil {
+			e.Verdict, e.Reason = uint32(res.err.Verdict), string(res.err.Reason)
+			if res.err.Cause != nil {
+				e.Cause, e.Stale = res.err.Cause.Error(), isStale(res.err)
+			}
+			sc.logFailed(res)
+		} else {
+			e.Status, e.Refused = uint32(res.reply.Status), res.reply.Refused
+			if res.reply.HasLoad {
+				l := res.reply.Load
+				e.HasLoad, e.Running, e.Waiting, e.Slots, e.Pace = true, uint32(l.Running), uint32(l.Waiting), uint32(l.Slots), float32(l.Pace)
+			}
+			if isPart(res.reply) {
+				e.Stamp = res.reply.Stamp
+				merged.add(res.reply.Body)
+			}
+		}
+		out.Ends = append(out.Ends, e)
+	}
+	out.Records = merged.bytes()
+	return out
+}
+
+// isPart reports whether a leaf's reply may be a part of a merged answer.
+func isPart(r *target.Reply) bool { return r.OK() && !r.Refused && r.Stamp != "" }
+
+func (sc *scatter) logFailed(res *result) {
+	l := sc.e.cfg.Log.Line("scatter", "send failed").Str("id", sc.req.Id).Str("service", sc.req.Sends[res.shard].Service).
+		Str("leaf", sc.req.Sends[res.shard].Leaf)
+	l.Str("verdict", res.err.Verdict.String()).Str("reason", string(res.err.Reason)).Err(res.err.Cause).End()
+}
+
+// statusOK reports whether a status tells of a leaf that is well.
+func statusOK(status int) bool { return status < http.StatusInternalServerError }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -6,7 +6,9 @@
 
 	"pearmoor/internal/contract"
 	"pearmoor/internal/discovery"
+	"pearmoor/internal/link/peer"
 	"pearmoor/internal/link/target"
+	"pearmoor/internal/vm"
 )
 
 func (r *run) attempts() int { return max(1, r.entry.Attempts) }
@@ -25,6 +27,13 @@
 		return
 	}
 	s.listed = true
+	r.sendTo(i, leaf, hedge)
+}
+
+// sendTo sends to a leaf, if this is the first send of the shard or the budget allows a
+// further one.
+func (r *run) sendTo(i int, leaf *discovery.Leaf, hedge bool) {
+	s := &r.shards[i]
 	if s.sends+len(s.flights) > 0 && !r.e.cfg.Budgets.Spend(s.service, hedge) {
 		r.denied++
 		if !hedge {
@@ -32,17 +41,24 @@
 		}
 		return
 	}
-	link := r.e.cfg.Board.Link(leaf, func(service string) int { return r.e.limits(r.a)(service) })
+	link := r.e.cfg.Board.Link(leaf, r.e.limits(r.a))
 	call := &target.Call{}
-	s.flights = append(s.flights, flight{call, leaf})
-	s.tried = append(s.tried, leaf)
-	s.tries++
-	s.stuck = false
-	r.sends++
+	r.started(i, flight{call: call, leaf: leaf})
 	if hedge {
 		r.hedges++
 	}
-	r.e.sends.Run(send{r, i, leaf, link, call})
+	r.e.sends.Run(send{to: r, request: &r.send, i: i, leaf: leaf, link: link, call: call})
+}
+
+// started counts a send as under way.
+func (r *run) started(i int, f flight) {
+	s := &r.shards[i]
+	s.flights = append(s.flights, f)
+	s.tried = append(s.tried, f.leaf)
+	s.tries++
+	s.stuck = false
+	s.listed = true
+	r.sends++
 }
 
 // roundOver makes a shard wait after every leaf was tried, a little longer each
@@ -73,53 +89,99 @@
 	r.roundOver(s)
 }
 
+// sender is who wants to know how a send ended.
+type sender interface {
+	deliver(result)
+	// learner returns how long replies usually take, and what learns from this one, nil
+	// for nothing.
+	learner() (usual time.Duration, pace *Pace)
+}
+
 // send is one request on its way to a leaf.
 type send struct {
-	r    *run
-	i    int
-	leaf *discovery.Leaf
-	link *target.Link
-	call *target.Call
+	to      sender
+	request *target.Request
+	i       int // which one, for the sender
+	leaf    *discovery.Leaf
+	link    *target.Link
+	call    *target.Call
 }
 
 // perform sends and tells what is learned from it.
-func (s send) perform() {
-	r, i, leaf, link, call := s.r, s.i, s.leaf, s.link, s.call
-	board := r.e.cfg.Board
-	life := leaf.Life()
-	began := board.Begin(life)
-	reply, err := link.Do(call, &r.send)
-	took := r.e.cfg.Clock().Sub(began)
-	usual := r.know.pace.Usual()
-	out := r.learned(reply, err)
-	board.End(life, began, out, usual, reply)
+func (e *Engine) perform(s send) {
+	began := e.cfg.Board.Begin(s.leaf.Life())
+	reply, err := s.link.Do(s.call, s.request)
+	took := e.cfg.Clock().Sub(began)
+	out := learnedOf(err)
+	if err == nil {
+		out = learnedFrom(reply)
+	}
+	usual, pace := s.to.learner()
+	e.note(noted{leaf: s.leaf, began: began, took: took, out: out, usual: usual, reply: reply, fault: err, pace: pace})
+	s.to.deliver(result{shard: s.i, call: s.call, leaf: s.leaf, reply: reply, err: err, took: took})
+}
+
+// noted is the end of a send, for what is learned from it.
+type noted struct {
+	leaf  *discovery.Leaf
+	began vm.Instant
+	took  time.Duration
+	out   outcome
+	usual time.Duration // of pace, where that is nil
+	reply *target.Reply
+	fault *contract.Error
+	pace  *Pace // of the route; nil: not known here
+	away  bool  // another daemon made the send
+}
+
+// note learns from the end of a send.
+func (e *Engine) note(n noted) {
+	board, life := e.cfg.Board, n.leaf.Life()
+	if n.pace != nil {
+		n.usual = n.pace.Usual()
+	}
+	board.End(life, n.began, n.took, n.out, n.usual, n.reply)
 	switch {
-	case out == replied, out == overdue:
-		r.know.pace.Observe(took)
-	case out == unlearned && err != nil && err.Reason == contract.ReasonTargetFailed:
+	case n.out == replied, n.out == overdue:
+		if n.pace != nil {
+			n.pace.Observe(n.took)
+		}
+	case n.out == unlearned && n.fault != nil && n.fault.Reason == contract.ReasonTargetFailed && (!n.away || n.fault.Verdict == contract.NotRun):
 		board.Unreachable(life)
-	case reply != nil && reply.Status == http.StatusMisdirectedRequest:
+	case n.reply != nil && n.reply.Status == http.StatusMisdirectedRequest:
 		board.Misplaced(life)
 	}
+}
+
+// deliver implements sender.
+func (r *run) deliver(res result) {
 	select {
-	case r.results <- result{i, call, leaf, reply, err}:
+	case r.results <- res:
 	case <-r.over:
-		if reply != nil && reply.Rest != nil {
-			reply.Rest.Close()
+		if res.reply != nil && res.reply.Rest != nil {
+			res.reply.Rest.Close()
 		}
 	}
 }
 
-// learned says what an exchange tells of the leaf.
-func (r *run) learned(reply *target.Reply, err *contract.Error) outcome {
+// learner implements sender.
+func (r *run) learner() (time.Duration, *Pace) { return 0, &r.know.pace }
+
+// learnedFrom says what a reply tells of the leaf.
+func learnedFrom(reply *target.Reply) outcome {
 	switch {
-	case err == nil && r.e.cfg.Dialect.Refused(reply):
+	case reply.Refused:
 		return rejected
-	case err == nil && reply.Status < http.StatusInternalServerError:
+	case statusOK(reply.Status):
 		return replied
-	case err == nil:
-		return failed
-	case err.Verdict == contract.NotRun:
+	}
+	return failed
+}
+
+// learnedOf says what an exchange without a reply tells of the leaf.
+func learnedOf(err *contract.Error) outcome {
+	switch {
+	case err == nil, err.Verdict == contract.NotRun:
 		return unlearned
 	case err.Reason == contract.ReasonDeadline:
 		return overdue
@@ -134,14 +196,15 @@
 	s := &r.shards[res.shard]
 	for k, f := range s.flights {
 		if f.call == res.call {
+			if f.batch != nil {
+				f.batch.heard = true
+			}
 			s.flights = append(s.flights[:k], s.flights[k+1:]...)
 			break
 		}
 	}
 	if s.done {
-		if res.reply != nil && res.reply.Rest != nil {
-			res.reply.Rest.Close()
-		}
+		r.late(s, &res)
 		return
 	}
 	r.count(s, &res)
@@ -156,10 +219,43 @@
 	r.failed(res.shard, &res)
 }
 
+// late handles the end of a send for a shard that has its part already. The records of
+// a part that came merged with others can't be told apart: it takes the place of the
+// one that is there.
+func (r *run) late(s *shard, res *result) {
+	switch {
+	case res.reply == nil:
+	case res.reply.Rest != nil:
+		res.reply.Rest.Close()
+	case res.set != nil && isPart(res.reply):
+		if res.set.spoiled || res.reply.Stamp != s.stamp && r.hasStamp(res.reply.Stamp) {
+			r.spoil(res.set)
+			return
+		}
+		s.stamp, s.body, s.set = res.reply.Stamp, nil, res.set
+	}
+}
+
+// spoil gives up parts that came merged, since one of them bears the signature of
+// another part: an answer that names it twice would be wrong as a whole.
+func (r *run) spoil(set *partSet) {
+	set.spoiled = true
+	for i := range r.shards {
+		s := &r.shards[i]
+		if s.done && s.set == set {
+			s.done, s.set, s.stamp = false, nil, ""
+			r.have--
+			if len(s.flights) == 0 {
+				r.again(i)
+			}
+		}
+	}
+}
+
 // count keeps what the sends so far allow.
 func (r *run) count(s *shard, res *result) {
 	switch {
-	case res.err == nil && r.e.cfg.Dialect.Refused(res.reply):
+	case res.err == nil && res.reply.Refused:
 		s.sends++
 	case res.err == nil:
 		s.sends++
@@ -174,7 +270,7 @@
 
 // accept takes a reply as the shard's.
 func (r *run) accept(s *shard, res *result) bool {
-	if res.err != nil || r.e.cfg.Dialect.Refused(res.reply) {
+	if res.err != nil || res.reply.Refused {
 		return false
 	}
 	reply := res.reply
@@ -186,11 +282,16 @@
 		r.last = reply
 		return true
 	}
-	if !reply.OK() || reply.Stamp == "" || r.hasStamp(reply.Stamp) {
+	if !isPart(reply) {
 		return false
 	}
-	s.stamp = reply.Stamp
-	r.top.add(reply.Body)
+	if twice := r.hasStamp(reply.Stamp); twice || res.set != nil && res.set.spoiled {
+		if res.set != nil {
+			r.spoil(res.set)
+		}
+		return false
+	}
+	s.stamp, s.body, s.set = reply.Stamp, reply.Body, res.set
 	return true
 }
 
@@ -219,19 +320,29 @@
 	}
 	r.logFailed(s, res)
 	s.gone = res.err != nil && res.err.Verdict == contract.NotRun && res.err.Reason == contract.ReasonTargetFailed
-	notRun := res.err != nil && res.err.Verdict == contract.NotRun || res.err == nil && r.e.cfg.Dialect.Refused(res.reply)
+	notRun := res.err != nil && res.err.Verdict == contract.NotRun || res.err == nil && res.reply.Refused
 	switch {
 	case len(s.flights) > 0:
 		return
-	case s.runs > 0 && !r.mayRepeat(s), s.tries >= mostSends, r.send.Stream != nil && !notRun:
-		s.end()
-		return
-	case r.send.Stream != nil && res.err == nil:
+	case r.send.Stream != nil && (!notRun || res.err == nil):
 		s.end() // part of the body is gone
 		return
 	case isStale(res.err) && r.entry.Repeatable:
 		// The leaf itself is well: it only dropped a connection.
 		s.tried = nil
+	case res.set != nil && notRun || res.err != nil && peer.NotSent(res.err.Cause):
+		// Another daemon could not send there; this one may.
+		s.tried = nil
+	}
+	r.again(i)
+}
+
+// again sends once more for a shard without a send under way, if it may be.
+func (r *run) again(i int) {
+	s := &r.shards[i]
+	if s.runs > 0 && !r.mayRepeat(s) || s.tries >= mostSends {
+		s.end()
+		return
 	}
 	r.launch(i, false)
 }
--- a/internal/link/target/dialect.go
+++ b/internal/link/target/dialect.go
@@ -37,6 +37,9 @@
 	Load       Load
 	HasLoad    bool
 	RetryAfter time.Duration // 0: not stated
+	// Refused says that the reply proves that the leaf did not run the request: it says
+	// so itself, or it is another leaf than the request is for.
+	Refused bool
 }
 
 // OK reports whether the leaf ran the request with success.
--- a/internal/link/target/exchange.go
+++ b/internal/link/target/exchange.go
@@ -120,7 +120,7 @@
 var errAbandoned = errors.New("target: the caller gave up before anything was sent")
 
 // Do performs one exchange. Its error's verdict is NotRun only if nothing was
-// written; whether a reply says that the leaf ran nothing is for Refused.
+// written; whether a reply says that the leaf ran nothing is in its Refused.
 func (l *Link) Do(call *Call, req *Request) (*Reply, *contract.Error) {
 	maxIdle := time.Duration(0)
 	if !req.Repeatable {
@@ -297,6 +297,7 @@
 	out := &Reply{
 		Status: resp.StatusCode, Header: resp.Header,
 		Stamp: resp.Header.Get(d.Stamp), RetryAfter: retryAfter(resp.Header),
+		Refused: resp.StatusCode == http.StatusMisdirectedRequest || resp.Header.Get(d.NotRun) != "",
 	}
 	if v := resp.Header.Get(d.Load); v != "" {
 		out.Load, out.HasLoad = d.ParseLoad(v)
@@ -398,9 +399,3 @@
 	}
 	return time.Duration(min(s, longestRetryAfter.Seconds()) * float64(time.Second))
 }
-
-// Refused reports whether a reply proves that the leaf did not run the request:
-// it says so itself, or it is another leaf than the request is for.
-func (d *Dialect) Refused(r *Reply) bool {
-	return r.Status == http.StatusMisdirectedRequest || http.Header(r.Header).Get(d.NotRun) != ""
-}
