relay, discovery, entryvm: from power to answers

Cause: after a restart of everything daemons waited for addresses that were not up yet, one after the other (0.2 s pauses, 0.25 s jitter, 0.25 s after a refused dial, calls to a VM without power for their whole time): configuration and leaves 0.6 to 0.8 s after the start. Change: several addresses are asked beside one another, seeds do not hold one another up, a refused dial pauses for 40 ms, control VMs ask themselves first. Also: even shares of connections again, and when a reply is late is learned without those of slow leaves. Ruled out: the same for daemons of the agreed JSON path (a property test of shares failed and 908 calls a second met the leader in the restart test): it is a setting of the entry.

--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -11,6 +11,7 @@
 	"pearmoor/internal/link/wire"
 	"pearmoor/internal/relay"
 	"pearmoor/internal/vm"
+	"pearmoor/internal/work"
 )
 
 // Config is what a Finder needs.
@@ -158,8 +159,26 @@
 	f.unreadable = now
 }
 
+// first asks for the list that a daemon starts with, at one daemon more every
+// watchRetry, until there is one: some of those it knows may not be up yet, and a call
+// to a VM without power ends only with its time.
+func (f *Finder) first(ctx context.Context) {
+	var asked work.Each
+	defer asked.Wait()
+	for ctx.Err() == nil && !f.book.Known() {
+		for _, addr := range f.cfg.Upstreams() {
+			// An error is met again, and told, by the watch that follows.
+			if asked.Go(addr, func() { _, _ = f.watchOnce(ctx, addr) }) {
+				break
+			}
+		}
+		vm.Sleep(ctx, watchRetry/2)
+	}
+}
+
 // watch asks another daemon for news while this one is not the reader.
 func (f *Finder) watch(ctx context.Context) {
+	f.first(ctx)
 	next := 0
 	for ctx.Err() == nil {
 		ups := f.cfg.Upstreams()
--- a/internal/entryvm/contacts.go
+++ b/internal/entryvm/contacts.go
@@ -10,14 +10,17 @@
 
 	"pearmoor/internal/link/wire"
 	"pearmoor/internal/vm"
+	"pearmoor/internal/work"
 )
 
 const (
 	// tellEvery is how often a control VM tells the seeds where the group is.
 	tellEvery = time.Second
 	// askEvery is how often a daemon that knows no configuration, or was not
-	// confirmed for lostAfter, asks the seeds.
-	askEvery  = 200 * time.Millisecond
+	// confirmed for lostAfter, asks the seeds, and how often a control VM tries to tell
+	// those that it could not reach yet. In a restart of everything the VMs are back
+	// within half a second of one another, and none knows when the others are.
+	askEvery  = 50 * time.Millisecond
 	lostAfter = 3 * time.Second
 	// exchangeTime bounds one exchange; a seed that is lost must not hold up the
 	// others.
@@ -97,44 +100,49 @@
 }
 
 // findGroup tells the seeds where the control group is, or asks them, until ctx
-// ends.
+// ends. A seed that does not answer holds up nobody but itself.
 func (v *VM) findGroup(ctx context.Context) {
+	var asked work.Each
+	defer asked.Wait()
+	var told sync.Map // by seed: when it was told last
 	for ctx.Err() == nil {
 		group, member := v.group()
 		if member || v.lost() {
-			v.exchangeAll(ctx, group, member)
-		}
-		pause := askEvery
-		if member {
-			pause = tellEvery
+			for _, addr := range *v.seeds.Load() {
+				v.exchangeWith(ctx, &asked, &told, addr, group, member)
+			}
 		}
-		vm.Sleep(ctx, pause)
+		vm.Sleep(ctx, askEvery)
 	}
 }
 
+// exchangeWith speaks to a seed unless a call to it is under way, it is of the group
+// already, or it was told a moment ago.
+func (v *VM) exchangeWith(ctx context.Context, asked *work.Each, told *sync.Map, addr string, group []string, member bool) {
+	if addr == v.conf.PeerAddr || member && slices.Contains(group, addr) {
+		return
+	}
+	if at, ok := told.Load(addr); member && ok && vm.Monotonic().Sub(at.(vm.Instant)) < tellEvery {
+		return
+	}
+	asked.Go(addr, func() {
+		reply, err := v.exchange(ctx, addr, group, member)
+		switch {
+		case err != nil:
+		case member:
+			told.Store(addr, vm.Monotonic())
+		default:
+			v.learn(reply.Control)
+		}
+	})
+}
+
 // lost reports whether this daemon has not found the group.
 func (v *VM) lost() bool {
 	view := v.client.Current()
 	return view.Tree == nil || vm.Now().Sub(view.Lease) > lostAfter
 }
 
-// exchangeAll speaks to every seed that is not of the group already.
-func (v *VM) exchangeAll(ctx context.Context, group []string, member bool) {
-	var wg sync.WaitGroup
-	for _, addr := range *v.seeds.Load() {
-		if addr == v.conf.PeerAddr || member && slices.Contains(group, addr) {
-			continue
-		}
-		wg.Go(func() {
-			reply, err := v.exchange(ctx, addr, group, member)
-			if err == nil && !member {
-				v.learn(reply.Control)
-			}
-		})
-	}
-	wg.Wait()
-}
-
 func (v *VM) exchange(ctx context.Context, addr string, group []string, member bool) (*wire.ContactsReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTime)
 	defer cancel()
@@ -167,7 +175,7 @@
 		if allSaid(disk, seeds) {
 			return out
 		}
-		vm.Sleep(ctx, askEvery/4)
+		vm.Sleep(ctx, askEvery)
 	}
 	return nil
 }
--- a/internal/entryvm/steer.go
+++ b/internal/entryvm/steer.go
@@ -96,18 +96,3 @@
 	}
 	return max(idleSharers*len(ms.Members), 1)
 }
-
-// sendersIn returns how many daemons that take callers are in a failure domain.
-func (v *VM) sendersIn(domain string) int {
-	ms := v.client.Current().Members()
-	if ms == nil {
-		return 0
-	}
-	n := 0
-	for _, m := range v.takers(ms) {
-		if m.Domain == domain {
-			n++
-		}
-	}
-	return n
-}
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -57,7 +57,7 @@
 		Millicores: conf.Millicores,
 	}
 	v.client = relay.NewClient(relay.Config{
-		Self: self, Control: v.contacts(), Conns: v.controlConns, Clock: vm.Now, Restarts: true,
+		Self: self, Control: v.contacts(), Conns: v.controlConns, Clock: vm.Now, Restarts: true, Eager: true,
 		Interval: heartbeatEvery,
 	})
 	v.book = discovery.NewBook(vm.Monotonic)
@@ -69,7 +69,7 @@
 	}, v.book)
 	v.engine = forward.New(forward.Config{
 		Clock: vm.Monotonic, Dialect: conf.Dialect, Book: v.book, Board: forward.NewBoard(vm.Monotonic, conf.Domain), Log: conf.Log, Senders: v.senders,
-		SendersIn: v.sendersIn, Near: newNearDaemons(v),
+		Near:    newNearDaemons(v),
 		Budgets: forward.NewBudgets(conf.Budget, vm.Monotonic, v.senders),
 	})
 	v.server = forward.NewServer(&forward.Handler{Engine: v.engine, Dialect: conf.Dialect, Log: conf.Log, Draining: v.draining.Load})
@@ -93,6 +93,9 @@
 			if err := v.serveNode(n); err != nil {
 				klog.Errorf("entry: control is not served: %v", err)
 			}
+			if n != nil {
+				v.client.SetSeeds(v.contacts())
+			}
 		},
 	})
 }
@@ -128,14 +131,19 @@
 	}
 }
 
-// contacts returns where the control group may be found, best first. A VM with a
-// disk may be of the group itself, and comes last.
+// contacts returns where the control group may be found, best first. A VM that holds a
+// place in it comes first, as it has what the group agreed on before it started; one
+// with a disk that may come to hold one comes last.
 func (v *VM) contacts() []string {
 	var out []string
+	if v.node() != nil {
+		out = append(out, v.conf.PeerAddr)
+	}
+	var known []string
 	if v.client != nil {
-		out = v.client.Upstreams()
+		known = v.client.Upstreams()
 	}
-	for _, s := range slices.Concat(v.heard.list(), *v.seeds.Load()) {
+	for _, s := range slices.Concat(known, v.heard.list(), *v.seeds.Load()) {
 		if !slices.Contains(out, s) {
 			out = append(out, s)
 		}
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -28,8 +28,6 @@
 	// Senders returns among how many daemons what is shared by those that send to leaves
 	// is divided, 0 while that is not known.
 	Senders func() int
-	// SendersIn returns how many daemons in a failure domain send to leaves.
-	SendersIn func(domain string) int
 	// Near finds daemons near leaves; nil: every part is asked for directly.
 	Near Near
 }
@@ -161,15 +159,11 @@
 		n = unknownDaemons
 	}
 	return func(l *discovery.Leaf) int {
-		s, ok := a.table.Service(l.Service)
-		if !ok {
-			return policy.LeastConnections
+		most := 0
+		if s, ok := a.table.Service(l.Service); ok {
+			most = s.Connections
 		}
-		sharing := policy.Sharing{Daemons: n, Local: l.Domain == e.cfg.Board.domain}
-		if e.cfg.Near != nil && a.table.IsShard(l.Service) {
-			sharing.Delegated, sharing.Near = true, e.cfg.SendersIn(l.Domain)
-		}
-		return policy.Connections(s.Connections, sharing)
+		return policy.Connections(most, n)
 	}
 }
 
--- a/internal/forward/pace.go
+++ b/internal/forward/pace.go
@@ -23,8 +23,16 @@
 	high    float64 // ns, quantile highQuantile
 }
 
-// highQuantile is the quantile after which a reply counts as late.
-const highQuantile = 0.9
+const (
+	// highQuantile is the quantile after which a reply counts as late.
+	highQuantile = 0.9
+	// trimAt is the multiple of the median beyond which a reply tells nothing of when
+	// others are late: its leaf pauses or is slow. While all leaves of a sixth of the
+	// shards take ten times as long, the quantile of all replies is that of the slow
+	// ones, and second sends to the other shards, which the answer needs all the more,
+	// went out at the last moment.
+	trimAt = 4
+)
 
 // Observe adds a reply time.
 func (p *Pace) Observe(d time.Duration) {
@@ -41,7 +49,9 @@
 		share = 4 * stepShare
 	}
 	p.median = stepTo(p.median, x, 0.5, share)
-	p.high = max(stepTo(p.high, x, highQuantile, share), p.median)
+	if x <= trimAt*p.median {
+		p.high = max(stepTo(p.high, x, highQuantile, share), p.median)
+	}
 }
 
 func stepTo(est, x, quantile, share float64) float64 {
--- a/internal/link/peer/dial.go
+++ b/internal/link/peer/dial.go
@@ -17,11 +17,12 @@
 const dialTimeout = time.Second
 
 // connectAgain is the time after which another connection is tried beside those that
-// have not come about yet. The kernel repeats a lost opening packet after a second,
-// and one that comes to a VM which is only starting is lost: after a power cut of
-// all VMs, daemons that were up before the control VMs got the list of leaves 0.6 to
-// 0.8 s after these had it. A VM that is lost for good costs five packets a call.
-const connectAgain = 200 * time.Millisecond
+// have not come about yet, doubled with each. The kernel repeats a lost opening packet
+// after a second, and one that comes to a VM which is only starting is lost: after a
+// power cut of all VMs, daemons that were up before the control VMs got the list of
+// leaves 0.6 to 0.8 s after these had it. A VM that is lost for good costs five packets
+// a call.
+const connectAgain = 50 * time.Millisecond
 
 // softCancelGrace lets a request that is still being written finish, so that
 // cancelling it does not cost the connection.
@@ -93,7 +94,8 @@
 			}
 		}
 	}
-	again := time.NewTicker(connectAgain)
+	pause := connectAgain
+	again := time.NewTimer(pause)
 	defer again.Stop()
 	go try()
 	for open := 1; ; {
@@ -105,6 +107,8 @@
 		case <-again.C:
 			open++
 			go try()
+			pause *= 2
+			again.Reset(pause)
 		}
 	}
 }
--- a/internal/link/peer/health.go
+++ b/internal/link/peer/health.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,6 +12,10 @@
 const (
 	// dialPause is how long an address that could not be dialed is left alone.
 	dialPause = 250 * time.Millisecond
+	// refusedPause is the same for one that refused: the VM is there, only its process
+	// is not yet, and a dial that is refused holds nobody up. After a restart of
+	// everything the daemons that are up first ask those that are not.
+	refusedPause = 40 * time.Millisecond
 	// slowDial is the time after which a dial that its caller gave up on counts
 	// against the address, and not against the caller's short deadline.
 	slowDial = 200 * time.Millisecond
@@ -53,6 +58,8 @@
 		h.failure = nil
 	case ctx.Err() != nil && now.Sub(began) < slowDial:
 		// The caller gave up early; nothing is known of the address.
+	case errors.Is(err, syscall.ECONNREFUSED):
+		h.failure, h.pause = err, now.Add(refusedPause)
 	default:
 		h.failure, h.pause = err, now.Add(dialPause)
 	}
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -12,11 +12,18 @@
 
 	"pearmoor/internal/link/wire"
 	"pearmoor/internal/vm"
+	"pearmoor/internal/work"
 )
 
 const (
-	// startJitter spreads the first call of daemons that start together.
+	// startJitter spreads the first call of daemons that start together; eagerJitter
+	// does so beside what their VMs' own starts spread it.
 	startJitter = 250 * time.Millisecond
+	eagerJitter = 60 * time.Millisecond
+	// firstAskEvery is the time after which an eager daemon without state asks one
+	// address more. After a restart of everything some of those it knows are not up
+	// yet, and a call to a VM without power ends only with its time.
+	firstAskEvery = 50 * time.Millisecond
 	// minGap is the shortest time between two calls of one kind, so that a burst
 	// of changes costs a daemon a bounded number of calls.
 	minGap = 20 * time.Millisecond
@@ -167,15 +174,37 @@
 	c.mu.Lock()
 	c.started = c.cfg.Clock()
 	c.mu.Unlock()
-	if !vm.Sleep(ctx, c.randomUpTo(startJitter)) {
+	jitter := startJitter
+	if c.cfg.Eager {
+		jitter = eagerJitter
+	}
+	if !vm.Sleep(ctx, c.randomUpTo(jitter)) {
 		return nil
 	}
 	g, ctx := errgroup.WithContext(ctx)
+	if c.cfg.Eager {
+		g.Go(func() error { c.first(ctx); return nil })
+	}
 	g.Go(func() error { return c.poll(ctx) })
 	g.Go(func() error { return c.push(ctx) })
 	return g.Wait()
 }
 
+// first asks for the state that a daemon starts with, at one address more every
+// firstAskEvery, until it has come.
+func (c *Client) first(ctx context.Context) {
+	var asked work.Each
+	defer asked.Wait()
+	for ctx.Err() == nil && c.Current().Tree == nil && c.supersededBy() == nil {
+		for _, addr := range c.Upstreams() {
+			if asked.Go(addr, func() { c.exchangeAt(ctx, addr, statelessHold, false) }) {
+				break
+			}
+		}
+		vm.Sleep(ctx, firstAskEvery)
+	}
+}
+
 // poll asks for news, again and again. The upstream holds each call until there
 // is some or the interval is over.
 func (c *Client) poll(ctx context.Context) error {
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -30,6 +30,10 @@
 	Interval time.Duration // longest time between two heartbeats; 0: DefaultInterval
 	Direct   int           // most members that all sync with the leader; 0: DefaultDirect
 	Fanout   int           // daemons per relay when there are more members; 0: DefaultFanout
+	// Eager makes a daemon without state ask several addresses beside one another, and
+	// soon after its start. In a restart of everything each of 300 daemons makes two to
+	// three calls more at the leader's than one that asks them in turn.
+	Eager bool
 	// Restarts says that no two runs of this daemon are ever alive together. One
 	// that finds an earlier run with a higher incarnation, since the wall clock was
 	// set back in between, then takes a higher one in place of ending.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -95,14 +95,21 @@
 // exchange sends one Sync and takes in the reply. A push carries the heartbeats
 // of children; a poll carries only the daemon's own, as it may be held.
 func (c *Client) exchange(ctx context.Context, hold time.Duration, push bool) outcome {
+	c.mu.Lock()
+	addr, _ := c.up.pick(c.cfg.Clock())
+	c.mu.Unlock()
+	if addr == "" {
+		return callFailed
+	}
+	return c.exchangeAt(ctx, addr, hold, push)
+}
+
+func (c *Client) exchangeAt(ctx context.Context, addr string, hold time.Duration, push bool) outcome {
 	var kids []*child
 	if push {
 		kids = c.children.take(c.cfg.Clock())
 	}
-	addr, req := c.request(hold, kids)
-	if addr == "" {
-		return callFailed
-	}
+	req := c.request(hold, kids)
 	exchanges.Inc(1)
 	sent := c.cfg.Clock()
 	reply, err := c.call(ctx, addr, req, hold)
@@ -116,10 +123,9 @@
 	return out
 }
 
-func (c *Client) request(hold time.Duration, kids []*child) (string, *wire.SyncRequest) {
+func (c *Client) request(hold time.Duration, kids []*child) *wire.SyncRequest {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	addr, _ := c.up.pick(c.cfg.Clock())
 	v := c.view
 	req := &wire.SyncRequest{WaitMs: uint32(hold.Milliseconds()), HaveInForce: v.InForce, Unpacks: true}
 	if !c.whole {
@@ -132,7 +138,7 @@
 	for _, k := range kids {
 		addHeartbeat(req, k.heartbeat, agreed, full)
 	}
-	return addr, req
+	return req
 }
 
 // call is bounded in time as a whole, connecting included.
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -13,7 +13,6 @@
 	Limits  Limits
 	hosts   map[string][]*Entry // by prefix, the longest first
 	service map[string]*Service
-	shards  map[string]bool
 	entries []*Entry
 }
 
@@ -30,7 +29,6 @@
 		Number: r.Number, Limits: r.Limits,
 		hosts:   make(map[string][]*Entry),
 		service: make(map[string]*Service, len(r.Services)),
-		shards:  make(map[string]bool),
 	}
 	for i := range r.Services {
 		t.service[r.Services[i].Name] = &r.Services[i]
@@ -38,9 +36,6 @@
 	for i := range r.Routes {
 		e := &Entry{Route: r.Routes[i], spread: newSpread(r.Routes[i].Split)}
 		e.Shards = distinct(e.Shards)
-		for _, s := range e.Shards {
-			t.shards[s] = true
-		}
 		host := NormalHost(e.Host)
 		t.hosts[host] = append(t.hosts[host], e)
 		t.entries = append(t.entries, e)
@@ -81,9 +76,6 @@
 	return s, ok
 }
 
-// IsShard reports whether a gather asks the service.
-func (t *Table) IsShard(service string) bool { return t.shards[service] }
-
 // Pick returns the service for the next request of a route without shards.
 func (e *Entry) Pick() string {
 	if e.spread == nil {
--- /dev/null
+++ b/internal/work/each.go
@@ -0,0 +1,36 @@
+package work
+
+import "sync"
+
+// Each runs at most one task for a key at a time. The zero value is ready for use.
+type Each struct {
+	mu   sync.Mutex
+	busy map[string]bool
+	wait sync.WaitGroup
+}
+
+// Go runs f on a goroutine of its own, unless a task for the key is under way. It
+// reports whether it does.
+func (e *Each) Go(key string, f func()) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.busy[key] {
+		return false
+	}
+	if e.busy == nil {
+		e.busy = make(map[string]bool)
+	}
+	e.busy[key] = true
+	e.wait.Go(func() {
+		defer func() {
+			e.mu.Lock()
+			delete(e.busy, key)
+			e.mu.Unlock()
+		}()
+		f()
+	})
+	return true
+}
+
+// Wait returns when no task is under way.
+func (e *Each) Wait() { e.wait.Wait() }
