--- a/internal/link/peer/dial.go
+++ b/internal/link/peer/dial.go
@@ -17,12 +17,15 @@
 const dialTimeout = time.Second
 
 // connectAgain is the time after which another connection is tried beside those that
-// have not come about yet, doubled with each. The kernel repeats a lost opening packet
+// have not come about yet, doubled with each up to connectMost. The kernel repeats a lost opening packet
 // after a second, and one that comes to a VM which is only starting is lost: after a
 // power cut of all VMs, daemons that were up before the control VMs got the list of
-// leaves 0.6 to 0.8 s after these had it. A VM that is lost for good costs five packets
+// leaves 0.6 to 0.8 s after these had it. A VM that is lost for good costs seven packets
 // a call.
-const connectAgain = 50 * time.Millisecond
+const (
+	connectAgain = 50 * time.Millisecond
+	connectMost  = 200 * time.Millisecond
+)
 
 // softCancelGrace lets a request that is still being written finish, so that
 // cancelling it does not cost the connection.
@@ -107,7 +110,7 @@
 		case <-again.C:
 			open++
 			go try()
-			pause *= 2
+			pause = min(2*pause, connectMost)
 			again.Reset(pause)
 		}
 	}
