peer: connections to an address that were lost together cost one call

Cause: a daemon keeps as many idle connections to an address as it once used beside one another. Change: a call that loses its connection closes the idle ones to that address. The test failed first: the next call met the next lost connection.

--- /dev/null
+++ b/internal/link/peer/lost_test.go
@@ -0,0 +1,112 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"pearmoor/internal/link/wire"
+)
+
+// powerCut passes connections on to a server. After cut those that are open are silent,
+// and what is sent on one is answered with a reset, as by a VM that has lost power and
+// is back; new ones are passed on.
+type powerCut struct {
+	lis    net.Listener
+	server string
+	epoch  atomic.Int64
+}
+
+func newPowerCut(t *testing.T, server string) *powerCut {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = lis.Close() })
+	p := &powerCut{lis: lis, server: server}
+	go func() {
+		for {
+			c, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go p.pass(c.(*net.TCPConn), p.epoch.Load())
+		}
+	}()
+	return p
+}
+
+func (p *powerCut) pass(client *net.TCPConn, epoch int64) {
+	server, err := net.Dial("tcp", p.server)
+	if err != nil {
+		_ = client.Close()
+		return
+	}
+	go func() {
+		buf := make([]byte, 4096)
+		for {
+			n, err := server.Read(buf)
+			if err != nil {
+				return
+			}
+			_, _ = client.Write(buf[:n])
+		}
+	}()
+	buf := make([]byte, 4096)
+	for {
+		n, err := client.Read(buf)
+		if err != nil {
+			_ = server.Close()
+			return
+		}
+		if p.epoch.Load() != epoch {
+			_ = client.SetLinger(0)
+			_ = client.Close()
+			_ = server.Close()
+			return
+		}
+		_, _ = server.Write(buf[:n])
+	}
+}
+
+// A control VM loses power and is back. A daemon has four idle connections to it, all of
+// them lost without a word. The call that meets this fails; the next one must get
+// through, or the daemon hears of a change only after four calls and the pauses between.
+func TestLostConnectionsCostOneCall(t *testing.T) {
+	const conns = 4
+	c := &control{entered: make(chan struct{}), hold: make(chan struct{})}
+	s := start(t, c, nil)
+	defer func() { _ = s.stop() }()
+	p := newPowerCut(t, s.addr)
+	pool := NewPool(nil)
+	defer pool.Close()
+	addr := p.lis.Addr().String()
+	ended := make(chan error, conns)
+	for range conns {
+		go func() {
+			conn, err := pool.Conn(context.Background(), addr)
+			if err == nil {
+				_, err = wire.NewDRPCControlClient(conn).Status(context.Background(), &wire.StatusRequest{})
+			}
+			ended <- err
+		}()
+		<-c.entered
+	}
+	close(c.hold)
+	for range conns {
+		if err := <-ended; err != nil {
+			t.Fatal(err)
+		}
+	}
+	p.epoch.Add(1)
+	if _, err := read(pool, addr); err == nil {
+		t.Error("a call on a lost connection is answered")
+	}
+	time.Sleep(10 * time.Millisecond)
+	if _, err := read(pool, addr); err != nil {
+		t.Errorf("the next call: %v", err)
+	}
+}
--- a/internal/link/peer/pool.go
+++ b/internal/link/peer/pool.go
@@ -144,6 +144,7 @@
 	}
 	defer h.put(conn)
 	err = conn.Invoke(ctx, rpc, enc, in, out)
+	h.checkLost(conn, err)
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		// No answer in time may be a link that was cut silently, on which every
 		// later call would wait as long. A new connection shows it by dialing.
@@ -160,6 +161,7 @@
 	}
 	stream, err := conn.NewStream(ctx, rpc, enc)
 	if err != nil {
+		h.checkLost(conn, err)
 		h.put(conn)
 		return nil, err
 	}
@@ -170,6 +172,29 @@
 	return stream, nil
 }
 
+// checkLost closes the idle connections to an address on which a call has lost its own.
+// When a process ends, those that were made beside one another are lost together: were
+// each to cost a call, a daemon with five of them to each control VM would go on for
+// seconds after these are back, with longer pauses after each call, before it heard of
+// a change.
+func (h *handle) checkLost(conn *agedConn, err error) {
+	if err == nil {
+		return
+	}
+	select {
+	case <-conn.Closed():
+	default:
+		return
+	}
+	for {
+		idle, ok := h.pool.idle.Take(h.addr)
+		if !ok {
+			return
+		}
+		_ = idle.Close()
+	}
+}
+
 func (h *handle) take(ctx context.Context) (*agedConn, error) {
 	if err := h.acquire(ctx); err != nil {
 		return nil, err
