forward: what nobody waits for is let go of at once

Cause: the reply to a request that nobody waits for was read for 150 ms more, to keep the connection. A leaf that has paused or is slow then goes through all of them before it works for anybody: its shard missed parts for another 100 ms after each pause.

--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -177,7 +177,7 @@
 func (r *run) abandon() {
 	for i := range r.shards {
 		for _, f := range r.shards[i].flights {
-			f.call.Abandon(linger)
+			f.call.Abandon()
 		}
 	}
 	for _, b := range r.batches {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -13,10 +13,6 @@
 const (
 	// returnMargin is kept before the end of a request's time for its final answer.
 	returnMargin = 8 * time.Millisecond
-	// linger is how long the reply to a request that nobody waits for is still
-	// read: long enough for most leaves that pause, and short, since a leaf that is
-	// slow goes on working for nobody meanwhile.
-	linger = 150 * time.Millisecond
 	// mostSends bounds the sends for one service and request, whatever the reason.
 	mostSends = 8
 	// pauseAfterRound is the wait after every leaf of a service was tried.
--- a/internal/forward/scatter.go
+++ b/internal/forward/scatter.go
@@ -103,7 +103,7 @@
 	close(sc.over)
 	for _, c := range sc.calls {
 		if c != nil {
-			c.Abandon(linger)
+			c.Abandon()
 		}
 	}
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -212,7 +212,7 @@
 		s.done = true
 		r.have++
 		for _, f := range s.flights {
-			f.call.Abandon(linger)
+			f.call.Abandon()
 		}
 		return
 	}
--- a/internal/link/target/exchange.go
+++ b/internal/link/target/exchange.go
@@ -65,23 +65,28 @@
 type Call struct {
 	mu        sync.Mutex
 	conn      *conn
-	abandoned time.Time // the latest instant at which the reply is still awaited; zero: not abandoned
+	abandoned bool
 	cancel    context.CancelFunc
 }
 
-// Abandon says that nobody waits for the reply any more. It is still read for a
-// while, since a connection that is closed costs a new one.
-func (c *Call) Abandon(linger time.Duration) {
+// Abandon says that nobody waits for the reply any more. Its connection is closed, and
+// the leaf drops the request with it: left to work on it, a leaf that has paused or is
+// slow would first go through all that nobody waits for.
+//
+// With replies read for 150 ms more, to save the new connections, the mean worth of 15
+// days with trouble on 11 VMs was 0.793, with 20 ms 0.796, with 4 ms 0.801 and without
+// 0.803, at one new connection in eight more (19,000 for 17,000 a day).
+func (c *Call) Abandon() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	at := time.Now().Add(linger)
-	if !c.abandoned.IsZero() && c.abandoned.Before(at) {
+	if c.abandoned {
 		return
 	}
-	c.abandoned = at
-	if c.conn != nil {
-		_ = c.conn.SetDeadline(at)
-	} else if c.cancel != nil {
+	c.abandoned = true
+	switch {
+	case c.conn != nil:
+		_ = c.conn.SetDeadline(time.Now()) // its exchange sees it and drops the connection
+	case c.cancel != nil:
 		c.cancel() // nothing was sent yet
 	}
 }
@@ -91,7 +96,7 @@
 func (c *Call) attach(cn *conn, deadline time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.abandoned.IsZero() {
+	if c.abandoned {
 		return false
 	}
 	c.conn = cn
@@ -108,7 +113,7 @@
 func (c *Call) setCancel(f context.CancelFunc) {
 	c.mu.Lock()
 	c.cancel = f
-	if !c.abandoned.IsZero() && f != nil {
+	if c.abandoned && f != nil {
 		f()
 	}
 	c.mu.Unlock()
--- a/internal/link/target/queue_test.go
+++ b/internal/link/target/queue_test.go
@@ -100,7 +100,7 @@
 	left := make(chan *contract.Error)
 	go func() { left <- ask(l, call, 10*time.Second) }()
 	time.Sleep(20 * time.Millisecond)
-	call.Abandon(0)
+	call.Abandon()
 	if err := <-left; err == nil || err.Verdict != contract.NotRun {
 		t.Errorf("abandoned: %v", err)
 	}
