forward: tests of gathers through daemons near the leaves

A daemon there that can't be reached, is silent, or ends with leaves at work; parts that are none, one signature for two shards, a straggler whose two parts both come, a caller that leaves, a leaf that is another one there.

--- /dev/null
+++ b/internal/forward/delegate_test.go
@@ -0,0 +1,360 @@
+package forward
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"storj.io/drpc/drpcmux"
+
+	"pearmoor/internal/discovery"
+	"pearmoor/internal/link/peer"
+	"pearmoor/internal/link/wire"
+	"pearmoor/internal/route"
+	"pearmoor/internal/vm"
+)
+
+// oneNear is a Near that knows one daemon.
+type oneNear struct {
+	addr      string
+	pool      *peer.Pool
+	asked     atomic.Int32
+	failed    atomic.Int32
+	suspected atomic.Int32
+}
+
+func (n *oneNear) Daemon(string) string { n.asked.Add(1); return n.addr }
+
+func (n *oneNear) Scatter(ctx context.Context, addr string) (wire.DRPCGather_ScatterClient, error) {
+	conn, err := n.pool.Conn(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	return wire.NewDRPCGatherClient(conn).Scatter(ctx)
+}
+
+func (n *oneNear) Ended(_ string, err error) {
+	if err != nil {
+		n.failed.Add(1)
+	}
+}
+
+func (n *oneNear) Suspect(string) { n.suspected.Add(1) }
+
+// twoDaemons is a daemon in one failure domain, with callers, and one in another, beside
+// the leaves.
+type twoDaemons struct {
+	*world
+	near   *oneNear
+	helper *Engine
+	stop   func() // the helper's process ends
+}
+
+const awayShards = 8
+
+// newTwoDaemons puts every leaf of a route into the failure domain of the second daemon.
+func newTwoDaemons(t *testing.T, rt route.Route, leaves map[string][]*fakeLeaf) *twoDaemons {
+	t.Helper()
+	w := newWorld(t, rt, leaves)
+	book := w.engine.cfg.Book
+	var list []discovery.Listed
+	for _, l := range book.Snapshot().All() {
+		list = append(list, discovery.Listed{ID: l.ID, Service: l.Service, Addr: l.Addr, Domain: "there", Slots: l.Slots})
+	}
+	book.Take(list, vm.Monotonic())
+	cfg := w.engine.cfg
+	cfg.Board = NewBoard(vm.Monotonic, "there")
+	helper := New(cfg)
+	helper.Install(w.engine.Table(), 1)
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterGather(mux, helper.Scatterer()); err != nil {
+		t.Fatal(err)
+	}
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = peer.ServeTrusted(ctx, lis, mux) }()
+	var once sync.Once
+	stop := func() { once.Do(func() { cancel(); <-done }) }
+	t.Cleanup(stop)
+	pool := peer.NewTrustedPool()
+	t.Cleanup(func() { _ = pool.Close() })
+	near := &oneNear{addr: lis.Addr().String(), pool: pool}
+	w.engine.cfg.Near = near
+	return &twoDaemons{world: w, near: near, helper: helper, stop: stop}
+}
+
+// awayRoute is a gather over shards of two leaves each, made by make.
+func awayRoute(t *testing.T, make func(shard, copy int) script) (route.Route, map[string][]*fakeLeaf) {
+	rt, leaves := gatherOver(t, awayShards, make)
+	rt.LeastCoverage, rt.Top = 0.5, 5
+	return rt, leaves
+}
+
+func wholePart(shard, _ int) script {
+	return answers(record(fmt.Sprint("a", shard)) + record(fmt.Sprint("c", shard)))
+}
+
+func total(leaves map[string][]*fakeLeaf) int {
+	n := 0
+	for _, list := range leaves {
+		for _, l := range list {
+			n += len(l.requests())
+		}
+	}
+	return n
+}
+
+// All leaves are in another failure domain. The caller gets the greatest records of all
+// parts, each part named once, and every leaf's request came through the daemon there.
+func TestGatherThroughDaemonNearTheLeaves(t *testing.T) {
+	rt, leaves := awayRoute(t, wholePart)
+	w := newTwoDaemons(t, rt, leaves)
+	resp, text := w.do(t, http.MethodGet, "/x?y=1", "")
+	want := ""
+	for _, s := range []string{"c7", "c6", "c5", "c4", "c3"} {
+		want += record(s)
+	}
+	if resp.StatusCode != 200 || text != want || resp.Header.Get("Missing") != "0" {
+		t.Errorf("status %d, missing %s, %q", resp.StatusCode, resp.Header.Get("Missing"), text)
+	}
+	parts := strings.Split(resp.Header.Get("Parts"), ", ")
+	seen := map[string]bool{}
+	for _, p := range parts {
+		seen[p] = true
+	}
+	if len(seen) != awayShards {
+		t.Errorf("parts %v", parts)
+	}
+	if n := total(leaves); n != awayShards {
+		t.Errorf("%d requests reached leaves", n)
+	}
+	if len(w.board.leaves) == 0 || w.near.asked.Load() != 1 {
+		t.Errorf("the daemon near the leaves was asked %d times", w.near.asked.Load())
+	}
+	for _, s := range w.board.leaves {
+		if s.link != nil || s.inFlight != 0 {
+			t.Error("a request went directly, or counts as in flight")
+		}
+	}
+}
+
+// The daemon near the leaves can't be reached: nothing was sent, and the caller gets all
+// parts directly.
+func TestUnreachableDaemonNearTheLeaves(t *testing.T) {
+	rt, leaves := awayRoute(t, wholePart)
+	w := newTwoDaemons(t, rt, leaves)
+	w.stop()
+	resp, _ := w.do(t, http.MethodGet, "/", "")
+	if resp.StatusCode != 200 || resp.Header.Get("Missing") != "0" {
+		t.Errorf("status %d, missing %s", resp.StatusCode, resp.Header.Get("Missing"))
+	}
+	if w.near.failed.Load() == 0 {
+		t.Error("the failure is not told")
+	}
+}
+
+// The daemon near the leaves takes the call and says nothing, as one that is frozen. Its
+// caller gets the whole answer in time from the leaves themselves.
+func TestSilentDaemonNearTheLeaves(t *testing.T) {
+	rt, leaves := awayRoute(t, wholePart)
+	w := newTwoDaemons(t, rt, leaves)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lis.Close()
+	w.near.addr = lis.Addr().String() // connects are accepted by the kernel
+	began := time.Now()
+	resp, _ := w.do(t, http.MethodGet, "/", "")
+	if resp.StatusCode != 200 || resp.Header.Get("Missing") != "0" {
+		t.Errorf("status %d, missing %s", resp.StatusCode, resp.Header.Get("Missing"))
+	}
+	if took := time.Since(began); took > rt.TargetLatency {
+		t.Errorf("took %v", took)
+	}
+	if w.near.suspected.Load() != 1 {
+		t.Errorf("suspected %d times", w.near.suspected.Load())
+	}
+}
+
+// The process of the daemon near the leaves ends while its leaves are at work. What was
+// asked of it may have run; the requests of this route may be sent again, and the caller
+// gets the whole answer from other leaves.
+func TestDaemonNearTheLeavesEnds(t *testing.T) {
+	var w *twoDaemons
+	var reached atomic.Int32
+	rt, leaves := awayRoute(t, func(shard, copy int) script {
+		return func(l *fakeLeaf, c net.Conn, req asked) bool {
+			if reached.Add(1) <= awayShards {
+				return silent(l, c, req)
+			}
+			return wholePart(shard, copy)(l, c, req)
+		}
+	})
+	w = newTwoDaemons(t, rt, leaves)
+	go func() {
+		for reached.Load() < awayShards {
+			time.Sleep(time.Millisecond)
+		}
+		w.stop()
+	}()
+	resp, _ := w.do(t, http.MethodGet, "/", "")
+	if resp.StatusCode != 200 || resp.Header.Get("Missing") != "0" {
+		t.Errorf("status %d, missing %s", resp.StatusCode, resp.Header.Get("Missing"))
+	}
+	for name, list := range leaves {
+		for _, l := range list {
+			if n := len(l.requests()); n > 1 {
+				t.Errorf("a leaf of %s got %d requests of one attempt", name, n)
+			}
+		}
+	}
+}
+
+// One leaf is slow. The others' parts come back when they are wanted, its shard is asked
+// at the other leaf, and when both parts come the records of one of them only are in
+// the answer.
+func TestStragglerBehindDaemonNearTheLeaves(t *testing.T) {
+	rt, leaves := awayRoute(t, func(shard, copy int) script {
+		if shard != 2 {
+			return wholePart(shard, copy)
+		}
+		var first atomic.Bool
+		return func(l *fakeLeaf, c net.Conn, req asked) bool {
+			if first.CompareAndSwap(false, true) && copy == 0 {
+				time.Sleep(150 * time.Millisecond)
+			}
+			return answers(record("z2")+record("y2"))(l, c, req)
+		}
+	})
+	w := newTwoDaemons(t, rt, leaves)
+	for range 6 {
+		resp, text := w.do(t, http.MethodGet, "/", "")
+		if resp.Header.Get("Missing") != "0" {
+			t.Fatalf("missing %s", resp.Header.Get("Missing"))
+		}
+		if n := strings.Count(text, record("z2")); n != 1 {
+			t.Fatalf("the records of one part are in the answer %d times", n)
+		}
+	}
+}
+
+// What is no part is none through another daemon either, and a signature that two shards
+// bear spoils what came merged with it: the answer names no part twice and holds only
+// the records of parts that it names.
+func TestOddPartsThroughDaemonNearTheLeaves(t *testing.T) {
+	rt, leaves := awayRoute(t, func(shard, copy int) script {
+		switch shard {
+		case 0:
+			return func(_ *fakeLeaf, c net.Conn, req asked) bool { return reply(c, req, 500, record("zz"), stamp()) }
+		case 1:
+			return func(_ *fakeLeaf, c net.Conn, req asked) bool {
+				req.header["Request-Id"] = "another"
+				return reply(c, req, 200, record("zz"), stamp())
+			}
+		case 2, 3:
+			return func(_ *fakeLeaf, c net.Conn, req asked) bool {
+				return reply(c, req, 200, record("y"), "Signature: same")
+			}
+		}
+		return wholePart(shard, copy)
+	})
+	w := newTwoDaemons(t, rt, leaves)
+	resp, text := w.do(t, http.MethodGet, "/", "")
+	parts := strings.Split(resp.Header.Get("Parts"), ", ")
+	seen := map[string]bool{}
+	for _, p := range parts {
+		if seen[p] {
+			t.Errorf("%s is named twice in %v", p, parts)
+		}
+		seen[p] = true
+	}
+	if strings.Contains(text, "zz") || strings.Count(text, record("y")) > 1 {
+		t.Errorf("the answer holds %q", text)
+	}
+	if resp.StatusCode != 200 || len(parts) != awayShards-3 || resp.Header.Get("Missing") != "3" {
+		t.Errorf("status %d, %d parts, missing %s", resp.StatusCode, len(parts), resp.Header.Get("Missing"))
+	}
+}
+
+// A caller leaves. The leaves behind the other daemon must not go on working for nobody.
+func TestCallerLeavesDaemonNearTheLeaves(t *testing.T) {
+	var gone, reached atomic.Int32
+	rt, leaves := awayRoute(t, func(int, int) script {
+		return func(l *fakeLeaf, c net.Conn, req asked) bool {
+			reached.Add(1)
+			silent(l, c, req)
+			gone.Add(1)
+			return false
+		}
+	})
+	rt.TargetLatency = 0 // no second sends before the caller leaves
+	w := newTwoDaemons(t, rt, leaves)
+	ctx, cancel := context.WithCancel(context.Background())
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, w.url+"/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Request-Id", "leaver")
+	go func() {
+		for reached.Load() < awayShards {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+	}()
+	if resp, err := http.DefaultClient.Do(req); err == nil {
+		resp.Body.Close()
+	}
+	for end := time.Now().Add(5 * time.Second); gone.Load() < reached.Load(); {
+		if time.Now().After(end) {
+			t.Fatalf("%d of %d leaves still hold the request", reached.Load()-gone.Load(), reached.Load())
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// A daemon near the leaves that does not know the leaf, knows another life of it, or
+// knows that it leaves sends nothing: the request may go elsewhere.
+func TestScattererSendsOnlyToTheLeafThatIsMeant(t *testing.T) {
+	rt, leaves := awayRoute(t, wholePart)
+	w := newTwoDaemons(t, rt, leaves)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	stream, err := w.near.Scatter(ctx, w.near.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stream.Close()
+	req := &wire.ScatterRequest{Id: "id", Method: "GET", Head: []byte("GET / HTTP/1.1\r\nHost: h\r\n"), LeftUs: 1e6, Top: 3, Sends: []*wire.PartSend{
+		{Service: "s0", Leaf: "nobody"}, {Service: "s1", Leaf: "i-s1-0", Born: 7}, {Service: "s2", Leaf: "i-s1-0"},
+	}}
+	if err := stream.Send(req); err != nil {
+		t.Fatal(err)
+	}
+	ends := 0
+	for ends < len(req.Sends) {
+		r, err := stream.Recv()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, e := range r.Ends {
+			ends++
+			if e.Status != 0 || e.Verdict != 1 || e.Stamp != "" {
+				t.Errorf("send %d: %v", e.Send, e)
+			}
+		}
+	}
+	if n := total(leaves); n != 0 {
+		t.Errorf("%d requests reached leaves", n)
+	}
+}
