--- a/cmd/pearmoor-entry/main_test.go
+++ b/cmd/pearmoor-entry/main_test.go
@@ -93,16 +93,16 @@
 // would end the process at once, and callers would lose answers that were under way.
 func TestReloadWhileStopping(t *testing.T) {
 	cmd, lines := start(t, settingsOf(t, t.TempDir(), 2))
-	await(t, lines, "entry: start")
+	await(t, lines, `"part":"entry","what":"start `)
 	time.Sleep(300 * time.Millisecond)
 	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
-	await(t, lines, "drains")
+	await(t, lines, "drains\"}")
 	if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
 		t.Fatal(err)
 	}
-	await(t, lines, "entry: stop")
+	await(t, lines, `"part":"entry","what":"stop `)
 	if err := cmd.Wait(); err != nil {
 		t.Fatalf("the process ended with %v", err)
 	}
