control, entryvm: a read of the configuration that the VM has comes without it

Cause: every read of the configuration at a VM had the leader send the whole again, 8 KB on amc. Ruled out: answering from the VM's own copy, which may be older than what another VM has acknowledged. Change: the asking VM names the digest of what it read last; the leader, still sure that it leads, says that this is the newest. The decoded release is kept and not decoded again.

--- a/internal/control/release.go
+++ b/internal/control/release.go
@@ -80,8 +80,10 @@
 }
 
 // ReadRelease implements wire.DRPCControlServer. It answers only on a leader that
-// is sure to lead, so what it returns is the newest there is.
-func (s *operatorServer) ReadRelease(context.Context, *wire.ReadReleaseRequest) (*wire.ReadReleaseReply, error) {
+// is sure to lead, so what it returns is the newest there is. A VM that has it already
+// is told so: a release of 20 routes over 20 shards takes 8 KB, and reads of the whole
+// were a tenth of the bytes between failure domains on a quiet day of 11 VMs.
+func (s *operatorServer) ReadRelease(_ context.Context, req *wire.ReadReleaseRequest) (*wire.ReadReleaseReply, error) {
 	redirect, err := s.toLeader()
 	if err != nil || redirect != "" {
 		return &wire.ReadReleaseReply{Redirect: redirect}, err
@@ -99,6 +101,9 @@
 		if out.Release, err = json.Marshal(rel); err != nil {
 			return nil, err
 		}
+		if xxhash.Sum64(out.Release) == req.Held {
+			out.Release, out.Unchanged = nil, true
+		}
 	}
 	return out, s.confirm()
 }
--- a/internal/control/seat_test.go
+++ b/internal/control/seat_test.go
@@ -1,9 +1,11 @@
 package control
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"github.com/cespare/xxhash/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -160,16 +162,27 @@
 func (s *seatTier) read() *route.Release {
 	s.t.Helper()
 	r := &route.Release{}
+	if err := json.Unmarshal(s.readBeside(0).Release, r); err != nil {
+		s.t.Fatal(err)
+	}
+	return r
+}
+
+// readBeside asks for the newest release as a VM that has the one of that digest.
+func (s *seatTier) readBeside(held uint64) *wire.ReadReleaseReply {
+	s.t.Helper()
+	var out *wire.ReadReleaseReply
 	eventually(s.t, "the release is read", func() bool {
 		for addr := range s.vms {
-			out, err := s.control(addr).ReadRelease(callCtx(s.t), &wire.ReadReleaseRequest{})
-			if err == nil && out.Redirect == "" && len(out.Release) > 0 {
-				return json.Unmarshal(out.Release, r) == nil
+			var err error
+			out, err = s.control(addr).ReadRelease(callCtx(s.t), &wire.ReadReleaseRequest{Held: held})
+			if err == nil && out.Redirect == "" && (len(out.Release) > 0 || out.Unchanged) {
+				return true
 			}
 		}
 		return false
 	})
-	return r
+	return out
 }
 
 // votersAre waits until the group's voters are those at the addresses, and no other
@@ -229,6 +242,26 @@
 	}
 }
 
+// A VM that has the newest release is told so and sent nothing; one that has another is
+// sent the whole, also after a change.
+func TestReadBesideAHeldRelease(t *testing.T) {
+	t.Parallel()
+	tier := foundTier(t, 3)
+	tier.put(releaseNumber(7, time.Second))
+	whole := tier.readBeside(0)
+	held := xxhash.Sum64(whole.Release)
+	if out := tier.readBeside(held); !out.Unchanged || len(out.Release) > 0 {
+		t.Errorf("the release that is held: %+v", out)
+	}
+	if out := tier.readBeside(held + 1); out.Unchanged || !bytes.Equal(out.Release, whole.Release) {
+		t.Errorf("beside another release: %+v", out)
+	}
+	tier.put(releaseNumber(8, time.Second))
+	if out := tier.readBeside(held); out.Unchanged || len(out.Release) == 0 {
+		t.Errorf("after a change: %+v", out)
+	}
+}
+
 // Eight orders are on their way together, some with numbers that others overtake.
 // Each is acknowledged, and the highest holds.
 func TestReleasesRace(t *testing.T) {
--- a/internal/entryvm/tier.go
+++ b/internal/entryvm/tier.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 	"k8s.io/klog/v2"
@@ -117,20 +118,40 @@
 // ReadRelease returns the newest configuration there is, nil when there is none,
 // or an error when no control VM is sure which it is.
 func (v *VM) ReadRelease(ctx context.Context) (*route.Release, error) {
-	var body []byte
+	held := v.lastRead.Load()
+	var reply *wire.ReadReleaseReply
 	err := v.ask(ctx, func(ctx context.Context, c wire.DRPCControlClient) (string, error) {
-		out, err := c.ReadRelease(ctx, &wire.ReadReleaseRequest{})
+		req := &wire.ReadReleaseRequest{}
+		if held != nil {
+			req.Held = held.digest
+		}
+		out, err := c.ReadRelease(ctx, req)
 		if err != nil {
 			return "", err
 		}
-		body = out.Release
+		reply = out
 		return out.Redirect, nil
 	})
-	if err != nil || len(body) == 0 {
+	switch {
+	case err != nil:
 		return nil, err
+	case reply.Unchanged && held != nil:
+		return held.release, nil
+	case len(reply.Release) == 0:
+		return nil, nil
+	}
+	read := &releaseRead{digest: xxhash.Sum64(reply.Release), release: &route.Release{}}
+	if err := json.Unmarshal(reply.Release, read.release); err != nil {
+		return nil, errors.Wrap(err, "entry: release from control")
 	}
-	r := &route.Release{}
-	return r, errors.Wrap(json.Unmarshal(body, r), "entry: release from control")
+	v.lastRead.Store(read)
+	return read.release, nil
+}
+
+// releaseRead is a release as it was last read from a control VM. Nobody changes it.
+type releaseRead struct {
+	digest  uint64
+	release *route.Release
 }
 
 // ask makes a call at the control VMs in turn until one has answered, following
