forward: shorter messages between a daemon and those near the leaves

Change: a leaf is named by a mark of 8 bytes in place of id, start and service; a reply holds of its parts' records only those that are among the greatest of all replies so far. What builds on parts that are given up goes with them.

--- a/internal/discovery/leaf.go
+++ b/internal/discovery/leaf.go
@@ -35,6 +35,20 @@
 // Life returns the name of the leaf's run.
 func (l *Leaf) Life() Life { return Life{l.ID, l.Born} }
 
+// Mark returns a short name of the leaf's run and its service, for messages between
+// daemons that name many leaves: 9 bytes in place of 20 to 30. Of 23,000 leaves two have
+// one mark with a probability of 1.4e-11.
+func (l *Leaf) Mark() uint64 {
+	h := xxhash.New()
+	var born [8]byte
+	binary.LittleEndian.PutUint64(born[:], uint64(l.Born))
+	_, _ = h.Write(born[:])
+	_, _ = h.WriteString(l.ID)
+	_, _ = h.Write([]byte{0})
+	_, _ = h.WriteString(l.Service)
+	return h.Sum64()
+}
+
 // Cold reports whether the leaf is still slow after its start.
 func (l *Leaf) Cold(now vm.Instant) bool { return now < l.WarmAt }
 
@@ -79,6 +93,7 @@
 type Snapshot struct {
 	leaves  []*Leaf // by id
 	byID    map[string]*Leaf
+	byMark  map[uint64]*Leaf
 	service map[string][]*Leaf
 	digest  uint64
 }
@@ -87,12 +102,14 @@
 	slices.SortFunc(leaves, func(a, b *Leaf) int { return cmp.Compare(a.ID, b.ID) })
 	s := &Snapshot{
 		leaves: leaves, byID: make(map[string]*Leaf, len(leaves)),
+		byMark:  make(map[uint64]*Leaf, len(leaves)),
 		service: make(map[string][]*Leaf),
 	}
 	h := xxhash.New()
 	var number [8]byte
 	for _, l := range leaves {
 		s.byID[l.ID] = l
+		s.byMark[l.Mark()] = l
 		s.service[l.Service] = append(s.service[l.Service], l)
 		for _, t := range [...]string{l.ID, l.Service, l.Addr, l.Domain} {
 			_, _ = h.WriteString(t)
@@ -123,6 +140,12 @@
 	return l, ok
 }
 
+// FindMark returns the leaf of that mark.
+func (s *Snapshot) FindMark(mark uint64) (*Leaf, bool) {
+	l, ok := s.byMark[mark]
+	return l, ok
+}
+
 // All returns every leaf, by id. The caller must not change the slice.
 func (s *Snapshot) All() []*Leaf { return s.leaves }
 
--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -53,10 +53,19 @@
 	Suspect(addr string)
 }
 
-// partSet is parts whose records came merged: they can be used only together.
+// partSet is parts whose records came merged: they can be used only together, and with
+// the sets that came before them, in which records of theirs may be left out for greater
+// ones.
 type partSet struct {
 	records []byte
 	spoiled bool
+	before  *partSet // of the same daemon; nil: none
+}
+
+// unusable reports whether the set, or one that it builds on, holds what must not be in
+// an answer.
+func (s *partSet) unusable() bool {
+	return s != nil && (s.spoiled || s.before.unusable())
 }
 
 // batch is the shards of a gather that one daemon near their leaves is asked for. For
@@ -73,6 +82,7 @@
 	stream wire.DRPCGather_ScatterClient
 	over   bool
 	cancel context.CancelFunc
+	newest *partSet // only the goroutine of follow uses it
 }
 
 // delegated is one send of a batch.
@@ -144,7 +154,7 @@
 	for i, c := range list {
 		d := delegated{shard: c.shard, leaf: c.leaf, call: &target.Call{}, began: r.e.cfg.Board.Begin(c.leaf.Life())}
 		b.sends[i] = d
-		req.Sends[i] = &wire.PartSend{Service: c.leaf.Service, Leaf: c.leaf.ID, Born: c.leaf.Born}
+		req.Sends[i] = &wire.PartSend{Leaf: c.leaf.Mark()}
 		r.started(c.shard, flight{call: d.call, leaf: c.leaf, batch: b})
 	}
 	r.batches = append(r.batches, b)
@@ -251,7 +261,8 @@
 }
 
 func (b *batch) receive(reply *wire.ScatterReply) {
-	set := &partSet{records: reply.Records}
+	set := &partSet{records: reply.Records, before: b.newest}
+	b.newest = set
 	ends := make([]result, 0, len(reply.Ends))
 	for _, e := range reply.Ends {
 		if int(e.Send) >= len(b.sends) {
--- a/internal/forward/delegate_test.go
+++ b/internal/forward/delegate_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -11,10 +12,12 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
 	"storj.io/drpc/drpcmux"
 
 	"pearmoor/internal/discovery"
 	"pearmoor/internal/link/peer"
+	"pearmoor/internal/link/target"
 	"pearmoor/internal/link/wire"
 	"pearmoor/internal/route"
 	"pearmoor/internal/vm"
@@ -287,6 +290,51 @@
 	}
 }
 
+// The first parts of a daemon near the leaves bear one signature twice, and a later part
+// comes with only those of its records that the first ones leave room for. Without the
+// first parts an answer with the later one would lack records: it is asked for again.
+func TestWhatBuildsOnSpoiledPartsIsNotUsed(t *testing.T) {
+	first := &partSet{records: []byte(record("c"))}
+	later := &partSet{records: []byte(record("b")), before: first}
+	other := &partSet{records: []byte(record("a"))}
+	w := newWorld(t, route.Route{Shards: []string{"s0", "s1", "s2"}, Top: 2, Attempts: 1}, nil)
+	a := w.engine.active.Load()
+	r := w.engine.newRun(a, a.table.Entries()[0], &Request{ID: "id", Arrived: time.Now()})
+	for i, set := range []*partSet{first, later, other} {
+		r.shards[i] = shard{service: r.shards[i].service, done: true, set: set, stamp: fmt.Sprint(i), runs: 1}
+	}
+	r.have = 3
+	r.spoil(first)
+	if r.shards[0].done || r.shards[1].done || !r.shards[2].done || r.have != 1 {
+		t.Errorf("done: %v, %v and %v; %d parts", r.shards[0].done, r.shards[1].done, r.shards[2].done, r.have)
+	}
+	res := result{reply: &target.Reply{Status: 200, Stamp: "new"}, set: &partSet{before: later}}
+	if r.accept(&r.shards[1], &res) {
+		t.Error("a part that builds on spoiled ones is taken")
+	}
+}
+
+// Parts come in several replies of one daemon, each with only the records that are among
+// the greatest so far. Merged, they hold what all parts merged at once hold.
+func TestRecordsToldInSeveralReplies(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		k := rapid.IntRange(0, 6).Draw(t, "k")
+		all, told, merged := top{k: k}, top{k: k}, top{k: k}
+		for range rapid.IntRange(1, 5).Draw(t, "replies") {
+			batch := top{k: k}
+			for _, name := range rapid.SliceOfN(rapid.StringMatching("[a-d]"), 0, 8).Draw(t, "records") {
+				all.add([]byte(record(name)))
+				batch.add([]byte(record(name)))
+			}
+			told.add(batch.bytes())
+			merged.add(batch.atLeast(told).bytes())
+		}
+		if !bytes.Equal(merged.bytes(), all.bytes()) {
+			t.Fatalf("merged %q, all at once %q", merged.bytes(), all.bytes())
+		}
+	})
+}
+
 // A caller leaves. The leaves behind the other daemon must not go on working for nobody.
 func TestCallerLeavesDaemonNearTheLeaves(t *testing.T) {
 	var gone, reached atomic.Int32
@@ -336,7 +384,9 @@
 	}
 	defer stream.Close()
 	req := &wire.ScatterRequest{Id: "id", Method: "GET", Head: []byte("GET / HTTP/1.1\r\nHost: h\r\n"), LeftUs: 1e6, Top: 3, Sends: []*wire.PartSend{
-		{Service: "s0", Leaf: "nobody"}, {Service: "s1", Leaf: "i-s1-0", Born: 7}, {Service: "s2", Leaf: "i-s1-0"},
+		{Leaf: (&discovery.Leaf{ID: "nobody", Service: "s0"}).Mark()},
+		{Leaf: (&discovery.Leaf{ID: "i-s1-0", Service: "s1", Born: 7}).Mark()},
+		{Leaf: (&discovery.Leaf{ID: "i-s1-0", Service: "s2"}).Mark()},
 	}}
 	if err := stream.Send(req); err != nil {
 		t.Fatal(err)
--- a/internal/forward/scatter.go
+++ b/internal/forward/scatter.go
@@ -1,13 +1,11 @@
 package forward
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"pearmoor/internal/contract"
-	"pearmoor/internal/discovery"
 	"pearmoor/internal/link/target"
 	"pearmoor/internal/link/wire"
 )
@@ -32,6 +30,7 @@
 	calls   []*target.Call
 	results chan result // result.shard is the place in the request
 	over    chan struct{}
+	told    top // the greatest records of the replies so far
 }
 
 var (
@@ -49,7 +48,7 @@
 	now := time.Now()
 	sc := &scatter{
 		e: s.e, a: s.e.active.Load(), req: req, usual: time.Duration(req.UsualUs) * time.Microsecond,
-		results: make(chan result, len(req.Sends)), over: make(chan struct{}),
+		results: make(chan result, len(req.Sends)), over: make(chan struct{}), told: top{k: int(req.Top)},
 		calls: make([]*target.Call, len(req.Sends)),
 		send: target.Request{
 			Dialect: s.e.cfg.Dialect, Method: req.Method, ID: req.Id, Head: req.Head, Body: req.Body,
@@ -73,12 +72,12 @@
 	for i, want := range sc.req.Sends {
 		call := &target.Call{}
 		sc.calls[i] = call
-		leaf, ok := snap.Find(want.Leaf)
+		leaf, ok := snap.FindMark(want.Leaf)
 		switch {
 		case sc.a == nil:
 			sc.results <- result{shard: i, call: call, err: contract.Refuse(contract.ReasonUnconfirmed, errNoTableHere)}
 			continue
-		case !ok || leaf.Life() != (discovery.Life{ID: want.Leaf, Born: want.Born}) || leaf.Draining || leaf.Service != want.Service:
+		case !ok || leaf.Draining:
 			sc.results <- result{shard: i, call: call, err: contract.Refuse(contract.ReasonNoReplica, errNotHere)}
 			continue
 		}
@@ -163,7 +162,6 @@
 			if res.err.Cause != nil {
 				e.Cause, e.Stale = res.err.Cause.Error(), isStale(res.err)
 			}
-			sc.logFailed(res)
 		} else {
 			e.Status, e.Refused = uint32(res.reply.Status), res.reply.Refused
 			if res.reply.HasLoad {
@@ -177,18 +175,10 @@
 		}
 		out.Ends = append(out.Ends, e)
 	}
-	out.Records = merged.bytes()
+	sc.told.add(merged.bytes())
+	out.Records = merged.atLeast(sc.told).bytes()
 	return out
 }
 
 // isPart reports whether a leaf's reply may be a part of a merged answer.
 func isPart(r *target.Reply) bool { return r.OK() && !r.Refused && r.Stamp != "" }
-
-func (sc *scatter) logFailed(res *result) {
-	l := sc.e.cfg.Log.Line("scatter", "send failed").Str("id", sc.req.Id).Str("service", sc.req.Sends[res.shard].Service).
-		Str("leaf", sc.req.Sends[res.shard].Leaf)
-	l.Str("verdict", res.err.Verdict.String()).Str("reason", string(res.err.Reason)).Err(res.err.Cause).End()
-}
-
-// statusOK reports whether a status tells of a leaf that is well.
-func statusOK(status int) bool { return status < http.StatusInternalServerError }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -172,7 +172,7 @@
 	switch {
 	case reply.Refused:
 		return rejected
-	case statusOK(reply.Status):
+	case reply.Status < http.StatusInternalServerError: // the leaf is well
 		return replied
 	}
 	return failed
@@ -228,7 +228,7 @@
 	case res.reply.Rest != nil:
 		res.reply.Rest.Close()
 	case res.set != nil && isPart(res.reply):
-		if res.set.spoiled || res.reply.Stamp != s.stamp && r.hasStamp(res.reply.Stamp) {
+		if res.set.unusable() || res.reply.Stamp != s.stamp && r.hasStamp(res.reply.Stamp) {
 			r.spoil(res.set)
 			return
 		}
@@ -237,12 +237,13 @@
 }
 
 // spoil gives up parts that came merged, since one of them bears the signature of
-// another part: an answer that names it twice would be wrong as a whole.
+// another part: an answer that names it twice would be wrong as a whole. With them go
+// those that came after them from the same daemon.
 func (r *run) spoil(set *partSet) {
 	set.spoiled = true
 	for i := range r.shards {
 		s := &r.shards[i]
-		if s.done && s.set == set {
+		if s.done && s.set.unusable() {
 			s.done, s.set, s.stamp = false, nil, ""
 			r.have--
 			if len(s.flights) == 0 {
@@ -285,7 +286,7 @@
 	if !isPart(reply) {
 		return false
 	}
-	if twice := r.hasStamp(reply.Stamp); twice || res.set != nil && res.set.spoiled {
+	if twice := r.hasStamp(reply.Stamp); twice || res.set.unusable() {
 		if res.set != nil {
 			r.spoil(res.set)
 		}
--- a/internal/forward/top.go
+++ b/internal/forward/top.go
@@ -36,6 +36,20 @@
 	t.list[i] = rec
 }
 
+// atLeast returns the records that are among the k greatest of other, which holds those
+// of t: what comes after greater ones were told need not be told.
+func (t *top) atLeast(other top) *top {
+	if other.k <= 0 || len(other.list) < other.k {
+		return t
+	}
+	least := other.list[len(other.list)-1]
+	n := len(t.list)
+	for n > 0 && bytes.Compare(t.list[n-1][:], least[:]) < 0 {
+		n--
+	}
+	return &top{k: t.k, list: t.list[:n]}
+}
+
 func (t *top) bytes() []byte {
 	out := make([]byte, 0, len(t.list)*recordSize)
 	for i := range t.list {
