policy: which leaf, when late, when to answer, shares and budgets as code of their own

Cause: these decisions stood in internal/forward among connections and goroutines, and could be tried only through sockets or on the bench. Change: package policy holds the standing of a leaf and the choice among leaves, learned reply times, callers' waits, the times of a request, what to do at its progress, when second sends are held back, budgets and shares of connections; no network and no clock. A leaf's limit of connections is no longer a function made for each send.

--- a/internal/entryvm/config.go
+++ b/internal/entryvm/config.go
@@ -5,8 +5,8 @@
 
 	"pearmoor/internal/decision"
 	"pearmoor/internal/discovery"
-	"pearmoor/internal/forward"
 	"pearmoor/internal/link/target"
+	"pearmoor/internal/policy"
 )
 
 // Config is what a VM's process needs.
@@ -27,7 +27,7 @@
 	DiskBytes  uint64 // of the whole disk
 	Tolerated  int    // disks that may be lost at once
 
-	Budget      forward.BudgetTerms
+	Budget      policy.BudgetTerms
 	DrainWithin time.Duration // a leaf that leaves goes on serving for so long
 	Grace       time.Duration // between the request to stop and the kill
 	CatchUp     time.Duration // a control VM that is back may take so long to catch up
--- a/internal/entryvm/steer_test.go
+++ b/internal/entryvm/steer_test.go
@@ -9,7 +9,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
-	"pearmoor/internal/forward"
+	"pearmoor/internal/policy"
 	"pearmoor/internal/vm"
 )
 
@@ -18,7 +18,7 @@
 	v, err := New(Config{
 		Name: name, Domain: "hall-1", Region: "valley", PeerAddr: peerAddr, CallerAddr: name + ":80",
 		Seeds: seeds, FirstStart: true, DataDir: dataDir, Tolerated: 1, ListRate: 10,
-		Budget: forward.BudgetTerms{Ratio: 0.2, Burst: 60, Window: 10 * time.Second},
+		Budget: policy.BudgetTerms{Ratio: 0.2, Burst: 60, Window: 10 * time.Second},
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -19,6 +19,7 @@
 	"pearmoor/internal/journal"
 	"pearmoor/internal/link/peer"
 	"pearmoor/internal/link/wire"
+	"pearmoor/internal/policy"
 	"pearmoor/internal/relay"
 	"pearmoor/internal/route"
 	"pearmoor/internal/vm"
@@ -71,7 +72,7 @@
 	v.engine = forward.New(forward.Config{
 		Clock: vm.Monotonic, Dialect: conf.Dialect, Book: v.book, Board: forward.NewBoard(vm.Monotonic, conf.Domain), Log: conf.Log, Senders: v.senders,
 		Near:    newNearDaemons(v),
-		Budgets: forward.NewBudgets(conf.Budget, vm.Monotonic, v.senders),
+		Budgets: policy.NewBudgets(conf.Budget, vm.Monotonic, v.senders),
 	})
 	v.server = forward.NewServer(&forward.Handler{Engine: v.engine, Dialect: conf.Dialect, Log: conf.Log, Draining: v.draining.Load})
 	if conf.DataDir != "" {
--- a/internal/forward/bench_test.go
+++ b/internal/forward/bench_test.go
@@ -12,6 +12,7 @@
 
 	"pearmoor/internal/discovery"
 	"pearmoor/internal/link/target"
+	"pearmoor/internal/policy"
 	"pearmoor/internal/route"
 	"pearmoor/internal/vm"
 )
@@ -19,7 +20,7 @@
 var testDialect = &target.Dialect{
 	RequestID: "Request-Id", Deadline: "Wait-Ms", LeafID: "Leaf-Id", Stamp: "Signature",
 	Load: "Load", NotRun: "Not-Run", Parts: "Parts", Missing: "Missing",
-	ParseLoad: func(string) (target.Load, bool) { return target.Load{Slots: 2}, true },
+	ParseLoad: func(string) (policy.Load, bool) { return policy.Load{Slots: 2}, true },
 }
 
 // replyTo serves one connection of a leaf that answers every request at once.
@@ -81,7 +82,7 @@
 	one := func() int { return 1 }
 	e := New(Config{
 		Clock: vm.Monotonic, Dialect: testDialect, Book: book, Board: NewBoard(vm.Monotonic, ""), Senders: one,
-		Budgets: NewBudgets(BudgetTerms{Ratio: 0.2, Burst: 50, Window: 10 * time.Second}, vm.Monotonic, one),
+		Budgets: policy.NewBudgets(policy.BudgetTerms{Ratio: 0.2, Burst: 50, Window: 10 * time.Second}, vm.Monotonic, one),
 	})
 	e.Install(route.NewTable(rel), 1)
 	return e
--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -8,6 +8,7 @@
 
 	"pearmoor/internal/contract"
 	"pearmoor/internal/link/target"
+	"pearmoor/internal/policy"
 )
 
 func isStale(err *contract.Error) bool {
@@ -15,79 +16,56 @@
 }
 
 // decide returns the answer if it is due at now, and nil to go on.
-//
-// Before answerBy there is nothing to gain by leaving parts out. From then on an
-// answer with enough parts goes out at once: one that waits for the rest would
-// come later than its caller wants it.
 func (r *run) decide(now time.Time) *Answer {
-	open, stuck, gone, ended := 0, 0, 0, 0
-	for i := range r.shards {
-		s := &r.shards[i]
-		switch {
-		case s.done:
-		case s.stuck && len(s.flights) == 0:
-			stuck++
-			if s.wake.IsZero() {
-				ended++
-			} else if s.gone {
-				gone++
-			}
-		default:
-			open++
-		}
-	}
-	if !now.Before(r.answerBy) {
-		r.due = true
-	}
-	enough := r.have >= r.need
-	switch {
-	case open+stuck == 0:
-		return r.answer()
-	case enough && (r.due || open == 0 && gone+ended == stuck):
+	switch r.progress(now).Decide(r.times) {
+	case policy.AnswerNow:
 		return r.answer()
-	case !now.Before(r.end):
+	case policy.GiveUpLate:
 		return r.giveUp(contract.ReasonDeadline)
-	case len(r.shards)-ended < r.need:
+	case policy.GiveUpFailed:
 		return r.giveUp("")
-	case open == 0 && r.unlisted() > len(r.shards)-r.need:
+	case policy.GiveUpNoLeaf:
 		return r.giveUp(contract.ReasonNoReplica)
-	case open == 0 && r.have == 0 && r.verdict == contract.NotRun && now.Sub(r.req.Arrived) > r.patience():
-		// Nothing could be sent, and holding the caller would not change that.
+	case policy.GiveUpUnsent:
 		return r.giveUp(contract.ReasonOverload)
 	}
 	return nil
 }
 
-// lastWord returns the answer of a request that can't be waited for any longer.
-func (r *run) lastWord() *Answer {
-	if r.have > 0 && r.have >= r.need {
-		return r.answer()
+// progress counts how far the shards have come.
+func (r *run) progress(now time.Time) policy.Progress {
+	p := policy.Progress{
+		Shards: len(r.shards), Need: r.need, Have: r.have,
+		Unsent: r.verdict == contract.NotRun, Passed: now.Sub(r.req.Arrived),
 	}
-	return r.giveUp(contract.ReasonDraining)
-}
-
-// unlisted returns how many shards have no leaf at all. What the list does not
-// name can't be waited for within a request's time.
-func (r *run) unlisted() int {
-	n := 0
 	for i := range r.shards {
-		if s := &r.shards[i]; !s.done && !s.listed {
-			n++
+		s := &r.shards[i]
+		if s.done {
+			continue
+		}
+		if !s.listed {
+			p.Unlisted++
 		}
+		switch {
+		case !s.stuck || len(s.flights) > 0:
+			p.Open++
+			continue
+		case s.wake.IsZero():
+			p.Ended++
+		case s.gone:
+			p.Gone++
+		}
+		p.Stuck++
 	}
-	return n
+	return p
 }
 
-// patienceShare is the part of the target latency for which a request that could
-// not be sent anywhere is kept: refused by then, its caller still has the time for
-// another attempt.
-const patienceShare = 0.2
-
-func (r *run) patience() time.Duration {
-	if aim := r.entry.TargetLatency; aim > 0 {
-		return time.Duration(patienceShare * float64(aim))
+// lastWord returns the answer of a request that can't be waited for any longer.
+func (r *run) lastWord() *Answer {
+	if r.have > 0 && r.have >= r.need {
+		return r.answer()
 	}
-	return unlearnedLate
+	return r.giveUp(contract.ReasonDraining)
 }
 
 // answer returns what has been gathered, or the one reply.
@@ -126,12 +104,6 @@
 	return merged.bytes()
 }
 
-// comeBack bounds what a caller whose request did not run is told to wait.
-const (
-	comeBackFirst = 60 * time.Millisecond
-	comeBackMost  = time.Second
-)
-
 // giveUp returns the final answer of a request without success.
 func (r *run) giveUp(reason contract.Reason) *Answer {
 	verdict := r.verdict
@@ -166,11 +138,10 @@
 }
 
 func (r *run) comeBack() time.Duration {
-	d := comeBackFirst
-	if r.last != nil && r.last.RetryAfter > 0 {
-		d = r.last.RetryAfter
+	if r.last == nil {
+		return policy.ComeBack(0)
 	}
-	return min(d, comeBackMost)
+	return policy.ComeBack(r.last.RetryAfter)
 }
 
 // abandon lets go of what is still under way.
@@ -192,7 +163,7 @@
 	}
 	l := r.e.cfg.Log.Line(r.part(), what).Str("id", r.req.ID).Str("route", r.entry.Name).
 		Int("status", int64(a.Status)).Ms("took", time.Since(r.req.Arrived)).
-		Ms("wait", r.req.Wait).Ms("answer_by", r.answerBy.Sub(r.req.Arrived)).Int("release", int64(r.a.table.Number)).Int("sends", int64(r.sends)).Int("hedges", int64(r.hedges)).
+		Ms("wait", r.req.Wait).Ms("answer_by", r.times.AnswerBy).Int("release", int64(r.a.table.Number)).Int("sends", int64(r.sends)).Int("hedges", int64(r.hedges)).
 		Int("attempts", int64(r.attempts())).Bool("repeatable", r.entry.Repeatable).Int("denied", int64(r.denied))
 	if r.entry.Gathers() {
 		l = l.Int("parts", int64(r.have)).Int("of", int64(len(r.shards))).Int("need", int64(r.need)).Int("delegated", int64(r.delegated))
--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -14,6 +14,7 @@
 	"pearmoor/internal/link/peer"
 	"pearmoor/internal/link/target"
 	"pearmoor/internal/link/wire"
+	"pearmoor/internal/policy"
 	"pearmoor/internal/vm"
 )
 
@@ -147,7 +148,7 @@
 	b := &batch{run: r, addr: addr, sends: make([]delegated, len(list))}
 	req := &wire.ScatterRequest{
 		Id: r.req.ID, Method: r.send.Method, Head: r.send.Head, Body: r.send.Body,
-		LeftUs: micros(r.send.Deadline.Sub(now)), FirstUs: micros(r.lateAt.Add(-hopTime).Sub(now)),
+		LeftUs: micros(r.send.Deadline.Sub(now)), FirstUs: micros(r.at(r.times.Late - hopTime).Sub(now)),
 		UsualUs: micros(r.know.pace.Usual()), Top: uint32(r.entry.Top),
 		Sends: make([]*wire.PartSend, len(list)),
 	}
@@ -160,7 +161,7 @@
 	r.batches = append(r.batches, b)
 	r.delegated += len(list)
 	delegatedParts.Inc(int64(len(list)))
-	ctx, cancel := context.WithDeadline(context.Background(), r.end.Add(streamOver))
+	ctx, cancel := context.WithDeadline(context.Background(), r.at(r.times.End+streamOver))
 	b.cancel = cancel
 	go b.follow(ctx, req)
 	return true
@@ -200,7 +201,7 @@
 	fault := mayHaveRunThere(err)
 	var ends []result
 	for i := range b.sends {
-		ends = b.end(ends, i, result{err: fault}, unlearned)
+		ends = b.end(ends, i, result{err: fault}, policy.Unlearned)
 	}
 	b.deliver(ends)
 }
@@ -285,7 +286,7 @@
 }
 
 // read returns what a daemon near a leaf says became of a send there.
-func (b *batch) read(e *wire.PartEnd) (outcome, *target.Reply, *contract.Error) {
+func (b *batch) read(e *wire.PartEnd) (policy.Outcome, *target.Reply, *contract.Error) {
 	if e.Status == 0 {
 		fault := &contract.Error{Verdict: contract.Verdict(min(e.Verdict, uint32(contract.Ran))), Reason: contract.Reason(e.Reason), Cause: errors.New(e.Cause)}
 		if e.Stale {
@@ -295,13 +296,13 @@
 	}
 	reply := &target.Reply{Status: int(e.Status), Stamp: e.Stamp, Refused: e.Refused, HasLoad: e.HasLoad}
 	if e.HasLoad {
-		reply.Load = target.Load{Running: int(e.Running), Waiting: int(e.Waiting), Slots: int(e.Slots), Pace: float64(e.Pace)}
+		reply.Load = policy.Load{Running: int(e.Running), Waiting: int(e.Waiting), Slots: int(e.Slots), Pace: float64(e.Pace)}
 	}
 	return learnedFrom(reply), reply, nil
 }
 
 // end notes how a send ended, once, and adds it to ends.
-func (b *batch) end(ends []result, i int, res result, out outcome) []result {
+func (b *batch) end(ends []result, i int, res result, out policy.Outcome) []result {
 	d := &b.sends[i]
 	if d.ended {
 		return ends
--- a/internal/forward/delegate_test.go
+++ b/internal/forward/delegate_test.go
@@ -145,7 +145,7 @@
 		t.Errorf("the daemon near the leaves was asked %d times", w.near.asked.Load())
 	}
 	for _, s := range w.board.leaves {
-		if s.link != nil || s.inFlight != 0 {
+		if s.link != nil || s.InFlight() != 0 {
 			t.Error("a request went directly, or counts as in flight")
 		}
 	}
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -23,7 +23,7 @@
 	Dialect *target.Dialect
 	Book    *discovery.Book
 	Board   *Board
-	Budgets *Budgets
+	Budgets *policy.Budgets
 	Log     *decision.Log
 	// Senders returns among how many daemons what is shared by those that send to leaves
 	// is divided, 0 while that is not known.
@@ -43,6 +43,7 @@
 
 // active is a table in use, with what has been learned of its routes.
 type active struct {
+	senders func() int
 	table   *route.Table
 	version uint64 // of the settings tree
 	learned map[*route.Entry]*learned
@@ -50,8 +51,8 @@
 
 // learned is what is known of a route over all tables that held it.
 type learned struct {
-	pace  Pace
-	waits waits
+	pace  policy.Pace
+	waits policy.Waits
 }
 
 // New returns an engine that refuses every request until Install.
@@ -79,7 +80,7 @@
 			known[entry.Host+entry.Prefix] = l
 		}
 	}
-	next := &active{table: t, version: version, learned: make(map[*route.Entry]*learned)}
+	next := &active{senders: e.cfg.Senders, table: t, version: version, learned: make(map[*route.Entry]*learned)}
 	for _, entry := range t.Entries() {
 		l := known[entry.Host+entry.Prefix]
 		if l == nil {
@@ -151,20 +152,14 @@
 	return e.newRun(a, entry, req).do(ctx)
 }
 
-// limits returns how many connections this daemon may have open to each leaf. The leaf's
-// own limit is for all daemons together.
-func (e *Engine) limits(a *active) func(*discovery.Leaf) int {
-	n := e.cfg.Senders()
-	if n <= 0 {
-		n = unknownDaemons
-	}
-	return func(l *discovery.Leaf) int {
-		most := 0
-		if s, ok := a.table.Service(l.Service); ok {
-			most = s.Connections
-		}
-		return policy.Connections(most, n)
+// limit returns how many connections this daemon may have open to a leaf. The leaf's own
+// limit is for all daemons together.
+func (a *active) limit(l *discovery.Leaf) int {
+	most := 0
+	if s, ok := a.table.Service(l.Service); ok {
+		most = s.Connections
 	}
+	return policy.Connections(most, a.senders())
 }
 
 // Tend adjusts links to the newest leaves and membership until ctx ends.
@@ -173,7 +168,7 @@
 		snap := e.cfg.Book.Snapshot()
 		e.cfg.Board.Keep(snap)
 		if a := e.active.Load(); a != nil {
-			e.cfg.Board.SetLimits(snap, e.limits(a))
+			e.cfg.Board.SetLimits(snap, a.limit)
 		}
 	}
 }
--- a/internal/forward/leaf_test.go
+++ b/internal/forward/leaf_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"pearmoor/internal/discovery"
+	"pearmoor/internal/policy"
 	"pearmoor/internal/route"
 	"pearmoor/internal/vm"
 )
@@ -168,7 +169,7 @@
 	board := NewBoard(vm.Monotonic, "")
 	e := New(Config{
 		Clock: vm.Monotonic, Dialect: testDialect, Book: book, Board: board, Senders: one,
-		Budgets: NewBudgets(BudgetTerms{Ratio: 100, Burst: 100, Window: 10 * time.Second}, vm.Monotonic, one),
+		Budgets: policy.NewBudgets(policy.BudgetTerms{Ratio: 100, Burst: 100, Window: 10 * time.Second}, vm.Monotonic, one),
 	})
 	e.Install(route.NewTable(rel), 1)
 	srv := httptest.NewServer(&Handler{Engine: e, Dialect: testDialect, Draining: func() bool { return false }})
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -7,36 +7,15 @@
 	"pearmoor/internal/contract"
 	"pearmoor/internal/discovery"
 	"pearmoor/internal/link/target"
+	"pearmoor/internal/policy"
 	"pearmoor/internal/route"
 )
 
 const (
-	// returnMargin is kept before the end of a request's time for its final answer.
-	returnMargin = 8 * time.Millisecond
-	// mostSends bounds the sends for one service and request, whatever the reason.
-	mostSends = 8
-	// pauseAfterRound is the wait after every leaf of a service was tried.
-	pauseAfterRound = 25 * time.Millisecond
-	pauseLongest    = 200 * time.Millisecond
-	partLimit       = 1 << 20 // bytes of a part
+	partLimit = 1 << 20 // bytes of a part
 	// wholeLimit is how many bytes of a reply are read before it is passed on: a
 	// shorter one that breaks off can still be had from another leaf.
 	wholeLimit = 64 << 10
-	// unlearnedShare is the part of the target latency after which a reply is late
-	// while nothing is known of the route.
-	unlearnedShare = 0.3
-	unlearnedLate  = 100 * time.Millisecond
-	hedgeFloor     = 2 * time.Millisecond
-	// connWaitUsual is how many usual reply times a send may wait for a connection.
-	connWaitUsual     = 1.5
-	unlearnedConnWait = 40 * time.Millisecond
-	// hedgeUsual is how many usual reply times pass before a second send.
-	hedgeUsual = 1.5
-	// Of the shards of a gather, at most one in hedgeMost is sent to twice at one
-	// moment, or hedgeFew of a small gather.
-	hedgeMost  = 4
-	hedgeFew   = 2
-	hedgeAgain = 4 * time.Millisecond
 )
 
 // run is one request under way. Only the goroutine of do uses it.
@@ -55,11 +34,8 @@
 	delegated int // first sends asked for at other daemons
 	results   chan result
 	over      chan struct{} // closed when do returns
-	end       time.Time     // final answer at the latest
-	answerBy  time.Time     // with the parts there are, if they are enough
-	hedgeAt   time.Time
-	lateAt    time.Time // the first hedgeAt
-	due       bool      // answerBy has passed
+	times     policy.Times
+	hedgeAt   time.Time // when to look for late shards next; zero: not again
 	hedges    int
 	sends     int
 	denied    int // further sends that the budget did not allow
@@ -117,11 +93,16 @@
 		r.need = 1
 	}
 	r.results = make(chan result, len(r.shards))
-	r.times()
+	terms := policy.Terms{Timeout: entry.Timeout, Aim: entry.TargetLatency, Margin: entry.AnswerMargin}
+	r.times = policy.TimesOf(terms, req.Wait, r.know.waits.Passed(req.Wait), &r.know.pace)
+	r.hedgeAt = r.at(r.times.Late)
 	r.prepare()
 	return r
 }
 
+// at returns the instant that is d after the request's arrival.
+func (r *run) at(d time.Duration) time.Time { return r.req.Arrived.Add(d) }
+
 // ceilShare returns the least number of parts that make up the share.
 func ceilShare(share float64, of int) int {
 	n := int(share * float64(of))
@@ -131,71 +112,19 @@
 	return n
 }
 
-// times sets the run's instants. A caller's second attempt states a shorter wait
-// than its first one: what is missing has passed already.
-func (r *run) times() {
-	wait := r.req.Wait
-	passed := r.know.waits.passed(wait)
-	limit := r.entry.Timeout
-	if wait > 0 && wait < limit {
-		limit = wait
-	}
-	r.end = r.req.Arrived.Add(limit - returnMargin)
-	if aim := r.entry.TargetLatency; aim > 0 {
-		r.answerBy = r.req.Arrived.Add(max(0, aim-r.entry.AnswerMargin-passed))
-	} else {
-		r.answerBy = r.end
-	}
-	if r.answerBy.After(r.end) {
-		r.answerBy = r.end
-	}
-	r.hedgeAt = r.req.Arrived.Add(r.lateAfter())
-	r.lateAt = r.hedgeAt
-}
-
-// lateAfter returns the time after which a reply is late enough for a second send.
-func (r *run) lateAfter() time.Duration {
-	late, ok := r.know.pace.Late()
-	if !ok {
-		if aim := r.entry.TargetLatency; aim > 0 {
-			return time.Duration(unlearnedShare * float64(aim))
-		}
-		return unlearnedLate
-	}
-	usual := r.know.pace.Usual()
-	late = max(late, time.Duration(hedgeUsual*float64(usual)), hedgeFloor)
-	// A second send that can't be back in time is worth little; the last moment
-	// for one that can goes before the learned one.
-	if aim := r.entry.TargetLatency; aim > 0 {
-		latest := aim - r.entry.AnswerMargin - 2*usual
-		late = min(late, max(latest, usual))
-	}
-	return late
-}
-
 // prepare makes what is the same in every send.
 func (r *run) prepare() {
 	r.send = target.Request{
 		Dialect: r.e.cfg.Dialect, Method: r.req.Method, ID: r.req.ID,
 		Head: head(r.req), Body: r.req.Body, Stream: r.req.Stream,
-		Deadline: r.end.Add(returnMargin), Repeatable: r.entry.Repeatable,
-		BodyLimit: wholeLimit, ConnWait: connWait(r.know.pace.Usual()),
+		Deadline: r.at(r.times.Deadline), Repeatable: r.entry.Repeatable,
+		BodyLimit: wholeLimit, ConnWait: policy.ConnWait(r.know.pace.Usual()),
 	}
 	if r.entry.Gathers() {
 		r.send.BodyLimit, r.send.WholeOnly = partLimit, true
 	}
 }
 
-// connWait is how long a send may wait for one of the daemon's connections to a leaf, by
-// how long a reply usually takes: until the one in use should be free again. Another
-// leaf is tried after it.
-func connWait(usual time.Duration) time.Duration {
-	if usual <= 0 {
-		return unlearnedConnWait
-	}
-	return time.Duration(connWaitUsual * float64(usual))
-}
-
 // do sends the request and follows it to its answer.
 func (r *run) do(ctx context.Context) *Answer {
 	defer close(r.over)
@@ -203,15 +132,16 @@
 		r.e.cfg.Budgets.Request(r.shards[i].service)
 	}
 	r.launchAll()
-	timer := time.NewTimer(time.Until(r.next()))
+	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
-		if a := r.decide(time.Now()); a != nil {
+		now := time.Now()
+		if a := r.decide(now); a != nil {
 			r.abandon()
 			r.log(a)
 			return a
 		}
-		timer.Reset(time.Until(r.next()))
+		timer.Reset(r.next(now).Sub(now))
 		select {
 		case res := <-r.results:
 			r.take(res)
@@ -233,11 +163,11 @@
 	}
 }
 
-// next returns when something is due without a reply.
-func (r *run) next() time.Time {
-	at := r.end
-	if !r.due && r.answerBy.Before(at) {
-		at = r.answerBy
+// next returns when something is due without a reply, after now.
+func (r *run) next(now time.Time) time.Time {
+	at := r.at(r.times.End)
+	if by := r.at(r.times.AnswerBy); by.After(now) {
+		at = by // it is never after the end
 	}
 	if !r.hedgeAt.IsZero() && r.hedgeAt.Before(at) {
 		at = r.hedgeAt
@@ -273,8 +203,8 @@
 		return
 	}
 	missing := len(r.shards) - r.have - r.sendForSilent(now)
-	if missing > hedgeFew && missing > len(r.shards)/hedgeMost {
-		if again := now.Add(hedgeAgain); again.Before(r.end) {
+	if policy.HoldHedges(missing, len(r.shards)) {
+		if again := now.Add(policy.HedgeAgain); again.Before(r.at(r.times.End)) {
 			r.hedgeAt = again
 			return
 		}
@@ -285,7 +215,7 @@
 			continue
 		}
 		if s.unheard() {
-			r.hedgeAt = now.Add(hedgeAgain)
+			r.hedgeAt = now.Add(policy.HedgeAgain)
 			continue
 		}
 		r.launch(i, true)
@@ -297,7 +227,7 @@
 func (r *run) sendForSilent(now time.Time) int {
 	n := 0
 	for _, b := range r.batches {
-		first := !b.given && b.silent(now, r.lateAt)
+		first := !b.given && b.silent(now, r.at(r.times.Late))
 		if first {
 			b.given = true
 			r.e.cfg.Near.Suspect(b.addr)
--- a/internal/forward/scatter.go
+++ b/internal/forward/scatter.go
@@ -8,6 +8,7 @@
 	"pearmoor/internal/contract"
 	"pearmoor/internal/link/target"
 	"pearmoor/internal/link/wire"
+	"pearmoor/internal/policy"
 )
 
 // Scatterer sends to leaves for gathers of other daemons. It implements
@@ -54,7 +55,7 @@
 			Dialect: s.e.cfg.Dialect, Method: req.Method, ID: req.Id, Head: req.Head, Body: req.Body,
 			Deadline:   now.Add(time.Duration(req.LeftUs) * time.Microsecond),
 			Repeatable: true, BodyLimit: partLimit, WholeOnly: true,
-			ConnWait: connWait(time.Duration(req.UsualUs) * time.Microsecond),
+			ConnWait: policy.ConnWait(time.Duration(req.UsualUs) * time.Microsecond),
 		},
 	}
 	defer sc.end()
@@ -81,7 +82,7 @@
 			sc.results <- result{shard: i, call: call, err: contract.Refuse(contract.ReasonNoReplica, errNotHere)}
 			continue
 		}
-		link := sc.e.cfg.Board.Link(leaf, sc.e.limits(sc.a))
+		link := sc.e.cfg.Board.Link(leaf, sc.a.limit)
 		sc.e.sends.Run(send{to: sc, request: &sc.send, i: i, leaf: leaf, link: link, call: call})
 	}
 }
@@ -95,7 +96,7 @@
 }
 
 // learner implements sender: how long replies to this route usually take.
-func (sc *scatter) learner() (time.Duration, *Pace) { return sc.usual, nil }
+func (sc *scatter) learner() (time.Duration, *policy.Pace) { return sc.usual, nil }
 
 // end lets go of what is still under way.
 func (sc *scatter) end() {
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -8,6 +8,7 @@
 	"pearmoor/internal/discovery"
 	"pearmoor/internal/link/peer"
 	"pearmoor/internal/link/target"
+	"pearmoor/internal/policy"
 	"pearmoor/internal/vm"
 )
 
@@ -41,7 +42,7 @@
 		}
 		return
 	}
-	link := r.e.cfg.Board.Link(leaf, r.e.limits(r.a))
+	link := r.e.cfg.Board.Link(leaf, r.a.limit)
 	call := &target.Call{}
 	r.started(i, flight{call: call, leaf: leaf})
 	if hedge {
@@ -65,10 +66,10 @@
 // time.
 func (r *run) roundOver(s *shard) {
 	s.stuck = true
-	if s.tries >= mostSends {
+	if s.tries >= policy.MostSends {
 		return
 	}
-	s.pause = min(max(2*s.pause, pauseAfterRound), pauseLongest)
+	s.pause = policy.RoundPause(s.pause)
 	s.wake = time.Now().Add(s.pause)
 	s.tried = nil
 	for _, f := range s.flights {
@@ -77,7 +78,7 @@
 }
 
 // end leaves a shard without another send for good.
-func (s *shard) end() { s.stuck, s.tries = true, mostSends }
+func (s *shard) end() { s.stuck, s.tries = true, policy.MostSends }
 
 // noBudget leaves a shard whose leaf has failed without another send for now. A
 // caller whose one reply is a failure gets it at once.
@@ -94,7 +95,7 @@
 	deliver(result)
 	// learner returns how long replies usually take, and what learns from this one, nil
 	// for nothing.
-	learner() (usual time.Duration, pace *Pace)
+	learner() (usual time.Duration, pace *policy.Pace)
 }
 
 // send is one request on its way to a leaf.
@@ -126,12 +127,21 @@
 	leaf  *discovery.Leaf
 	began vm.Instant
 	took  time.Duration
-	out   outcome
+	out   policy.Outcome
 	usual time.Duration // of pace, where that is nil
 	reply *target.Reply
 	fault *contract.Error
-	pace  *Pace // of the route; nil: not known here
-	away  bool  // another daemon made the send
+	pace  *policy.Pace // of the route; nil: not known here
+	away  bool         // another daemon made the send
+}
+
+// ended is what it tells of the leaf.
+func (n *noted) ended() policy.Ended {
+	out := policy.Ended{Outcome: n.out, Took: n.took, Usual: n.usual, Heard: n.reply != nil}
+	if n.reply != nil && n.reply.HasLoad {
+		out.Load = &n.reply.Load
+	}
+	return out
 }
 
 // note learns from the end of a send.
@@ -140,13 +150,13 @@
 	if n.pace != nil {
 		n.usual = n.pace.Usual()
 	}
-	board.End(life, n.began, n.took, n.out, n.usual, n.reply)
+	board.End(life, n.began, n.ended())
 	switch {
-	case n.out == replied, n.out == overdue:
+	case n.out == policy.Replied, n.out == policy.Overdue:
 		if n.pace != nil {
 			n.pace.Observe(n.took)
 		}
-	case n.out == unlearned && n.fault != nil && n.fault.Reason == contract.ReasonTargetFailed && (!n.away || n.fault.Verdict == contract.NotRun):
+	case n.out == policy.Unlearned && n.fault != nil && n.fault.Reason == contract.ReasonTargetFailed && (!n.away || n.fault.Verdict == contract.NotRun):
 		board.Unreachable(life)
 	case n.reply != nil && n.reply.Status == http.StatusMisdirectedRequest:
 		board.Misplaced(life)
@@ -165,30 +175,30 @@
 }
 
 // learner implements sender.
-func (r *run) learner() (time.Duration, *Pace) { return 0, &r.know.pace }
+func (r *run) learner() (time.Duration, *policy.Pace) { return 0, &r.know.pace }
 
 // learnedFrom says what a reply tells of the leaf.
-func learnedFrom(reply *target.Reply) outcome {
+func learnedFrom(reply *target.Reply) policy.Outcome {
 	switch {
 	case reply.Refused:
-		return rejected
+		return policy.Rejected
 	case reply.Status < http.StatusInternalServerError: // the leaf is well
-		return replied
+		return policy.Replied
 	}
-	return failed
+	return policy.Failed
 }
 
 // learnedOf says what an exchange without a reply tells of the leaf.
-func learnedOf(err *contract.Error) outcome {
+func learnedOf(err *contract.Error) policy.Outcome {
 	switch {
 	case err == nil, err.Verdict == contract.NotRun:
-		return unlearned
+		return policy.Unlearned
 	case err.Reason == contract.ReasonDeadline:
-		return overdue
+		return policy.Overdue
 	case isStale(err):
-		return unlearned
+		return policy.Unlearned
 	}
-	return misbehaved
+	return policy.Misbehaved
 }
 
 // take handles the end of one send.
@@ -341,7 +351,7 @@
 // again sends once more for a shard without a send under way, if it may be.
 func (r *run) again(i int) {
 	s := &r.shards[i]
-	if s.runs > 0 && !r.mayRepeat(s) || s.tries >= mostSends {
+	if s.runs > 0 && !r.mayRepeat(s) || s.tries >= policy.MostSends {
 		s.end()
 		return
 	}
--- a/internal/link/target/dialect.go
+++ b/internal/link/target/dialect.go
@@ -1,6 +1,10 @@
 package target
 
-import "time"
+import (
+	"time"
+
+	"pearmoor/internal/policy"
+)
 
 // Dialect names the headers that callers and leaves speak. What it holds comes
 // from the adapter of the platform the tier runs on.
@@ -16,15 +20,7 @@
 	Missing string // number of parts left out
 
 	// ParseLoad reads the value of Load.
-	ParseLoad func(string) (Load, bool)
-}
-
-// Load is what a leaf says of itself.
-type Load struct {
-	Running int
-	Waiting int
-	Slots   int
-	Pace    float64 // how long work takes there now, as a multiple of the usual; 0: not stated
+	ParseLoad func(string) (policy.Load, bool)
 }
 
 // Reply is a leaf's reply.
@@ -34,7 +30,7 @@
 	Body       []byte // whole, unless Rest is set
 	Rest       *Rest  // nil when Body is whole
 	Stamp      string
-	Load       Load
+	Load       policy.Load
 	HasLoad    bool
 	RetryAfter time.Duration // 0: not stated
 	// Refused says that the reply proves that the leaf did not run the request: it says
--- a/internal/link/target/reply_test.go
+++ b/internal/link/target/reply_test.go
@@ -5,11 +5,13 @@
 	"net"
 	"testing"
 	"time"
+
+	"pearmoor/internal/policy"
 )
 
 var testDialect = &Dialect{
 	RequestID: "Request-Id", Deadline: "Wait-Ms", LeafID: "Leaf", Stamp: "Signature", Load: "Load", NotRun: "Not-Run",
-	ParseLoad: func(string) (Load, bool) { return Load{}, false },
+	ParseLoad: func(string) (policy.Load, bool) { return policy.Load{}, false },
 }
 
 // exchangeWith performs one exchange with a leaf that answers with these bytes.
--- a/internal/forward/budget.go
+++ b/internal/policy/budget.go
@@ -1,4 +1,4 @@
-package forward
+package policy
 
 import (
 	"sync"
@@ -17,6 +17,16 @@
 	Window time.Duration
 }
 
+// unknownDaemons stands for the number of daemons while no membership is known.
+const unknownDaemons = 100
+
+func known(daemons int) int {
+	if daemons <= 0 {
+		return unknownDaemons
+	}
+	return daemons
+}
+
 const (
 	budgetSlots = 20
 	// budgetUse is the part of the terms that this daemon allows itself: requests
@@ -26,8 +36,6 @@
 	// hedgeUse is the part of the allowance that hedges may use up; the rest is
 	// kept for requests whose leaf has failed.
 	hedgeUse = 0.8
-	// unknownDaemons stands for the number of daemons while no membership is known.
-	unknownDaemons = 100
 )
 
 var budgetDenied = metrics.GetOrRegisterCounter("forward.budget.denied", metrics.DefaultRegistry)
@@ -120,10 +128,7 @@
 // two windows. What a daemon spent before it was lost still counts, so its share
 // goes to the others only when that is past.
 func (b *Budgets) sharers() int {
-	n := b.daemons()
-	if n <= 0 {
-		n = unknownDaemons
-	}
+	n := known(b.daemons())
 	now := b.clock()
 	if n >= b.most || now.Sub(b.mostAt) > 2*b.terms.Window {
 		b.most, b.mostAt = n, now
--- a/internal/policy/connections.go
+++ b/internal/policy/connections.go
@@ -12,7 +12,7 @@
 )
 
 // Connections returns how many connections each of so many daemons may have open to a
-// leaf that accepts at most most from all together; 0 is not stated.
+// leaf that accepts at most most from all together; of either, 0 is not known.
 //
 // Shares are even. Where daemons of other domains ask those near a leaf for its parts,
 // four for each near one and one for the others served fewer in time than two each
@@ -22,5 +22,5 @@
 	if most <= 0 {
 		return unstatedConnections
 	}
-	return max(leastConnections, int(connectionUse*float64(most)/float64(max(daemons, 1))))
+	return max(leastConnections, int(connectionUse*float64(most)/float64(known(daemons))))
 }
--- a/internal/forward/pace.go
+++ b/internal/policy/pace.go
@@ -1,4 +1,4 @@
-package forward
+package policy
 
 import (
 	"sync"
--- a/internal/forward/waits.go
+++ b/internal/policy/waits.go
@@ -1,14 +1,14 @@
-package forward
+package policy
 
 import (
 	"sync"
 	"time"
 )
 
-// waits learns how long a route's callers wait when they first ask. Callers of a
+// Waits learns how long a route's callers wait when they first ask. Callers of a
 // route all state the same for that; what they state when they ask again is less
-// by the time that has passed, and is different each time.
-type waits struct {
+// by the time that has passed, and is different each time. It is safe for concurrent use.
+type Waits struct {
 	mu     sync.Mutex
 	values [4]waitCount
 }
@@ -25,9 +25,9 @@
 	mostCount = 64
 )
 
-// passed returns how much of a caller's time was gone before the request, as far
+// Passed returns how much of a caller's time was gone before the request, as far
 // as can be told from the wait that it states.
-func (w *waits) passed(wait time.Duration) time.Duration {
+func (w *Waits) Passed(wait time.Duration) time.Duration {
 	if wait <= 0 {
 		return 0
 	}
@@ -41,7 +41,7 @@
 }
 
 // note counts a wait and returns the one stated most often.
-func (w *waits) note(wait time.Duration) waitCount {
+func (w *Waits) note(wait time.Duration) waitCount {
 	least, most, found := 0, 0, false
 	for i := range w.values {
 		v := &w.values[i]
