bench/policy: load on the policies in virtual time; askers in turn share one loop

Ruled out: the emulator of bench/forward, which runs real processes in real time. Change: daemons that gather over shards of leaves with slots, queues, pauses and slow spells, driven by package policy in virtual time; a table with and without second sends, waits for connections and what is learned of leaves, and a plot of the worth by second.

--- /dev/null
+++ b/bench/policy/main.go
@@ -0,0 +1,101 @@
+// Command policy plays load on the policies of package policy in virtual time and
+// prints what callers would get, with and without each mechanism: a round of one change takes
+// seconds, and what holds in it is tried on real processes next.
+//
+//	go run ./bench/policy [--seeds=5] [--scenario=NAME] [--plot=FILE.svg]
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"sync"
+
+	"github.com/alecthomas/kingpin/v2"
+	"gonum.org/v1/gonum/stat"
+	"k8s.io/klog/v2"
+
+	"pearmoor/bench/policy/sim"
+)
+
+// variants are the policies as they are, and without each mechanism.
+var variants = []struct {
+	name    string
+	without sim.Without
+}{
+	{"as it is", sim.Without{}},
+	{"no second sends", sim.Without{Hedges: true}},
+	{"no waits for connections", sim.Without{Waits: true}},
+	{"nothing learned of leaves", sim.Without{Learning: true}},
+}
+
+func main() {
+	app := kingpin.New("policy", "Plays load on the policies in virtual time.")
+	seeds := app.Flag("seeds", "Plays of each scenario.").Default("5").Int()
+	only := app.Flag("scenario", "Name of the one scenario to play.").String()
+	plot := app.Flag("plot", "SVG file for the worth of each second.").String()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	if *seeds < 1 {
+		klog.Fatalf("policy: --seeds=%d, at least 1 is needed", *seeds)
+	}
+	var lines []line
+	for _, s := range sim.Scenarios {
+		if *only != "" && *only != s.Name {
+			continue
+		}
+		lines = append(lines, play(os.Stdout, s, *seeds))
+	}
+	if len(lines) == 0 {
+		klog.Fatalf("policy: --scenario=%q is none of those played without it", *only)
+	}
+	if *plot != "" {
+		if err := os.WriteFile(*plot, draw(lines), 0o644); err != nil {
+			klog.Fatalf("policy: %v", err)
+		}
+	}
+}
+
+// play prints the figures of a scenario and returns the seconds of the first variant.
+func play(w io.Writer, s sim.Scenario, seeds int) line {
+	fmt.Fprintf(w, "%s: %s\n%28s %15s %8s %8s %8s %8s %8s %8s\n", s.Name, s.What, "", "worth", "in time", "parts", "p50 ms", "p99 ms", "extra", "denied")
+	out := line{name: s.Name}
+	for i, v := range variants {
+		results := make([]*sim.Result, seeds)
+		var wg sync.WaitGroup
+		for k := range results {
+			wg.Go(func() {
+				c := s.Config(uint64(k + 1))
+				c.Without = v.without
+				results[k] = sim.Run(c).Sum()
+			})
+		}
+		wg.Wait()
+		report(w, v.name, results)
+		if i == 0 {
+			out.take(results)
+		}
+	}
+	fmt.Fprintln(w)
+	return out
+}
+
+// report prints one line for all routes together and one for each.
+func report(w io.Writer, name string, results []*sim.Result) {
+	var worth, extra, denied []float64
+	for _, r := range results {
+		worth, extra, denied = append(worth, r.Worth()), append(extra, r.Extra), append(denied, float64(r.Denied))
+	}
+	mean, spread := stat.MeanStdDev(worth, nil)
+	fmt.Fprintf(w, "%28s %7.3f ± %.3f %8s %8s %8s %8s %8.3f %8.0f\n", name, mean, spread, "", "", "", "", stat.Mean(extra, nil), stat.Mean(denied, nil))
+	for i := range results[0].Routes {
+		var worth, inTime, parts, p50, p99 []float64
+		for _, r := range results {
+			t := &r.Routes[i]
+			worth, parts = append(worth, t.Worth), append(parts, t.Parts)
+			inTime = append(inTime, float64(t.InTime)/float64(max(t.Requests, 1)))
+			p50, p99 = append(p50, t.P50.Seconds()*1000), append(p99, t.P99.Seconds()*1000)
+		}
+		fmt.Fprintf(w, "%28s %15.3f %8.3f %8.3f %8.0f %8.0f\n", results[0].Routes[i].Name, stat.Mean(worth, nil),
+			stat.Mean(inTime, nil), stat.Mean(parts, nil), stat.Mean(p50, nil), stat.Mean(p99, nil))
+	}
+}
--- /dev/null
+++ b/bench/policy/sim/daemon.go
@@ -0,0 +1,338 @@
+package sim
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"pearmoor/internal/policy"
+	"pearmoor/internal/vm"
+)
+
+// daemon is a VM of the tier.
+type daemon struct {
+	w       *world
+	domain  int
+	links   map[*leaf]*link
+	paces   []policy.Pace // by route
+	budgets *policy.Budgets
+}
+
+// link is what a daemon has of a leaf: what it has learned and its connections.
+type link struct {
+	policy.Standing
+	used  int
+	waits []*send
+}
+
+func newDaemon(w *world, domain int) *daemon {
+	return &daemon{
+		w: w, domain: domain, links: make(map[*leaf]*link), paces: make([]policy.Pace, len(w.cfg.Routes)),
+		budgets: policy.NewBudgets(w.cfg.Budget, func() vm.Instant { return w.now }, func() int { return w.cfg.Daemons }),
+	}
+}
+
+func (d *daemon) link(l *leaf) *link {
+	k := d.links[l]
+	if k == nil {
+		k = &link{}
+		d.links[l] = k
+	}
+	return k
+}
+
+// gather is one request under way.
+type gather struct {
+	d       *daemon
+	route   *Route
+	pace    *policy.Pace
+	arrived vm.Instant
+	times   policy.Times
+	shards  []shard
+	need    int
+	have    int
+	over    bool
+	unsent  bool
+}
+
+// shard is one service of a gather.
+type shard struct {
+	done  bool
+	stuck bool
+	ended bool
+	sends []*send // under way
+	tried []*leaf
+	tries int
+	pause time.Duration
+}
+
+// send is one request on its way to a leaf.
+type send struct {
+	g     *gather
+	shard int
+	leaf  *leaf
+	hop   time.Duration
+	began vm.Instant
+	state sendState
+	gone  bool // the daemon waits for it no more
+	left  bool // and the leaf knows
+}
+
+type sendState uint8
+
+const (
+	waiting sendState = iota // for a connection
+	sent                     // on the way
+	queued
+	running
+	over
+)
+
+// attempts is how many sends may run for one shard.
+const attempts = 2
+
+// gather takes a caller's request.
+func (d *daemon) gather(route int) {
+	r := &d.w.cfg.Routes[route]
+	pace := &d.paces[route]
+	terms := policy.Terms{Timeout: r.Timeout, Aim: r.Aim, Margin: r.Margin}
+	g := &gather{
+		d: d, route: r, pace: pace, arrived: d.w.now, times: policy.TimesOf(terms, r.Timeout, 0, pace),
+		shards: make([]shard, d.w.cfg.Shards), need: int(math.Ceil(r.Need*float64(d.w.cfg.Shards) - 1e-9)), unsent: true,
+	}
+	for i := range g.shards {
+		d.budgets.Request(d.service(i))
+		g.launch(i, false)
+	}
+	d.w.after(g.times.Late, g.hedge)
+	d.w.after(g.times.AnswerBy, g.decide)
+	d.w.after(g.times.End, g.decide)
+}
+
+func (d *daemon) service(shard int) string { return d.w.result.services[shard] }
+
+// launch sends to the best leaf of a shard.
+func (g *gather) launch(i int, hedge bool) {
+	s := &g.shards[i]
+	l := g.choose(i)
+	if l == nil {
+		if !hedge {
+			g.roundOver(i)
+		}
+		return
+	}
+	if s.tries > 0 && !g.d.budgets.Spend(g.d.service(i), hedge) {
+		g.d.w.result.denied++
+		if !hedge {
+			g.roundOver(i)
+		}
+		return
+	}
+	if s.tries > 0 {
+		g.d.w.result.extra++
+	}
+	g.d.w.result.sends++
+	s.stuck = false
+	s.tries++
+	x := &send{g: g, shard: i, leaf: l, began: g.d.w.now, hop: g.d.w.cfg.Near}
+	if l.domain != g.d.domain {
+		x.hop = g.d.w.cfg.Far
+	}
+	s.sends = append(s.sends, x)
+	s.tried = append(s.tried, l)
+	g.d.connect(x)
+}
+
+// choose returns the leaf of the shard to send to, nil for none.
+func (g *gather) choose(i int) *leaf {
+	var from []*leaf
+	var of []policy.Candidate
+	for _, l := range g.d.w.leaves[i] {
+		if slices.Contains(g.shards[i].tried, l) {
+			continue
+		}
+		c := policy.Candidate{Near: l.domain == g.d.domain, Slots: g.d.w.cfg.Slots}
+		if !g.d.w.cfg.Without.Learning {
+			c.Standing = &g.d.link(l).Standing
+		}
+		from, of = append(from, l), append(of, c)
+	}
+	if k := policy.Choose(of, g.d.w.now, g.pace.Usual()); k >= 0 {
+		return from[k]
+	}
+	return nil
+}
+
+// roundOver makes a shard wait after every leaf was tried.
+func (g *gather) roundOver(i int) {
+	s := &g.shards[i]
+	s.stuck = true
+	if s.tries >= policy.MostSends {
+		s.ended = true
+		return
+	}
+	s.pause = policy.RoundPause(s.pause)
+	s.tried = nil
+	for _, x := range s.sends {
+		s.tried = append(s.tried, x.leaf)
+	}
+	g.d.w.after(s.pause, func() {
+		if !g.over && !s.done && s.stuck {
+			g.launch(i, false)
+		}
+	})
+}
+
+// connect sends on one of the daemon's connections, or waits for one.
+func (d *daemon) connect(x *send) {
+	k := d.link(x.leaf)
+	k.Begin(x.began)
+	if k.used < policy.Connections(d.w.cfg.Connections, d.w.cfg.Daemons) {
+		k.used++
+		d.transmit(x)
+		return
+	}
+	wait := policy.ConnWait(x.g.pace.Usual())
+	if d.w.cfg.Without.Waits {
+		wait = 0
+	}
+	k.waits = append(k.waits, x)
+	d.w.after(wait, func() {
+		if x.state == waiting && !x.gone {
+			d.unwait(x)
+			d.result(x, policy.Ended{Outcome: policy.Unlearned}, false)
+		}
+	})
+}
+
+func (d *daemon) unwait(x *send) {
+	k := d.link(x.leaf)
+	k.waits = slices.DeleteFunc(k.waits, func(y *send) bool { return y == x })
+}
+
+func (d *daemon) transmit(x *send) {
+	x.state = sent
+	x.g.unsent = false
+	d.w.after(x.hop, func() { x.leaf.arrive(x) })
+}
+
+// free gives a connection back, to the send that waits longest.
+func (d *daemon) free(l *leaf) {
+	k := d.link(l)
+	if len(k.waits) == 0 {
+		k.used--
+		return
+	}
+	first := k.waits[0]
+	k.waits = k.waits[1:]
+	d.transmit(first)
+}
+
+// replied takes a leaf's reply.
+func (d *daemon) replied(x *send, refused bool, load *policy.Load) {
+	if x.gone {
+		return
+	}
+	d.free(x.leaf)
+	e := policy.Ended{Outcome: policy.Replied, Heard: true, Load: load}
+	if refused {
+		e.Outcome = policy.Rejected
+	}
+	d.result(x, e, !refused)
+}
+
+// result ends a send.
+func (d *daemon) result(x *send, e policy.Ended, part bool) {
+	g := x.g
+	s := &g.shards[x.shard]
+	x.gone = true
+	e.Took, e.Usual = d.w.now.Sub(x.began), g.pace.Usual()
+	d.link(x.leaf).End(d.w.now, x.began, e)
+	if e.Outcome == policy.Replied {
+		g.pace.Observe(e.Took)
+	}
+	s.sends = slices.DeleteFunc(s.sends, func(y *send) bool { return y == x })
+	switch {
+	case g.over || s.done:
+	case part:
+		s.done = true
+		g.have++
+		for _, y := range slices.Clone(s.sends) {
+			d.abandon(y)
+		}
+	case len(s.sends) == 0 && s.tries < policy.MostSends:
+		g.launch(x.shard, false)
+	case len(s.sends) == 0:
+		s.stuck, s.ended = true, true
+	}
+	g.decide()
+}
+
+// abandon lets go of a send that nobody waits for: its connection is closed.
+func (d *daemon) abandon(x *send) {
+	if x.gone {
+		return
+	}
+	x.gone = true
+	s := &x.g.shards[x.shard]
+	s.sends = slices.DeleteFunc(s.sends, func(y *send) bool { return y == x })
+	e := policy.Ended{Outcome: policy.Overdue, Took: d.w.now.Sub(x.began), Usual: x.g.pace.Usual()}
+	if x.state == waiting {
+		e.Outcome = policy.Unlearned
+		d.unwait(x)
+	} else {
+		x.g.pace.Observe(e.Took)
+		d.free(x.leaf)
+		d.w.after(x.hop, func() { x.leaf.leave(x) })
+	}
+	d.link(x.leaf).End(d.w.now, x.began, e)
+}
+
+// hedge sends once more to every shard that is late.
+func (g *gather) hedge() {
+	if g.over || g.d.w.cfg.Without.Hedges {
+		return
+	}
+	if policy.HoldHedges(len(g.shards)-g.have, len(g.shards)) {
+		g.d.w.after(policy.HedgeAgain, g.hedge)
+		return
+	}
+	for i := range g.shards {
+		if s := &g.shards[i]; !s.done && len(s.sends) == 1 && s.tries < attempts {
+			g.launch(i, true)
+		}
+	}
+}
+
+// decide answers the request if that is due.
+func (g *gather) decide() {
+	if g.over {
+		return
+	}
+	p := policy.Progress{
+		Shards: len(g.shards), Need: g.need, Have: g.have, Unsent: g.unsent, Passed: g.d.w.now.Sub(g.arrived),
+	}
+	for i := range g.shards {
+		switch s := &g.shards[i]; {
+		case s.done:
+		case s.stuck && len(s.sends) == 0:
+			p.Stuck++
+			if s.ended {
+				p.Ended++
+			}
+		default:
+			p.Open++
+		}
+	}
+	step := p.Decide(g.times)
+	if step == policy.GoOn {
+		return
+	}
+	g.over = true
+	g.d.w.result.answer(g, step == policy.AnswerNow)
+	for i := range g.shards {
+		for _, x := range slices.Clone(g.shards[i].sends) {
+			g.d.abandon(x)
+		}
+	}
+}
--- /dev/null
+++ b/bench/policy/sim/scenario.go
@@ -0,0 +1,52 @@
+package sim
+
+import (
+	"time"
+
+	"pearmoor/internal/policy"
+)
+
+// Scenarios are the loads that the policies answer, by name.
+var Scenarios = []Scenario{
+	{"calm", "leaves that pause for 150 ms each 3.6 s, and nothing else", func(*Config) {}},
+	{"busy", "a third more callers all the time", func(c *Config) { scale(c, 1.35) }},
+	{"burst", "twice the callers for 3 s", func(c *Config) { c.Bursts = []Burst{{4 * time.Second, 3 * time.Second, 2}} }},
+	{"few slow", "all copies of a tenth of the shards eight times slower for 4 s", spell(0.1)},
+	{"many slow", "all copies of a fifth of the shards eight times slower for 4 s, more than may be missing", spell(0.2)},
+}
+
+// Scenario is one load.
+type Scenario struct {
+	Name, What string
+	change     func(*Config)
+}
+
+func scale(c *Config, by float64) {
+	for i := range c.Routes {
+		c.Routes[i].PerSecond *= by
+	}
+}
+
+func spell(shards float64) func(*Config) {
+	return func(c *Config) { c.Spells = []Spell{{4 * time.Second, 4 * time.Second, shards, 8}} }
+}
+
+// Config returns a play of the scenario: eleven VMs before twenty shards of two leaves,
+// as on the smaller of the deployments that the figures of docs/design/load-and-faults.md
+// are of.
+func (s Scenario) Config(seed uint64) Config {
+	c := Config{
+		Seed: seed, Length: 12 * time.Second, Daemons: 11, Domains: 3, Shards: 20, Copies: 2,
+		Slots: 2, Queue: 12, Connections: 28, PauseEvery: 3600 * time.Millisecond, PauseFor: 150 * time.Millisecond,
+		Near: 200 * time.Microsecond, Far: 1100 * time.Microsecond, ToCaller: 3 * time.Millisecond,
+		Budget: policy.BudgetTerms{Ratio: 0.2, Burst: 62, Window: 10 * time.Second},
+		Routes: []Route{
+			{Name: "wide", PerSecond: 67.5, Work: 15 * time.Millisecond, Aim: 120 * time.Millisecond, Timeout: 1200 * time.Millisecond,
+				Margin: 14 * time.Millisecond, Need: 0.89, Worth: 2, LateWorth: 0.1},
+			{Name: "quick", PerSecond: 22.5, Work: 5 * time.Millisecond, Aim: 60 * time.Millisecond, Timeout: 600 * time.Millisecond,
+				Margin: 14 * time.Millisecond, Need: 0.75, Worth: 1, LateWorth: 0.1},
+		},
+	}
+	s.change(&c)
+	return c
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -164,16 +164,9 @@
 // to a VM without power ends only with its time.
 func (f *Finder) first(ctx context.Context) {
 	var asked work.Each
-	defer asked.Wait()
-	for ctx.Err() == nil && !f.book.Known() {
-		for _, addr := range f.cfg.Upstreams() {
-			// An error is met again, and told, by the watch that follows.
-			if asked.Go(addr, func() { _, _ = f.watchOnce(ctx, addr) }) {
-				break
-			}
-		}
-		vm.Sleep(ctx, watchRetry/2)
-	}
+	asked.InTurn(ctx, watchRetry/2, f.cfg.Upstreams, f.book.Known, func(addr string) {
+		_, _ = f.watchOnce(ctx, addr) // an error is met again, and told, by the watch that follows
+	})
 }
 
 // watch asks another daemon for news while this one is not the reader.
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -194,15 +194,10 @@
 // firstAskEvery, until it has come.
 func (c *Client) first(ctx context.Context) {
 	var asked work.Each
-	defer asked.Wait()
-	for ctx.Err() == nil && c.Current().Tree == nil && c.supersededBy() == nil {
-		for _, addr := range c.Upstreams() {
-			if asked.Go(addr, func() { c.exchangeAt(ctx, addr, statelessHold, false) }) {
-				break
-			}
-		}
-		vm.Sleep(ctx, firstAskEvery)
-	}
+	known := func() bool { return c.Current().Tree != nil || c.supersededBy() != nil }
+	asked.InTurn(ctx, firstAskEvery, c.Upstreams, known, func(addr string) {
+		c.exchangeAt(ctx, addr, statelessHold, false)
+	})
 }
 
 // poll asks for news, again and again. The upstream holds each call until there
--- a/internal/work/each.go
+++ b/internal/work/each.go
@@ -1,6 +1,12 @@
 package work
 
-import "sync"
+import (
+	"context"
+	"sync"
+	"time"
+
+	"pearmoor/internal/vm"
+)
 
 // Each runs at most one task for a key at a time. The zero value is ready for use.
 type Each struct {
@@ -32,5 +38,19 @@
 	return true
 }
 
+// InTurn starts f for one more key every pause, of those that keys names the first that
+// has no task, until done or the end of ctx, and waits for what it has started.
+func (e *Each) InTurn(ctx context.Context, pause time.Duration, keys func() []string, done func() bool, f func(key string)) {
+	defer e.Wait()
+	for ctx.Err() == nil && !done() {
+		for _, key := range keys() {
+			if e.Go(key, func() { f(key) }) {
+				break
+			}
+		}
+		vm.Sleep(ctx, pause)
+	}
+}
+
 // Wait returns when no task is under way.
 func (e *Each) Wait() { e.wait.Wait() }
