--- a/bench/policy/sim/daemon.go
+++ b/bench/policy/sim/daemon.go
@@ -157,7 +157,7 @@
 		}
 		from, of = append(from, l), append(of, c)
 	}
-	if k := policy.Choose(of, g.d.w.now, g.pace.Usual()); k >= 0 {
+	if k := policy.Choose(of, g.d.w.now, g.pace.Usual(), g.d.w.rng); k >= 0 {
 		return from[k]
 	}
 	return nil
@@ -247,7 +247,7 @@
 	s := &g.shards[x.shard]
 	x.gone = true
 	e.Took, e.Usual = d.w.now.Sub(x.began), g.pace.Usual()
-	d.link(x.leaf).End(d.w.now, x.began, e)
+	d.link(x.leaf).End(d.w.now, x.began, e, d.w.rng)
 	if e.Outcome == policy.Replied {
 		g.pace.Observe(e.Took)
 	}
@@ -285,7 +285,7 @@
 		d.free(x.leaf)
 		d.w.after(x.hop, func() { x.leaf.leave(x) })
 	}
-	d.link(x.leaf).End(d.w.now, x.began, e)
+	d.link(x.leaf).End(d.w.now, x.began, e, d.w.rng)
 }
 
 // hedge sends once more to every shard that is late.
--- a/internal/forward/board.go
+++ b/internal/forward/board.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -16,12 +17,13 @@
 	domain string
 
 	mu     sync.Mutex
+	rng    *rand.Rand
 	leaves map[discovery.Life]*standing
 }
 
 // NewBoard returns an empty board of a daemon in that failure domain.
 func NewBoard(clock vm.Clock, domain string) *Board {
-	return &Board{clock: clock, domain: domain, leaves: make(map[discovery.Life]*standing)}
+	return &Board{clock: clock, domain: domain, leaves: make(map[discovery.Life]*standing), rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 }
 
 // standing is what is known of one leaf.
@@ -112,7 +114,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if s := b.leaves[life]; s != nil { // else it has left, or started again
-		s.End(b.clock(), began, e)
+		s.End(b.clock(), began, e, b.rng)
 	}
 }
 
@@ -120,7 +122,7 @@
 func (b *Board) Unreachable(life discovery.Life) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.of(life).Unreachable(b.clock())
+	b.of(life).Unreachable(b.clock(), b.rng)
 }
 
 // Misplaced notes that another leaf answers at a leaf's address.
@@ -153,7 +155,7 @@
 		}
 		from, of = append(from, l), append(of, c)
 	}
-	if i := policy.Choose(of, now, usual); i >= 0 {
+	if i := policy.Choose(of, now, usual, b.rng); i >= 0 {
 		return from[i]
 	}
 	return nil
--- a/internal/policy/standing.go
+++ b/internal/policy/standing.go
@@ -85,7 +85,7 @@
 }
 
 // End counts a request out that was counted in at began, and learns from its end.
-func (s *Standing) End(now, began vm.Instant, e Ended) {
+func (s *Standing) End(now, began vm.Instant, e Ended, rng *rand.Rand) {
 	s.inFlight--
 	for i, at := range s.oldest {
 		if at == began {
@@ -99,10 +99,10 @@
 	if e.Load != nil {
 		s.load, s.loadAt = *e.Load, now
 	}
-	s.learn(now, e)
+	s.learn(now, e, rng)
 }
 
-func (s *Standing) learn(now vm.Instant, e Ended) {
+func (s *Standing) learn(now vm.Instant, e Ended, rng *rand.Rand) {
 	switch e.Outcome {
 	case Replied:
 		s.failures = 0
@@ -110,7 +110,7 @@
 		s.learnPace(e.Took, e.Usual)
 	case Overdue:
 		s.learnPace(e.Took, e.Usual)
-		s.fail(now)
+		s.fail(now, rng)
 	case Rejected:
 		// Most are of a leaf that is full, which its load tells; one that rejects
 		// without load is passed over like one that fails.
@@ -120,22 +120,22 @@
 			s.loadAt = now
 		}
 	case Failed, Misbehaved:
-		s.fail(now)
+		s.fail(now, rng)
 	}
 }
 
-func (s *Standing) fail(now vm.Instant) {
+func (s *Standing) fail(now vm.Instant, rng *rand.Rand) {
 	s.failing += (1 - s.failing) * failWeight
 	s.failures++
 	if s.failures >= restAfter {
-		s.rest(now)
+		s.rest(now, rng)
 	}
 }
 
 // rest passes the leaf over for a while, longer with each failure in a row.
-func (s *Standing) rest(now vm.Instant) {
+func (s *Standing) rest(now vm.Instant, rng *rand.Rand) {
 	d := min(restFirst<<min(s.failures-restAfter, 8), restLongest)
-	s.restTill = now.Add(d/2 + rand.N(d/2+1))
+	s.restTill = now.Add(d/2 + time.Duration(rng.Int64N(int64(d/2)+1)))
 }
 
 // paceMost bounds one sample, so that one pause does not make a leaf look slow for
@@ -155,9 +155,9 @@
 
 // Unreachable notes that the leaf could not be connected to. Nothing was sent, so
 // one failure is enough to pass it over.
-func (s *Standing) Unreachable(now vm.Instant) {
+func (s *Standing) Unreachable(now vm.Instant, rng *rand.Rand) {
 	s.failures = max(s.failures+1, restAfter)
-	s.rest(now)
+	s.rest(now, rng)
 }
 
 // Misplaced notes that another leaf answers at the leaf's address.
@@ -174,7 +174,7 @@
 // Choose returns the place of the best candidate for a request that usually takes that
 // long: one that has its address, and that does not rest if another one is there. It
 // returns -1 when there is none.
-func Choose(list []Candidate, now vm.Instant, usual time.Duration) int {
+func Choose(list []Candidate, now vm.Instant, usual time.Duration, rng *rand.Rand) int {
 	best, resting := -1, -1
 	bestCost := 0.0
 	var restEnds vm.Instant
@@ -191,7 +191,7 @@
 				continue
 			}
 		}
-		cost := c.cost(now, usual) * (1 - costSpread/2 + costSpread*rand.Float64())
+		cost := c.cost(now, usual) * (1 - costSpread/2 + costSpread*rng.Float64())
 		if best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
--- a/internal/policy/standing_test.go
+++ b/internal/policy/standing_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -10,14 +11,15 @@
 // choiceRig is a choice between two leaves of which something is learned.
 type choiceRig struct {
 	now  vm.Instant
+	rng  *rand.Rand
 	a, b Candidate
 }
 
 func newChoiceRig() *choiceRig {
 	return &choiceRig{
-		now: 1,
-		a:   Candidate{Standing: &Standing{}, Near: true, Slots: 2},
-		b:   Candidate{Standing: &Standing{}, Near: true, Slots: 2},
+		now: 1, rng: rand.New(rand.NewPCG(1, 1)),
+		a: Candidate{Standing: &Standing{}, Near: true, Slots: 2},
+		b: Candidate{Standing: &Standing{}, Near: true, Slots: 2},
 	}
 }
 
@@ -27,7 +29,7 @@
 func (r *choiceRig) share() int {
 	n := 0
 	for range 100 {
-		if Choose([]Candidate{r.a, r.b}, r.now, usualTime) == 0 {
+		if Choose([]Candidate{r.a, r.b}, r.now, usualTime, r.rng) == 0 {
 			n++
 		}
 	}
@@ -35,13 +37,13 @@
 }
 
 // alone reports whether a is taken where no other is there.
-func (r *choiceRig) alone() bool { return Choose([]Candidate{r.a}, r.now, usualTime) == 0 }
+func (r *choiceRig) alone() bool { return Choose([]Candidate{r.a}, r.now, usualTime, r.rng) == 0 }
 
 func (r *choiceRig) exchange(c Candidate, took time.Duration, out Outcome, load *Load) {
 	began := r.now
 	c.Standing.Begin(began)
 	r.now = r.now.Add(took)
-	c.Standing.End(r.now, began, Ended{Outcome: out, Took: took, Usual: usualTime, Heard: true, Load: load})
+	c.Standing.End(r.now, began, Ended{Outcome: out, Took: took, Usual: usualTime, Heard: true, Load: load}, r.rng)
 }
 
 func TestChoiceTakesTurns(t *testing.T) {
@@ -82,7 +84,7 @@
 	if n := r.share(); n != 0 {
 		t.Errorf("%d of 100 choices fall on the silent leaf", n)
 	}
-	r.a.Standing.End(r.now, began, Ended{Outcome: Replied, Took: 3 * usualTime, Usual: usualTime, Heard: true})
+	r.a.Standing.End(r.now, began, Ended{Outcome: Replied, Took: 3 * usualTime, Usual: usualTime, Heard: true}, r.rng)
 	r.now = r.now.Add(time.Second)
 	for range 30 {
 		r.exchange(r.a, usualTime, Replied, nil)
@@ -114,7 +116,7 @@
 // other is there: it may be back.
 func TestChoiceRestsUnreachableLeaf(t *testing.T) {
 	r := newChoiceRig()
-	r.a.Standing.Unreachable(r.now)
+	r.a.Standing.Unreachable(r.now, r.rng)
 	if n := r.share(); n != 0 {
 		t.Errorf("%d of 100 choices fall on the leaf that can't be reached", n)
 	}
@@ -122,7 +124,7 @@
 		t.Errorf("the only leaf is not asked")
 	}
 	for range 12 {
-		r.a.Standing.Unreachable(r.now)
+		r.a.Standing.Unreachable(r.now, r.rng)
 	}
 	r.now = r.now.Add(restLongest)
 	if n := r.share(); n == 0 {
