control: one wait for the state that a Sync is held for

Cause: the wait for what is agreed on was a second copy of the one for news. Change: both are await, with what is enough, how long, and what else ends it. Behaviour is as before.

--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -48,7 +48,7 @@
 		}
 		return reply, nil
 	}
-	st, changed := s.history.State()
+	st, _ := s.history.State()
 	if ahead(req, &st) {
 		s.reportAhead(req, &st)
 		return &wire.SyncReply{}, nil
@@ -65,7 +65,8 @@
 		s.wakeDuties()
 	}
 	if !unknown {
-		s.hold(ctx, req, st, changed)
+		// Until there is something that the caller lacks, or this VM no longer leads.
+		s.await(ctx, waitOf(req, maxHold), s.lead.Load().lost, func(st *relay.State) bool { return st.HasNews(req) })
 	}
 	reply := &wire.SyncReply{Refused: refused, Resend: unknown, Control: lead.controlAddrs()}
 	s.history.Fill(req, reply)
@@ -96,29 +97,12 @@
 // again 0.2 s later. Of 11 VMs that lost power, those with a disk had their configuration
 // 0.23 s after their start, and have it after 0.08 s now.
 func (s *spreadServer) fillAgreed(ctx context.Context, req *wire.SyncRequest, reply *wire.SyncReply) {
-	wait := min(time.Duration(req.WaitMs)*time.Millisecond, agreedHold)
-	if s.knowsAgreed(ctx, wait) {
+	known := func(st *relay.State) bool { return st.ConfigVersion > 0 }
+	if s.await(ctx, waitOf(req, agreedHold), nil, known) {
 		s.history.Fill(req, reply)
 	}
 }
 
-// knowsAgreed reports whether this VM knows of anything agreed on, which it waits for.
-func (s *spreadServer) knowsAgreed(ctx context.Context, wait time.Duration) bool {
-	ctx, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
-	for {
-		st, changed := s.history.State()
-		if st.ConfigVersion > 0 {
-			return true
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return false
-		}
-	}
-}
-
 // checkSender holds that the caller's own heartbeat, the first in full or the
 // first short one, names the VM of its certificate. A relay is trusted for the
 // daemons below it.
@@ -156,26 +140,29 @@
 		name, req.HaveConfig, req.HaveSettled, st.ConfigVersion, st.Settled.Epoch)
 }
 
-// hold waits until the state has something that the caller lacks, the caller's
-// time is up, or this VM no longer leads.
-func (s *spreadServer) hold(ctx context.Context, req *wire.SyncRequest, st relay.State, changed <-chan struct{}) {
-	wait := min(time.Duration(req.WaitMs)*time.Millisecond, maxHold)
-	if wait <= 0 || st.HasNews(req) {
-		return
-	}
+// waitOf is how long the caller would be held, for at most most.
+func waitOf(req *wire.SyncRequest, most time.Duration) time.Duration {
+	return min(time.Duration(req.WaitMs)*time.Millisecond, most)
+}
+
+// await waits until the state is enough, and reports whether it is. It is false when the
+// time is up, or ctx ends, or lost is closed, first.
+func (s *spreadServer) await(ctx context.Context, wait time.Duration, lost <-chan struct{}, enough func(*relay.State) bool) bool {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	lost := s.lead.Load().lost
-	for !st.HasNews(req) {
+	for {
+		st, changed := s.history.State()
+		if enough(&st) {
+			return true
+		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return
+			return false
 		case <-ctx.Done():
-			return
+			return false
 		case <-lost:
-			return
+			return false
 		}
-		st, changed = s.history.State()
 	}
 }
