bench/policy: figures of a play are worked out when asked for

Cause: counts stood twice in a result, once to count and once to be read after a step that had to be called; a request's route was looked up by its name at its end. Change: methods in place of the copies, the route by its number.

--- a/bench/policy/main.go
+++ b/bench/policy/main.go
@@ -66,7 +66,7 @@
 			wg.Go(func() {
 				c := s.Config(uint64(k + 1))
 				c.Without = v.without
-				results[k] = sim.Run(c).Sum()
+				results[k] = sim.Run(c)
 			})
 		}
 		wg.Wait()
@@ -83,7 +83,7 @@
 func report(w io.Writer, name string, results []*sim.Result) {
 	var worth, extra, denied []float64
 	for _, r := range results {
-		worth, extra, denied = append(worth, r.Worth()), append(extra, r.Extra), append(denied, float64(r.Denied))
+		worth, extra, denied = append(worth, r.Worth()), append(extra, r.Extra()), append(denied, float64(r.Denied))
 	}
 	mean, spread := stat.MeanStdDev(worth, nil)
 	fmt.Fprintf(w, "%28s %7.3f ± %.3f %8s %8s %8s %8s %8.3f %8.0f\n", name, mean, spread, "", "", "", "", stat.Mean(extra, nil), stat.Mean(denied, nil))
@@ -91,9 +91,9 @@
 		var worth, inTime, parts, p50, p99 []float64
 		for _, r := range results {
 			t := &r.Routes[i]
-			worth, parts = append(worth, t.Worth), append(parts, t.Parts)
+			worth, parts = append(worth, t.Worth()), append(parts, t.Parts())
 			inTime = append(inTime, float64(t.InTime)/float64(max(t.Requests, 1)))
-			p50, p99 = append(p50, t.P50.Seconds()*1000), append(p99, t.P99.Seconds()*1000)
+			p50, p99 = append(p50, t.At(50).Seconds()*1000), append(p99, t.At(99).Seconds()*1000)
 		}
 		fmt.Fprintf(w, "%28s %15.3f %8.3f %8.3f %8.0f %8.0f\n", results[0].Routes[i].Name, stat.Mean(worth, nil),
 			stat.Mean(inTime, nil), stat.Mean(parts, nil), stat.Mean(p50, nil), stat.Mean(p99, nil))
--- a/bench/policy/sim/daemon.go
+++ b/bench/policy/sim/daemon.go
@@ -43,16 +43,17 @@
 
 // gather is one request under way.
 type gather struct {
-	d       *daemon
-	route   *Route
-	pace    *policy.Pace
-	arrived vm.Instant
-	times   policy.Times
-	shards  []shard
-	need    int
-	have    int
-	over    bool
-	unsent  bool
+	d           *daemon
+	route       *Route
+	pace        *policy.Pace
+	routeNumber int
+	arrived     vm.Instant
+	times       policy.Times
+	shards      []shard
+	need        int
+	have        int
+	over        bool
+	unsent      bool
 }
 
 // shard is one service of a gather.
@@ -97,7 +98,7 @@
 	pace := &d.paces[route]
 	terms := policy.Terms{Timeout: r.Timeout, Aim: r.Aim, Margin: r.Margin}
 	g := &gather{
-		d: d, route: r, pace: pace, arrived: d.w.now, times: policy.TimesOf(terms, r.Timeout, 0, pace),
+		d: d, route: r, routeNumber: route, pace: pace, arrived: d.w.now, times: policy.TimesOf(terms, r.Timeout, 0, pace),
 		shards: make([]shard, d.w.cfg.Shards), need: int(math.Ceil(r.Need*float64(d.w.cfg.Shards) - 1e-9)), unsent: true,
 	}
 	for i := range g.shards {
@@ -122,7 +123,7 @@
 		return
 	}
 	if s.tries > 0 && !g.d.budgets.Spend(g.d.service(i), hedge) {
-		g.d.w.result.denied++
+		g.d.w.result.Denied++
 		if !hedge {
 			g.roundOver(i)
 		}
@@ -130,8 +131,9 @@
 	}
 	if s.tries > 0 {
 		g.d.w.result.extra++
+	} else {
+		g.d.w.result.first++
 	}
-	g.d.w.result.sends++
 	s.stuck = false
 	s.tries++
 	x := &send{g: g, shard: i, leaf: l, began: g.d.w.now, hop: g.d.w.cfg.Near}
--- a/bench/policy/sim/result.go
+++ b/bench/policy/sim/result.go
@@ -11,29 +11,25 @@
 type Result struct {
 	Routes  []Tally
 	Seconds []Second // by the second in which requests came
-	Extra   float64  // sends beyond the first of a shard, over all
 	Denied  int      // further sends that the budget did not allow
 
-	cfg                  Config
-	services             []string
-	sends, extra, denied int
+	toCaller     time.Duration
+	services     []string
+	first, extra int // sends for a shard, and those beyond
 }
 
 // Tally is what callers of one route got.
 type Tally struct {
-	Name             string
-	Requests         int
-	InTime, Whole    int // answers; Whole: with all parts
-	Late, NotServed  int
-	worth, most      float64
-	latency          *hdrhistogram.Histogram
-	P50, P99         time.Duration
-	Worth            float64 // of what could be earned
-	parts, allOfThem int
-	Parts            float64 // share that answers held
+	Name            string
+	Requests        int
+	InTime, Late    int // answers
+	NotServed       int
+	worth           Second // over the whole play
+	latency         *hdrhistogram.Histogram
+	parts, allParts int // of answers, and what they could have held
 }
 
-// Second is one second's worth.
+// Second is what one second's requests earned, and what they could have.
 type Second struct{ earned, most float64 }
 
 // Worth is the share that was earned of what could be.
@@ -44,8 +40,10 @@
 	return s.earned / s.most
 }
 
+func (s *Second) add(earned, most float64) { s.earned, s.most = s.earned+earned, s.most+most }
+
 func newResult(cfg Config) *Result {
-	r := &Result{cfg: cfg, Seconds: make([]Second, int(cfg.Length/time.Second)+1)}
+	r := &Result{toCaller: cfg.ToCaller, Seconds: make([]Second, int(cfg.Length/time.Second)+1)}
 	for i := range cfg.Shards {
 		r.services = append(r.services, fmt.Sprintf("s%03d", i))
 	}
@@ -57,62 +55,56 @@
 
 // answer counts the end of a request.
 func (r *Result) answer(g *gather, served bool) {
-	var t *Tally
-	for i := range r.Routes {
-		if r.Routes[i].Name == g.route.Name {
-			t = &r.Routes[i]
-		}
-	}
-	sec := &r.Seconds[int(time.Duration(g.arrived-1)/time.Second)]
+	t := &r.Routes[g.routeNumber]
 	t.Requests++
-	t.most += g.route.Worth
-	sec.most += g.route.Worth
-	if !served {
+	earned := 0.0
+	if served {
+		earned = t.serve(g, g.d.w.now.Sub(g.arrived)+2*r.toCaller)
+	} else {
 		t.NotServed++
-		return
 	}
-	took := g.d.w.now.Sub(g.arrived) + 2*r.cfg.ToCaller
+	t.worth.add(earned, g.route.Worth)
+	r.Seconds[int(time.Duration(g.arrived-1)/time.Second)].add(earned, g.route.Worth)
+}
+
+// serve counts an answer that took so long, and returns what it earned.
+func (t *Tally) serve(g *gather, took time.Duration) float64 {
 	_ = t.latency.RecordValue(took.Microseconds()) // it lies within a minute
-	share := float64(g.have) / float64(len(g.shards))
 	t.parts += g.have
-	t.allOfThem += len(g.shards)
-	worth := g.route.Worth * share * share
-	if took <= g.route.Aim {
-		t.InTime++
-	} else {
+	t.allParts += len(g.shards)
+	share := float64(g.have) / float64(len(g.shards))
+	earned := g.route.Worth * share * share
+	if took > g.route.Aim {
 		t.Late++
-		worth *= g.route.LateWorth
+		return earned * g.route.LateWorth
 	}
-	if g.have == len(g.shards) {
-		t.Whole++
-	}
-	t.worth += worth
-	sec.earned += worth
+	t.InTime++
+	return earned
 }
 
-// Sum works out the figures; it is called once, after the play.
-func (r *Result) Sum() *Result {
-	for i := range r.Routes {
-		t := &r.Routes[i]
-		t.P50 = time.Duration(t.latency.ValueAtQuantile(50)) * time.Microsecond
-		t.P99 = time.Duration(t.latency.ValueAtQuantile(99)) * time.Microsecond
-		t.Worth = ratio(t.worth, t.most)
-		t.Parts = ratio(float64(t.parts), float64(t.allOfThem))
-	}
-	r.Extra = ratio(float64(r.extra), float64(r.sends-r.extra))
-	r.Denied = r.denied
-	return r
+// Worth is the share that was earned of what could be.
+func (t *Tally) Worth() float64 { return ratio(t.worth.earned, t.worth.most) }
+
+// Parts is the share of the parts that answers held.
+func (t *Tally) Parts() float64 { return ratio(float64(t.parts), float64(t.allParts)) }
+
+// At returns the time within which that many of a hundred answers came.
+func (t *Tally) At(percent float64) time.Duration {
+	return time.Duration(t.latency.ValueAtQuantile(percent)) * time.Microsecond
 }
 
 // Worth is the share of what all routes' callers could earn.
 func (r *Result) Worth() float64 {
-	earned, most := 0.0, 0.0
+	var all Second
 	for i := range r.Routes {
-		earned, most = earned+r.Routes[i].worth, most+r.Routes[i].most
+		all.add(r.Routes[i].worth.earned, r.Routes[i].worth.most)
 	}
-	return ratio(earned, most)
+	return ratio(all.earned, all.most)
 }
 
+// Extra is the number of further sends over that of first ones.
+func (r *Result) Extra() float64 { return ratio(float64(r.extra), float64(r.first)) }
+
 func ratio(a, b float64) float64 {
 	if b == 0 {
 		return 0
--- a/bench/policy/sim/sim_test.go
+++ b/bench/policy/sim/sim_test.go
@@ -17,7 +17,7 @@
 		for seed := range uint64(3) {
 			c := s.Config(seed + 1)
 			c.Without = without
-			out = append(out, Run(c).Sum())
+			out = append(out, Run(c))
 		}
 		return out
 	}
@@ -40,8 +40,8 @@
 	with, without := scenario(t, "calm", Without{}), scenario(t, "calm", Without{Hedges: true})
 	for _, r := range with {
 		for _, rt := range r.Routes {
-			if inTime := float64(rt.InTime) / float64(rt.Requests); inTime < 0.99 || rt.Parts < 0.98 {
-				t.Errorf("%s: %.3f in time, %.3f of the parts", rt.Name, inTime, rt.Parts)
+			if inTime := float64(rt.InTime) / float64(rt.Requests); inTime < 0.99 || rt.Parts() < 0.98 {
+				t.Errorf("%s: %.3f in time, %.3f of the parts", rt.Name, inTime, rt.Parts())
 			}
 		}
 	}
@@ -55,8 +55,8 @@
 func TestSlowShardsThatMayBeMissingHoldNobodyUp(t *testing.T) {
 	for _, r := range scenario(t, "few slow", Without{}) {
 		for _, rt := range r.Routes {
-			if inTime := float64(rt.InTime) / float64(rt.Requests); inTime < 0.96 || rt.Parts < 0.93 {
-				t.Errorf("%s: %.3f in time, %.3f of the parts", rt.Name, inTime, rt.Parts)
+			if inTime := float64(rt.InTime) / float64(rt.Requests); inTime < 0.96 || rt.Parts() < 0.93 {
+				t.Errorf("%s: %.3f in time, %.3f of the parts", rt.Name, inTime, rt.Parts())
 			}
 		}
 	}
@@ -89,8 +89,8 @@
 				t.Errorf("%s: %d of %d not served", rt.Name, rt.NotServed, rt.Requests)
 			}
 		}
-		if r.Extra > 0.2 {
-			t.Errorf("%.3f further sends for each first one", r.Extra)
+		if r.Extra() > 0.2 {
+			t.Errorf("%.3f further sends for each first one", r.Extra())
 		}
 	}
 }
@@ -99,7 +99,7 @@
 func TestOneSeedOneResult(t *testing.T) {
 	c := Scenarios[0].Config(7)
 	c.Length = 3 * time.Second
-	if a, b := Run(c).Sum(), Run(c).Sum(); !reflect.DeepEqual(a.Seconds, b.Seconds) || a.Worth() != b.Worth() {
+	if a, b := Run(c), Run(c); !reflect.DeepEqual(a.Seconds, b.Seconds) || a.Worth() != b.Worth() {
 		t.Errorf("worth %v and %v", a.Worth(), b.Worth())
 	}
 }
