--- a/internal/entryvm/tier.go
+++ b/internal/entryvm/tier.go
@@ -117,6 +117,7 @@
 // ReadRelease returns the newest configuration there is, nil when there is none,
 // or an error when no control VM is sure which it is.
 func (v *VM) ReadRelease(ctx context.Context) (*route.Release, error) {
+	began := time.Now()
 	view := v.client.Current()
 	var reply *wire.ReadReleaseReply
 	err := v.ask(ctx, func(ctx context.Context, c wire.DRPCControlClient) (string, error) {
@@ -127,9 +128,11 @@
 		reply = out
 		return out.Redirect, nil
 	})
-	switch {
-	case err != nil:
+	if err != nil {
 		return nil, err
+	}
+	klog.Infof("operator: newest configuration asked for held=%v bytes=%d took=%v", reply.Unchanged, len(reply.Release), time.Since(began))
+	switch {
 	case reply.Unchanged && view.Tree != nil:
 		return route.FromTree(view.Tree)
 	case len(reply.Release) == 0:
