--- a/internal/entryvm/tier.go
+++ b/internal/entryvm/tier.go
@@ -172,9 +172,10 @@
 		return "", err
 	}
 	defer func() { _ = conn.Close() }()
+	began := time.Now()
 	redirect, err := call(ctx, wire.NewDRPCControlClient(conn))
 	if err != nil && !peer.NotSent(err) {
-		klog.V(1).Infof("operator: call to control at %s failed: %v", addr, err)
+		klog.Warningf("operator: call to control at %s failed took=%v: %v", addr, time.Since(began), err)
 	}
 	return redirect, err
 }
