control: a call between control VMs has time for what it carries

The change of an operator who adds thousands of routes is one entry; over a link that takes longer for it the call is ended and the entry sent anew, for ever. What callers would see: the member falls behind for good, and with as many of them as make the majority nothing is acknowledged. Change: the limit of that call counts its bytes, as peer.TimeFor says.

--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"pearmoor/internal/link/peer"
 	"pearmoor/internal/link/wire"
 	"pearmoor/internal/quorum"
 )
@@ -188,8 +189,14 @@
 	return batch, l.addr
 }
 
+// deliver makes one call. Its limit counts what it carries: the entry of a long change that
+// took longer than the limit would be sent and ended for ever, and its member fall behind.
 func (l *peerLink) deliver(ctx context.Context, addr string, batch *wire.QuorumMessage) error {
-	ctx, cancel := context.WithTimeout(ctx, deliverTimeout)
+	size := 0
+	for _, b := range batch.Payloads {
+		size += len(b)
+	}
+	ctx, cancel := context.WithTimeout(ctx, peer.TimeFor(deliverTimeout, size))
 	defer cancel()
 	conn, err := l.cfg.Conns.Conn(ctx, addr)
 	if err != nil {
--- a/internal/entryvm/size_test.go
+++ b/internal/entryvm/size_test.go
@@ -15,6 +15,7 @@
 	"pearmoor/internal/link/wire"
 	"pearmoor/internal/policy"
 	"pearmoor/internal/route"
+	"pearmoor/internal/standin"
 )
 
 const (
@@ -22,6 +23,7 @@
 	// the VM without a disk carries it in 2 s.
 	manyRoutes = 4200
 	narrowRate = 400_000 // bytes a second
+	narrowLate = 30 * time.Millisecond
 	// operatorWaits is how long an operator waits for a read before it asks another VM,
 	// which is no better off.
 	operatorWaits = 2 * time.Second
@@ -79,7 +81,12 @@
 func startNarrowTier(t *testing.T) *narrowTier {
 	lis, other := listen(t), listen(t)
 	control := lis.Addr().String()
-	told := newNarrowLink(t, control, narrowRate)
+	link, err := standin.NewNarrowLink(control, narrowRate, narrowLate)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(link.Close)
+	told := link.Addr()
 	runVM(t, "control", told, t.TempDir(), lis, told)
 	pool := peer.NewTrustedPool()
 	t.Cleanup(func() { _ = pool.Close() })
