control: lines for a turn that stands still and for each change of role

Cause: with 3,000 routes added at once leadership moves in the middle of the change, and no line says whether the leader gave up its place, the others asked for votes, or why.

--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -17,6 +17,9 @@
 	maxBurst     = 256             // messages and calls taken between two looks at the clock
 	handOverTime = 2 * time.Second // a stopping leader waits this long for its successor
 	maxLateTicks = 100             // more missed ticks than this say nothing new
+	// slowTicks is how long one turn of the driver may take before it is told of. A VM
+	// that stands still for ElectionTicks is replaced as the leader.
+	slowTicks = 3
 )
 
 // driver owns the quorum machine and the journal; everything in it is touched by
@@ -39,6 +42,8 @@
 	snapshot    uint64 // index of the newest snapshot
 	ledTerm     uint64 // term in which this VM last became a ready leader
 	flushed     vm.Instant
+	// What the turn under way spent on the journal and on the state.
+	saved, appliedIn time.Duration
 }
 
 func newDriver(n *Node, m *quorum.Machine, j *journal.Journal, index uint64) *driver {
@@ -70,11 +75,13 @@
 		}
 		// Ticks first: after a pause the machine has to know that time has
 		// passed before it believes anything that waited meanwhile.
+		began := d.clock()
 		d.deliverTicks()
 		d.take(call, msg)
 		if err := d.settle(ctx); err != nil {
 			return err
 		}
+		d.reportSlow(began)
 		if done == nil && !d.node.lead.Load().self {
 			return nil
 		}
@@ -124,6 +131,14 @@
 	}
 }
 
+// reportSlow tells of a turn during which no message was taken and none sent.
+func (d *driver) reportSlow(began vm.Instant) {
+	if took := d.clock().Sub(began); took >= slowTicks*d.tick {
+		klog.Warningf("control: stood still for %v, applied=%d save=%v apply=%v waiting=%d", took, d.applied, d.saved, d.appliedIn, len(d.inbox))
+	}
+	d.saved, d.appliedIn = 0, 0
+}
+
 // settle carries out all work that the machine has, and shows the outcome.
 func (d *driver) settle(ctx context.Context) error {
 	for d.machine.HasReady() {
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -49,6 +49,9 @@
 	case l.self:
 		l.lost = make(chan struct{})
 	}
+	if role := l.status.Role; role != old.status.Role || l.term != old.term {
+		klog.Infof("control: role=%v term=%d leader=%d, before role=%v term=%d leader=%d", role, l.term, l.leader, old.status.Role, old.term, old.leader)
+	}
 	n.lead.Store(l)
 	l.publishMetrics()
 	n.reportRefusal(old, l)
