control: heartbeats do not wait behind long entries

What callers saw: an order of 3,000 routes more was in doubt, and reads of the configuration ended unsure, for the time of an election; the next order of that size did the same. Cause: messages to a member go one call after the other. An entry of 0.6 MB is under way to four members at once, the heartbeats behind it, and a leader that hears no answers for 0.5 s gives up its place. Ruled out: the leader standing still (its first slow turn came 0.85 s later). Why it holds: what keeps a leader in its place no longer shares a queue with what can be long; entries keep their order. Messages may overtake each other on the way as before. TestHeartbeatsDoNotWaitBehindALongEntry: 5 of 5 heartbeats late before, none now; the package under the race detector passes.

--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -10,10 +10,11 @@
 	"pearmoor/internal/link/peer"
 	"pearmoor/internal/link/wire"
 	"pearmoor/internal/quorum"
+	"pearmoor/internal/quorum/quorumpb"
 )
 
 const (
-	queueSize      = 512     // messages to one member; the oldest is dropped
+	queueSize      = 512     // messages of one lane to one member; the oldest is dropped
 	batchBytes     = 1 << 20 // of messages in one call
 	deliverTimeout = time.Second
 	deliverPause   = 100 * time.Millisecond // after a failed call
@@ -54,7 +55,8 @@
 
 func (t *transport) start(l *peerLink) {
 	ctx := t.ctx
-	t.wg.Go(func() { l.run(ctx) })
+	t.wg.Go(func() { l.run(ctx, &l.bulk) })
+	t.wg.Go(func() { l.run(ctx, &l.word) })
 }
 
 // learn notes where a member is reached.
@@ -105,7 +107,7 @@
 	if !ok {
 		return nil
 	}
-	l := &peerLink{cfg: t.cfg, id: id, addr: addr, ready: make(chan struct{}, 1)}
+	l := &peerLink{cfg: t.cfg, id: id, addr: addr, bulk: newLane(), word: newLane()}
 	t.links[id] = l
 	if t.ctx != nil && t.ctx.Err() == nil {
 		t.start(l)
@@ -113,46 +115,77 @@
 	return l
 }
 
-// peerLink sends to one member, in order.
+// peerLink sends to one member, over two lanes that do not wait for each other.
+//
+// An entry of thousands of edits is under way for tenths of a second, to every member at
+// once. With heartbeats behind it the leader hears nobody for an election time, gives up its
+// place and leaves the order that it was carrying in doubt, as it will the next one of that
+// size. Entries and pieces of snapshots keep their order among themselves, without which a
+// member refuses what follows the one that it has not got and is sent both again.
 type peerLink struct {
-	cfg   *Config
-	id    uint64
-	ready chan struct{}
+	cfg  *Config
+	id   uint64
+	bulk lane // entries and snapshots
+	word lane // everything else: heartbeats, votes, replies
+
+	mu   sync.Mutex
+	addr string
+	down bool
+}
+
+// lane holds the messages of one kind, oldest first.
+type lane struct {
+	ready chan struct{} // holds a token when there are some
 
 	mu    sync.Mutex
-	addr  string
 	queue []*quorum.Message
-	down  bool
 }
 
+func newLane() lane { return lane{ready: make(chan struct{}, 1)} }
+
 func (l *peerLink) setAddr(addr string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.addr = addr
 }
 
-func (l *peerLink) put(m *quorum.Message) {
+func (l *peerLink) address() string {
 	l.mu.Lock()
-	if len(l.queue) >= queueSize {
-		l.queue = append(l.queue[:0], l.queue[1:]...)
+	defer l.mu.Unlock()
+	return l.addr
+}
+
+func (l *peerLink) put(m *quorum.Message) {
+	if m.Kind == quorumpb.Kind_APPEND || m.Kind == quorumpb.Kind_SNAPSHOT {
+		l.bulk.put(m)
+		return
 	}
-	l.queue = append(l.queue, m)
-	l.mu.Unlock()
+	l.word.put(m)
+}
+
+func (n *lane) put(m *quorum.Message) {
+	n.mu.Lock()
+	if len(n.queue) >= queueSize {
+		n.queue = append(n.queue[:0], n.queue[1:]...)
+	}
+	n.queue = append(n.queue, m)
+	n.mu.Unlock()
 	select {
-	case l.ready <- struct{}{}:
+	case n.ready <- struct{}{}:
 	default:
 	}
 }
 
-func (l *peerLink) run(ctx context.Context) {
+// run sends what a lane holds until ctx ends.
+func (l *peerLink) run(ctx context.Context, n *lane) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-l.ready:
+		case <-n.ready:
 		}
-		for batch, addr := l.take(); len(batch.Payloads) > 0; batch, addr = l.take() {
-			err := l.deliver(ctx, addr, batch)
+		for batch := l.take(n); len(batch.Payloads) > 0; batch = l.take(n) {
+			err := l.deliver(ctx, l.address(), batch)
 			l.report(err)
 			if err == nil {
 				continue
@@ -166,13 +199,13 @@
 	}
 }
 
-// take returns the oldest messages, up to batchBytes.
-func (l *peerLink) take() (*wire.QuorumMessage, string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
+// take returns the oldest messages of a lane, up to batchBytes.
+func (l *peerLink) take(from *lane) *wire.QuorumMessage {
+	from.mu.Lock()
+	defer from.mu.Unlock()
 	batch := &wire.QuorumMessage{From: l.cfg.ID, FromAddr: l.cfg.PeerAddr, FromName: l.cfg.Name}
 	size, n := 0, 0
-	for _, m := range l.queue {
+	for _, m := range from.queue {
 		if size >= batchBytes {
 			break
 		}
@@ -185,8 +218,8 @@
 		batch.Payloads = append(batch.Payloads, b)
 		size += len(b)
 	}
-	l.queue = append(l.queue[:0], l.queue[n:]...)
-	return batch, l.addr
+	from.queue = append(from.queue[:0], from.queue[n:]...)
+	return batch
 }
 
 // deliver makes one call. Its limit counts what it carries: the entry of a long change that
