entryvm, platform: a long configuration is read at the leader

Operators leave 1.0 s after their request; at every VM they asked the body was under way then (write: broken pipe after 0.99 s), 1.69 MB over 14 Mbit/s after 0.34 s of reading and encoding. VMs behind by a version kept them for 0.99 s as well. Cause: whichever VM is asked sends the whole over its own link, the smallest there is. Ruled out: compressing (operators ask for none), writing while encoding (0.96 s remain). Change: a VM without a place in the control group sends an operator on to the leader (307) when the configuration takes 256 KB or more, and any VM that is behind for 0.3 s does.

--- a/cmd/pearmoor-entry/main.go
+++ b/cmd/pearmoor-entry/main.go
@@ -159,7 +159,7 @@
 		handler    http.Handler
 	}{
 		{"readiness", set.Readiness, platform.ReadinessHandler(v)},
-		{"operators", set.Operators, platform.OperatorHandler(v)},
+		{"operators", set.Operators, platform.OperatorHandler(v, set.Operators)},
 		{"directory", set.Directory, platform.DirectoryHandler(v)},
 		{"metrics", metricsAddr(host, f.metrics), entryvm.MetricsHandler()},
 	}
--- a/internal/entryvm/size_test.go
+++ b/internal/entryvm/size_test.go
@@ -73,9 +73,10 @@
 
 // narrowTier is a control VM and a VM without a disk that reaches it over a narrow link.
 type narrowTier struct {
-	t      *testing.T
-	narrow *VM
-	near   wire.DRPCControlClient // the control VM, as who is beside it reaches it
+	t       *testing.T
+	control *VM
+	narrow  *VM
+	near    wire.DRPCControlClient // the control VM, as who is beside it reaches it
 }
 
 func startNarrowTier(t *testing.T) *narrowTier {
@@ -87,14 +88,14 @@
 	}
 	t.Cleanup(link.Close)
 	told := link.Addr()
-	runVM(t, "control", told, t.TempDir(), lis, told)
+	first := runVM(t, "control", told, t.TempDir(), lis, told)
 	pool := peer.NewTrustedPool()
 	t.Cleanup(func() { _ = pool.Close() })
 	conn, err := pool.Conn(t.Context(), control)
 	if err != nil {
 		t.Fatal(err)
 	}
-	tier := &narrowTier{t: t, near: wire.NewDRPCControlClient(conn)}
+	tier := &narrowTier{t: t, control: first, near: wire.NewDRPCControlClient(conn)}
 	tier.narrow = runVM(t, "narrow", other.Addr().String(), "", other, told)
 	return tier
 }
@@ -182,3 +183,28 @@
 	}
 	tier.eventually("the VM has the change", func() bool { return tier.narrow.release.Load() == 2 })
 }
+
+// An operator reads a long configuration at a VM with a narrow link, which has it and is
+// ready to give it back: over that link it takes longer than the operator waits. It is sent
+// on to the leader, once; a short one is read where it is asked for, and so is any at a
+// control VM.
+func TestLongConfigurationIsReadAtTheLeader(t *testing.T) {
+	t.Parallel()
+	tier := startNarrowTier(t)
+	short := longRelease(1, time.Second)
+	short.Routes = short.Routes[:100]
+	tier.putNear(short)
+	tier.eventually("the VM has the short configuration", func() bool { return tier.narrow.release.Load() == 1 })
+	if host, err := tier.narrow.ReadPlace(t.Context()); host != "" || err != nil {
+		t.Errorf("a short one is read at %q: %v", host, err)
+	}
+	tier.putNear(longRelease(2, time.Second))
+	tier.eventually("the VM has the long configuration", func() bool { return tier.narrow.release.Load() == 2 })
+	if host, err := tier.narrow.ReadPlace(t.Context()); host != "127.0.0.1" || err != nil {
+		t.Errorf("a long one is read at %q: %v", host, err)
+	}
+	tier.eventually("the control VM has it", func() bool { return tier.control.release.Load() == 2 })
+	if host, err := tier.control.ReadPlace(t.Context()); host != "" || err != nil {
+		t.Errorf("at the control VM it is read at %q: %v", host, err)
+	}
+}
--- a/internal/entryvm/tier.go
+++ b/internal/entryvm/tier.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"net"
 	"slices"
 	"time"
 
@@ -26,6 +27,14 @@
 	// order changes nothing the second time.
 	operatorTime = 4 * time.Second
 	controlTime  = 1200 * time.Millisecond
+	// longRead is the size from which operators are sent on to read it: what a link of
+	// 14 Mbit/s carries in 0.15 s. reachTime is how long a VM waits for a short one that
+	// it has not got yet; a change comes to most in a tenth of a second.
+	longRead  = 256 << 10
+	reachTime = 300 * time.Millisecond
+	// routeBytes, and shardBytes for each shard, are what a route takes in a read.
+	routeBytes = 190
+	shardBytes = 10
 	// retryPause is between two rounds over the control VMs.
 	retryPause = 50 * time.Millisecond
 	// mostAddrs is how many addresses a caller is told at most, and nearAddrs how many
@@ -137,6 +146,32 @@
 	}
 }
 
+// ReadPlace returns the host of the VM where an operator reads the configuration better
+// than here, empty where that is this VM: the leader's, when the configuration is long or
+// this VM is behind. A read of 1.7 MB takes a second over a link of 14 Mbit/s whoever gives it
+// back, which is as long as operators wait; control VMs have five times as much of a link,
+// and send on only while they are behind. The leader sends nobody on.
+func (v *VM) ReadPlace(ctx context.Context) (host string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, operatorTime)
+	defer cancel()
+	leader, newest, err := v.newest(ctx)
+	if err != nil || leader == v.conf.PeerAddr {
+		return "", err
+	}
+	behind := false
+	if v.node() != nil || v.releaseBytes.Load() < longRead {
+		wait, cancel := context.WithTimeout(ctx, reachTime)
+		defer cancel()
+		if _, err := v.reach(wait, newest); err == nil {
+			return "", nil
+		}
+		behind = true
+	}
+	host, _, err = net.SplitHostPort(leader)
+	klog.Infof("operator: read sent on to=%s behind=%v bytes=%d version=%d", leader, behind, v.releaseBytes.Load(), newest.Version)
+	return host, errors.Wrapf(err, "entry: leader at %q", leader)
+}
+
 // ReadRelease returns the newest configuration there is, nil when there is none,
 // or an error when no control VM is sure which it is, or this VM does not have it in time.
 //
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -45,6 +45,8 @@
 	steer    steering
 	draining atomic.Bool
 	release  atomic.Uint64 // number of the release in force here
+	// releaseBytes is about what a read of it takes.
+	releaseBytes atomic.Int64
 }
 
 // New puts the parts together; nothing runs yet.
@@ -289,7 +291,17 @@
 		return
 	}
 	v.engine.Install(route.NewTable(rel), view.ConfigVersion)
+	v.releaseBytes.Store(sizeOf(rel))
 	v.release.Store(rel.Number)
 	klog.Infof("entry: configuration in use release=%d version=%d routes=%d services=%d confirmed=%v",
 		rel.Number, view.ConfigVersion, len(rel.Routes), len(rel.Services), view.Confirmed(vm.Now()))
 }
+
+// sizeOf estimates what a read of a release takes, in bytes.
+func sizeOf(r *route.Release) int64 {
+	n := routeBytes * (len(r.Routes) + len(r.Services))
+	for i := range r.Routes {
+		n += shardBytes * len(r.Routes[i].Shards)
+	}
+	return int64(n)
+}
