soak: long configurations while faults go on, and over narrow links at the end

Change: operators send 2,000 routes more now and then, from a source of its own, so that each seed keeps its faults in their order; at the end a long one is put and read back at each VM while the links of all control VMs carry 0.3 MB/s.

--- a/soak/doc_test.go
+++ b/soak/doc_test.go
@@ -4,10 +4,11 @@
 // A seed decides the order, places and times of the faults, which overlap; each run goes
 // through every kind before any comes again: processes killed, paused, stopped gracefully
 // and restarted; settings that change, with a signal and without; disks wiped, writes
-// torn; links to VMs and leaves that delay, hold everything, hold what comes back, or
-// are reset, by a proxy before each of them; leaves that are slow, silent, reset, refuse,
+// torn; links to VMs and leaves that delay, hold everything, hold what comes back, are
+// narrow, or are reset, by a proxy before each of them; leaves that are slow, silent, reset, refuse,
 // lose their answers, answer twice, leave or crash; a list of leaves that fails;
-// operators that send configurations, again and invalid ones, to any VM.
+// operators that send configurations, again, invalid and long ones, to any VM. At the end
+// a long one is sent and read back while the links of all control VMs are narrow.
 //
 // Not here: clocks that step and disks that are slow or full, which nothing outside a
 // process can feign without rights over the machine; internal/control and internal/journal
--- a/soak/operator_test.go
+++ b/soak/operator_test.go
@@ -7,9 +7,11 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"pearmoor/internal/route"
+	"pearmoor/internal/vm"
 	"pearmoor/platform"
 	"pearmoor/platform/standin"
 )
@@ -25,6 +27,7 @@
 	number int
 	acks   []ack
 	texts  map[int]string // of what was sent, by number
+	more   atomic.Int64   // routes that each new configuration holds besides
 }
 
 type ack struct {
@@ -64,7 +67,7 @@
 	if o.texts == nil {
 		o.texts = make(map[int]string)
 	}
-	text, err := platform.EncodeRelease(release(o.number, set))
+	text, err := platform.EncodeRelease(release(o.number, set, int(o.more.Load())))
 	if err != nil {
 		panic(err) // it is made of constants
 	}
@@ -72,8 +75,8 @@
 	return o.number, o.texts[o.number]
 }
 
-// release returns a configuration with these shards.
-func release(number int, shards []string) *route.Release {
+// release returns a configuration with these shards, and as many more routes.
+func release(number int, shards []string, more int) *route.Release {
 	r := &route.Release{
 		Number: uint64(number),
 		Limits: route.Limits{HeaderBytes: 16 << 10, BodyBytes: 256 << 10, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
@@ -84,6 +87,10 @@
 				Service: ledger, Attempts: 2},
 		},
 	}
+	for i := range more {
+		r.Routes = append(r.Routes, route.Route{Name: fmt.Sprintf("more-%04d", i), Host: fmt.Sprintf("host-%03d.example", i%300), Prefix: fmt.Sprintf("/more-%04d/", i),
+			Repeatable: true, Timeout: 2 * time.Second, TargetLatency: 400 * time.Millisecond, Priority: 2, Service: ledger, Attempts: 2})
+	}
 	for _, s := range allServices() {
 		r.Services = append(r.Services, route.Service{Name: s, HealthPath: "/health", Connections: leafConns, Protocol: "h1"})
 	}
@@ -124,7 +131,7 @@
 
 // put sends a configuration to the VMs in turn until one acknowledges it, or ctx ends.
 func (w *world) put(ctx context.Context, rng *rand.Rand, number int, text string) bool {
-	client := &http.Client{Timeout: 1500 * time.Millisecond}
+	client := &http.Client{Timeout: 1500*time.Millisecond + time.Duration(len(text))*10*time.Microsecond}
 	defer client.CloseIdleConnections()
 	for ctx.Err() == nil {
 		v := w.vms[rng.IntN(daemons)]
@@ -182,7 +189,11 @@
 	want := w.ops.newestAcked(time.Now().Add(-applyTime))
 	client := &http.Client{Timeout: 1500 * time.Millisecond}
 	defer client.CloseIdleConnections()
-	v := w.vms[rng.IntN(daemons)]
+	return w.readBackAt(client, w.vms[rng.IntN(daemons)], want)
+}
+
+// readBackAt reads the configuration at one VM, or where that sends on to.
+func (w *world) readBackAt(client *http.Client, v *vmProcess, want int) (int, bool) {
 	status, body := get(client, http.MethodGet, "http://"+v.addr(w.ports.operators)+standin.GetPath, "")
 	if status != http.StatusOK {
 		return 0, false
@@ -198,3 +209,49 @@
 	}
 	return got, true
 }
+
+// moreRoutes make a configuration of some 0.4 MB, which a narrow link carries in 1.3 s.
+const moreRoutes = 2000
+
+// growAndShrink has operators send long configurations for a while, short ones again after
+// that, and so on until ctx ends. It draws from a source of its own: the faults of a seed
+// stay those that it always had.
+func (w *world) growAndShrink(ctx context.Context, rng *rand.Rand) {
+	for ctx.Err() == nil {
+		w.ops.more.Store(moreRoutes)
+		vm.Sleep(ctx, time.Duration(1+rng.IntN(3))*time.Second)
+		w.ops.more.Store(0)
+		vm.Sleep(ctx, time.Duration(2+rng.IntN(6))*time.Second)
+	}
+}
+
+// longOverNarrowLinks sends one long configuration while the links to all control VMs are
+// narrow. It must be acknowledged, come into force, and be read back at each VM in the time
+// that an operator waits.
+func (w *world) longOverNarrowLinks() {
+	for _, v := range w.vms[:disks] {
+		v.link.state.Store(int32(narrows))
+	}
+	defer func() {
+		for _, v := range w.vms[:disks] {
+			v.link.state.Store(int32(passes))
+		}
+	}()
+	w.ops.more.Store(moreRoutes)
+	number, text := w.ops.next(w.rng)
+	w.ops.more.Store(0)
+	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
+	defer cancel()
+	if !w.put(ctx, w.rng, number, text) {
+		w.fail("long configuration %d is not acknowledged over narrow links", number)
+		return
+	}
+	time.Sleep(applyTime + 2*time.Second) // the links carry it to each of them
+	client := &http.Client{Timeout: 2 * time.Second}
+	defer client.CloseIdleConnections()
+	for _, v := range w.vms {
+		if got, ok := w.readBackAt(client, v, number); !ok || got < number {
+			w.fail("%s gives back configuration %d (%v) after long %d was acknowledged", v.name, got, ok, number)
+		}
+	}
+}
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -16,12 +16,15 @@
 	holds            // both ways, as on a link that is cut: nothing arrives and nothing is refused
 	deaf             // one way: what is sent arrives, answers don't
 	linkStates
+	// narrows is not among the faults that are drawn, whose order is the seed's.
+	narrows = linkStates + 1 // each connection carries proxyRate and no more
 )
 
 const (
 	proxyDelay = 30 * time.Millisecond
 	proxyPoll  = 5 * time.Millisecond
 	proxyPiece = 16 << 10
+	proxyRate  = 300_000 // bytes a second
 )
 
 // proxy forwards connections to one address; what it holds arrives when the link is
@@ -87,6 +90,9 @@
 		n, err := src.Read(piece)
 		if n > 0 {
 			p.wait(answers)
+			if linkState(p.state.Load()) == narrows {
+				time.Sleep(time.Duration(n) * time.Second / proxyRate)
+			}
 			if _, err := dst.Write(piece[:n]); err != nil {
 				return
 			}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"strconv"
@@ -76,10 +77,14 @@
 	w.runCallers(ctx, &wg)
 	w.runOperators(ctx, &wg)
 	time.Sleep(time.Second)
+	sizes, cancelSizes := context.WithCancel(ctx)
+	wg.Go(func() { w.growAndShrink(sizes, rand.New(rand.NewPCG(seed, 2))) })
 	w.faults(*duration)
+	cancelSizes()
 	w.heal()
 	cancel()
 	wg.Wait()
+	w.longOverNarrowLinks()
 	time.Sleep(settleTime + 100*time.Millisecond)
 	w.checkWell()
 	w.report(t, seed)
