settings, control: a long change is applied once, and finds each node once

What callers saw, in a trial of 3,000 routes at once: reads unsure and orders in doubt for the time of an election. All control VMs stand still for 0.18 to 0.43 s while they apply 18,000 edits; the leader hears nobody meanwhile, itself included. Cause: each change was replayed a second time to find out what undoes it, which the two trees tell as well; and each of a route's edits looked up its node among thousands twice. Change: the inverse is the difference of the two trees; an editor keeps the node of the last edit. Left: one turn still holds everything up; applying beside the driver's loop is the next step.

--- a/internal/control/state/change.go
+++ b/internal/control/state/change.go
@@ -28,8 +28,7 @@
 	if r := s.conflict(c.BaseVersion); r != nil {
 		return Result{Reply: r}
 	}
-	edits := settings.EditsFromWire(c.Edits)
-	tree := s.tree.Replay(s.version+1, edits)
+	tree := s.tree.Replay(s.version+1, settings.EditsFromWire(c.Edits))
 	rec := &wire.AuditRecord{
 		Version:         s.version + 1,
 		ChangeId:        c.ChangeId,
@@ -39,7 +38,9 @@
 		AcceptedUnixMs:  s.advanceClock(c.UnixMs),
 		BaseVersion:     c.BaseVersion,
 		Edits:           c.Edits,
-		Before:          settings.EditsToWire(s.tree.Inverse(edits)),
+		// What undoes the change, from the two trees: replaying it once more to find out
+		// took half of the time in which a control VM that applies a long change stands still.
+		Before: settings.EditsToWire(settings.Diff(tree, s.tree)),
 	}
 	s.tree, s.version = tree, rec.Version
 	s.steps.add(rec, tree.Digest())
--- a/internal/settings/diff.go
+++ b/internal/settings/diff.go
@@ -4,19 +4,15 @@
 
 // Diff returns the edits that make the values of from those of to. It compares
 // values and not the versions that set them. Parts that the trees share are not
-// looked at, so the cost is that of the difference.
+// looked at, so the cost is that of the difference. From the tree after a change to
+// the one before it, these undo the change; they can't be applied where they state again
+// what this release does not know.
 func Diff(from, to *Tree) []Edit {
 	var d differ
 	d.node("", from.root, to.root)
 	return d.edits
 }
 
-// Inverse returns the edits that undo edits, computed on t before them. They
-// can't be applied where they state again what this release does not know.
-func (t *Tree) Inverse(edits []Edit) []Edit {
-	return Diff(t.Replay(0, edits), t)
-}
-
 type differ struct{ edits []Edit }
 
 func (d *differ) node(path string, from, to *node) {
--- a/internal/settings/editor.go
+++ b/internal/settings/editor.go
@@ -15,6 +15,11 @@
 	// lenient takes what a schema of another version accepted: see Tree.Replay.
 	lenient bool
 	faults  contract.Faults
+	// The node that the last edit changed. The ten settings of a route come one after the
+	// other, and finding its node among thousands twice for each took a third of the time
+	// of a long change.
+	path string
+	last *node // nil: none
 }
 
 func (ed *editor) apply(e Edit) {
@@ -53,12 +58,16 @@
 	if val == nil && !ed.lenient {
 		return
 	}
-	if at := lookupNode(ed.root, segments); at != nil {
+	at := ed.last
+	if at == nil || ed.path != e.Path {
+		at = lookupNode(ed.root, segments)
+	}
+	if at != nil {
 		if i, ok := at.findStated(e.Name); ok && at.stated[i].text == text {
 			return // stated already: it keeps the version that set it
 		}
 	}
-	n := ed.own(segments)
+	n := ed.own(e.Path, segments)
 	s := stated{name: e.Name, text: text, version: ed.version, val: val}
 	if i, ok := n.findStated(e.Name); ok {
 		n.stated[i] = s
@@ -107,7 +116,7 @@
 		ed.fault(e, "the setting is not stated here", "leave the edit out, or name the path that states it")
 		return
 	}
-	n = ed.own(segments)
+	n = ed.own(e.Path, segments)
 	i, _ := n.findStated(e.Name)
 	n.stated = slices.Delete(n.stated, i, i+1)
 }
@@ -121,7 +130,9 @@
 	case lookupNode(ed.root, segments) == nil:
 		ed.fault(e, "there is no such node", "leave the edit out, or name a node that exists")
 	default:
-		parent := ed.own(segments[:len(segments)-1])
+		ed.last = nil
+		parent := ed.own("", segments[:len(segments)-1])
+		ed.last = nil
 		i, _ := parent.find(segments[len(segments)-1])
 		parent.children = slices.Delete(parent.children, i, i+1)
 	}
@@ -129,7 +140,10 @@
 
 // own returns the node at a path, made if need be, ready to be changed: it and
 // those above it are copies that belong to this editor.
-func (ed *editor) own(segments []string) *node {
+func (ed *editor) own(path string, segments []string) *node {
+	if ed.last != nil && ed.path == path {
+		return ed.last
+	}
 	ed.root = thaw(ed.root)
 	n := ed.root
 	for _, name := range segments {
@@ -140,6 +154,7 @@
 		n.children[i] = thaw(n.children[i])
 		n = n.children[i]
 	}
+	ed.path, ed.last = path, n
 	return n
 }
 
--- a/internal/settings/prop_test.go
+++ b/internal/settings/prop_test.go
@@ -91,8 +91,8 @@
 func TestInverseUndoes(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		tree := drawTree(t)
-		edits, next := drawChange(t, tree)
-		back, err := next.Apply(1001, tree.Inverse(edits))
+		_, next := drawChange(t, tree)
+		back, err := next.Apply(1001, Diff(next, tree))
 		if err != nil {
 			t.Fatalf("the inverse is refused: %v", err)
 		}
@@ -276,3 +276,21 @@
 		}
 	})
 }
+
+// An editor remembers the node that it changed last. Edits made together, whatever their
+// order and paths, must leave the tree that they leave one by one.
+func TestEditsTogetherAreEditsOneByOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tree := drawTree(t)
+		var edits []Edit
+		one := tree
+		for range rapid.IntRange(1, 12).Draw(t, "edits") {
+			e := drawEdit(t)
+			edits = append(edits, e)
+			one = one.Replay(1000, []Edit{e})
+		}
+		if together := tree.Replay(1000, edits); together.Digest() != one.Digest() {
+			t.Fatalf("%v together differ by %v", edits, Diff(one, together))
+		}
+	})
+}
