--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -43,7 +43,7 @@
 	ledTerm     uint64 // term in which this VM last became a ready leader
 	flushed     vm.Instant
 	// What the turn under way spent on the journal and on the state.
-	saved, appliedIn time.Duration
+	saveTook, applyTook time.Duration
 }
 
 func newDriver(n *Node, m *quorum.Machine, j *journal.Journal, index uint64) *driver {
@@ -134,9 +134,9 @@
 // reportSlow tells of a turn during which no message was taken and none sent.
 func (d *driver) reportSlow(began vm.Instant) {
 	if took := d.clock().Sub(began); took >= slowTicks*d.tick {
-		klog.Warningf("control: stood still for %v, applied=%d save=%v apply=%v waiting=%d", took, d.applied, d.saved, d.appliedIn, len(d.inbox))
+		klog.Warningf("control: stood still for %v, applied=%d save=%v apply=%v waiting=%d", took, d.applied, d.saveTook, d.applyTook, len(d.inbox))
 	}
-	d.saved, d.appliedIn = 0, 0
+	d.saveTook, d.applyTook = 0, 0
 }
 
 // settle carries out all work that the machine has, and shows the outcome.
--- a/internal/control/ready.go
+++ b/internal/control/ready.go
@@ -53,7 +53,7 @@
 func (d *driver) save(ctx context.Context, rd *quorum.Ready) error {
 	start := time.Now()
 	err := d.journal.Save(rd.Snapshot, rd.HardState, rd.Entries, rd.MustSync)
-	d.saved += time.Since(start)
+	d.saveTook += time.Since(start)
 	if rd.MustSync {
 		saveTimer.UpdateSince(start)
 	}
@@ -108,7 +108,7 @@
 		return nil
 	}
 	began := d.clock()
-	defer func() { d.appliedIn += d.clock().Sub(began) }()
+	defer func() { d.applyTook += d.clock().Sub(began) }()
 	n := d.node
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/entryvm/tier.go
+++ b/internal/entryvm/tier.go
@@ -247,8 +247,10 @@
 	defer func() { _ = conn.Close() }()
 	began := time.Now()
 	redirect, err := call(ctx, wire.NewDRPCControlClient(conn))
-	if err != nil && !peer.NotSent(err) {
-		klog.Warningf("operator: call to control at %s failed took=%v: %v", addr, time.Since(began), err)
+	// A refusal at once is told with the outcome of the whole; in an election there are
+	// sixty a second.
+	if took := time.Since(began); err != nil && !peer.NotSent(err) && took >= retryPause {
+		klog.Warningf("operator: call to control at %s failed took=%v: %v", addr, took, err)
 	}
 	return redirect, err
 }
