--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -28,6 +28,22 @@
 	60, // requests that a leaf never answered were cut off at the end of a planned stop
 }
 
+// findings are seeds that failed and are not mended yet, each with what was found.
+var findings = []uint64{
+	// Once of twice: for an instant a leaf behind a link that had held everything for 1.9 s
+	// had 36 connections, 28 are its limit. A daemon that gives up a request on a silent
+	// link gives its place back at once, and what it closed and what it opened since come
+	// to the leaf together when the link is well again.
+	203,
+}
+
+// TestOpenFindings plays the seeds of open findings as they were.
+func TestOpenFindings(t *testing.T) {
+	for _, seed := range findings {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { soak(t, seed) })
+	}
+}
+
 func TestMain(m *testing.M) {
 	flag.Parse()
 	os.Exit(m.Run())
