link/peer: a test that fails: a reply received whole is lost when its connection ends behind it

A call is answered, the calling process takes the reply in, and the connection ends before it has told the other side that it is done with the call: the call fails, with its reply at hand.

--- /dev/null
+++ b/internal/link/peer/reply_test.go
@@ -0,0 +1,113 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/smartystreets/goconvey/convey"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmanager"
+)
+
+// text is an encoding of strings. It calls onReply when a reply is taken in.
+type text struct{ onReply func() }
+
+func (text) Marshal(msg drpc.Message) ([]byte, error) { return []byte(*msg.(*string)), nil }
+
+func (t text) Unmarshal(buf []byte, msg drpc.Message) error {
+	if t.onReply != nil {
+		t.onReply()
+	}
+	if len(buf) == 0 {
+		return errors.New("empty")
+	}
+	*msg.(*string) = string(buf)
+	return nil
+}
+
+// replyAndReset answers one call and resets its connection when reset is closed,
+// before it has said that no more messages come.
+func replyAndReset(t *testing.T, reply string, reset <-chan struct{}) (addr string, gone <-chan struct{}) {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		defer lis.Close()
+		raw, err := lis.Accept()
+		if err != nil {
+			return
+		}
+		man := drpcmanager.NewWithOptions(raw, managerOptions())
+		stream, _, err := man.NewServerStream(context.Background())
+		if err != nil {
+			return
+		}
+		var in string
+		if stream.MsgRecv(&in, text{}) == nil && stream.MsgSend(&reply, text{}) == nil {
+			<-reset
+		}
+		_ = raw.(*net.TCPConn).SetLinger(0)
+		_ = man.Close()
+	}()
+	return lis.Addr().String(), done
+}
+
+// A daemon's call is answered by a VM in a planned stop, and the caller is told
+// "context canceled". The VM sends the reply and closes the connection behind it; the
+// calling process has taken in the reply, and then fails to tell the other side, on the
+// connection that is gone, that it is done with the call.
+func TestReplyBeforeTheConnectionEnds(t *testing.T) {
+	call := func(reply string) (string, error) {
+		reset := make(chan struct{})
+		addr, gone := replyAndReset(t, reply, reset)
+		pool := NewPool(nil)
+		defer pool.Close()
+		conn, err := pool.Conn(context.Background(), addr)
+		if err != nil {
+			return "", err
+		}
+		in, out := "question", ""
+		enc := text{onReply: func() {
+			close(reset)
+			<-gone
+		}}
+		ctx, cancel := context.WithTimeout(context.Background(), testWait)
+		defer cancel()
+		err = conn.Invoke(ctx, "/any/call", enc, &in, &out)
+		return out, err
+	}
+	Convey("A reply that was received whole is a reply, though the connection ends behind it", t, func() {
+		out, err := call("answer")
+		So(err, ShouldBeNil)
+		So(out, ShouldEqual, "answer")
+	})
+	Convey("A reply that can't be read is none", t, func() {
+		_, err := call("")
+		So(err, ShouldNotBeNil)
+	})
+	Convey("A connection that ends without a reply fails its call", t, func() {
+		lis, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer lis.Close()
+		go func() {
+			raw, err := lis.Accept()
+			if err == nil {
+				time.Sleep(10 * time.Millisecond)
+				_ = raw.Close()
+			}
+		}()
+		pool := NewPool(nil)
+		defer pool.Close()
+		conn, err := pool.Conn(context.Background(), lis.Addr().String())
+		So(err, ShouldBeNil)
+		in, out := "question", ""
+		So(conn.Invoke(context.Background(), "/any/call", text{}, &in, &out), ShouldNotBeNil)
+	})
+}
