link/peer: a reply that was received whole is the call's outcome

Cause: the library's Invoke closes its stream after it has the reply, which writes to the connection unless the other side's word that no more comes has been read already. The VM that stops closes right behind its reply, the write fails, and the failure is added to a call that has succeeded. Ruled out: the reader overtaking the reply (a packet is handed over before the next is read), a reset that discards it.

The encoding of a call now notes that its reply was taken in, and what fails after that is passed over; the lost connection is closed as before.

--- a/internal/link/peer/pool.go
+++ b/internal/link/peer/pool.go
@@ -143,8 +143,12 @@
 		return &NotSentError{Addr: h.addr, Cause: err}
 	}
 	defer h.put(conn)
-	err = conn.Invoke(ctx, rpc, enc, in, out)
+	reply := &replyEncoding{Encoding: enc}
+	err = conn.Invoke(ctx, rpc, reply, in, out)
 	h.checkLost(conn, err)
+	if reply.received {
+		return nil
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		// No answer in time may be a link that was cut silently, on which every
 		// later call would wait as long. A new connection shows it by dialing.
