link/leaf: a test that fails: probes that run out of time take connections over the share

A leaf whose status handler stands still had 10 connections of a daemon whose share is 2: a failed probe closed its connection at once, and the next one dialled before the leaf had let go of it.

--- a/internal/link/leaf/stress_test.go
+++ b/internal/link/leaf/stress_test.go
@@ -193,6 +193,26 @@
 	}
 }
 
+// A leaf's status handler stands still, and the leaf takes a moment to close the end of
+// each connection whose probe has run out of time. A daemon that probes it again on a new
+// connection at once has one too many there, and a request on another is reset.
+func TestProbeCountsUntilTheLeafHasClosedIt(t *testing.T) {
+	f := newFakeLeafUnstarted()
+	f.closesAfter = 50 * time.Millisecond
+	f.statusH = func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+	f.Start()
+	t.Cleanup(f.Close)
+	r := newRig(t, f.leaf(), 4, Link{Conns: 2})
+	for range 10 {
+		if _, err := r.sender.probe(r.leaf.Addr, 5*time.Millisecond); err == nil {
+			t.Error("a probe that is not answered has a status")
+		}
+	}
+	if f.mostOpen.Load() > 2 {
+		t.Errorf("%d connections were open at once; the share is 2", f.mostOpen.Load())
+	}
+}
+
 // More callers than connections: they wait for one, and the leaf never sees more
 // than the share, those being opened included.
 func TestConnectionsStayWithinTheShare(t *testing.T) {
