link: one way to end a connection, which counts until the leaf has closed its end

What leaves saw: connections over a daemon's share while probes ran out of time, and so resets of connections that carry requests (TestProbeCountsUntilTheLeafHasClosedIt: 10 for a share of 2).

Cause: an exchange that failed waited for the leaf's end (conn.end), an idle connection half closed and was cut off by a timer (conn.retire), one that the HTTP client closed lingered (wire.linger), and a probe that failed closed at once (conn.close): four ways for one notion. There is one now, farend.Await, behind conn.end; the first three fall away. Only an attempt past every limit still closes at once, whatever the leaf does. It holds since a place is given back only when the leaf's end is closed, or after 2 s of silence, by which nothing of the connection is left at a leaf that lives.

--- a/internal/link/leaf/pool.go
+++ b/internal/link/leaf/pool.go
@@ -108,32 +108,15 @@
 	return surplus
 }
 
-// retireAll retires connections; no lock may be held.
-func retireAll(cs []*conn) {
+// endAll ends connections; no lock may be held.
+func endAll(cs []*conn) {
 	for _, c := range cs {
-		c.retire()
+		c.end()
 	}
 }
 
-// retireLimit bounds the wait for a leaf to close its end.
-const retireLimit = 2 * time.Second
-
-// retire ends an idle connection. It counts until the leaf has closed its end:
-// closed from here at once, its place would be taken by a new one before the
-// leaf has seen the end of the old, and the leaf would have one too many.
-func (c *conn) retire() {
-	c.wire.closeWrite()
-	time.AfterFunc(retireLimit, c.close)
-}
-
-// end ends a connection that failed. One that the leaf has not ended is retired.
-func (c *conn) end() {
-	if c.wire.ended.Load() {
-		c.close()
-		return
-	}
-	c.retire()
-}
+// end ends a connection: it counts until the leaf has closed its end.
+func (c *conn) end() { _ = c.wire.Close() }
 
 // close ends a connection whose leaf is not waited for any more.
 func (c *conn) close() {
@@ -231,7 +214,7 @@
 	p.mu.Lock()
 	if p.open > p.link.Conns || c.secure != p.link.TLS || c.wire.half.Load() || c.client.Err() != nil {
 		p.mu.Unlock()
-		c.retire()
+		c.end()
 		return
 	}
 	p.idle = append(p.idle, c)
--- a/internal/link/leaf/probe.go
+++ b/internal/link/leaf/probe.go
@@ -49,16 +49,16 @@
 	}
 	resp, err := c.client.RoundTrip(req)
 	if err != nil {
-		c.close()
+		c.end()
 		return nil, err
 	}
 	var buf bytes.Buffer
 	if err := readAll(&buf, resp, statusLimit); err != nil {
-		c.close()
+		c.end()
 		return nil, err
 	}
 	if resp.Close {
-		c.retire()
+		c.end()
 	} else {
 		p.put(c)
 	}
--- a/internal/link/leaf/roundtrip.go
+++ b/internal/link/leaf/roundtrip.go
@@ -68,7 +68,7 @@
 	x.setConn(nil)
 	half := c.wire.half.Load()
 	if resp.Close {
-		c.retire()
+		c.end()
 	} else {
 		x.pool.put(c)
 	}
--- a/internal/link/leaf/sender.go
+++ b/internal/link/leaf/sender.go
@@ -59,7 +59,7 @@
 // Limit sets what may be used to reach a leaf. A smaller share of connections
 // closes idle ones at once and the others when their exchange is over.
 func (s *Sender) Limit(leaf settings.Leaf, l Link) {
-	retireAll(s.limit(leaf.Addr, l))
+	endAll(s.limit(leaf.Addr, l))
 }
 
 func (s *Sender) limit(addr string, l Link) (surplus []*conn) {
@@ -117,7 +117,7 @@
 	addrs := slices.Collect(maps.Keys(s.pools))
 	s.mu.RUnlock()
 	for _, addr := range addrs {
-		retireAll(s.limit(addr, Link{}))
+		endAll(s.limit(addr, Link{}))
 	}
 }
 
--- a/internal/link/leaf/wire.go
+++ b/internal/link/leaf/wire.go
@@ -11,6 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"pearmoor/internal/link/farend"
 )
 
 const (
@@ -21,8 +23,8 @@
 	keepAliveInterval = time.Second
 	keepAliveCount    = 3
 	userTimeout       = 6 * time.Second
-	// lingerBuffer takes what a leaf still sends on a connection that ends, in bytes.
-	lingerBuffer = 512
+	// endLimit bounds the wait for a leaf to close its end.
+	endLimit = 2 * time.Second
 )
 
 // wire is a connection to a leaf, or the place in its pool of one that is not
@@ -30,14 +32,14 @@
 // exchange and counts itself out of its pool when it is closed.
 type wire struct {
 	net.Conn
-	pool       *pool
-	exact      bool                     // plain TCP: a write of 0 bytes sent nothing
-	first      atomic.Pointer[exchange] // armed until the first write of an exchange
-	half       atomic.Bool              // the write side is shut
-	ended      atomic.Bool              // the leaf has closed its end, or the connection is broken
-	dropped    atomic.Bool              // the leaf's end is not waited for
-	closeOnce  sync.Once
-	lingerOnce sync.Once
+	pool      *pool
+	exact     bool                     // plain TCP: a write of 0 bytes sent nothing
+	first     atomic.Pointer[exchange] // armed until the first write of an exchange
+	half      atomic.Bool              // the write side is shut
+	ended     atomic.Bool              // the leaf has closed its end, or the connection is broken
+	dropped   atomic.Bool              // the leaf's end is not waited for
+	closeOnce sync.Once
+	endOnce   sync.Once
 }
 
 var errHalfClosed = errors.New("the connection is being closed")
@@ -70,29 +72,17 @@
 	return n, err
 }
 
-// Close closes the connection and gives its place in the pool back, once the leaf has
-// closed its end as well: closed here at once, after an answer that ends the connection,
-// its place would be taken by a new one before the leaf has let go of the old, and the leaf
-// would have one more than the share.
+// Close ends the connection and gives its place in the pool back when the leaf has
+// closed its end as well.
 func (w *wire) Close() error {
 	if w.Conn == nil || w.ended.Load() || w.dropped.Load() {
 		return w.drop()
 	}
-	w.closeWrite()
-	w.lingerOnce.Do(func() { go w.linger() })
+	w.half.Store(true)
+	w.endOnce.Do(func() { farend.Await(w.Conn, endLimit, func() { _ = w.drop() }) })
 	return nil
 }
 
-// linger waits for the leaf's end, retireLimit at most.
-func (w *wire) linger() {
-	_ = w.Conn.SetReadDeadline(time.Now().Add(retireLimit))
-	rest := make([]byte, lingerBuffer)
-	for err := error(nil); err == nil; {
-		_, err = w.Conn.Read(rest)
-	}
-	_ = w.drop()
-}
-
 // drop closes the connection whatever the leaf does.
 func (w *wire) drop() error {
 	w.dropped.Store(true)
