link/target: a connection counts until the leaf has closed its end

Cause: a place was given back at this daemon's own close, so what it closed and what it opened in its place came to the leaf together. Ruled out: shares that add up to more than the limit (nine tenths are shared out), a membership that changed meanwhile.

A connection that the leaf has not ended is half closed and awaited now, for as long as a link that carries nothing is borne with (farend.Await, as in link/leaf).

--- a/internal/link/target/link.go
+++ b/internal/link/target/link.go
@@ -13,6 +13,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sys/unix"
+
+	"pearmoor/internal/link/farend"
 )
 
 const (
@@ -30,6 +32,9 @@
 	// idleLimit closes a connection that has not been used for this long when the
 	// leaf says nothing of its own limit.
 	idleLimit = 25 * time.Second
+	// endLimit bounds the wait for a leaf to close its end of a connection that is not
+	// used any more: as long as a link that carries nothing is borne with.
+	endLimit = userTimeout
 	// idleMargin is kept to a limit that a leaf has stated: it closes by its own
 	// clock, and what is sent meanwhile is lost.
 	idleMargin = 1200 * time.Millisecond
@@ -141,11 +146,21 @@
 	raw    syscall.RawConn
 	reader *bufio.Reader
 	used   bool // has carried a whole exchange
+	ended  bool // the leaf has closed its end, or the connection is broken
 	idleAt time.Time
 	until  time.Time // not to be used after it
 	limit  time.Duration
 }
 
+// Read implements io.Reader and notes the end.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err != nil && !isTimeout(err) {
+		c.ended = true
+	}
+	return n, err
+}
+
 // take returns a warm connection that looks sound and has been idle for at most
 // maxIdle (0: any time), or a new one. While this daemon's share of the leaf's
 // connections is in use it waits for one for at most wait.
@@ -302,13 +317,22 @@
 	l.mu.Unlock()
 }
 
-// drop closes a connection and gives its place back.
+// drop ends a connection and gives its place back when the leaf has closed its end.
 func (l *Link) drop(c *conn) {
-	_ = c.Close()
-	countOpen(-1)
 	l.mu.Lock()
 	delete(l.busy, c)
 	l.mu.Unlock()
+	if c.ended {
+		_ = c.Close()
+		l.ended()
+		return
+	}
+	farend.Await(c.Conn, endLimit, l.ended)
+}
+
+// ended counts a connection out.
+func (l *Link) ended() {
+	countOpen(-1)
 	l.free()
 }
 
@@ -335,7 +359,8 @@
 	}
 	connsOpened.Inc(1)
 	countOpen(1)
-	c := &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer), limit: idleLimit}
+	c := &conn{Conn: raw, limit: idleLimit}
+	c.reader = bufio.NewReaderSize(c, readBuffer)
 	if tcp, ok := raw.(*net.TCPConn); ok {
 		if c.raw, err = tcp.SyscallConn(); err != nil {
 			l.drop(c)
@@ -358,8 +383,9 @@
 	quiet := false
 	err := c.raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		quiet = err == unix.EAGAIN
+		c.ended = !quiet && n <= 0
 		return true
 	})
 	return err == nil && quiet
