relay: a reply that states no tree contradicts none

What operators saw: at the founding of a group of 200, errors "the tree's digest differs from the one stated" on 12 of 50 daemons whose logs were kept, and a whole state asked for once more by each.

Cause: daemons ask several control VMs beside one another. The leader's reply brings the empty tree of version 0, and that of one which does not lead, with the leader's name and no tree, was compared with it: version 0 like it, digest 0 unlike it. Ruled out: another group (one founder, one term), a delta on another base (no delta was sent).

A reply without a digest states no tree and is not compared. One with another digest is refused as before. TestReplyWithoutStateContradictsNone failed before.

--- a/internal/relay/advance.go
+++ b/internal/relay/advance.go
@@ -62,7 +62,8 @@
 	if r.GetConfigVersion() > v.ConfigVersion {
 		return errors.Wrapf(errGap, "version %d is stated, %d is reached", r.GetConfigVersion(), v.ConfigVersion)
 	}
-	if r.GetConfigVersion() == v.ConfigVersion && v.Tree != nil && r.GetConfigDigest() != v.ConfigDigest {
+	statesTree := r.GetConfigDigest() != 0 // a VM that does not lead states none
+	if statesTree && r.GetConfigVersion() == v.ConfigVersion && v.Tree != nil && r.GetConfigDigest() != v.ConfigDigest {
 		return errors.Wrapf(errDigest, "version %d", v.ConfigVersion)
 	}
 	return nil
--- a/internal/relay/advance_test.go
+++ b/internal/relay/advance_test.go
@@ -171,3 +171,27 @@
 		t.Fatal("short heartbeats were read without the membership")
 	}
 }
+
+// A tier is founded, and daemons ask several control VMs beside one another. One knows the
+// new group's empty tree; the others, which do not lead, name the leader and state no
+// tree. Taken for the word of a group with another tree, each such reply made its daemon
+// ask for the whole state once more, and say so as an error, on 12 of 50 daemons.
+func TestReplyWithoutStateContradictsNone(t *testing.T) {
+	source := NewHistory()
+	tree := settings.New()
+	members := &vm.Membership{Epoch: 1, Members: []vm.Member{{Identity: identity("d1", 1), Phase: vm.Serving}}}
+	source.Advance(State{ConfigDigest: tree.Digest(), Tree: tree, Settled: members}, nil)
+	reply := &wire.SyncReply{}
+	source.Fill(requestOf(&View{}), reply)
+	v, err := advance(&View{}, reply)
+	if err != nil || v.Tree == nil {
+		t.Fatalf("the empty tree is not taken: %v", err)
+	}
+	if again, err := advance(v, &wire.SyncReply{Redirect: "10.0.0.1:7000"}); err != nil || again != v {
+		t.Errorf("a reply that states no tree: %v", err)
+	}
+	other := settings.New().Replay(0, []settings.Edit{set(service, "leaf-slots", "3")})
+	if _, err := advance(v, &wire.SyncReply{ConfigDigest: other.Digest(), SettledEpoch: 1}); err == nil {
+		t.Error("another tree of the same version is taken for the same")
+	}
+}
