cli, logs: pearmoor trace tells from collected logs what became of one request

One command from a failed request's id to its cause: every decision on it and what the daemons that made them believed around it, in order of time; files that can't be read and lines that are none are named.

--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -111,6 +111,7 @@
 	a.declareDomains(k)
 	a.declareCerts(k)
 	a.declareLoad(k)
+	a.declareTrace(k)
 }
 
 func (a *app) close() {
--- /dev/null
+++ b/internal/cli/trace.go
@@ -0,0 +1,61 @@
+package cli
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"pearmoor/internal/logs"
+)
+
+// trace is what was found of a request.
+type trace struct{ *logs.Story }
+
+func (a *app) declareTrace(k *kingpin.Application) {
+	var id string
+	var files []string
+	c := k.Command("trace", `Show what collected logs tell of one request: every decision on it, and what the
+daemons that made them believed a second before and after, in order of time.
+Files that can't be read and lines that are no log lines are named; exit 1 if any
+was, or nothing was found.
+
+Example: pearmoor trace e03c7c20ffb7c88d logs/*.log`)
+	c.Arg("id", "The request's id, as its caller sent it.").Required().StringVar(&id)
+	c.Arg("files", "Logs of daemons.").Required().StringsVar(&files)
+	c.Action(func(*kingpin.ParseContext) error { return a.trace(id, files) })
+}
+
+func (a *app) trace(id string, files []string) error {
+	t := &trace{logs.Of(id, files)}
+	if err := a.print(t); err != nil {
+		return err
+	}
+	switch {
+	case len(t.Lines) == 0:
+		return failWith(ExitFailed, "nothing about request %s in %s (%s)", id, plural(len(files), "file"), plural(len(t.Troubles), "trouble"))
+	case len(t.Troubles) > 0:
+		return failWith(ExitFailed, "%s: the story may be incomplete", plural(len(t.Troubles), "trouble"))
+	}
+	return nil
+}
+
+// mostTroubles bounds the troubles that are shown as text.
+const mostTroubles = 20
+
+func (t *trace) writeText(w io.Writer) {
+	for _, l := range t.Lines {
+		fmt.Fprintf(w, "%s  %s  %s\n", l.Time.UTC().Format("15:04:05.000"), l.File, l.Text)
+	}
+	for i, x := range t.Troubles {
+		if i == mostTroubles {
+			fmt.Fprintf(w, "and %s more\n", plural(len(t.Troubles)-i, "trouble"))
+			return
+		}
+		if x.Line == 0 {
+			fmt.Fprintf(w, "not read: %s: %s\n", x.File, x.Why)
+			continue
+		}
+		fmt.Fprintf(w, "no log line: %s:%d: %s\n", x.File, x.Line, x.Why)
+	}
+}
--- /dev/null
+++ b/internal/logs/logs_test.go
@@ -0,0 +1,52 @@
+package logs
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func write(t *testing.T, name, text string) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), name)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
+// An operator has a failed request's id and the logs of two hundred VMs, of which two have
+// decided on it, one was not collected and one ends in half a line. The story has the decisions of
+// both in order, what they believed around them, and names what is not there.
+func TestStoryOfARequest(t *testing.T) {
+	const day = `{"time":"2026-01-04T23:34:`
+	one := write(t, "vm-1.log", strings.Join([]string{
+		day + `10.000Z","part":"entry","what":"too early"}`,
+		day + `15.100Z","part":"discovery","what":"a leaf left"}`,
+		`vm-1 ` + day + `15.500Z","part":"gather","what":"answered","id":"aa"}`,
+		day + `15.600Z","part":"gather","what":"answered","id":"bb"}`,
+		``,
+		day + `15.9`,
+	}, "\n"))
+	two := write(t, "vm-2.log", strings.Join([]string{
+		day + `15.300Z","part":"gather","what":"send failed","id":"aa"}`,
+		day + `16.200Z","part":"relay","what":"after"}`,
+		`no object at all`,
+	}, "\n"))
+	other := write(t, "vm-3.log", day+`15.400Z","part":"entry","what":"of a daemon that did not decide"}`)
+	missing := filepath.Join(t.TempDir(), "vm-4.log")
+	s := Of("aa", []string{one, two, other, missing})
+	want := []string{"a leaf left", "send failed", "answered", "after"}
+	if len(s.Lines) != len(want) {
+		t.Fatalf("%d lines: %+v", len(s.Lines), s.Lines)
+	}
+	for i, w := range want {
+		if !strings.Contains(s.Lines[i].Text, w) || !strings.HasPrefix(s.Lines[i].Text, "{") {
+			t.Errorf("line %d is %s %s, want %q", i, s.Lines[i].File, s.Lines[i].Text, w)
+		}
+	}
+	if len(s.Troubles) != 3 || s.Troubles[0].Line != 6 || s.Troubles[1].Line != 3 || s.Troubles[2].File != missing {
+		t.Errorf("troubles %+v", s.Troubles)
+	}
+}
