soak: disks that are slow, stall or fill, and connections reset in series

Both kinds draw from sources of their own, so the faults of earlier seeds stay those that they were.

--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -16,7 +16,6 @@
 	"pearmoor/internal/control"
 	"pearmoor/internal/discovery"
 	"pearmoor/internal/forward"
-	"pearmoor/internal/journal"
 	"pearmoor/internal/link/peer"
 	"pearmoor/internal/link/wire"
 	"pearmoor/internal/policy"
@@ -89,7 +88,7 @@
 			Tick: controlTick, ReserveBytes: max(v.conf.DiskBytes/diskReserve, 1), SnapshotEntries: 500,
 			AuditBytes: int64(v.conf.DiskBytes / auditShare),
 			Upkeep:     control.Upkeep{MinVoters: 2*v.conf.Tolerated + 1, SilentAfter: silentAfter},
-			FS:         journal.OS{},
+			FS:         diskOf(v.conf.DataDir),
 		},
 		Found: v.conf.FirstStart, Founders: v.founders, Contacts: v.contacts,
 		OnNode: func(n *control.Node) {
--- a/soak/doc_test.go
+++ b/soak/doc_test.go
@@ -7,11 +7,12 @@
 // torn; links to VMs and leaves that delay, hold everything, hold what comes back, are
 // narrow, or are reset, by a proxy before each of them; leaves that are slow, silent, reset, refuse,
 // lose their answers, answer twice, leave or crash; a list of leaves that fails;
-// operators that send configurations, again, invalid and long ones, to any VM. At the end
+// disks that are slow, stand still or are full, through a file system that only the soak's
+// build has; connections reset several times in a row; operators that send configurations, again, invalid and long ones, to any VM. At the end
 // a long one is sent and read back while the links of all control VMs are narrow.
 //
-// Not here: clocks that step and disks that are slow or full, which nothing outside a
-// process can feign without rights over the machine; internal/control and internal/journal
+// Not here: clocks that step, which nothing outside a process can feign without rights over
+// the machine, and writes that a loss of power loses; internal/control and internal/journal
 // test those with clocks and file systems of their own.
 //
 // Checked: an answer names parts of its own request only, of the shards of one
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -93,10 +93,14 @@
 	w.runCallers(ctx, &wg)
 	w.runOperators(ctx, &wg)
 	time.Sleep(time.Second)
-	sizes, cancelSizes := context.WithCancel(ctx)
-	wg.Go(func() { w.growAndShrink(sizes, rand.New(rand.NewPCG(seed, 2))) })
+	beside, cancelBeside := context.WithCancel(ctx)
+	var others sync.WaitGroup
+	for i, play := range []func(context.Context, *rand.Rand){w.growAndShrink, w.disturbDisks, w.resetInSeries} {
+		others.Go(func() { play(beside, rand.New(rand.NewPCG(seed, uint64(2+i)))) })
+	}
 	w.faults(*duration)
-	cancelSizes()
+	cancelBeside()
+	others.Wait()
 	w.heal()
 	cancel()
 	wg.Wait()
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -152,7 +152,7 @@
 		runs: map[string][]string{}, wants: map[string]string{}, served: map[string]int{},
 	}
 	w.bin = filepath.Join(w.dir, "pearmoor-entry")
-	if out, err := exec.Command("go", "build", "-o", w.bin, "../cmd/pearmoor-entry").CombinedOutput(); err != nil {
+	if out, err := exec.Command("go", "build", "-tags", "faultydisk", "-o", w.bin, "../cmd/pearmoor-entry").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
 	free, err := freeport.Ports("127.0.0.1", 5)
