--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -26,16 +26,15 @@
 // short run.
 var regressions = []uint64{
 	60, // requests that a leaf never answered were cut off at the end of a planned stop
+	// For an instant a leaf behind a link that had held everything for 1.9 s had 36
+	// connections, 28 are its limit. A daemon that gave up a request on a silent link gave
+	// its place back at once, and what it closed and what it opened since came to the leaf
+	// together when the link was well again.
+	203,
 }
 
 // findings are seeds that failed and are not mended yet, each with what was found.
-var findings = []uint64{
-	// Once of twice: for an instant a leaf behind a link that had held everything for 1.9 s
-	// had 36 connections, 28 are its limit. A daemon that gives up a request on a silent
-	// link gives its place back at once, and what it closed and what it opened since come
-	// to the leaf together when the link is well again.
-	203,
-}
+var findings = []uint64{}
 
 // TestOpenFindings plays the seeds of open findings as they were.
 func TestOpenFindings(t *testing.T) {
