--- a/internal/entryvm/steer_test.go
+++ b/internal/entryvm/steer_test.go
@@ -107,3 +107,35 @@
 		So(named(takers, "valley", "hall-1"), ShouldNotResemble, named(takers, "valley", "hall-1"))
 	})
 }
+
+// All VMs with a disk lose power for some seconds. They are the only ones fit for the
+// widest gathers, and callers keep the addresses that they were told of before: one that
+// knows of nobody else finds no VM for as long as it waits, though 195 of 200 are well. A
+// caller tries twice, the second time at another address.
+func TestCallersReachSomebodyWhileAllLargeVMsAreLost(t *testing.T) {
+	const domains, smallEach, asks = 5, 39, 2000
+	var all []*vm.Member
+	for d := range domains {
+		domain := fmt.Sprintf("hall-%d", d)
+		large := member("large-"+domain, domain, 512)
+		all = append(all, &large)
+		for i := range smallEach {
+			small := member(fmt.Sprintf("small-%s-%d", domain, i), domain, 192)
+			all = append(all, &small)
+		}
+	}
+	takers := policy.Takers(all, policy.Millicores(87, 60*time.Millisecond))
+	lost := 0
+	for range asks {
+		list := named(takers, "valley", "hall-0")
+		if strings.HasPrefix(list[0], "large-") && strings.HasPrefix(list[1], "large-") {
+			lost++
+		}
+	}
+	if share := float64(lost) / asks; share > 0.1 {
+		t.Errorf("%.2f of the callers reach nobody", share)
+	}
+	if len(takers) > len(all)/5 {
+		t.Errorf("%d of %d take callers: each holds connections to every leaf", len(takers), len(all))
+	}
+}
