forward: a panic is answered, and a connection that ends without an answer leaves a line

Four causes look alike from outside (the answer was lost, the handler panicked, the caller's side ended, the daemon closed the connection itself).

Change: a caller's connection keeps the id under way, the bytes of its answer and its first failure, and logs one that is closed before any byte of an answer ('closed without an answer', counter forward.closed_unanswered); 'caller left' has the connection's failure; faults of every HTTP server go to the log, where they went to io.Discard. A panic in the handling of a request is logged with its stack, counted (forward.panics) and answered with a 500 that says that the request may have run, and the sends under way are let go of.

--- a/cmd/pearmoor-entry/main.go
+++ b/cmd/pearmoor-entry/main.go
@@ -6,8 +6,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"log"
 	"net"
 	"net/http"
 	"os"
@@ -191,7 +189,7 @@
 func serveSide(what string, l net.Listener, h http.Handler) {
 	s := &http.Server{
 		Handler: h, ReadHeaderTimeout: sideHeaderTimeout, IdleTimeout: sideIdleTimeout,
-		ErrorLog: log.New(io.Discard, "", 0),
+		ErrorLog: decision.ServerLog(what),
 	}
 	if err := s.Serve(l); err != nil && !errors.Is(err, net.ErrClosed) {
 		klog.Errorf("entry: %s not served any more: %v", what, err)
--- a/internal/decision/klog.go
+++ b/internal/decision/klog.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"flag"
+	"log"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -50,3 +51,15 @@
 	w.log.line(w.level, part).end(what)
 	return len(p), nil
 }
+
+// ServerLog returns a log for the faults that a http.Server meets, panics of its handlers
+// among them; part names the server.
+func ServerLog(part string) *log.Logger { return log.New(serverWriter{part}, "", 0) }
+
+type serverWriter struct{ part string }
+
+// Write implements io.Writer for one fault.
+func (w serverWriter) Write(p []byte) (int, error) {
+	klog.Warningf("%s: %s", w.part, bytes.TrimRight(p, "\n"))
+	return len(p), nil
+}
--- /dev/null
+++ b/internal/forward/conn.go
@@ -0,0 +1,132 @@
+package forward
+
+import (
+	"context"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"pearmoor/internal/decision"
+)
+
+var unanswered = metrics.GetOrRegisterCounter("forward.closed_unanswered", metrics.DefaultRegistry)
+
+// callerConn is a caller's connection that knows which request is under way on it and
+// why it ended, so that a connection closed without an answer leaves a trace.
+type callerConn struct {
+	*net.TCPConn
+	log *decision.Log
+
+	mu      sync.Mutex
+	id      string // of the request under way; empty: none
+	began   time.Time
+	written int   // bytes of its answer
+	failure error // first of the connection
+	closed  bool
+}
+
+// callerListener wraps the connections that it accepts.
+type callerListener struct {
+	net.Listener
+	log *decision.Log
+}
+
+// Accept implements net.Listener.
+func (l callerListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return c, nil
+	}
+	return &callerConn{TCPConn: tcp, log: l.log}, nil
+}
+
+type connKey struct{}
+
+func withCallerConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// connOf returns the connection of a request's context, nil where it is not wrapped.
+func connOf(ctx context.Context) *callerConn {
+	c, _ := ctx.Value(connKey{}).(*callerConn)
+	return c
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) { // net/http ends its own reads so
+		c.failed("read", err)
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *callerConn) Write(p []byte) (int, error) {
+	n, err := c.TCPConn.Write(p)
+	c.mu.Lock()
+	c.written += n
+	c.mu.Unlock()
+	if err != nil {
+		c.failed("write", err)
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	c.closing()
+	return c.TCPConn.Close()
+}
+
+func (c *callerConn) failed(op string, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failure == nil {
+		c.failure = errors.Wrap(err, op)
+	}
+}
+
+// begin notes that a request is under way.
+func (c *callerConn) begin(id string, at time.Time) {
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.id, c.began, c.written = id, at, 0
+}
+
+// cause returns why the connection has ended, nil while nothing failed on it.
+func (c *callerConn) cause() error {
+	if c == nil {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failure
+}
+
+// closing logs a connection that is closed before any byte of an answer.
+func (c *callerConn) closing() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return
+	}
+	c.closed = true
+	if c.id == "" || c.written > 0 {
+		return
+	}
+	unanswered.Inc(1)
+	c.log.Line("caller", "closed without an answer").Str("id", c.id).Str("from", c.RemoteAddr().String()).
+		Ms("took", time.Since(c.began)).Err(c.failure).End()
+}
--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -203,9 +204,9 @@
 	return "single"
 }
 
-func (r *run) logLeft() {
+func (r *run) logLeft(ctx context.Context) {
 	r.e.cfg.Log.Line(r.part(), "caller left").Str("id", r.req.ID).Str("route", r.entry.Name).
-		Ms("took", time.Since(r.req.Arrived)).Int("parts", int64(r.have)).End()
+		Ms("took", time.Since(r.req.Arrived)).Int("parts", int64(r.have)).Err(connOf(ctx).cause()).End()
 }
 
 func (r *run) logFailed(s *shard, res *result) {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"slices"
 	"strconv"
 	"strings"
@@ -11,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
+	"k8s.io/klog/v2"
 
 	"pearmoor/internal/contract"
 	"pearmoor/internal/decision"
@@ -33,6 +36,7 @@
 	answered = metrics.GetOrRegisterCounter("forward.answered", metrics.DefaultRegistry)
 	gaveUp   = metrics.GetOrRegisterCounter("forward.gave_up", metrics.DefaultRegistry)
 	refused  = metrics.GetOrRegisterCounter("forward.refused", metrics.DefaultRegistry)
+	panics   = metrics.GetOrRegisterCounter("forward.panics", metrics.DefaultRegistry)
 	left     = metrics.GetOrRegisterCounter("forward.callers_left", metrics.DefaultRegistry)
 	badCalls = metrics.GetOrRegisterCounter("forward.bad_requests", metrics.DefaultRegistry)
 	latency  = metrics.GetOrRegisterHistogram("forward.latency_us", metrics.DefaultRegistry, metrics.NewExpDecaySample(512, 0.015))
@@ -63,7 +67,9 @@
 		http.Error(w, bad.String(), bad.status)
 		return
 	}
-	a := h.Engine.Forward(r.Context(), req)
+	conn := connOf(r.Context())
+	conn.begin(req.ID, arrived)
+	a := h.forward(r.Context(), req)
 	if a == nil {
 		left.Inc(1)
 		panic(http.ErrAbortHandler)
@@ -72,6 +78,19 @@
 	latency.Update(time.Since(arrived).Microseconds())
 }
 
+// forward answers a request whose handling panics with an error: its caller would see a
+// connection that breaks off, which says nothing of what became of the request.
+func (h *Handler) forward(ctx context.Context, req *Request) (a *Answer) {
+	defer func() {
+		if p := recover(); p != nil {
+			panics.Inc(1)
+			klog.Errorf("caller: handling id=%s panicked: %v %s", req.ID, p, debug.Stack())
+			a = &Answer{Status: http.StatusInternalServerError, Verdict: contract.MayHaveRun, Reason: contract.ReasonInternal}
+		}
+	}()
+	return h.Engine.Forward(ctx, req)
+}
+
 // badRequest is a fault of the request itself with its status.
 type badRequest struct {
 	contract.Fault
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -128,6 +128,7 @@
 // do sends the request and follows it to its answer.
 func (r *run) do(ctx context.Context) *Answer {
 	defer close(r.over)
+	defer r.abandon()
 	for i := range r.shards {
 		r.e.cfg.Budgets.Request(r.shards[i].service)
 	}
@@ -137,7 +138,6 @@
 	for {
 		now := time.Now()
 		if a := r.decide(now); a != nil {
-			r.abandon()
 			r.log(a)
 			return a
 		}
@@ -152,12 +152,10 @@
 			r.wake(time.Now())
 		case <-r.e.ending:
 			a := r.lastWord()
-			r.abandon()
 			r.log(a)
 			return a
 		case <-ctx.Done():
-			r.abandon()
-			r.logLeft()
+			r.logLeft(ctx)
 			return nil
 		}
 	}
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"io"
-	"log"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"pearmoor/internal/decision"
 )
 
 const (
@@ -34,7 +35,8 @@
 	s := &Server{idle: &idleConns{since: make(map[io.Closer]time.Time)}, h: h}
 	s.http = &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: 1 << 20,
-		ErrorLog: log.New(io.Discard, "", 0), // a caller's broken connection is no fault of the daemon
+		ErrorLog:    decision.ServerLog("caller"),
+		ConnContext: withCallerConn,
 		ConnState: func(c net.Conn, st http.ConnState) {
 			s.idle.note(c, st == http.StateIdle)
 		},
@@ -45,7 +47,7 @@
 // Serve takes connections until Shutdown; ctx ends what goes on beside it.
 func (s *Server) Serve(ctx context.Context, lis net.Listener) error {
 	go s.idle.run(ctx, s.idleLimit)
-	err := s.http.Serve(lis)
+	err := s.http.Serve(callerListener{lis, s.h.Log})
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
