forward: the idle limit never closes a connection with a request on it

Nothing that was read can be on a connection that ends so.

Looked for elsewhere: the other servers take net/http's own idle time-out, which is a read deadline of the reading goroutine; pools of connections to leaves and daemons close on the asking side, under the lock that hands connections out.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -13,6 +13,9 @@
 	"pearmoor/internal/decision"
 )
 
+// arrivedWait is how long a read of bytes that arrived already may take.
+const arrivedWait = time.Millisecond
+
 var unanswered = metrics.GetOrRegisterCounter("forward.closed_unanswered", metrics.DefaultRegistry)
 
 // callerConn is a caller's connection that knows which request is under way on it and
@@ -27,6 +30,9 @@
 	written int   // bytes of its answer
 	failure error // first of the connection
 	closed  bool
+
+	idleSince time.Time // zero: a request is under way, or none was yet
+	expired   bool      // idle for too long: the next read that finds nothing ends it
 }
 
 // callerListener wraps the connections that it accepts.
@@ -63,12 +69,61 @@
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
+	if c.takeExpired() && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		n, err = c.readArrived(p)
+	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) { // net/http ends its own reads so
 		c.failed("read", err)
 	}
 	return n, err
 }
 
+// takeExpired reports whether the connection was idle for too long when a read returned.
+func (c *callerConn) takeExpired() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	expired := c.expired
+	c.idleSince, c.expired = time.Time{}, false
+	return expired
+}
+
+// readArrived reads what arrived before the connection expired, or fails with
+// os.ErrDeadlineExceeded. A process that was without processor finds the expiry and the
+// request at the same moment.
+func (c *callerConn) readArrived(p []byte) (int, error) {
+	if err := c.TCPConn.SetReadDeadline(time.Now().Add(arrivedWait)); err != nil {
+		return 0, err
+	}
+	n, err := c.TCPConn.Read(p)
+	if err != nil {
+		return n, err
+	}
+	return n, c.TCPConn.SetReadDeadline(time.Time{})
+}
+
+// setIdle notes that no request is under way, or that one is.
+func (c *callerConn) setIdle(idle bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idleSince, c.expired = time.Time{}, false
+	if idle {
+		c.idleSince = time.Now()
+	}
+}
+
+// expire ends the wait for a next request if the connection has been idle for longer
+// than limit. The goroutine that reads the connection closes it, and only if no byte of
+// a request is there: closed from here, it could hold a request that was read already.
+func (c *callerConn) expire(now time.Time, limit time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idleSince.IsZero() || c.expired || now.Sub(c.idleSince) <= limit {
+		return
+	}
+	c.expired = true
+	_ = c.TCPConn.SetReadDeadline(now) // fails on a closed connection only
+}
+
 // Write implements net.Conn.
 func (c *callerConn) Write(p []byte) (int, error) {
 	n, err := c.TCPConn.Write(p)
--- a/internal/forward/conn_test.go
+++ b/internal/forward/conn_test.go
@@ -1,15 +1,22 @@
 package forward
 
 import (
+	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"pearmoor/internal/decision"
 	"pearmoor/internal/vm"
 )
@@ -90,3 +97,108 @@
 	}
 	t.Errorf("no line: %s", out)
 }
+
+// Guards against the idle limit closing a connection whose next request was read already.
+func TestIdleLimitNeverCutsARequest(t *testing.T) {
+	const callers, asks = 16, 60
+	leaf := startLeaf(t, answers("done"))
+	w := newWorld(t, repeatable("s"), map[string][]*fakeLeaf{"s": {leaf}})
+	s := NewServer(&Handler{Engine: w.engine, Dialect: testDialect, Draining: func() bool { return false }})
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lis.Close()
+	go func() { _ = s.Serve(t.Context(), lis) }()
+	var over atomic.Bool
+	var sweeps, all sync.WaitGroup
+	sweeps.Go(func() {
+		for !over.Load() {
+			s.idle.closeOld(0)
+			runtime.Gosched()
+		}
+	})
+	var lost, answered atomic.Int32
+	for c := range callers {
+		all.Go(func() {
+			var conn net.Conn
+			var r *bufio.Reader
+			var err error
+			for i := range asks {
+				if conn == nil {
+					if conn, err = net.Dial("tcp", lis.Addr().String()); err != nil {
+						t.Error(err)
+						return
+					}
+					r = bufio.NewReader(conn)
+				}
+				id := fmt.Sprintf("id-%d-%d", c, i)
+				_, _ = fmt.Fprintf(conn, "GET / HTTP/1.1\r\nHost: 127.0.0.1\r\nRequest-Id: %s\r\n\r\n", id)
+				resp, err := http.ReadResponse(r, nil)
+				if err == nil {
+					_, err = io.Copy(io.Discard, resp.Body)
+				}
+				if err == nil {
+					answered.Add(1)
+					continue
+				}
+				conn.Close()
+				conn = nil
+				if slices.ContainsFunc(leaf.requests(), func(a asked) bool { return a.header["Request-Id"] == id }) {
+					lost.Add(1)
+				}
+			}
+		})
+	}
+	all.Wait()
+	over.Store(true)
+	sweeps.Wait()
+	if lost.Load() > 0 || answered.Load() == 0 {
+		t.Errorf("%d requests reached the leaf and got no answer, %d were answered", lost.Load(), answered.Load())
+	}
+}
+
+// Guards against idle connections that stay open past the limit and use up descriptors.
+func TestIdleConnectionIsClosed(t *testing.T) {
+	w := newWorld(t, repeatable("s"), map[string][]*fakeLeaf{"s": {startLeaf(t, answers("done"))}})
+	s := NewServer(&Handler{Engine: w.engine, Dialect: testDialect, Draining: func() bool { return false }})
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lis.Close()
+	go func() { _ = s.Serve(t.Context(), lis) }()
+	conn, err := net.Dial("tcp", lis.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: 127.0.0.1\r\nRequest-Id: one\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	r := bufio.NewReader(conn)
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() {
+		_, err := r.ReadByte()
+		ended <- err
+	}()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); vm.Sleep(t.Context(), 5*time.Millisecond) {
+		s.idle.closeOld(time.Millisecond)
+		select {
+		case err := <-ended:
+			if !errors.Is(err, io.EOF) {
+				t.Errorf("the connection ended with %v", err)
+			}
+			return
+		default:
+		}
+	}
+	t.Error("the connection is still open")
+}
--- a/internal/forward/idle.go
+++ b/internal/forward/idle.go
@@ -2,28 +2,34 @@
 
 import (
 	"context"
-	"io"
+	"net"
 	"sync"
 	"time"
 
 	"pearmoor/internal/vm"
 )
 
-// idleConns closes callers' connections that have been idle for longer than the
+// idleConns ends callers' connections that have been idle for longer than the
 // configuration allows. A server's own limit is fixed when it starts, before the
 // configuration is known.
 type idleConns struct {
 	mu    sync.Mutex
-	since map[io.Closer]time.Time
+	conns map[*callerConn]struct{}
 }
 
-func (c *idleConns) note(conn io.Closer, idle bool) {
+// note keeps the idle connections.
+func (c *idleConns) note(conn net.Conn, idle bool) {
+	cc, ok := conn.(*callerConn)
+	if !ok {
+		return
+	}
+	cc.setIdle(idle)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if idle {
-		c.since[conn] = time.Now()
+		c.conns[cc] = struct{}{}
 	} else {
-		delete(c.since, conn)
+		delete(c.conns, cc)
 	}
 }
 
@@ -31,11 +37,8 @@
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for conn, since := range c.since {
-		if now.Sub(since) > limit {
-			_ = conn.Close()
-			delete(c.since, conn)
-		}
+	for conn := range c.conns {
+		conn.expire(now, limit)
 	}
 }
 
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"time"
@@ -32,7 +31,7 @@
 
 // NewServer returns a server for h.
 func NewServer(h *Handler) *Server {
-	s := &Server{idle: &idleConns{since: make(map[io.Closer]time.Time)}, h: h}
+	s := &Server{idle: &idleConns{conns: make(map[*callerConn]struct{})}, h: h}
 	s.http = &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: 1 << 20,
 		ErrorLog:    decision.ServerLog("caller"),
