admit: a stall of the process is no service time

What callers saw: requests refused with 'overload' while daemons restart on a machine that has no processor for them for moments (TestRollingRestart).

Cause, from a line with what the decision went by: the daemon refused by Engine.shed ('the targets take 5 to 92% of the queries offered'), once by a learned service time of 382 ms where leaves take 10: a permit that is out while its process stands still counts the stall, and the first sample of a daemon that has just started is taken whole. Ruled out: a full queue, a lost share, an ended lease, a leaf that refused (none of their causes in the lines of the refusals).

Change: the daemon notes every 20 ms that it runs; what is longer is a stall, and counts neither as time that a permit was out nor as time that a queue stood. Reading it counts a stall that has just ended, so it does not matter who runs first after it.

--- a/internal/admit/gate.go
+++ b/internal/admit/gate.go
@@ -22,8 +22,9 @@
 	over     bool      // more are out than the share allows
 	draining bool      // the leaf is leaving
 	queue    queue
-	standing vm.Instant // since when the queue has not been empty; 0: it is
-	service  ewma       // how long a permit is held
+	standing vm.Instant    // since when the queue has not been empty; 0: it is
+	stalled  time.Duration // stalls of the process before that
+	service  ewma          // how long a permit is held
 	health   health
 	hint     hint
 	timer    stopper
@@ -170,7 +171,7 @@
 }
 
 func (g *gate) grant(now vm.Instant) *Permit {
-	p := &Permit{gate: g, gen: g.set.fence.gen.Load(), granted: now}
+	p := &Permit{gate: g, gen: g.set.fence.gen.Load(), granted: now, stalled: g.set.stalls.until(now)}
 	g.flying = append(g.flying, p)
 	g.health.started(now, g.period(now))
 	granted.Inc(1)
@@ -183,7 +184,7 @@
 	if at := slices.Index(g.flying, p); at >= 0 {
 		g.flying = slices.Delete(g.flying, at, at+1)
 	}
-	g.learn(now, o, now.Sub(p.granted), retryAfter)
+	g.learn(now, o, p.held(now), retryAfter)
 	g.markOver()
 	g.dispatch(now)
 	forget := g.limits.Slots <= 0 && len(g.flying) == 0
--- a/internal/admit/gates.go
+++ b/internal/admit/gates.go
@@ -22,10 +22,11 @@
 // Gates holds one gate per leaf. A leaf is named by its address
 // (settings.Leaf.Addr), which is what its slots belong to.
 type Gates struct {
-	clock vm.Clock
-	after afterFunc
-	fence fence
-	over  atomic.Int64 // gates with more in flight than their share
+	clock  vm.Clock
+	after  afterFunc
+	fence  fence
+	stalls stalls
+	over   atomic.Int64 // gates with more in flight than their share
 
 	mu       sync.RWMutex
 	byID     map[string]*gate
--- a/internal/admit/permit.go
+++ b/internal/admit/permit.go
@@ -26,9 +26,15 @@
 	gate    *gate
 	gen     uint64
 	granted vm.Instant
+	stalled time.Duration // stalls of the process before it was granted
 	done    atomic.Bool
 }
 
+// held returns for how long the permit has been out, less the stalls of the process.
+func (p *Permit) held(now vm.Instant) time.Duration {
+	return now.Sub(p.granted) - (p.gate.set.stalls.until(now) - p.stalled)
+}
+
 // Check fails with verdict NotRun when the lease under which the permit was
 // given has run out. It is called right before the request is written.
 func (p *Permit) Check() error {
--- a/internal/admit/room.go
+++ b/internal/admit/room.go
@@ -40,9 +40,9 @@
 	if len(g.flying) < g.limit(now) || len(g.flying) == 0 {
 		return 0
 	}
-	least := g.service.residual(now.Sub(g.flying[0].granted))
+	least := g.service.residual(g.flying[0].held(now))
 	for _, p := range g.flying[1:] {
-		least = min(least, g.service.residual(now.Sub(p.granted)))
+		least = min(least, g.service.residual(p.held(now)))
 	}
 	return least
 }
--- a/internal/admit/shed.go
+++ b/internal/admit/shed.go
@@ -30,14 +30,22 @@
 	case g.queue.len() == 0:
 		g.standing = 0
 	case g.standing == 0:
-		g.standing = now
+		g.standing, g.stalled = now, g.set.stalls.until(now)
 	}
 }
 
+// stood returns for how long the queue has not been empty, less the stalls of the process.
+func (g *gate) stood(now vm.Instant) time.Duration {
+	if g.standing == 0 {
+		return 0
+	}
+	return now.Sub(g.standing) - (g.set.stalls.until(now) - g.stalled)
+}
+
 // overloaded reports whether the queue has stood for several times as long as
 // w can wait.
 func (g *gate) overloaded(now vm.Instant, w *waiter) bool {
-	return g.standing != 0 && w.deadline != never && now.Sub(g.standing) >= overloadAfter*w.deadline.Sub(now)
+	return g.standing != 0 && w.deadline != never && g.stood(now) >= overloadAfter*w.deadline.Sub(now)
 }
 
 // overloadAfter is how many times as long as a request can wait a queue must
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -44,6 +44,7 @@
 	sender  *leaf.Sender
 	prober  *leaf.Prober
 	homes   *homes
+	gates   *admit.Gates
 	horizon directory.Horizon
 }
 
@@ -158,17 +159,17 @@
 		Direct:   d.conf.Direct,
 		Fanout:   d.conf.Fanout,
 	})
-	gates := admit.NewGates(vm.Now)
+	d.gates = admit.NewGates(vm.Now)
 	d.sender = leaf.NewSender(leaf.Config{Clock: vm.Now, TLS: leafTLS})
 	d.prober = leaf.NewProber(leaf.ProberConfig{
-		Sender: d.sender, Gates: gates, PlatformURL: d.conf.PlatformURL, Clock: vm.Now,
+		Sender: d.sender, Gates: d.gates, PlatformURL: d.conf.PlatformURL, Clock: vm.Now,
 	})
 	d.homes = &homes{
-		self: d.self, source: d.client, gates: gates, sender: d.sender, prober: d.prober, ack: d.client.Ack,
+		self: d.self, source: d.client, gates: d.gates, sender: d.sender, prober: d.prober, ack: d.client.Ack,
 		horizon: &d.horizon,
 	}
 	d.engine = query.New(query.Config{
-		Self: d.self, Source: d.client, Gates: gates, Sender: d.sender,
+		Self: d.self, Source: d.client, Gates: d.gates, Sender: d.sender,
 		Catalog: d.prober, Conns: d.queryConns, Clock: vm.Now,
 	})
 	d.entry, err = entry.New(entry.Config{
@@ -262,6 +263,7 @@
 	g.Go(func() error { return ended(ctx, d.client.Run(ctx)) })
 	g.Go(func() error { return ended(ctx, d.prober.Run(ctx)) })
 	g.Go(func() error { d.homes.run(ctx); return nil })
+	g.Go(func() error { d.gates.WatchStalls(ctx); return nil })
 	g.Go(func() error { return d.entry.Serve(callers, d.listeners.caller, d.callerTLS()) })
 }
 
