query: a burst that is served in time is not refused as overload

Change: queues that have stood for less than a default deadline do not lower that share. What waits in them is served within its deadline or refused by its gate, as before; a queue of lasting overload never empties and counts as before.

--- a/internal/admit/load.go
+++ b/internal/admit/load.go
@@ -18,6 +18,7 @@
 	Waiting  int           // requests in the queue
 	Service  time.Duration // learnt time a request holds its slot; 0: not known yet
 	Wait     time.Duration // expected wait of a request that came now
+	Standing time.Duration // how long the queue has not been empty
 	Failing  bool          // in backoff after failures in a row
 }
 
@@ -58,6 +59,7 @@
 		Waiting:  g.queue.len(),
 		Service:  g.service.mean,
 		Failing:  g.health.failing(),
+		Standing: g.stood(now),
 	}
 	if l.Slots > 0 {
 		l.Wait = g.wait(now, g.queue.ahead()) + g.hint.extra(now, l.Service)
--- a/internal/query/overload.go
+++ b/internal/query/overload.go
@@ -43,9 +43,11 @@
 // queueWait returns the wait that the queues for a service's leaves mean for a new
 // request, which waits in all of them. Leaves that fail don't count: a service
 // that is down is said to be missing and must not shut out queries for the others.
-func queueWait(gates *admit.Gates, leaves []settings.Leaf) time.Duration {
+// Nor do queues that have stood for less than burst: what came at once, as after a stall
+// of a daemon, is served within its deadline.
+func queueWait(gates *admit.Gates, leaves []settings.Leaf, burst time.Duration) time.Duration {
 	var waiting, slots int
-	var service time.Duration
+	var service, standing time.Duration
 	for _, leaf := range leaves {
 		load := gates.Load(leaf.Addr)
 		if load.Failing || load.Slots == 0 {
@@ -54,8 +56,9 @@
 		waiting = max(waiting, load.Waiting)
 		service = max(service, load.Service)
 		slots += load.Slots
+		standing = max(standing, load.Standing)
 	}
-	if slots == 0 {
+	if slots == 0 || standing < burst {
 		return 0
 	}
 	return time.Duration(waiting) * service / time.Duration(slots)
@@ -63,7 +66,7 @@
 
 // admitLevel returns the level of a service that this daemon is home of.
 func (e *Engine) admitLevel(eff *settings.Effective) float64 {
-	return levelAt(queueWait(e.Gates, eff.Leaves), eff.DeadlineDefault)
+	return levelAt(queueWait(e.Gates, eff.Leaves, eff.DeadlineDefault), eff.DeadlineDefault)
 }
 
 // shed refuses p before anything is sent when a service of its path wants fewer
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -62,6 +62,7 @@
 	cmd  *exec.Cmd // nil while it is down
 	exit chan error
 	pid  atomic.Int64 // 0 while it is down
+	proc atomic.Pointer[os.Process]
 	runs int
 }
 
@@ -83,6 +84,7 @@
 		p.t.Fatal(err)
 	}
 	p.pid.Store(int64(p.cmd.Process.Pid))
+	p.proc.Store(p.cmd.Process)
 	p.exit = make(chan error, 1)
 	go func(cmd *exec.Cmd, exit chan<- error) { exit <- cmd.Wait() }(p.cmd, p.exit)
 }
@@ -198,3 +200,7 @@
 	all := b.buf.Bytes()
 	return string(all[max(0, len(all)-most):])
 }
+
+// tryPause and tryResume do nothing to a process that has ended.
+func (p *process) tryPause()  { _ = p.proc.Load().Signal(syscall.SIGSTOP) }
+func (p *process) tryResume() { _ = p.proc.Load().Signal(syscall.SIGCONT) }
