work, platform, route: long computations leave the processor to requests

Cause: a goroutine that computes keeps the one core for 10 ms at a time, and a gather is tens of steps of other goroutines, each woken by the network.

Change: decoding a configuration, reading it from the tree and making a table of it pause for 50 µs after each ms. A yield alone was not played: it finds no work that the network has brought since.

--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -81,7 +81,9 @@
 		}
 	}
 	next := &active{senders: e.cfg.Senders, table: t, version: version, learned: make(map[*route.Entry]*learned)}
+	var pace work.Pacer
 	for _, entry := range t.Entries() {
+		pace.Step()
 		l := known[entry.Host+entry.Prefix]
 		if l == nil {
 			l = &learned{}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -5,6 +5,8 @@
 	"net"
 	"slices"
 	"strings"
+
+	"pearmoor/internal/work"
 )
 
 // Table finds the route of a request. It is immutable.
@@ -33,7 +35,9 @@
 	for i := range r.Services {
 		t.service[r.Services[i].Name] = &r.Services[i]
 	}
+	var pace work.Pacer
 	for i := range r.Routes {
+		pace.Step()
 		e := &Entry{Route: r.Routes[i], spread: newSpread(r.Routes[i].Split)}
 		e.Shards = distinct(e.Shards)
 		host := NormalHost(e.Host)
--- a/internal/route/tree.go
+++ b/internal/route/tree.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"pearmoor/internal/settings"
+	"pearmoor/internal/work"
 )
 
 // Edits returns what turns the tree's release into r, and nothing else: what an
@@ -205,7 +206,9 @@
 			r.Services = append(r.Services, s)
 		}
 	}
+	var pace work.Pacer
 	for _, seg := range ordered(t.Children(settings.RoutesPath), rel.Release.RouteOrder) {
+		pace.Step()
 		if path := settings.RoutesPath + settings.Root + seg; isReleased(t, path) {
 			e, _ := t.Effective(path)
 			rt, err := readRoute(e, seg)
