forward: an answer that could not be written leaves a line

The error of writing an answer was dropped. The caller's connection logs the first one with the id and what was written ('answer not delivered', counter forward.undelivered), which tells a lost answer from a connection closed without one. A connection that expires in the moment in which bytes of a request are read goes on without the deadline of the expiry.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -16,7 +16,10 @@
 // arrivedWait is how long a read of bytes that arrived already may take.
 const arrivedWait = time.Millisecond
 
-var unanswered = metrics.GetOrRegisterCounter("forward.closed_unanswered", metrics.DefaultRegistry)
+var (
+	unanswered  = metrics.GetOrRegisterCounter("forward.closed_unanswered", metrics.DefaultRegistry)
+	undelivered = metrics.GetOrRegisterCounter("forward.undelivered", metrics.DefaultRegistry)
+)
 
 // callerConn is a caller's connection that knows which request is under way on it and
 // why it ended, so that a connection closed without an answer leaves a trace.
@@ -69,8 +72,13 @@
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.TCPConn.Read(p)
-	if c.takeExpired() && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
-		n, err = c.readArrived(p)
+	if c.takeExpired() {
+		switch {
+		case n > 0 && err == nil:
+			err = c.TCPConn.SetReadDeadline(time.Time{}) // expired just behind it
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			n, err = c.readArrived(p)
+		}
 	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) { // net/http ends its own reads so
 		c.failed("read", err)
@@ -129,9 +137,12 @@
 	n, err := c.TCPConn.Write(p)
 	c.mu.Lock()
 	c.written += n
+	id, written := c.id, c.written
 	c.mu.Unlock()
-	if err != nil {
-		c.failed("write", err)
+	if err != nil && c.failed("write", err) {
+		undelivered.Inc(1)
+		c.log.Line("caller", "answer not delivered").Str("id", id).Str("from", c.RemoteAddr().String()).
+			Int("written", int64(written)).Err(err).End()
 	}
 	return n, err
 }
@@ -142,12 +153,15 @@
 	return c.TCPConn.Close()
 }
 
-func (c *callerConn) failed(op string, err error) {
+// failed notes the first failure and reports whether this is it.
+func (c *callerConn) failed(op string, err error) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.failure == nil {
+	first := c.failure == nil
+	if first {
 		c.failure = errors.Wrap(err, op)
 	}
+	return first
 }
 
 // begin notes that a request is under way.
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -243,7 +243,7 @@
 	hd.Set(h.Dialect.Parts, strings.Join(a.Parts, ", "))
 	hd.Set(h.Dialect.Missing, strconv.Itoa(a.Missing))
 	w.WriteHeader(a.Status)
-	_, _ = w.Write(a.Body) // a caller that has left shows nowhere else
+	_, _ = w.Write(a.Body) // the connection logs a failure
 }
 
 // promises are the statuses that tell a caller its request did not run.
@@ -272,7 +272,7 @@
 	if a.Rest == nil {
 		hd.Set("Content-Length", strconv.Itoa(len(a.Body)))
 		w.WriteHeader(status)
-		_, _ = w.Write(a.Body)
+		_, _ = w.Write(a.Body) // the connection logs a failure
 		return
 	}
 	defer a.Rest.Close()
