--- a/internal/control/release.go
+++ b/internal/control/release.go
@@ -81,9 +81,8 @@
 
 // Newest implements wire.DRPCControlServer. It answers only on a leader that is sure to
 // lead, so no newer tree has been acknowledged by anybody. The tree itself comes to every
-// daemon by Sync, packed and as changes: one of 4,200 routes sent with each read took 0.5 to
-// 0.9 s on a link of 14 Mbit/s beside a call's limit of 1.2 s, and where that ran out, reads
-// at no VM came to an end.
+// daemon by Sync, packed and as changes: sent with each read, a long one would not come over
+// a narrow link within a call's limit.
 func (s *operatorServer) Newest(context.Context, *wire.NewestRequest) (*wire.NewestReply, error) {
 	redirect, err := s.toLeader()
 	if err != nil || redirect != "" {
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -83,10 +83,8 @@
 // fillAgreed gives a daemon that has just started, while no leader is known, what
 // this VM knows to be agreed on.
 //
-// After a restart of everything a leader is elected within 0.5 to 1 s, and until then
-// each daemon would turn all its callers away. With it, daemons of 11 VMs had a
-// configuration 0.12 to 0.25 s after their start in place of 0.65 to 1.07 s, and 34
-// attempts of callers were refused in place of 211 of 5,200 (one run each).
+// After a restart of everything each daemon would otherwise reject all requests until a
+// leader is elected.
 //
 // What is agreed on is never taken back, and nothing is granted with it: the daemon
 // holds no lease and no share until the leader has confirmed it. It may be a little
--- a/internal/discovery/leaf.go
+++ b/internal/discovery/leaf.go
@@ -36,8 +36,7 @@
 func (l *Leaf) Life() Life { return Life{l.ID, l.Born} }
 
 // Mark returns a short name of the leaf's run and its service, for messages between
-// daemons that name many leaves: 9 bytes in place of 20 to 30. Of 23,000 leaves two have
-// one mark with a probability of 1.4e-11.
+// daemons that name many leaves.
 func (l *Leaf) Mark() uint64 {
 	h := xxhash.New()
 	var born [8]byte
--- a/internal/entryvm/config.go
+++ b/internal/entryvm/config.go
@@ -68,8 +68,6 @@
 	quietAfter     = 1400 * time.Millisecond
 	// addressLifetime is how long callers are told to keep an address list. A short one
 	// keeps them from a VM that leaves or is lost; a long one from asking for a new
-	// list, which costs a second each time that a VM without power is asked first. In
-	// eight paired runs on 11 and 12 VMs, with VMs lost, 4 s served as many in time as
-	// 2 s or more in each; 1 s served fewer in two of two.
+	// list, which costs a second each time that a VM without power is asked first.
 	addressLifetime = 4 * time.Second
 )
--- a/internal/entryvm/tier.go
+++ b/internal/entryvm/tier.go
@@ -69,10 +69,7 @@
 // its own domain first, each time drawn anew, since callers take any of them.
 //
 // Daemons of its own domain alone would leave it without any when the domain is lost,
-// and a caller that gets no new list from the lost ones either keeps the old one: with
-// one domain of three without power for 8 s, and another stopped for 4 s, naming all
-// 11 VMs in place of those of the domain halved the attempts that met no VM (370 to 162
-// of 4,100, one run each). Where no domain is lost the two serve alike.
+// and a caller that gets no new list from the lost ones either keeps the old one.
 func named(takers []*vm.Member, region, domain string) []string {
 	takers = slices.Clone(takers)
 	rand.Shuffle(len(takers), func(i, k int) { takers[i], takers[k] = takers[k], takers[i] })
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -143,8 +143,7 @@
 }
 
 // controlContacts returns whom to ask what only control VMs answer, best first. A relay
-// refuses such a call after it has taken in part of it: two of them were asked first, at
-// 0.1 s each for an order of 0.8 MB.
+// refuses such a call after it has taken in part of it.
 func (v *VM) controlContacts() []string { return v.among(v.client.ControlVMs()) }
 
 // among returns known and all that this VM has heard of besides. A VM that holds a
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -131,10 +131,7 @@
 }
 
 // firstRetryAfter is told to a caller who came before this daemon had learned the
-// configuration. In a restart of everything daemons learn it 0.1 to 0.6 s after their
-// start. With 500 ms in place of 200, in four paired runs that end so 64 in place of 130
-// callers came back too early and were refused again, and 27 in place of 75 were refused
-// for good.
+// configuration: longer than a daemon takes to learn it after a restart of everything.
 const firstRetryAfter = 500 * time.Millisecond
 
 // Forward answers one request. It returns when the answer is ready, the request
--- a/internal/link/peer/dial.go
+++ b/internal/link/peer/dial.go
@@ -18,10 +18,7 @@
 
 // connectAgain is the time after which another connection is tried beside those that
 // have not come about yet, doubled with each up to connectMost. The kernel repeats a lost opening packet
-// after a second, and one that comes to a VM which is only starting is lost: after a
-// power cut of all VMs, daemons that were up before the control VMs got the list of
-// leaves 0.6 to 0.8 s after these had it. A VM that is lost for good costs seven packets
-// a call.
+// after a second, and one that comes to a VM which is only starting is lost.
 const (
 	connectAgain = 50 * time.Millisecond
 	connectMost  = 200 * time.Millisecond
--- a/internal/policy/takers.go
+++ b/internal/policy/takers.go
@@ -8,8 +8,7 @@
 
 const (
 	// PartCost is the processor time of one part of a gather on a whole core:
-	// sending, reading and merging it, with its share of everything else. Measured
-	// as processor time over arrivals at leaves on quiet days: 130 to 230 µs.
+	// sending, reading and merging it, with its share of everything else.
 	PartCost = 150 * time.Microsecond
 	// gatherShare is the part of a route's target latency that the processor time of
 	// its gather may take on a VM that callers are sent to. The rest is for the way
