entry: a request that is not answered leaves a line with its cause

The refusals of the rolling restart under stalls could not be told apart: the reason 'overload' has eight causes.

--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -99,9 +99,7 @@
 	status, f := failureOf(err)
 	f.RequestID = id
 	countFailure(f.Reason)
-	if status == http.StatusInternalServerError {
-		klog.Errorf("entry: request %s failed: %v", id, err)
-	}
+	logFailure(id, status, err)
 	if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
 		after := max(minRetryAfter, time.Duration(f.RetryAfterMS)*time.Millisecond)
 		seconds := (after + time.Second - 1) / time.Second
