query: a session outlasts the list it came with

Cause: a session ended at its issuer by the lifetime of its list counted from the issue; the caller counts the same time from the list's arrival, and its request is under way after that. The random fifth by which lists are shorter is all there was between the two, and at times it is nothing.

Change: a session takes new keys for half a second more, and is remembered for as much longer. Nothing else goes by its end. Test: TestSessionOutlastsItsList fails without it (the refusal above); TestSessionEnds and the other tests of keys pass unchanged.

--- a/internal/query/engine.go
+++ b/internal/query/engine.go
@@ -92,6 +92,10 @@
 	return e.execute(ctx, st, p)
 }
 
+// sessionSlack is how much longer than its list a session takes new keys: for the way of
+// the list to its caller and of a request back that was begun while the list was valid.
+const sessionSlack = 500 * time.Millisecond
+
 // IssueSession returns a session for requests that are not repeatable, bound to
 // this run of the daemon.
 func (e *Engine) IssueSession() string {
@@ -99,7 +103,7 @@
 	if st := e.view(); st != nil {
 		tier = st.Tier()
 	}
-	return e.issuer.Issue(e.Clock(), tier.AddressLifetime, tier.ResendWindow)
+	return e.issuer.Issue(e.Clock(), tier.AddressLifetime+sessionSlack, tier.ResendWindow)
 }
 
 // Drain refuses new work and waits for what is in flight, or for ctx.
--- a/internal/query/keyed_test.go
+++ b/internal/query/keyed_test.go
@@ -190,6 +190,18 @@
 	})
 }
 
+// Guards against a request refused for its session though it was begun while its address list was valid.
+func TestSessionOutlastsItsList(t *testing.T) {
+	keyedTest(t, 18, func(w *world) error {
+		sess := w.engine("a").IssueSession()
+		time.Sleep(w.view.Load().Tree.Tier().AddressLifetime + 100*time.Millisecond) // begun before, on its way since
+		if _, err := charge(w, "a", sess, "k"); err != nil {
+			return err
+		}
+		return w.ranOnce("k")
+	})
+}
+
 // The caller makes up a session, or changes one: it is refused as not_run, since
 // no run of a daemon can have taken a key under it.
 func TestForgedSessionIsRefused(t *testing.T) {
