--- a/internal/forward/conn_test.go
+++ b/internal/forward/conn_test.go
@@ -59,6 +59,19 @@
 	return b.buf.String()
 }
 
+// serveCallers serves the world's engine as the daemon does, and returns its address.
+func serveCallers(t *testing.T, w *world, lines *decision.Log) (*Server, string) {
+	t.Helper()
+	s := NewServer(&Handler{Engine: w.engine, Dialect: testDialect, Log: lines, Draining: func() bool { return false }})
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { lis.Close() })
+	go func() { _ = s.Serve(t.Context(), lis) }()
+	return s, lis.Addr().String()
+}
+
 // Guards against a connection that is closed without an answer and without a line that says why.
 func TestUnansweredConnectionIsLogged(t *testing.T) {
 	reached := make(chan struct{}, 1)
@@ -71,14 +84,8 @@
 	out := &lockedBuffer{}
 	lines := decision.New(out)
 	defer lines.Close()
-	s := NewServer(&Handler{Engine: w.engine, Dialect: testDialect, Log: lines, Draining: func() bool { return false }})
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer lis.Close()
-	go func() { _ = s.Serve(t.Context(), lis) }()
-	c, err := net.Dial("tcp", lis.Addr().String())
+	_, addr := serveCallers(t, w, lines)
+	c, err := net.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -103,13 +110,7 @@
 	const callers, asks = 16, 60
 	leaf := startLeaf(t, answers("done"))
 	w := newWorld(t, repeatable("s"), map[string][]*fakeLeaf{"s": {leaf}})
-	s := NewServer(&Handler{Engine: w.engine, Dialect: testDialect, Draining: func() bool { return false }})
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer lis.Close()
-	go func() { _ = s.Serve(t.Context(), lis) }()
+	s, addr := serveCallers(t, w, nil)
 	var over atomic.Bool
 	var sweeps, all sync.WaitGroup
 	sweeps.Go(func() {
@@ -126,7 +127,7 @@
 			var err error
 			for i := range asks {
 				if conn == nil {
-					if conn, err = net.Dial("tcp", lis.Addr().String()); err != nil {
+					if conn, err = net.Dial("tcp", addr); err != nil {
 						t.Error(err)
 						return
 					}
@@ -161,14 +162,8 @@
 // Guards against idle connections that stay open past the limit and use up descriptors.
 func TestIdleConnectionIsClosed(t *testing.T) {
 	w := newWorld(t, repeatable("s"), map[string][]*fakeLeaf{"s": {startLeaf(t, answers("done"))}})
-	s := NewServer(&Handler{Engine: w.engine, Dialect: testDialect, Draining: func() bool { return false }})
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer lis.Close()
-	go func() { _ = s.Serve(t.Context(), lis) }()
-	conn, err := net.Dial("tcp", lis.Addr().String())
+	s, addr := serveCallers(t, w, nil)
+	conn, err := net.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
