query: what is heard of a queue lasts no longer than the queue

What callers saw: refusals of TestRollingRestartWithStalls that were left, in 3 of 136 plays 4 to 9 of 650 requests at daemons with nothing in their own queues.

Cause, from the lines of one such play: entry-2 refuses by '53%' at 23.866 s and by '57%' at 24.085 s, a slope of 0.18 a second, which is that of a level of 0.45 that fades over 3 s without being told anew: one home's word on a queue of 0.4 s of work turned callers away for seconds after the queue was gone. Few queries go to a home that says so, so it is heard of little meanwhile.

Change: a level heard of fades within a default deadline in place of 3 s. In lasting overload a home is heard of several times in that.

TestLevelHeardLastsNoLongerThanItsQueue fails without the change by its signature only; the plays that show the fault are too rare for a pair of runs.

--- a/internal/query/burst_test.go
+++ b/internal/query/burst_test.go
@@ -53,3 +53,17 @@
 		t.Errorf("%.2f of the queries are taken by a queue that stands", got)
 	}
 }
+
+// Guards against queries refused for seconds by what a home told of a queue that it has served since.
+func TestLevelHeardLastsNoLongerThanItsQueue(t *testing.T) {
+	const deadline = 800 * time.Millisecond
+	r := &route{hints: make(map[string]hint)}
+	homes := []vm.Member{{Identity: vm.Identity{Name: "a"}}}
+	r.learn("a", &part{level: levelLeast}, vm.Instant(time.Hour))
+	if got := r.meanLevel(homes, vm.Instant(time.Hour), deadline); got != levelLeast {
+		t.Errorf("level %.2f when it is told", got)
+	}
+	if got := r.meanLevel(homes, vm.Instant(time.Hour).Add(deadline), deadline); got != 1 {
+		t.Errorf("level %.2f a default deadline later", got)
+	}
+}
--- a/internal/query/overload.go
+++ b/internal/query/overload.go
@@ -14,7 +14,6 @@
 
 const (
 	levelLeast = 0.05                   // some queries always get in, so that recovery is seen
-	levelLife  = 3 * time.Second        // a level heard of fades to 1 within this time
 	shedWait   = 500 * time.Millisecond // shortest Retry-After of a query that was shed
 	waitFree   = 0.1                    // queue wait, as a part of the default deadline, up to which every query is taken
 	waitFull   = 0.4                    // the same from which levelLeast is
@@ -94,7 +93,7 @@
 	if isHome(t, e.Self) {
 		return e.admitLevel(t.eff)
 	}
-	return e.route(t).meanLevel(t.placed.Homes, e.Clock())
+	return e.route(t).meanLevel(t.placed.Homes, e.Clock(), t.eff.DeadlineDefault)
 }
 
 // orderOf draws a number for a request: the same one wherever it is drawn.
@@ -107,11 +106,13 @@
 	return 1 - float64(orderOf(id)>>(64-bits)+1)/(1<<bits)
 }
 
-// faded returns a level heard of age ago: the older, the nearer to 1.
-func faded(value float64, age time.Duration) float64 {
-	if value <= 0 || age >= levelLife {
+// faded returns a level heard of age ago: the older, the nearer to 1. Within life, a
+// default deadline, the queue that it went by is served; a home that is still overloaded
+// is heard of again sooner.
+func faded(value float64, age, life time.Duration) float64 {
+	if value <= 0 || age >= life {
 		return 1
 	}
-	fresh := 1 - float64(max(age, 0))/float64(levelLife)
+	fresh := 1 - float64(max(age, 0))/float64(life)
 	return 1 - (1-value)*fresh
 }
--- a/internal/query/route.go
+++ b/internal/query/route.go
@@ -84,8 +84,9 @@
 	return h.waiting
 }
 
-// meanLevel returns the mean of the levels that homes last told.
-func (r *route) meanLevel(homes []vm.Member, now vm.Instant) float64 {
+// meanLevel returns the mean of the levels that homes last told, each of which holds for
+// life at most.
+func (r *route) meanLevel(homes []vm.Member, now vm.Instant, life time.Duration) float64 {
 	if len(homes) == 0 {
 		return 1
 	}
@@ -94,7 +95,7 @@
 	sum := 0.0
 	for i := range homes {
 		h := r.hints[homes[i].Name]
-		sum += faded(h.level, now.Sub(h.at))
+		sum += faded(h.level, now.Sub(h.at), life)
 	}
 	return sum / float64(len(homes))
 }
