forward, link/target: a leaf that ends under a request leaves a line

Now each end of a leaf under a request is one line, with the request's fingerprint (method, host, path with query, body and caller's address, hashed), the leaf, how many ended before, whether any leaf has answered, and what else was under way. That a leaf has ended, and not lost a connection only, is told by a connect that is refused right behind it; one that succeeds takes the place of the lost connection. Of refused connects in a row at one shard the first is told.

No decision about the request changes. What is learned of the leaf does: it is passed over as one that can't be connected to, where the loss of an idle connection was taken for the leaf's own idle limit before.

--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -292,6 +292,9 @@
 		if e.Stale {
 			fault.Cause = errors.Mark(fault.Cause, target.ErrStale)
 		}
+		if e.Ended {
+			fault.Cause = errors.Mark(fault.Cause, target.ErrEnded)
+		}
 		return learnedOf(fault), nil, fault
 	}
 	reply := &target.Reply{Status: int(e.Status), Stamp: e.Stamp, Refused: e.Refused, HasLoad: e.HasLoad}
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -108,6 +108,7 @@
 	URI     string // path and query, as the caller sent them
 	Path    string
 	Host    string
+	Caller  string      // its address, without the port
 	Header  http.Header // less those that concern one connection only
 	Body    []byte
 	Stream  *target.Stream // the rest of a long body; nil when Body is whole
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"slices"
@@ -119,7 +120,7 @@
 	}
 	req := &Request{
 		ID: id, Method: r.Method, URI: r.RequestURI, Path: r.URL.EscapedPath(), Host: r.Host,
-		Header: r.Header, Arrived: arrived, Wait: wait,
+		Caller: callerOf(r), Header: r.Header, Arrived: arrived, Wait: wait,
 	}
 	if path, _, _ := strings.Cut(r.RequestURI, "?"); path != "" {
 		req.Path = path
@@ -133,6 +134,15 @@
 	return req, nil
 }
 
+// callerOf returns the address of a request's caller, whatever its connection.
+func callerOf(r *http.Request) string {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
+
 func (h *Handler) limits() route.Limits {
 	out := route.Limits{HeaderBytes: defaultHeaderLimit, BodyBytes: defaultBodyLimit}
 	if t := h.Engine.Table(); t != nil {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -38,7 +38,9 @@
 	hedgeAt   time.Time // when to look for late shards next; zero: not again
 	hedges    int
 	sends     int
-	denied    int // further sends that the budget did not allow
+	denied    int  // further sends that the budget did not allow
+	ends      int  // leaves that ended under the request
+	survived  bool // a leaf ran it and answered
 	verdict   contract.Verdict
 	last      *target.Reply
 	lastErr   *contract.Error
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -158,6 +158,8 @@
 		}
 	case n.out == policy.Unlearned && n.fault != nil && n.fault.Reason == contract.ReasonTargetFailed && (!n.away || n.fault.Verdict == contract.NotRun):
 		board.Unreachable(life)
+	case hasEnded(n.fault):
+		board.Unreachable(life)
 	case n.reply != nil && n.reply.Status == http.StatusMisdirectedRequest:
 		board.Misplaced(life)
 	}
@@ -195,7 +197,7 @@
 		return policy.Unlearned
 	case err.Reason == contract.ReasonDeadline:
 		return policy.Overdue
-	case isStale(err):
+	case isStale(err) && !hasEnded(err):
 		return policy.Unlearned
 	}
 	return policy.Misbehaved
@@ -218,6 +220,7 @@
 		return
 	}
 	r.count(s, &res)
+	r.noteEnd(s, &res)
 	if r.accept(s, &res) {
 		s.done = true
 		r.have++
@@ -329,8 +332,11 @@
 	} else {
 		r.last = res.reply
 	}
-	r.logFailed(s, res)
-	s.gone = res.err != nil && res.err.Verdict == contract.NotRun && res.err.Reason == contract.ReasonTargetFailed
+	unreachable := res.err != nil && res.err.Verdict == contract.NotRun && res.err.Reason == contract.ReasonTargetFailed
+	if !unreachable || !s.gone {
+		r.logFailed(s, res) // of several connects in a row the first
+	}
+	s.gone = unreachable
 	notRun := res.err != nil && res.err.Verdict == contract.NotRun || res.err == nil && res.reply.Refused
 	switch {
 	case len(s.flights) > 0:
@@ -338,7 +344,7 @@
 	case r.send.Stream != nil && (!notRun || res.err == nil):
 		s.end() // part of the body is gone
 		return
-	case isStale(res.err) && r.entry.Repeatable:
+	case isStale(res.err) && !hasEnded(res.err) && r.entry.Repeatable:
 		// The leaf itself is well: it only dropped a connection.
 		s.tried = nil
 	case res.set != nil && notRun || res.err != nil && peer.NotSent(res.err.Cause):
--- a/internal/link/target/exchange.go
+++ b/internal/link/target/exchange.go
@@ -213,7 +213,7 @@
 		if n == 0 {
 			return nil, notRun(contract.ReasonTargetFailed, staleIf(reused, err))
 		}
-		return nil, mayHaveRun(contract.ReasonTargetFailed, staleIf(reused, err))
+		return nil, mayHaveRun(contract.ReasonTargetFailed, l.markEnded(staleIf(reused, err)))
 	}
 	sent := make(chan bool, 1) // whether the whole body was written
 	if req.Stream != nil {
@@ -225,12 +225,10 @@
 	if err != nil {
 		call.detach()
 		l.drop(c)
-		timeout := isTimeout(err)
-		reason := contract.ReasonTargetFailed
-		if timeout {
-			reason = contract.ReasonDeadline
+		if isTimeout(err) {
+			return nil, mayHaveRun(contract.ReasonDeadline, err)
 		}
-		return nil, mayHaveRun(reason, staleIf(reused && !timeout, err))
+		return nil, mayHaveRun(contract.ReasonTargetFailed, l.markEnded(staleIf(reused, err)))
 	}
 	return l.finish(call, c, req, resp, sent)
 }
@@ -334,7 +332,12 @@
 		out.Body = body
 		out.Rest = &Rest{body: resp.Body, after: after}
 	default:
-		return fail(contract.ReasonTargetFailed, errors.Wrap(err, "target: the reply broke off"))
+		err = errors.Wrap(err, "target: the reply broke off")
+		out, fault := fail(contract.ReasonTargetFailed, err)
+		if !isTimeout(err) {
+			fault.Cause = l.markEnded(err)
+		}
+		return out, fault
 	}
 	return out, nil
 }
--- a/internal/link/target/link.go
+++ b/internal/link/target/link.go
@@ -38,6 +38,9 @@
 	// idleMargin is kept to a limit that a leaf has stated: it closes by its own
 	// clock, and what is sent meanwhile is lost.
 	idleMargin = 1200 * time.Millisecond
+	// probeTimeout bounds the connect that tells a leaf that has ended from one that has
+	// only lost a connection.
+	probeTimeout = 50 * time.Millisecond
 )
 
 var (
@@ -62,6 +65,10 @@
 // ErrBusy says that this daemon's share of the leaf's connections is in use.
 var ErrBusy = errors.New("target: the daemon's share of the leaf's connections is in use")
 
+// ErrEnded marks a failure of an exchange under which the leaf itself has ended: nothing
+// listens at its address, or it is known that another incarnation has taken its place.
+var ErrEnded = errors.New("target: the leaf ended under the request")
+
 // errClosed says that the leaf has left.
 var errClosed = errors.New("target: the leaf has left")
 
@@ -76,6 +83,12 @@
 	busy   map[*conn]struct{} // in use
 	queue  []chan grant       // calls that wait for a connection, the first first
 	closed bool
+	over   bool // another incarnation has taken the leaf's place
+
+	dialing     int
+	dialed      chan struct{} // closed when a connect has ended
+	connectedAt time.Time     // when the last connect succeeded
+	refusedAt   time.Time     // when the last connect was refused
 }
 
 // grant is what a call that waits for a connection is given.
@@ -86,7 +99,7 @@
 // NewLink returns a link to the leaf of that id and address that opens at most
 // limit connections.
 func NewLink(id, addr string, limit int) *Link {
-	return &Link{id: id, addr: addr, limit: limit, busy: make(map[*conn]struct{})}
+	return &Link{id: id, addr: addr, limit: limit, busy: make(map[*conn]struct{}), dialed: make(chan struct{})}
 }
 
 // SetLimit changes how many connections may be open; those above it are closed
@@ -113,11 +126,13 @@
 	}
 }
 
-// Abort closes all connections. Exchanges under way end as ones that may have run.
+// Abort closes all connections of a leaf whose place another incarnation has taken.
+// Exchanges under way end as ones that may have run.
 func (l *Link) Abort() {
 	l.Close()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.over = true
 	for c := range l.busy {
 		_ = c.Close() // its exchange sees the end and gives the place back
 	}
@@ -302,6 +317,11 @@
 // put gives a connection back after a whole exchange.
 func (l *Link) put(c *conn) {
 	c.used = true
+	l.keep(c)
+}
+
+// keep makes a sound connection idle.
+func (l *Link) keep(c *conn) {
 	c.idleAt = time.Now()
 	c.until = c.idleAt.Add(c.limit)
 	l.mu.Lock()
@@ -351,7 +371,11 @@
 }
 
 func (l *Link) dial(ctx context.Context) (*conn, error) {
+	l.mu.Lock()
+	l.dialing++
+	l.mu.Unlock()
 	raw, err := dialer.DialContext(ctx, "tcp", l.addr)
+	l.connectEnded(err)
 	if err != nil {
 		connsFailed.Inc(1)
 		l.free()
