entryvm: a test that fails: a request that crashes the leaves that run it goes on to reach them

Five VMs in two failure domains, leaves that crash when they run a given path and are back after 0.3 s, and an attempt each 0.7 s at every VM in turn, the last ones at VMs that have just started. Beside it requests that crash nothing, none of which may be refused for it.

--- /dev/null
+++ b/internal/entryvm/quarantine_test.go
@@ -0,0 +1,392 @@
+package entryvm
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"pearmoor/internal/decision"
+	"pearmoor/internal/discovery"
+	"pearmoor/internal/link/target"
+	"pearmoor/internal/policy"
+	"pearmoor/internal/route"
+	"pearmoor/internal/vm"
+)
+
+const (
+	crashShards = 6
+	crashHost   = "shop.example"
+	gatherPath  = "/search/"
+	singlePath  = "/fetch/"
+	// crashDown is how long a crashed leaf is down.
+	crashDown = 300 * time.Millisecond
+	// knownWithin is by when every VM must know of a request under which three leaves have
+	// ended, and mostRetries how many attempts may reach leaves after that.
+	knownWithin = 2 * time.Second
+	mostRetries = 3
+)
+
+var crashDialect = &target.Dialect{
+	RequestID: "Request-Id", Deadline: "Wait-Ms", LeafID: "Leaf-Id", Stamp: "Signature", Load: "Load", NotRun: "Not-Run",
+	Parts: "Parts", Missing: "Missing",
+	ParseLoad: func(string) (policy.Load, bool) { return policy.Load{}, false },
+}
+
+// fleet is the leaves of a tier, whose crashes it counts by the path that caused them.
+type fleet struct {
+	t     *testing.T
+	deals atomic.Int64 // incarnations and signatures
+
+	mu     sync.Mutex
+	leaves []*fleetLeaf
+	third  map[string]time.Time       // by path: when it had crashed three leaves
+	ends   map[string]int             // by path
+	late   map[string]map[string]bool // by path: attempts that reached leaves knownWithin after that
+}
+
+// fleetLeaf is a leaf at one address, over all its incarnations.
+type fleetLeaf struct {
+	f                     *fleet
+	service, addr, domain string
+
+	mu  sync.Mutex
+	id  string
+	srv *http.Server
+}
+
+// fatal is what a path ends in that crashes the leaves that run it.
+const fatal = "fatal"
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{t: t, third: map[string]time.Time{}, ends: map[string]int{}, late: map[string]map[string]bool{}}
+	for s := range crashShards {
+		for d := range 2 {
+			f.add(shardName(s), fmt.Sprintf("hall-%d", d))
+		}
+	}
+	for d := range 3 {
+		f.add("fetch", fmt.Sprintf("hall-%d", d%2))
+	}
+	t.Cleanup(func() {
+		for _, l := range f.leaves {
+			l.mu.Lock()
+			srv := l.srv
+			l.mu.Unlock()
+			_ = srv.Close()
+		}
+	})
+	return f
+}
+
+func shardName(s int) string { return fmt.Sprintf("shard-%d", s) }
+
+func (f *fleet) add(service, domain string) {
+	lis := listen(f.t)
+	l := &fleetLeaf{f: f, service: service, domain: domain, addr: lis.Addr().String()}
+	l.start(lis)
+	f.leaves = append(f.leaves, l)
+}
+
+func (l *fleetLeaf) start(lis net.Listener) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.id = fmt.Sprintf("i-%d", l.f.deals.Add(1))
+	id := l.id
+	l.srv = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { l.serve(w, r, id) })}
+	go func(srv *http.Server) { _ = srv.Serve(lis) }(l.srv)
+}
+
+// crash ends the leaf at once and starts it again after crashDown.
+func (l *fleetLeaf) crash(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.id != id {
+		return
+	}
+	l.id = ""
+	_ = l.srv.Close()
+	time.AfterFunc(crashDown, func() {
+		for {
+			lis, err := net.Listen("tcp", l.addr)
+			if err == nil {
+				l.start(lis)
+				return
+			}
+			time.Sleep(crashDown / 10)
+		}
+	})
+}
+
+func (l *fleetLeaf) serve(w http.ResponseWriter, r *http.Request, id string) {
+	w.Header().Set(crashDialect.RequestID, r.Header.Get(crashDialect.RequestID))
+	if r.Header.Get(crashDialect.LeafID) != id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if strings.HasSuffix(r.URL.Path, fatal) {
+		l.f.reached(r)
+		time.Sleep(5 * time.Millisecond)
+		l.f.ended(r.URL.Path)
+		l.crash(id)
+		panic(http.ErrAbortHandler)
+	}
+	time.Sleep(2 * time.Millisecond)
+	w.Header().Set(crashDialect.Stamp, fmt.Sprintf("s%d", l.f.deals.Add(1)))
+	_, _ = fmt.Fprintf(w, "%016d", l.f.deals.Add(1))
+}
+
+// reached counts an attempt that reaches a leaf after everybody has had time to know of it.
+func (f *fleet) reached(r *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	path := r.URL.Path
+	if third, ok := f.third[path]; ok && time.Since(third) > knownWithin {
+		if f.late[path] == nil {
+			f.late[path] = map[string]bool{}
+		}
+		f.late[path][r.Header.Get(crashDialect.RequestID)] = true
+	}
+}
+
+func (f *fleet) ended(path string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.ends[path]++; f.ends[path] == 3 {
+		f.third[path] = time.Now()
+	}
+}
+
+func (f *fleet) checkRetries(path string) {
+	f.t.Helper()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.t.Logf("%s: %d leaves ended, %d attempts reached leaves later than %v after the third", path, f.ends[path], len(f.late[path]), knownWithin)
+	if n := len(f.late[path]); n > mostRetries {
+		f.t.Errorf("%s: %d attempts reached leaves later than %v after three had ended under it, at most %d may", path, n, knownWithin, mostRetries)
+	}
+}
+
+// List implements discovery.Source.
+func (f *fleet) List(context.Context) (discovery.Listing, error) {
+	var out discovery.Listing
+	for _, l := range f.leaves {
+		l.mu.Lock()
+		if l.id != "" {
+			out.Leaves = append(out.Leaves, discovery.Listed{ID: l.id, Service: l.service, Addr: l.addr, Domain: l.domain, Slots: 2})
+		}
+		l.mu.Unlock()
+	}
+	return out, nil
+}
+
+// crashTier is VMs in two failure domains in front of a fleet.
+type crashTier struct {
+	t     *testing.T
+	fleet *fleet
+	seeds []string
+	vms   []*crashVM
+	ids   atomic.Int64
+}
+
+type crashVM struct {
+	*VM
+	callers string
+	stop    func()
+}
+
+func startCrashTier(t *testing.T) *crashTier {
+	tier := &crashTier{t: t, fleet: newFleet(t)}
+	const disks, small = 3, 2
+	var peers []net.Listener
+	for range disks {
+		lis := listen(t)
+		peers = append(peers, lis)
+		tier.seeds = append(tier.seeds, lis.Addr().String())
+	}
+	for i, lis := range peers {
+		tier.start(fmt.Sprintf("disk-%d", i), i, t.TempDir(), lis)
+	}
+	for i := range small {
+		tier.start(fmt.Sprintf("small-%d", i), i, "", listen(t))
+	}
+	eventually(t, "the tier takes a configuration", func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		return tier.vms[0].PutRelease(ctx, crashRelease()) == nil
+	})
+	tier.waitReady()
+	return tier
+}
+
+func crashRelease() *route.Release {
+	r := &route.Release{Number: 1, Services: []route.Service{{Name: "fetch", Connections: 30}}}
+	gather := route.Route{Name: "gather", Host: crashHost, Prefix: gatherPath, Top: 5, LeastCoverage: 0.8}
+	for s := range crashShards {
+		r.Services = append(r.Services, route.Service{Name: shardName(s), Connections: 30})
+		gather.Shards = append(gather.Shards, shardName(s))
+	}
+	r.Routes = []route.Route{gather, {Name: "single", Host: crashHost, Prefix: singlePath, Service: "fetch"}}
+	for i := range r.Routes {
+		rt := &r.Routes[i]
+		rt.Repeatable, rt.Attempts, rt.Timeout, rt.TargetLatency = true, 2, time.Second, 200*time.Millisecond
+	}
+	return r
+}
+
+func (c *crashTier) start(name string, place int, dataDir string, peers net.Listener) *crashVM {
+	callers := listen(c.t)
+	v, err := New(Config{
+		Name: name, Domain: fmt.Sprintf("hall-%d", place%2), Region: "valley", Millicores: 500,
+		PeerAddr: peers.Addr().String(), CallerAddr: callers.Addr().String(),
+		Seeds: c.seeds, FirstStart: dataDir != "", DataDir: dataDir, DiskBytes: 64 << 20, Tolerated: 1,
+		Budget:      policy.BudgetTerms{Ratio: 0.2, Burst: 600, Window: 10 * time.Second},
+		DrainWithin: time.Second, Grace: 300 * time.Millisecond, CatchUp: time.Second, Lifetime: time.Second, ListRate: 1000,
+		Source: c.fleet, Dialect: crashDialect, Log: decision.New(io.Discard),
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- v.Run(ctx, Listeners{Peers: peers, Callers: callers}) }()
+	var once sync.Once
+	stop := func() {
+		once.Do(func() {
+			cancel()
+			if err := <-ended; err != nil {
+				c.t.Errorf("%s: %v", name, err)
+			}
+		})
+	}
+	c.t.Cleanup(stop)
+	out := &crashVM{VM: v, callers: "http://" + callers.Addr().String(), stop: stop}
+	c.vms = append(c.vms, out)
+	return out
+}
+
+func (c *crashTier) waitReady() {
+	c.t.Helper()
+	eventually(c.t, "every VM serves", func() bool {
+		for _, v := range c.vms {
+			if resp, _ := c.ask(v, gatherPath+"probe"); resp != http.StatusOK {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// replaceSmall stops the VMs without a disk and starts others in their place, which have
+// seen nothing.
+func (c *crashTier) replaceSmall() {
+	c.t.Helper()
+	kept := c.vms[:0:0]
+	var gone []*crashVM
+	for _, v := range c.vms {
+		if v.conf.DataDir == "" {
+			gone = append(gone, v)
+		} else {
+			kept = append(kept, v)
+		}
+	}
+	c.vms = kept
+	for i, v := range gone {
+		v.stop()
+		c.start(v.conf.Name, i, "", listen(c.t))
+	}
+}
+
+// ask sends one attempt; its status is 0 if the connection broke off.
+func (c *crashTier) ask(v *crashVM, path string) (status int, body string) {
+	req, err := http.NewRequest(http.MethodGet, v.callers+path, nil)
+	if err != nil {
+		c.t.Error(err)
+		return 0, ""
+	}
+	req.Host = crashHost
+	req.Header.Set(crashDialect.RequestID, fmt.Sprintf("a-%d", c.ids.Add(1)))
+	req.Header.Set(crashDialect.Deadline, "1000")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, ""
+	}
+	return resp.StatusCode, string(text)
+}
+
+// innocent load asks for paths that crash nothing until the test ends. An attempt that
+// gets no answer is made again, with its path, as callers do.
+func (c *crashTier) innocent(ctx context.Context, vms []*crashVM) (asked, refused *atomic.Int64) {
+	asked, refused = new(atomic.Int64), new(atomic.Int64)
+	for k := range 4 {
+		go func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				path := fmt.Sprintf("%sgood-%d-%d", []string{gatherPath, singlePath}[k%2], k, n)
+				for try := range 3 {
+					status, body := c.ask(vms[(k+n+try)%len(vms)], path)
+					asked.Add(1)
+					if strings.Contains(body, "quarantine") {
+						refused.Add(1)
+					}
+					if status == http.StatusOK {
+						break
+					}
+				}
+				vm.Sleep(ctx, 5*time.Millisecond)
+			}
+		}()
+	}
+	return asked, refused
+}
+
+func eventually(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !done(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within 20 s: %s", what)
+		}
+	}
+}
+
+// A request that crashes each leaf that runs it comes again and again, at every VM in turn
+// and at VMs that have just started.
+func TestRequestThatCrashesLeavesStopsReachingThem(t *testing.T) {
+	for _, c := range []struct{ name, prefix string }{{"gather", gatherPath}, {"single", singlePath}} {
+		t.Run(c.name, func(t *testing.T) {
+			tier := startCrashTier(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			asked, refused := tier.innocent(ctx, slices.Clone(tier.vms[:3]))
+			path := c.prefix + fatal
+			series := func(rounds int) {
+				for n := range rounds {
+					tier.ask(tier.vms[n%len(tier.vms)], path)
+					time.Sleep(700 * time.Millisecond)
+				}
+			}
+			series(8)
+			tier.replaceSmall()
+			tier.waitReady()
+			series(5)
+			tier.fleet.checkRetries(path)
+			cancel()
+			t.Logf("%d of %d attempts of other requests refused as quarantined", refused.Load(), asked.Load())
+			if refused.Load() > 0 {
+				t.Errorf("%d of %d attempts of requests that crash nothing were refused", refused.Load(), asked.Load())
+			}
+			tier.waitReady()
+		})
+	}
+}
