quarantine: a request that crashes the leaves that run it stops reaching them

What callers saw: all leaves of a route's shards ended, again each time that they were back, for as long as one request came again; meanwhile 40% of the seconds served no gather of anybody.

Cause: learning is of leaves, and nothing is learned of requests. A leaf's end is a reason to send elsewhere, within an attempt (a gather starts at 20 shards, and second sends take the other 20 leaves) and over attempts (each VM takes each for new). Ruled out as a cause by itself: copies that were under way; the reports come 40 s after the first ends.

Change: an attempt under which a leaf has ended, and which no leaf has answered, sends one by one, and one more time at most. Its fingerprint goes to the leader of the control group, and is agreed on: it stands in the settings tree below quarantine/, so that every VM knows it as it knows the configuration, also one that has just started, and after a loss of power of everything; the audit trail, history, get, explain and remove of the tree serve it as they are. A suspected request is tried by one daemon at one leaf at a time, with the leader's leave; an answer of any leaf clears it; after three attempts one after the other under which leaves ended, or four without an answer, it is blocked: 503 at once, not run. Daemons that are asked for parts refuse as well.

Why that does not hit proper requests: a loss of twenty leaves at one moment counts once, for whatever was under way; a request is blocked only if it goes on, each time, in attempts of one send.

--- a/internal/contract/answer.go
+++ b/internal/contract/answer.go
@@ -24,6 +24,7 @@
 	ReasonKeyInProgress Reason = "key_in_progress"   // an attempt under this key is running now
 	ReasonBudget        Reason = "budget"            // a retry would exceed the retry budget
 	ReasonAnswerNotKept Reason = "answer_not_kept"   // a resent key ran; its hits were too large to keep
+	ReasonQuarantined   Reason = "quarantined"       // the request is known, or suspected, to crash the targets that run it
 	ReasonInternal      Reason = "internal"          // a fault of the daemon itself
 )
 
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -40,6 +40,7 @@
 	full  atomic.Bool
 	// releases holds a token while a release is laid over the tree.
 	releases chan struct{}
+	crashes  *crashReports
 	aheadAt  atomic.Int64  // vm.Instant of the last word on daemons of another group
 	stopped  chan struct{} // closed when Run ends
 }
@@ -86,6 +87,7 @@
 		trail: trail, table: presence.New(), history: relay.NewHistory(),
 		wake: make(chan struct{}, 1), state: st, stopped: make(chan struct{}),
 		releases: make(chan struct{}, 1),
+		crashes:  newCrashReports(cfg.Clock),
 	}
 	n.lead.Store(&leadership{})
 	n.terms.Store(&presence.Terms{Lease: st.Tree().Tier().DaemonLease})
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -84,6 +84,11 @@
 	if err != nil {
 		return nil, err
 	}
+	return s.changeAs(ctx, req, op, verified)
+}
+
+// changeAs makes a change in an operator's name.
+func (s *operatorServer) changeAs(ctx context.Context, req *wire.ChangeRequest, op string, verified bool) (*wire.ChangeReply, error) {
 	if fs := checkRequest(req); len(fs) > 0 {
 		return &wire.ChangeReply{Outcome: wire.Outcome_INVALID, Faults: fs}, nil
 	}
--- /dev/null
+++ b/internal/control/quarantine.go
@@ -0,0 +1,184 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"pearmoor/internal/link/peer"
+	"pearmoor/internal/link/wire"
+	"pearmoor/internal/quarantine"
+	"pearmoor/internal/settings"
+	"pearmoor/internal/vm"
+)
+
+const (
+	// quarantineOperator names this program in the audit trail.
+	quarantineOperator = "pearmoor"
+	// maxCrashReports bounds the reports of one call.
+	maxCrashReports = 1_000
+	// maxCrashTries bounds how often reports are joined to a tree that operators change
+	// meanwhile.
+	maxCrashTries = 16
+)
+
+// crashReports gathers the reports of several daemons into one change.
+type crashReports struct {
+	ledger *quarantine.Ledger
+	token  chan struct{} // held while a change is made
+
+	mu      sync.Mutex
+	waiting []crashReport
+}
+
+type crashReport struct {
+	*quarantine.Report
+	done chan error // has room for one
+}
+
+func newCrashReports(clock vm.Clock) *crashReports {
+	return &crashReports{ledger: quarantine.NewLedger(clock), token: make(chan struct{}, 1)}
+}
+
+func (c *crashReports) add(r crashReport) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = append(c.waiting, r)
+}
+
+func (c *crashReports) take() []crashReport {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := c.waiting
+	c.waiting = nil
+	return out
+}
+
+var errBadFingerprint = peer.Permanent(errors.New("control: a fingerprint is 16 bytes"))
+
+// ReportCrashes implements wire.DRPCControlServer. It returns once what the reports change is
+// agreed on. A report that is sent again counts as one of the same attempt.
+func (s *operatorServer) ReportCrashes(ctx context.Context, req *wire.CrashReports) (*wire.CrashReportsReply, error) {
+	redirect, err := s.toLeader()
+	if err != nil || redirect != "" {
+		return &wire.CrashReportsReply{Redirect: redirect}, err
+	}
+	done := make(chan error, len(req.Reports))
+	for _, in := range req.Reports[:min(len(req.Reports), maxCrashReports)] {
+		f, ok := quarantine.FromBytes(in.Fingerprint)
+		if !ok {
+			return nil, errBadFingerprint
+		}
+		s.crashes.add(crashReport{done: done, Report: &quarantine.Report{
+			Request: f, Describe: in.Request, Ends: int(min(in.LeafEnds, settings.MaxLeaves)), Survived: in.Survived,
+			Began: time.Duration(in.BeganMs) * time.Millisecond,
+		}})
+	}
+	select {
+	case s.crashes.token <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	s.joinCrashes(ctx)
+	<-s.crashes.token
+	for range min(len(req.Reports), maxCrashReports) {
+		if e := <-done; e != nil {
+			err = e
+		}
+	}
+	if err != nil {
+		if moved, rerr := s.redirected(err); rerr == nil && moved.Redirect != "" {
+			return &wire.CrashReportsReply{Redirect: moved.Redirect}, nil
+		}
+	}
+	return &wire.CrashReportsReply{}, err
+}
+
+// joinCrashes makes one change of all reports that wait.
+func (s *operatorServer) joinCrashes(ctx context.Context) {
+	waiting := s.crashes.take()
+	if len(waiting) == 0 {
+		return
+	}
+	reports := make([]*quarantine.Report, len(waiting))
+	for i, w := range waiting {
+		reports[i] = w.Report
+	}
+	err := s.changeQuarantine(ctx, reports)
+	for _, w := range waiting {
+		w.done <- err
+	}
+}
+
+func (s *operatorServer) changeQuarantine(ctx context.Context, reports []*quarantine.Report) error {
+	for range maxCrashTries {
+		tree, version, err := s.treeAt(0)
+		if err != nil {
+			return err
+		}
+		_, changes := s.crashes.ledger.Apply(quarantine.FromTree(tree), reports, time.Now())
+		if len(changes) == 0 {
+			return nil
+		}
+		reply, err := s.changeAs(ctx, &wire.ChangeRequest{
+			ChangeId:    fmt.Sprintf("quarantine-%d-%x", version, rand.Uint64()),
+			BaseVersion: version,
+			Edits:       settings.EditsToWire(quarantine.Edits(changes)),
+			Reason:      fmt.Sprintf("%d attempts of requests that may crash leaves", len(reports)),
+		}, quarantineOperator, true)
+		switch {
+		case err != nil:
+			return err
+		case reply.Outcome == wire.Outcome_ACCEPTED:
+			logQuarantine(changes)
+			return nil
+		case reply.Outcome == wire.Outcome_INVALID:
+			return peer.Permanent(errors.Newf("control: change of the quarantine is invalid: %v", reply.Faults))
+		}
+	}
+	return peer.NotDone(errors.Newf("control: reports of crashes lost %d races with other changes; send them again", maxCrashTries))
+}
+
+func logQuarantine(changes []quarantine.Change) {
+	for _, c := range changes {
+		switch {
+		case c.Cleared:
+			klog.Infof("quarantine: request=%s cleared, a leaf answered it, leaf_ends=%d", c.Request, c.Before.Ends)
+		case c.Dropped:
+			klog.Warningf("quarantine: request=%s dropped to make room, blocked=%v seen=%v", c.Request, c.Before.Blocked, c.Before.Seen)
+		case c.After.Blocked && !c.Before.Blocked:
+			klog.Warningf("quarantine: request=%s blocked leaf_ends=%d crashes=%d attempts=%d what=%q", c.Request, c.After.Ends, c.After.Crashes, c.After.Attempts, c.After.Request)
+		default:
+			klog.Infof("quarantine: request=%s suspected leaf_ends=%d crashes=%d attempts=%d what=%q", c.Request, c.After.Ends, c.After.Crashes, c.After.Attempts, c.After.Request)
+		}
+	}
+}
+
+// Trial implements wire.DRPCControlServer.
+func (s *operatorServer) Trial(_ context.Context, req *wire.TrialRequest) (*wire.TrialReply, error) {
+	redirect, err := s.toLeader()
+	if err != nil || redirect != "" {
+		return &wire.TrialReply{Redirect: redirect}, err
+	}
+	f, ok := quarantine.FromBytes(req.Fingerprint)
+	if !ok {
+		return nil, errBadFingerprint
+	}
+	if req.Release {
+		s.crashes.ledger.Release(f)
+		return &wire.TrialReply{}, nil
+	}
+	if err := s.confirm(); err != nil {
+		return nil, err
+	}
+	tree, _, err := s.treeAt(0)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.TrialReply{Grant: uint32(s.crashes.ledger.Try(quarantine.FromTree(tree), f))}, nil
+}
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -19,6 +19,7 @@
 	"pearmoor/internal/link/peer"
 	"pearmoor/internal/link/wire"
 	"pearmoor/internal/policy"
+	"pearmoor/internal/quarantine"
 	"pearmoor/internal/relay"
 	"pearmoor/internal/route"
 	"pearmoor/internal/vm"
@@ -37,6 +38,7 @@
 	client       *relay.Client
 	book         *discovery.Book
 	finder       *discovery.Finder
+	quarantine   *quarantine.Registry
 	engine       *forward.Engine
 	server       *forward.Server
 	mux          atomic.Pointer[drpcmux.Mux]
@@ -69,9 +71,10 @@
 		Every: time.Duration(listEvery * float64(conf.DrainWithin)),
 		Alone: time.Duration(aloneAfter * float64(conf.DrainWithin)),
 	}, v.book)
+	v.quarantine = quarantine.NewRegistry(vm.Monotonic, quarantineLeader{v})
 	v.engine = forward.New(forward.Config{
 		Clock: vm.Monotonic, Dialect: conf.Dialect, Book: v.book, Board: forward.NewBoard(vm.Monotonic, conf.Domain), Log: conf.Log, Senders: v.senders,
-		Near:    newNearDaemons(v),
+		Near: newNearDaemons(v), Quarantine: v.quarantine,
 		Budgets: policy.NewBudgets(conf.Budget, vm.Monotonic, v.senders),
 	})
 	v.server = forward.NewServer(&forward.Handler{Engine: v.engine, Dialect: conf.Dialect, Log: conf.Log, Draining: v.draining.Load})
@@ -231,6 +234,7 @@
 	g.Go(func() error { v.engine.Tend(ctx); return nil })
 	g.Go(func() error { v.install(ctx); return nil })
 	g.Go(func() error { v.findGroup(ctx); return nil })
+	g.Go(func() error { v.quarantine.Run(ctx); return nil })
 	if lis.Callers != nil {
 		g.Go(func() error { return v.server.Serve(ctx, lis.Callers) })
 	}
@@ -266,6 +270,7 @@
 		view := v.client.Current()
 		if view.Tree != nil && view.ConfigVersion > version {
 			version = view.ConfigVersion
+			v.quarantine.Install(quarantine.FromTree(view.Tree))
 			v.use(view)
 		}
 		v.client.Ack(view.ConfigVersion, view.Epoch())
--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -29,6 +29,9 @@
 	case policy.GiveUpLate:
 		return r.giveUp(contract.ReasonDeadline)
 	case policy.GiveUpFailed:
+		if r.blocked {
+			return r.giveUp(contract.ReasonQuarantined)
+		}
 		return r.giveUp("")
 	case policy.GiveUpNoLeaf:
 		return r.giveUp(contract.ReasonNoReplica)
@@ -132,6 +135,9 @@
 	case verdict == contract.NotRun:
 		a.Status = http.StatusServiceUnavailable
 		a.RetryAfter = r.comeBack()
+		if a.Reason == contract.ReasonQuarantined {
+			a.RetryAfter = policy.QuarantinedRetryAfter
+		}
 	case !r.entry.Gathers() && r.last != nil && !r.last.Refused:
 		// A leaf's own word on its failure says more than ours.
 		a.Status, a.Header, a.Body, a.Rest = r.last.Status, http.Header(r.last.Header), r.last.Body, r.last.Rest
--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -105,7 +105,7 @@
 // domain are asked for through a daemon there, which sends back the greatest records
 // of all in place of every part with its headers.
 func (r *run) launchAll() {
-	if len(r.shards) < fewDelegated || r.e.cfg.Near == nil || r.send.Stream != nil {
+	if len(r.shards) < fewDelegated || r.e.cfg.Near == nil || r.send.Stream != nil || r.suspicion.Guarded() {
 		for i := range r.shards {
 			r.launch(i, false)
 		}
@@ -150,7 +150,7 @@
 		Id: r.req.ID, Method: r.send.Method, Head: r.send.Head, Body: r.send.Body,
 		LeftUs: micros(r.send.Deadline.Sub(now)), FirstUs: micros(r.at(r.times.Late - hopTime).Sub(now)),
 		UsualUs: micros(r.know.pace.Usual()), Top: uint32(r.entry.Top),
-		Sends: make([]*wire.PartSend, len(list)),
+		Sends: make([]*wire.PartSend, len(list)), Fingerprint: r.fingerprint().Bytes(),
 	}
 	for i, c := range list {
 		d := delegated{shard: c.shard, leaf: c.leaf, call: &target.Call{}, began: r.e.cfg.Board.Begin(c.leaf.Life())}
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -12,6 +12,7 @@
 	"pearmoor/internal/discovery"
 	"pearmoor/internal/link/target"
 	"pearmoor/internal/policy"
+	"pearmoor/internal/quarantine"
 	"pearmoor/internal/route"
 	"pearmoor/internal/vm"
 	"pearmoor/internal/work"
@@ -30,6 +31,8 @@
 	Senders func() int
 	// Near finds daemons near leaves; nil: every part is asked for directly.
 	Near Near
+	// Quarantine knows the requests that crash leaves; nil: none.
+	Quarantine *quarantine.Registry
 }
 
 // Engine forwards requests by the newest table. It is safe for concurrent use.
@@ -149,7 +152,12 @@
 			Int("release", int64(a.table.Number)).End()
 		return &Answer{Status: http.StatusNotFound, Verdict: contract.NotRun, Reason: contract.ReasonUnknownPath}
 	}
-	return e.newRun(a, entry, req).do(ctx)
+	r := e.newRun(a, entry, req)
+	if refused := r.enter(ctx); refused != nil {
+		r.log(refused)
+		return refused
+	}
+	return r.do(ctx)
 }
 
 // limit returns how many connections this daemon may have open to a leaf. The leaf's own
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -8,6 +8,7 @@
 	"pearmoor/internal/discovery"
 	"pearmoor/internal/link/target"
 	"pearmoor/internal/policy"
+	"pearmoor/internal/quarantine"
 	"pearmoor/internal/route"
 )
 
@@ -38,9 +39,11 @@
 	hedgeAt   time.Time // when to look for late shards next; zero: not again
 	hedges    int
 	sends     int
-	denied    int  // further sends that the budget did not allow
-	ends      int  // leaves that ended under the request
-	survived  bool // a leaf ran it and answered
+	denied    int // further sends that the budget did not allow
+	suspicion policy.Suspicion
+	trial     bool                    // of a request that is suspected to crash leaves
+	blocked   bool                    // it was found to be so meanwhile
+	print     *quarantine.Fingerprint // once it was asked for
 	verdict   contract.Verdict
 	last      *target.Reply
 	lastErr   *contract.Error
@@ -59,6 +62,7 @@
 	set     *partSet // where it came merged with others
 	done    bool
 	stuck   bool      // there is no leaf to send to now
+	held    bool      // it is not sent to while another send is under way
 	gone    bool      // because none could be connected to
 	listed  bool      // the service has leaves, be they out of reach
 	wake    time.Time // when to try again; zero: not waiting
@@ -131,6 +135,7 @@
 func (r *run) do(ctx context.Context) *Answer {
 	defer close(r.over)
 	defer r.abandon()
+	defer r.report()
 	for i := range r.shards {
 		r.e.cfg.Budgets.Request(r.shards[i].service)
 	}
@@ -150,6 +155,7 @@
 			for _, w := range res.with {
 				r.take(w)
 			}
+			r.resume()
 		case <-timer.C:
 			r.wake(time.Now())
 		case <-r.e.ending:
@@ -199,7 +205,7 @@
 // daemon that is behind, or all leaves are: their replies are looked at a moment
 // later, since as many sends again would make both slower still.
 func (r *run) hedge(now time.Time) {
-	if !r.entry.Repeatable || r.send.Stream != nil {
+	if !r.entry.Repeatable || r.send.Stream != nil || r.suspicion.Guarded() {
 		return
 	}
 	missing := len(r.shards) - r.have - r.sendForSilent(now)
--- a/internal/forward/scatter.go
+++ b/internal/forward/scatter.go
@@ -70,11 +70,15 @@
 
 func (sc *scatter) launch() {
 	snap := sc.e.cfg.Book.Snapshot()
+	kept := sc.quarantined()
 	for i, want := range sc.req.Sends {
 		call := &target.Call{}
 		sc.calls[i] = call
 		leaf, ok := snap.FindMark(want.Leaf)
 		switch {
+		case kept:
+			sc.results <- result{shard: i, call: call, err: contract.Refuse(contract.ReasonQuarantined, errQuarantined)}
+			continue
 		case sc.a == nil:
 			sc.results <- result{shard: i, call: call, err: contract.Refuse(contract.ReasonUnconfirmed, errNoTableHere)}
 			continue
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -17,6 +17,12 @@
 // launch sends to the best leaf of a shard. Without one it makes the shard wait.
 func (r *run) launch(i int, hedge bool) {
 	s := &r.shards[i]
+	if !r.maySend() {
+		if !hedge {
+			s.held, s.stuck = true, false
+		}
+		return
+	}
 	leaves := r.e.cfg.Book.Snapshot().Of(s.service)
 	leaf := r.e.cfg.Board.Choose(leaves, s.tried, r.know.pace.Usual())
 	if leaf == nil {
@@ -54,6 +60,8 @@
 // started counts a send as under way.
 func (r *run) started(i int, f flight) {
 	s := &r.shards[i]
+	s.held = false
+	r.suspicion.Sent()
 	s.flights = append(s.flights, f)
 	s.tried = append(s.tried, f.leaf)
 	s.tries++
@@ -220,7 +228,7 @@
 		return
 	}
 	r.count(s, &res)
-	r.noteEnd(s, &res)
+	r.follow(s, &res)
 	if r.accept(s, &res) {
 		s.done = true
 		r.have++
--- a/internal/forward/suspicion.go
+++ b/internal/forward/suspicion.go
@@ -1,14 +1,28 @@
 package forward
 
 import (
+	"context"
+	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"pearmoor/internal/contract"
+	"pearmoor/internal/policy"
 	"pearmoor/internal/quarantine"
 )
 
-var leafEnds = metrics.GetOrRegisterCounter("forward.leaf_ends", metrics.DefaultRegistry)
+var (
+	leafEnds         = metrics.GetOrRegisterCounter("forward.leaf_ends", metrics.DefaultRegistry)
+	quarantineKept   = metrics.GetOrRegisterCounter("forward.quarantined", metrics.DefaultRegistry)
+	quarantineTrials = metrics.GetOrRegisterCounter("forward.quarantine_trials", metrics.DefaultRegistry)
+)
+
+var errQuarantined = errors.New("forward: the request is known or suspected to crash the leaves that run it")
+
+// trialWait bounds the wait for leave to try a suspected request.
+const trialWait = 300 * time.Millisecond
 
 // fingerprint names the request, whichever attempt of it this is.
 func (r *Request) fingerprint() quarantine.Fingerprint {
@@ -19,21 +33,115 @@
 	return q.Fingerprint()
 }
 
-// noteEnd follows what became of the leaves that were sent the request.
-func (r *run) noteEnd(s *shard, res *result) {
+func (r *run) fingerprint() quarantine.Fingerprint {
+	if r.print == nil {
+		f := r.req.fingerprint()
+		r.print = &f
+	}
+	return *r.print
+}
+
+// enter returns the answer to a request that must not reach a leaf now, nil to go on.
+func (r *run) enter(ctx context.Context) *Answer {
+	known := r.e.cfg.Quarantine
+	if known.Empty() {
+		return nil
+	}
+	f := r.fingerprint()
+	ruling := known.Rule(f)
+	if ruling == quarantine.Free {
+		return nil
+	}
+	grant := quarantine.Denied
+	if ruling == quarantine.Suspect {
+		ctx, cancel := context.WithTimeout(ctx, trialWait)
+		defer cancel()
+		grant = known.Try(ctx, f)
+	}
+	r.e.cfg.Log.Line("quarantine", "request looked up").Str("id", r.req.ID).Str("request", f.String()).
+		Bool("blocked", ruling == quarantine.Blocked || grant == quarantine.Denied).Bool("tried", grant == quarantine.Granted).End()
+	if grant == quarantine.Granted {
+		quarantineTrials.Inc(1)
+		r.trial, r.suspicion.Suspect = true, true
+		return nil
+	}
+	quarantineKept.Inc(1)
+	retry := policy.QuarantinedRetryAfter
+	if grant == quarantine.Wait {
+		retry = policy.TrialRetryAfter
+	}
+	return &Answer{Status: http.StatusServiceUnavailable, RetryAfter: retry, Verdict: contract.NotRun, Reason: contract.ReasonQuarantined, Cause: errQuarantined}
+}
+
+// maySend reports whether one more send may be made now.
+func (r *run) maySend() bool {
+	if r.blocked {
+		return false
+	}
+	if r.suspicion.Ends > 0 && !r.suspicion.Survived && r.e.cfg.Quarantine != nil && r.e.cfg.Quarantine.Rule(r.fingerprint()) == quarantine.Blocked {
+		r.blocked = true
+		return false
+	}
+	return r.suspicion.MaySend(r.inFlight())
+}
+
+// follow keeps what a send tells of whether the request ends leaves.
+func (r *run) follow(s *shard, res *result) {
 	switch {
-	case res.err == nil && !res.reply.Refused:
-		r.survived = true
+	case res.err != nil && res.err.Reason == contract.ReasonQuarantined:
+		r.blocked = true
+	case res.err == nil && res.reply.Refused, res.err != nil && res.err.Verdict == contract.NotRun:
+		r.suspicion.Unsent()
+	case res.err == nil:
+		r.suspicion.Survived = true
 	case hasEnded(res.err):
-		r.ends++
+		r.suspicion.Ends++
 		leafEnds.Inc(1)
-		r.e.cfg.Log.Line(r.part(), "leaf ended").Str("id", r.req.ID).Str("request", r.req.fingerprint().String()).
+		r.e.cfg.Log.Line(r.part(), "leaf ended").Str("id", r.req.ID).Str("request", r.fingerprint().String()).
 			Str("service", s.service).Str("leaf", res.leaf.ID).Ms("after", time.Since(r.req.Arrived)).Ms("took", res.took).
-			Int("ends", int64(r.ends)).Bool("survived", r.survived).Int("in_flight", int64(r.inFlight())).
+			Int("ends", int64(r.suspicion.Ends)).Bool("survived", r.suspicion.Survived).Int("in_flight", int64(r.inFlight())).
 			Bool("delegated", res.set != nil).End()
 	}
 }
 
+// resume sends for the shards that were held, as far as they may be, and ends those that
+// are left when none may be any more.
+func (r *run) resume() {
+	if r.blocked || r.suspicion.Spent(r.inFlight()) {
+		for i := range r.shards {
+			if s := &r.shards[i]; !s.done && len(s.flights) == 0 {
+				s.end()
+			}
+		}
+		return
+	}
+	for i := range r.shards {
+		if s := &r.shards[i]; s.held && !s.done && r.maySend() {
+			s.held = false
+			r.again(i)
+		}
+	}
+}
+
+// report hands what became of the leaves to the registry, at the end of the run.
+func (r *run) report() {
+	known, s := r.e.cfg.Quarantine, &r.suspicion
+	if known == nil || !r.trial && (s.Ends == 0 || s.Survived) {
+		return
+	}
+	f := r.fingerprint()
+	if r.trial && !s.Survived && s.Ends == 0 && r.verdict == contract.NotRun && r.inFlight() == 0 {
+		known.Release(f)
+		return
+	}
+	r.e.cfg.Log.Line("quarantine", "attempt reported").Str("id", r.req.ID).Str("request", f.String()).Int("ends", int64(s.Ends)).
+		Bool("survived", s.Survived).Bool("tried", r.trial).End()
+	known.Report(&quarantine.Report{
+		Request: f, Describe: r.req.Method + " " + r.req.Host + r.req.URI + " from " + r.req.Caller,
+		Ends: s.Ends, Survived: s.Survived, Began: time.Since(r.req.Arrived),
+	})
+}
+
 // inFlight returns how many sends are under way.
 func (r *run) inFlight() int {
 	n := 0
@@ -42,3 +150,14 @@
 	}
 	return n
 }
+
+// quarantined reports whether this daemon knows a request that another one asks it to
+// send as one that may crash leaves.
+func (sc *scatter) quarantined() bool {
+	known := sc.e.cfg.Quarantine
+	if known.Empty() {
+		return false
+	}
+	f, ok := quarantine.FromBytes(sc.req.Fingerprint)
+	return ok && known.Rule(f) != quarantine.Free
+}
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -41,6 +41,17 @@
 // String returns the fingerprint in hexadecimal.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
+// Bytes returns the fingerprint as it goes into messages.
+func (f Fingerprint) Bytes() []byte { return f[:] }
+
+// FromBytes reads what Bytes returned; false if it can't be one.
+func FromBytes(b []byte) (f Fingerprint, ok bool) {
+	if len(b) != len(f) {
+		return f, false
+	}
+	return Fingerprint(b), true
+}
+
 // Parse reads what String wrote.
 func Parse(text string) (Fingerprint, error) {
 	var f Fingerprint
--- /dev/null
+++ b/internal/quarantine/ledger_test.go
@@ -0,0 +1,136 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"pearmoor/internal/settings"
+	"pearmoor/internal/vm"
+)
+
+// trail is a ledger with a clock of its own and the tree that its cases are kept in.
+type trail struct {
+	t      *testing.T
+	now    vm.Instant
+	ledger *Ledger
+	tree   *settings.Tree
+}
+
+func newTrail(t *testing.T) *trail {
+	tr := &trail{t: t, now: 1, tree: settings.New()}
+	tr.lead()
+	return tr
+}
+
+// lead starts anew with what the tree holds, as another control VM does that leads.
+func (tr *trail) lead() { tr.ledger = NewLedger(func() vm.Instant { return tr.now }) }
+
+func (tr *trail) cases() Cases { return FromTree(tr.tree) }
+
+func (tr *trail) report(rs ...*Report) {
+	tr.t.Helper()
+	_, changes := tr.ledger.Apply(tr.cases(), rs, time.Unix(0, 0).Add(time.Duration(tr.now)))
+	next, err := tr.tree.Apply(1, Edits(changes))
+	if err != nil {
+		tr.t.Fatal(err)
+	}
+	tr.tree = next
+}
+
+func (tr *trail) pass(d time.Duration) { tr.now = tr.now.Add(d) }
+
+func named(i int) Fingerprint {
+	return (&Request{Method: "GET", URI: fmt.Sprint("/", i), Caller: "10.0.0.1"}).Fingerprint()
+}
+
+// crash is an attempt that took 100 ms.
+func crash(f Fingerprint, ends int) *Report {
+	return &Report{Request: f, Describe: "GET shop/ from 10.0.0.1", Ends: ends, Began: 100 * time.Millisecond}
+}
+
+// A request crashes leaves in each attempt, with minutes and changes of leader in between.
+func TestRequestThatGoesOnToCrashLeavesIsBlocked(t *testing.T) {
+	Convey("It is blocked after three attempts, for good", t, func() {
+		tr, f := newTrail(t), named(1)
+		for _, ends := range []int{20, 1, 1} {
+			So(tr.ledger.Try(tr.cases(), f), ShouldEqual, Granted)
+			tr.report(crash(f, ends))
+			tr.pass(time.Hour)
+			tr.lead()
+		}
+		So(tr.cases()[f].Blocked, ShouldBeTrue)
+		So(tr.ledger.Try(tr.cases(), f), ShouldEqual, Denied)
+	})
+	Convey("It is blocked after four attempts without an answer, however they end", t, func() {
+		tr, f := newTrail(t), named(1)
+		tr.report(crash(f, 3))
+		for range 3 {
+			So(tr.cases()[f].Blocked, ShouldBeFalse)
+			tr.pass(time.Second)
+			tr.report(crash(f, 0))
+		}
+		So(tr.cases()[f].Blocked, ShouldBeTrue)
+	})
+	Convey("One daemon tries it at a time", t, func() {
+		tr, f := newTrail(t), named(1)
+		tr.report(crash(f, 3))
+		So(tr.ledger.Try(tr.cases(), f), ShouldEqual, Granted)
+		So(tr.ledger.Try(tr.cases(), f), ShouldEqual, Wait)
+		tr.ledger.Release(f)
+		So(tr.ledger.Try(tr.cases(), f), ShouldEqual, Granted)
+		tr.pass(trialTime)
+		So(tr.ledger.Try(tr.cases(), f), ShouldEqual, Granted)
+	})
+}
+
+// A rack loses power: twenty leaves end under each of the requests that were under way.
+func TestRequestsOfOneLossOfLeavesAreNotBlocked(t *testing.T) {
+	Convey("Copies of one request at one moment count once, and an answer clears it", t, func() {
+		tr := newTrail(t)
+		for range 5 {
+			tr.report(crash(named(1), 20), crash(named(1), 20), crash(named(2), 7))
+			tr.pass(20 * time.Millisecond)
+		}
+		So(tr.cases()[named(1)].Blocked, ShouldBeFalse)
+		So(tr.cases()[named(1)].Crashes, ShouldEqual, 1)
+		So(tr.ledger.Try(tr.cases(), named(1)), ShouldEqual, Granted)
+		tr.report(&Report{Request: named(1), Survived: true})
+		So(tr.cases(), ShouldNotContainKey, named(1))
+		So(tr.cases(), ShouldContainKey, named(2))
+	})
+	Convey("An attempt without ends is held against nothing", t, func() {
+		tr := newTrail(t)
+		tr.report(crash(named(1), 0), &Report{Request: named(2), Survived: true})
+		So(tr.cases(), ShouldBeEmpty)
+	})
+}
+
+// A caller makes up thousands of requests under which leaves end.
+func TestQuarantineIsBounded(t *testing.T) {
+	Convey("Blocked requests stay, and suspected ones that were seen long ago make room", t, func() {
+		tr := newTrail(t)
+		for range 3 {
+			tr.report(crash(named(0), 1))
+			tr.pass(time.Second)
+		}
+		for i := range 2 * mostCases {
+			tr.pass(time.Second)
+			tr.report(crash(named(i+1), 1))
+		}
+		So(len(tr.cases()), ShouldEqual, mostCases)
+		So(tr.cases()[named(0)].Blocked, ShouldBeTrue)
+		So(tr.cases(), ShouldContainKey, named(2*mostCases))
+		So(tr.cases(), ShouldNotContainKey, named(1))
+	})
+	Convey("What a caller sends is stated as one printable line", t, func() {
+		tr := newTrail(t)
+		r := crash(named(1), 1)
+		r.Describe = "GET shop/\x00\n\xff from 10.0.0.1" + string(make([]byte, 2*longestDescription))
+		tr.report(r)
+		So(tr.cases()[named(1)].Request, ShouldStartWith, "GET shop/??")
+		So(len(tr.cases()[named(1)].Request), ShouldBeLessThanOrEqualTo, longestDescription)
+	})
+}
--- /dev/null
+++ b/internal/quarantine/registry.go
@@ -0,0 +1,276 @@
+package quarantine
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"k8s.io/klog/v2"
+
+	"pearmoor/internal/vm"
+)
+
+const (
+	// mostReports bounds the reports that wait for the leader, and mostLocal what a daemon
+	// holds against requests by itself.
+	mostReports = 256
+	mostLocal   = 1024
+	// reportPause is between two tries to reach the leader, and reportFor how long a report
+	// is tried.
+	reportPause = 200 * time.Millisecond
+	reportFor   = time.Minute
+	// settleTime is how long a daemon goes by its own sight after the leader has taken its
+	// report: what was agreed on comes back within it.
+	settleTime = 5 * time.Second
+	// loneTrials is how often a daemon that does not reach the leader tries a request.
+	loneTrials = 1
+)
+
+var (
+	suspectGauge = metrics.GetOrRegisterGauge("quarantine.suspected", metrics.DefaultRegistry)
+	blockedGauge = metrics.GetOrRegisterGauge("quarantine.blocked", metrics.DefaultRegistry)
+	reportsLost  = metrics.GetOrRegisterCounter("quarantine.reports.lost", metrics.DefaultRegistry)
+	lonelyTrials = metrics.GetOrRegisterCounter("quarantine.trials.without_leader", metrics.DefaultRegistry)
+)
+
+// Ruling is what may be done with a request.
+type Ruling uint8
+
+// The rulings.
+const (
+	Free    Ruling = iota
+	Suspect        // it is tried at one leaf at a time, by one daemon at a time
+	Blocked        // it reaches no leaf
+)
+
+// Leader is the leader of the control group, as a daemon reaches it.
+type Leader interface {
+	// Report hands over what became of attempts.
+	Report(ctx context.Context, reports []*Report) error
+	// Try asks for leave to try a suspected request.
+	Try(ctx context.Context, f Fingerprint) (Grant, error)
+	// Release gives that back, since no leaf was reached.
+	Release(ctx context.Context, f Fingerprint) error
+}
+
+// Registry is what one daemon knows of requests that crash leaves: what is agreed, and
+// what it has seen itself since. It is safe for concurrent use.
+type Registry struct {
+	clock  vm.Clock
+	leader Leader
+	queued chan struct{}
+
+	some atomic.Bool // there is something to look up
+
+	mu     sync.Mutex
+	agreed Cases
+	local  map[Fingerprint]*sighting
+	queue  []queuedReport
+}
+
+// sighting is what this daemon has seen of a request.
+type sighting struct {
+	cleared bool // a leaf answered it
+	tried   int  // trials made without the leader
+	until   vm.Instant
+}
+
+type queuedReport struct {
+	*Report
+	at vm.Instant
+}
+
+// NewRegistry returns a registry that knows nothing.
+func NewRegistry(clock vm.Clock, leader Leader) *Registry {
+	return &Registry{clock: clock, leader: leader, queued: make(chan struct{}, 1), local: make(map[Fingerprint]*sighting)}
+}
+
+// Empty reports whether no request is suspected or blocked, so that none need be looked up.
+func (g *Registry) Empty() bool { return g == nil || !g.some.Load() }
+
+// Install puts what is agreed in place.
+func (g *Registry) Install(cases Cases) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	blocked := 0
+	for f, c := range cases {
+		if c.Blocked {
+			blocked++
+		}
+		if before, known := g.agreed[f]; !known || before.Blocked != c.Blocked {
+			klog.Infof("quarantine: request=%s blocked=%v leaf_ends=%d crashes=%d attempts=%d what=%q", f, c.Blocked, c.Ends, c.Crashes, c.Attempts, c.Request)
+		}
+	}
+	for f := range g.agreed {
+		if _, ok := cases[f]; !ok {
+			klog.Infof("quarantine: request=%s is free", f)
+		}
+	}
+	g.agreed = cases
+	suspectGauge.Update(int64(len(cases) - blocked))
+	blockedGauge.Update(int64(blocked))
+	g.note()
+}
+
+// note keeps some; the lock is held.
+func (g *Registry) note() { g.some.Store(len(g.agreed)+len(g.local) > 0) }
+
+// Rule says what may be done with a request.
+func (g *Registry) Rule(f Fingerprint) Ruling {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c, known := g.agreed[f]
+	s := g.local[f]
+	if s != nil && g.clock() >= s.until {
+		delete(g.local, f)
+		g.note()
+		s = nil
+	}
+	switch {
+	case known && c.Blocked:
+		return Blocked
+	case s != nil && s.cleared:
+		return Free
+	case known, s != nil:
+		return Suspect
+	}
+	return Free
+}
+
+// Try asks whether a suspected request may be sent to a leaf now. Every Granted ends in
+// Report or Release.
+func (g *Registry) Try(ctx context.Context, f Fingerprint) Grant {
+	grant, err := g.leader.Try(ctx, f)
+	if err == nil {
+		return grant
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.seen(f)
+	grant = Wait
+	if s.tried < loneTrials {
+		s.tried++
+		lonelyTrials.Inc(1)
+		grant = Granted
+	}
+	klog.Warningf("quarantine: request=%s granted=%v without the leader: %v", f, grant == Granted, err)
+	return grant
+}
+
+// seen returns what this daemon has seen of a request; the lock is held.
+func (g *Registry) seen(f Fingerprint) *sighting {
+	s := g.local[f]
+	if s == nil {
+		g.sweep()
+		s = &sighting{}
+		g.local[f] = s
+	}
+	s.until = g.clock().Add(reportFor)
+	g.note()
+	return s
+}
+
+// sweep forgets what is settled, and at mostLocal whatever runs out next.
+func (g *Registry) sweep() {
+	now := g.clock()
+	var next Fingerprint
+	least := vm.Instant(0)
+	for f, s := range g.local {
+		if now >= s.until {
+			delete(g.local, f)
+		} else if least == 0 || s.until < least {
+			next, least = f, s.until
+		}
+	}
+	if len(g.local) >= mostLocal {
+		klog.Warningf("quarantine: request=%s is forgotten here: %d others were seen since", next, len(g.local))
+		delete(g.local, next)
+	}
+}
+
+// Report takes in what became of an attempt, and hands it to the leader.
+func (g *Registry) Report(r *Report) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.seen(r.Request)
+	s.cleared = r.Survived
+	if len(g.queue) >= mostReports {
+		reportsLost.Inc(1)
+		klog.Errorf("quarantine: report of request=%s leaf_ends=%d is lost, %d wait for the leader", r.Request, r.Ends, len(g.queue))
+		return
+	}
+	g.queue = append(g.queue, queuedReport{r, g.clock()})
+	select {
+	case g.queued <- struct{}{}:
+	default:
+	}
+}
+
+// Release gives a trial back that reached no leaf.
+func (g *Registry) Release(f Fingerprint) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), reportPause)
+		defer cancel()
+		if err := g.leader.Release(ctx, f); err != nil {
+			klog.V(1).Infof("quarantine: trial of request=%s not given back, it runs out: %v", f, err)
+		}
+	}()
+}
+
+// Run hands reports to the leader until ctx ends.
+func (g *Registry) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-g.queued:
+		case <-ctx.Done():
+			return
+		}
+		for g.deliver(ctx) {
+			if !vm.Sleep(ctx, reportPause) {
+				return
+			}
+		}
+	}
+}
+
+// deliver hands over what waits, and reports whether it has to be tried again.
+func (g *Registry) deliver(ctx context.Context) (again bool) {
+	g.mu.Lock()
+	waiting := g.queue
+	g.queue = nil
+	g.mu.Unlock()
+	if len(waiting) == 0 {
+		return false
+	}
+	now := g.clock()
+	reports := make([]*Report, 0, len(waiting))
+	for _, w := range waiting {
+		r := *w.Report
+		r.Began += now.Sub(w.at)
+		reports = append(reports, &r)
+	}
+	err := g.leader.Report(ctx, reports)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if err == nil {
+		for _, w := range waiting {
+			if s := g.local[w.Request]; s != nil {
+				s.until = g.clock().Add(settleTime)
+			}
+		}
+		return len(g.queue) > 0
+	}
+	kept := waiting[:0]
+	for _, w := range waiting {
+		if now.Sub(w.at) < reportFor {
+			kept = append(kept, w)
+			continue
+		}
+		reportsLost.Inc(1)
+		klog.Errorf("quarantine: report of request=%s leaf_ends=%d is lost: %v", w.Request, w.Ends, err)
+	}
+	g.queue = append(kept, g.queue...)
+	return len(g.queue) > 0
+}
--- /dev/null
+++ b/internal/quarantine/tree.go
@@ -0,0 +1,81 @@
+package quarantine
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"pearmoor/internal/settings"
+)
+
+// Cases are the requests that are agreed on.
+type Cases map[Fingerprint]Case
+
+// longestDescription bounds the text about a request, in bytes.
+const longestDescription = 200
+
+// FromTree reads the cases that a settings tree holds.
+func FromTree(t *settings.Tree) Cases {
+	names := t.Children(settings.QuarantinePath)
+	out := make(Cases, len(names))
+	for _, name := range names {
+		f, err := Parse(name)
+		if err != nil {
+			klog.Warningf("quarantine: node %s/%s has no effect: %v", settings.QuarantinePath, name, err)
+			continue
+		}
+		e, _ := t.Effective(pathOf(f))
+		q := &e.Quarantine
+		seen, err := time.Parse(time.RFC3339, q.Seen)
+		if err != nil && q.Seen != "" {
+			klog.Warningf("quarantine: %s states no time of its last report, it is the first to be dropped: %v", pathOf(f), err)
+		}
+		out[f] = Case{Ends: q.Ends, Crashes: q.Crashes, Attempts: q.Attempts, Blocked: q.Blocked, Request: q.Request, Seen: seen}
+	}
+	return out
+}
+
+func pathOf(f Fingerprint) string {
+	return settings.QuarantinePath + settings.Root + f.String()
+}
+
+// Edits returns what makes the tree hold the changed cases.
+func Edits(changes []Change) []settings.Edit {
+	var out []settings.Edit
+	for _, c := range changes {
+		path := pathOf(c.Request)
+		if c.Cleared || c.Dropped {
+			out = append(out, settings.Edit{Path: path, Op: settings.Remove})
+			continue
+		}
+		set := func(name, value string) {
+			if value != "" {
+				out = append(out, settings.Edit{Path: path, Name: name, Value: value, Op: settings.Set})
+			}
+		}
+		set(settings.NameQuarantineRequest, describe(c.After.Request))
+		set(settings.NameQuarantineEnds, strconv.Itoa(c.After.Ends))
+		set(settings.NameQuarantineCrashes, strconv.Itoa(c.After.Crashes))
+		set(settings.NameQuarantineAttempts, strconv.Itoa(c.After.Attempts))
+		set(settings.NameQuarantineBlocked, strconv.FormatBool(c.After.Blocked))
+		set(settings.NameQuarantineSeen, c.After.Seen.Format(time.RFC3339))
+	}
+	return out
+}
+
+// describe makes a text of a caller's fit to be stated in the tree.
+func describe(text string) string {
+	text = strings.ToValidUTF8(text, "?")
+	text = strings.Map(func(r rune) rune {
+		if !strconv.IsPrint(r) {
+			return '?'
+		}
+		return r
+	}, text)
+	if len(text) > longestDescription {
+		text = strings.ToValidUTF8(text[:longestDescription], "")
+	}
+	return strings.TrimSpace(text)
+}
--- a/internal/settings/effective.go
+++ b/internal/settings/effective.go
@@ -66,6 +66,8 @@
 	Service ServiceSettings
 	Caller  CallerLimits
 	Release ReleaseSettings
+
+	Quarantine QuarantineSettings
 }
 
 // Tier holds the settings that only the root may state.
--- a/internal/settings/resolve.go
+++ b/internal/settings/resolve.go
@@ -41,7 +41,7 @@
 func (sc *schema) effective(n *node, path string, parent *Effective) *Effective {
 	e := *parent
 	e.Path, e.Leaves, e.Drained = showPath(path), nil, nil
-	e.Route, e.Service, e.Release = sc.def.Route, sc.def.Service, sc.def.Release
+	e.Route, e.Service, e.Release, e.Quarantine = sc.def.Route, sc.def.Service, sc.def.Release, sc.def.Quarantine
 	e.Route.AnswerMargin = parent.Route.AnswerMargin
 	for i := range n.stated {
 		st := &n.stated[i]
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -21,7 +21,7 @@
 // table lists the settings; the order is that of the reference page.
 func table() []Setting {
 	return slices.Concat(leafSettings(), querySettings(), loadSettings(), tierSettings(),
-		routeSettings(), serviceSettings(), callerSettings(), releaseSettings())
+		routeSettings(), serviceSettings(), callerSettings(), releaseSettings(), quarantineSettings())
 }
 
 func leafSettings() []Setting {
