quarantine: a request that varies in its query or its caller is known as well; every lost connection is followed by a connect

What is the same in a request that crashes leaves is not known beforehand. Now each request has three names: exact, with any query, with any query from anybody. Each is suspected and blocked by itself, and an answer clears all three, so that a wide name holds only where nobody is answered. What shares a wide name with a suspected request is sent to one leaf first and never refused for it; only a blocked name refuses. TestRequestThatVariesIsBlocked has these, and a caller who is answered at the same path.

An answer counts for the request only if the leaf did not fail (status below 500): one that fails may not have come to what ends it.

--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -70,14 +70,14 @@
 	}
 	done := make(chan error, len(req.Reports))
 	for _, in := range req.Reports[:min(len(req.Reports), maxCrashReports)] {
-		f, ok := quarantine.FromBytes(in.Fingerprint)
-		if !ok {
-			return nil, errBadFingerprint
-		}
-		s.crashes.add(crashReport{done: done, Report: &quarantine.Report{
-			Request: f, Describe: in.Request, Ends: int(min(in.LeafEnds, settings.MaxLeaves)), Survived: in.Survived,
+		r := &quarantine.Report{
+			Ends: int(min(in.LeafEnds, settings.MaxLeaves)), Survived: in.Survived,
 			Began: time.Duration(in.BeganMs) * time.Millisecond,
-		}})
+		}
+		if err := r.Name(in.Fingerprints, in.Requests); err != nil {
+			return nil, peer.Permanent(err)
+		}
+		s.crashes.add(crashReport{done: done, Report: r})
 	}
 	select {
 	case s.crashes.token <- struct{}{}:
--- a/internal/entryvm/quarantine.go
+++ b/internal/entryvm/quarantine.go
@@ -22,10 +22,13 @@
 func (l quarantineLeader) Report(ctx context.Context, reports []*quarantine.Report) error {
 	req := &wire.CrashReports{Reports: make([]*wire.CrashReport, len(reports))}
 	for i, r := range reports {
-		req.Reports[i] = &wire.CrashReport{
-			Fingerprint: r.Request.Bytes(), Request: r.Describe, LeafEnds: uint32(r.Ends), Survived: r.Survived,
-			BeganMs: uint32(r.Began.Milliseconds()),
+		out := &wire.CrashReport{
+			Requests: r.Describe[:], LeafEnds: uint32(r.Ends), Survived: r.Survived, BeganMs: uint32(r.Began.Milliseconds()),
 		}
+		for _, f := range r.Request {
+			out.Fingerprints = append(out.Fingerprints, f.Bytes())
+		}
+		req.Reports[i] = out
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTime)
 	defer cancel()
@@ -40,7 +43,7 @@
 	grant := quarantine.Denied
 	err := l.ask(ctx, reportTime, func(ctx context.Context, c wire.DRPCControlClient) (string, error) {
 		out, err := c.Trial(ctx, &wire.TrialRequest{Fingerprint: f.Bytes()})
-		grant = quarantine.Grant(out.GetGrant())
+		grant = quarantine.Grant(min(out.GetGrant(), uint32(quarantine.Granted)))
 		return out.GetRedirect(), err
 	})
 	return grant, err
--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -150,7 +150,7 @@
 		Id: r.req.ID, Method: r.send.Method, Head: r.send.Head, Body: r.send.Body,
 		LeftUs: micros(r.send.Deadline.Sub(now)), FirstUs: micros(r.at(r.times.Late - hopTime).Sub(now)),
 		UsualUs: micros(r.know.pace.Usual()), Top: uint32(r.entry.Top),
-		Sends: make([]*wire.PartSend, len(list)), Fingerprint: r.fingerprint().Bytes(),
+		Sends: make([]*wire.PartSend, len(list)), Caller: r.req.Caller,
 	}
 	for i, c := range list {
 		d := delegated{shard: c.shard, leaf: c.leaf, call: &target.Call{}, began: r.e.cfg.Board.Begin(c.leaf.Life())}
--- a/internal/forward/head.go
+++ b/internal/forward/head.go
@@ -25,6 +25,15 @@
 	}
 }
 
+// targetOf returns the path with query and the host of a head that head has rendered.
+func targetOf(head []byte) (uri, host string) {
+	line, rest, _ := bytes.Cut(head, []byte("\r\n"))
+	_, target, _ := bytes.Cut(line, []byte{' '})
+	target = bytes.TrimSuffix(target, []byte(" HTTP/1.1"))
+	line, _, _ = bytes.Cut(rest, []byte("\r\n"))
+	return string(target), string(bytes.TrimPrefix(line, []byte("Host: ")))
+}
+
 // head renders the request line and the headers that all leaves get.
 func head(req *Request) []byte {
 	var b bytes.Buffer
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -41,9 +41,10 @@
 	sends     int
 	denied    int // further sends that the budget did not allow
 	suspicion policy.Suspicion
-	trial     bool                    // of a request that is suspected to crash leaves
-	blocked   bool                    // it was found to be so meanwhile
-	print     *quarantine.Fingerprint // once it was asked for
+	trial     bool                     // it is sent to one leaf first, since it is suspected to crash leaves
+	granted   bool                     // with the leader's leave
+	blocked   bool                     // it was found to be so meanwhile
+	names     *quarantine.Fingerprints // once they were asked for
 	verdict   contract.Verdict
 	last      *target.Reply
 	lastErr   *contract.Error
--- a/internal/forward/suspicion.go
+++ b/internal/forward/suspicion.go
@@ -24,21 +24,21 @@
 // trialWait bounds the wait for leave to try a suspected request.
 const trialWait = 300 * time.Millisecond
 
-// fingerprint names the request, whichever attempt of it this is.
-func (r *Request) fingerprint() quarantine.Fingerprint {
-	q := quarantine.Request{Method: r.Method, Host: r.Host, URI: r.URI, Caller: r.Caller, Body: r.Body, Length: int64(len(r.Body))}
+// content is what names the request, whichever attempt of it this is.
+func (r *Request) content() *quarantine.Request {
+	q := &quarantine.Request{Method: r.Method, Host: r.Host, URI: r.URI, Caller: r.Caller, Body: r.Body, Length: int64(len(r.Body))}
 	if r.Stream != nil {
 		q.Length = r.Stream.Length
 	}
-	return q.Fingerprint()
+	return q
 }
 
-func (r *run) fingerprint() quarantine.Fingerprint {
-	if r.print == nil {
-		f := r.req.fingerprint()
-		r.print = &f
+func (r *run) fingerprints() quarantine.Fingerprints {
+	if r.names == nil {
+		names := r.req.content().Fingerprints()
+		r.names = &names
 	}
-	return *r.print
+	return *r.names
 }
 
 // enter returns the answer to a request that must not reach a leaf now, nil to go on.
@@ -47,19 +47,22 @@
 	if known.Empty() {
 		return nil
 	}
-	f := r.fingerprint()
-	ruling := known.Rule(f)
-	if ruling == quarantine.Free {
-		return nil
-	}
+	names := r.fingerprints()
+	ruling := known.Rule(names)
 	grant := quarantine.Denied
-	if ruling == quarantine.Suspect {
+	switch ruling {
+	case quarantine.Free:
+		return nil
+	case quarantine.Canary:
+		grant = quarantine.Granted
+	case quarantine.Suspect:
 		ctx, cancel := context.WithTimeout(ctx, trialWait)
 		defer cancel()
-		grant = known.Try(ctx, f)
+		grant = known.Try(ctx, names[quarantine.Exact])
+		r.granted = grant == quarantine.Granted
 	}
-	r.e.cfg.Log.Line("quarantine", "request looked up").Str("id", r.req.ID).Str("request", f.String()).
-		Bool("blocked", ruling == quarantine.Blocked || grant == quarantine.Denied).Bool("tried", grant == quarantine.Granted).End()
+	r.e.cfg.Log.Line("quarantine", "request looked up").Str("id", r.req.ID).Str("request", names[quarantine.Exact].String()).
+		Str("ruling", ruling.String()).Str("trial", grant.String()).End()
 	if grant == quarantine.Granted {
 		quarantineTrials.Inc(1)
 		r.trial, r.suspicion.Suspect = true, true
@@ -78,7 +81,7 @@
 	if r.blocked {
 		return false
 	}
-	if r.suspicion.Ends > 0 && !r.suspicion.Survived && r.e.cfg.Quarantine != nil && r.e.cfg.Quarantine.Rule(r.fingerprint()) == quarantine.Blocked {
+	if r.suspicion.Ends > 0 && !r.suspicion.Survived && r.e.cfg.Quarantine != nil && r.e.cfg.Quarantine.Rule(r.fingerprints()) == quarantine.Blocked {
 		r.blocked = true
 		return false
 	}
@@ -92,12 +95,12 @@
 		r.blocked = true
 	case res.err == nil && res.reply.Refused, res.err != nil && res.err.Verdict == contract.NotRun:
 		r.suspicion.Unsent()
-	case res.err == nil:
-		r.suspicion.Survived = true
+	case res.err == nil && res.reply.Status < http.StatusInternalServerError:
+		r.suspicion.Survived = true // a leaf that fails may not have come to what ends it
 	case hasEnded(res.err):
 		r.suspicion.Ends++
 		leafEnds.Inc(1)
-		r.e.cfg.Log.Line(r.part(), "leaf ended").Str("id", r.req.ID).Str("request", r.fingerprint().String()).
+		r.e.cfg.Log.Line(r.part(), "leaf ended").Str("id", r.req.ID).Str("request", r.fingerprints()[quarantine.Exact].String()).
 			Str("service", s.service).Str("leaf", res.leaf.ID).Ms("after", time.Since(r.req.Arrived)).Ms("took", res.took).
 			Int("ends", int64(r.suspicion.Ends)).Bool("survived", r.suspicion.Survived).Int("in_flight", int64(r.inFlight())).
 			Bool("delegated", res.set != nil).End()
@@ -129,17 +132,21 @@
 	if known == nil || !r.trial && (s.Ends == 0 || s.Survived) {
 		return
 	}
-	f := r.fingerprint()
+	names := r.fingerprints()
 	if r.trial && !s.Survived && s.Ends == 0 && r.verdict == contract.NotRun && r.inFlight() == 0 {
-		known.Release(f)
+		if r.granted {
+			known.Release(names[quarantine.Exact])
+		}
 		return
 	}
-	r.e.cfg.Log.Line("quarantine", "attempt reported").Str("id", r.req.ID).Str("request", f.String()).Int("ends", int64(s.Ends)).
+	r.e.cfg.Log.Line("quarantine", "attempt reported").Str("id", r.req.ID).Str("request", names[quarantine.Exact].String()).Int("ends", int64(s.Ends)).
 		Bool("survived", s.Survived).Bool("tried", r.trial).End()
-	known.Report(&quarantine.Report{
-		Request: f, Describe: r.req.Method + " " + r.req.Host + r.req.URI + " from " + r.req.Caller,
-		Ends: s.Ends, Survived: s.Survived, Began: time.Since(r.req.Arrived),
-	})
+	report := &quarantine.Report{Request: names, Ends: s.Ends, Survived: s.Survived, Began: time.Since(r.req.Arrived)}
+	content := r.req.content()
+	for w := range report.Describe {
+		report.Describe[w] = content.Describe(quarantine.Width(w))
+	}
+	known.Report(report)
 }
 
 // inFlight returns how many sends are under way.
@@ -158,6 +165,7 @@
 	if known.Empty() {
 		return false
 	}
-	f, ok := quarantine.FromBytes(sc.req.Fingerprint)
-	return ok && known.Rule(f) != quarantine.Free
+	q := &quarantine.Request{Method: sc.req.Method, Caller: sc.req.Caller, Body: sc.req.Body, Length: int64(len(sc.req.Body))}
+	q.URI, q.Host = targetOf(sc.req.Head)
+	return known.Rule(q.Fingerprints()) != quarantine.Free
 }
--- a/internal/link/target/ended.go
+++ b/internal/link/target/ended.go
@@ -29,7 +29,7 @@
 		case l.over, l.refusedAt.After(lost):
 			l.mu.Unlock()
 			return true
-		case l.closed, l.connectedAt.After(lost), l.anySound():
+		case l.closed, l.connectedAt.After(lost):
 			l.mu.Unlock()
 			return false
 		}
@@ -55,16 +55,6 @@
 	}
 }
 
-// anySound reports whether an idle connection is open; the lock is held.
-func (l *Link) anySound() bool {
-	for _, c := range l.idle {
-		if c.sound() {
-			return true
-		}
-	}
-	return false
-}
-
 // connectEnded notes how a connect ended.
 func (l *Link) connectEnded(err error) {
 	l.mu.Lock()
--- a/internal/quarantine/case.go
+++ b/internal/quarantine/case.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import "time"
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
 
 const (
 	// fewestEnds is how many leaves have ended before a request is blocked.
@@ -25,21 +29,36 @@
 
 // Report is what became of the leaves that one attempt reached.
 type Report struct {
-	Request  Fingerprint
-	Describe string        // for operators
-	Ends     int           // leaves that ended under it
-	Survived bool          // a leaf answered it
-	Began    time.Duration // how long before the report it arrived
+	Request  Fingerprints
+	Describe [widths]string // for operators
+	Ends     int            // leaves that ended under it
+	Survived bool           // a leaf answered it
+	Began    time.Duration  // how long before the report it arrived
+}
+
+// Name states which request the report is of, as a message does.
+func (r *Report) Name(fingerprints [][]byte, describe []string) error {
+	if len(fingerprints) != len(r.Request) || len(describe) != len(r.Describe) {
+		return errors.Newf("quarantine: a report with %d fingerprints and %d descriptions, %d are wanted", len(fingerprints), len(describe), len(r.Request))
+	}
+	for w, b := range fingerprints {
+		f, ok := FromBytes(b)
+		if !ok {
+			return errors.Newf("quarantine: a fingerprint of %d bytes", len(b))
+		}
+		r.Request[w], r.Describe[w] = f, describe[w]
+	}
+	return nil
 }
 
 // after returns the case with a report that is of an attempt after those that it knows of,
 // or, if follows is false, of one at the same time. It is false when the request is cleared.
-func (c Case) after(r *Report, follows bool, now time.Time) (Case, bool) {
+func (c Case) after(r *Report, w Width, follows bool, now time.Time) (Case, bool) {
 	if r.Survived {
 		return Case{}, false
 	}
 	if c.Request == "" {
-		c.Request = r.Describe
+		c.Request = r.Describe[w]
 	}
 	c.Ends += r.Ends
 	c.Seen = now
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -12,7 +13,7 @@
 // can make a request that shares the fingerprint of another caller's.
 type Fingerprint [16]byte
 
-// Request is what a fingerprint is made of.
+// Request is what fingerprints are made of.
 type Request struct {
 	Method string
 	Host   string
@@ -22,17 +23,57 @@
 	Length int64  // of the whole body; -1: not stated
 }
 
-// Fingerprint returns the request's name.
-func (r *Request) Fingerprint() Fingerprint {
+// Width is how much of a request a fingerprint names. What crashes a leaf may be in any
+// of it: a request that comes with another query each time, or from another address, has
+// no exact fingerprint twice.
+type Width int
+
+// The widths.
+const (
+	Exact Width = iota
+	AnyQuery
+	AnyCaller // and any query
+	widths
+)
+
+// Fingerprints name one request, by width.
+type Fingerprints [widths]Fingerprint
+
+// Fingerprints returns the request's names.
+func (r *Request) Fingerprints() Fingerprints {
+	path, _, _ := strings.Cut(r.URI, "?")
+	return Fingerprints{
+		Exact:     r.sum(Exact, r.URI, r.Caller),
+		AnyQuery:  r.sum(AnyQuery, path, r.Caller),
+		AnyCaller: r.sum(AnyCaller, path, ""),
+	}
+}
+
+// Describe says for operators what the fingerprint of a width stands for.
+func (r *Request) Describe(w Width) string {
+	path, _, _ := strings.Cut(r.URI, "?")
+	switch w {
+	case Exact:
+		return r.Method + " " + r.Host + r.URI + " from " + r.Caller
+	case AnyQuery:
+		return r.Method + " " + r.Host + path + " with any query from " + r.Caller
+	}
+	return r.Method + " " + r.Host + path + " with any query from anybody"
+}
+
+func (r *Request) sum(w Width, uri, caller string) Fingerprint {
 	h := sha256.New()
-	var size [8]byte
-	for _, s := range [...]string{r.Method, r.Host, r.URI, r.Caller} {
-		binary.LittleEndian.PutUint64(size[:], uint64(len(s)))
-		_, _ = h.Write(size[:]) // a hash takes everything
+	var number [8]byte
+	add := func(n int64) {
+		binary.LittleEndian.PutUint64(number[:], uint64(n))
+		_, _ = h.Write(number[:]) // a hash takes everything
+	}
+	add(int64(w))
+	for _, s := range [...]string{r.Method, r.Host, uri, caller} {
+		add(int64(len(s)))
 		_, _ = h.Write([]byte(s))
 	}
-	binary.LittleEndian.PutUint64(size[:], uint64(r.Length))
-	_, _ = h.Write(size[:])
+	add(r.Length)
 	_, _ = h.Write(r.Body)
 	var sum [sha256.Size]byte
 	return Fingerprint(h.Sum(sum[:0])[:len(Fingerprint{})])
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// mostCases bounds the requests that are agreed on.
-	mostCases = 512
+	// mostCases bounds the fingerprints that are agreed on.
+	mostCases = 768
 	// trialTime is how long a trial that is not reported holds up the next one.
 	trialTime = 10 * time.Second
 )
@@ -42,6 +42,11 @@
 	Granted              // it may be tried at one leaf
 )
 
+var grantNames = [...]string{Denied: "denied", Wait: "wait", Granted: "granted"}
+
+// String returns the grant in one word.
+func (g Grant) String() string { return grantNames[g] }
+
 // Try answers a daemon that wants to try a request.
 func (l *Ledger) Try(cases Cases, f Fingerprint) Grant {
 	l.mu.Lock()
@@ -82,23 +87,25 @@
 	}
 	var changes []Change
 	for _, r := range reports {
-		delete(l.trials, r.Request)
-		before, known := out[r.Request]
-		if !r.Survived && r.Ends == 0 && !known {
-			continue // nothing is held against it
-		}
-		last, seen := l.last[r.Request]
-		follows := !seen || now.Add(-r.Began) > last
-		next, kept := before.after(r, follows, wall.UTC().Truncate(time.Second))
-		switch {
-		case kept:
-			l.last[r.Request] = now
-			out[r.Request] = next
-			changes = append(changes, Change{Request: r.Request, Before: before, After: next})
-		case known:
-			delete(l.last, r.Request)
-			delete(out, r.Request)
-			changes = append(changes, Change{Request: r.Request, Before: before, Cleared: true})
+		delete(l.trials, r.Request[Exact])
+		for w, f := range r.Request {
+			before, known := out[f]
+			if !r.Survived && r.Ends == 0 && !known {
+				continue // nothing is held against it
+			}
+			last, seen := l.last[f]
+			follows := !seen || now.Add(-r.Began) > last
+			next, kept := before.after(r, Width(w), follows, wall.UTC().Truncate(time.Second))
+			switch {
+			case kept:
+				l.last[f] = now
+				out[f] = next
+				changes = append(changes, Change{Request: f, Before: before, After: next})
+			case known:
+				delete(l.last, f)
+				delete(out, f)
+				changes = append(changes, Change{Request: f, Before: before, Cleared: true})
+			}
 		}
 	}
 	return out, append(changes, l.drop(out)...)
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -42,13 +42,13 @@
 
 func (tr *trail) pass(d time.Duration) { tr.now = tr.now.Add(d) }
 
-func named(i int) Fingerprint {
-	return (&Request{Method: "GET", URI: fmt.Sprint("/", i), Caller: "10.0.0.1"}).Fingerprint()
+func named(i int) Fingerprints {
+	return (&Request{Method: "GET", URI: fmt.Sprint("/", i), Caller: "10.0.0.1"}).Fingerprints()
 }
 
 // crash is an attempt that took 100 ms.
-func crash(f Fingerprint, ends int) *Report {
-	return &Report{Request: f, Describe: "GET shop/ from 10.0.0.1", Ends: ends, Began: 100 * time.Millisecond}
+func crash(f Fingerprints, ends int) *Report {
+	return &Report{Request: f, Describe: [widths]string{"GET shop/ from 10.0.0.1", "b", "c"}, Ends: ends, Began: 100 * time.Millisecond}
 }
 
 // A request crashes leaves in each attempt, with minutes and changes of leader in between.
@@ -56,33 +56,73 @@
 	Convey("It is blocked after three attempts, for good", t, func() {
 		tr, f := newTrail(t), named(1)
 		for _, ends := range []int{20, 1, 1} {
-			So(tr.ledger.Try(tr.cases(), f), ShouldEqual, Granted)
+			So(tr.ledger.Try(tr.cases(), f[Exact]), ShouldEqual, Granted)
 			tr.report(crash(f, ends))
 			tr.pass(time.Hour)
 			tr.lead()
 		}
-		So(tr.cases()[f].Blocked, ShouldBeTrue)
-		So(tr.ledger.Try(tr.cases(), f), ShouldEqual, Denied)
+		So(tr.cases()[f[Exact]].Blocked, ShouldBeTrue)
+		So(tr.ledger.Try(tr.cases(), f[Exact]), ShouldEqual, Denied)
 	})
 	Convey("It is blocked after four attempts without an answer, however they end", t, func() {
 		tr, f := newTrail(t), named(1)
 		tr.report(crash(f, 3))
 		for range 3 {
-			So(tr.cases()[f].Blocked, ShouldBeFalse)
+			So(tr.cases()[f[Exact]].Blocked, ShouldBeFalse)
 			tr.pass(time.Second)
 			tr.report(crash(f, 0))
 		}
-		So(tr.cases()[f].Blocked, ShouldBeTrue)
+		So(tr.cases()[f[Exact]].Blocked, ShouldBeTrue)
 	})
 	Convey("One daemon tries it at a time", t, func() {
 		tr, f := newTrail(t), named(1)
 		tr.report(crash(f, 3))
-		So(tr.ledger.Try(tr.cases(), f), ShouldEqual, Granted)
-		So(tr.ledger.Try(tr.cases(), f), ShouldEqual, Wait)
-		tr.ledger.Release(f)
-		So(tr.ledger.Try(tr.cases(), f), ShouldEqual, Granted)
+		So(tr.ledger.Try(tr.cases(), f[Exact]), ShouldEqual, Granted)
+		So(tr.ledger.Try(tr.cases(), f[Exact]), ShouldEqual, Wait)
+		tr.ledger.Release(f[Exact])
+		So(tr.ledger.Try(tr.cases(), f[Exact]), ShouldEqual, Granted)
 		tr.pass(trialTime)
-		So(tr.ledger.Try(tr.cases(), f), ShouldEqual, Granted)
+		So(tr.ledger.Try(tr.cases(), f[Exact]), ShouldEqual, Granted)
+	})
+}
+
+// A request crashes leaves that comes with another query, or from another address, each time.
+func TestRequestThatVariesIsBlocked(t *testing.T) {
+	for _, c := range []struct {
+		what string
+		nth  func(n int) *Request
+	}{
+		{"another query each time", func(n int) *Request { return &Request{URI: fmt.Sprint("/a?page=", n), Caller: "10.0.0.1"} }},
+		{"another address each time", func(n int) *Request { return &Request{URI: "/a", Caller: fmt.Sprint("10.0.0.", n)} }},
+		{"both", func(n int) *Request { return &Request{URI: fmt.Sprint("/a?page=", n), Caller: fmt.Sprint("10.0.0.", n)} }},
+	} {
+		Convey(c.what, t, func() {
+			tr := newTrail(t)
+			for n := range 3 {
+				tr.report(crash(c.nth(n).Fingerprints(), 3))
+				tr.pass(time.Second)
+			}
+			g := NewRegistry(vm.Monotonic, nil)
+			g.Install(tr.cases())
+			So(g.Rule(c.nth(4).Fingerprints()), ShouldEqual, Blocked)
+			So(g.Rule(named(9)), ShouldEqual, Free)
+		})
+	}
+	Convey("Where others are answered at its path, it alone is blocked", t, func() {
+		tr := newTrail(t)
+		other := &Request{URI: "/a", Caller: "10.0.0.2"}
+		for range 3 {
+			tr.report(crash((&Request{URI: "/a", Caller: "10.0.0.1"}).Fingerprints(), 3))
+			tr.pass(time.Second)
+			g := NewRegistry(vm.Monotonic, nil)
+			g.Install(tr.cases())
+			So(g.Rule(other.Fingerprints()), ShouldEqual, Canary)
+			tr.report(&Report{Request: other.Fingerprints(), Survived: true})
+		}
+		g := NewRegistry(vm.Monotonic, nil)
+		g.Install(tr.cases())
+		So(g.Rule((&Request{URI: "/a", Caller: "10.0.0.1"}).Fingerprints()), ShouldEqual, Blocked)
+		So(g.Rule(other.Fingerprints()), ShouldEqual, Free)
 	})
 }
 
@@ -94,12 +134,12 @@
 			tr.report(crash(named(1), 20), crash(named(1), 20), crash(named(2), 7))
 			tr.pass(20 * time.Millisecond)
 		}
-		So(tr.cases()[named(1)].Blocked, ShouldBeFalse)
-		So(tr.cases()[named(1)].Crashes, ShouldEqual, 1)
-		So(tr.ledger.Try(tr.cases(), named(1)), ShouldEqual, Granted)
+		So(tr.cases()[named(1)[Exact]].Blocked, ShouldBeFalse)
+		So(tr.cases()[named(1)[Exact]].Crashes, ShouldEqual, 1)
+		So(tr.ledger.Try(tr.cases(), named(1)[Exact]), ShouldEqual, Granted)
 		tr.report(&Report{Request: named(1), Survived: true})
-		So(tr.cases(), ShouldNotContainKey, named(1))
-		So(tr.cases(), ShouldContainKey, named(2))
+		So(tr.cases(), ShouldNotContainKey, named(1)[Exact])
+		So(tr.cases(), ShouldContainKey, named(2)[Exact])
 	})
 	Convey("An attempt without ends is held against nothing", t, func() {
 		tr := newTrail(t)
@@ -116,21 +156,21 @@
 			tr.report(crash(named(0), 1))
 			tr.pass(time.Second)
 		}
-		for i := range 2 * mostCases {
+		for i := range mostCases {
 			tr.pass(time.Second)
 			tr.report(crash(named(i+1), 1))
 		}
 		So(len(tr.cases()), ShouldEqual, mostCases)
-		So(tr.cases()[named(0)].Blocked, ShouldBeTrue)
-		So(tr.cases(), ShouldContainKey, named(2*mostCases))
-		So(tr.cases(), ShouldNotContainKey, named(1))
+		So(tr.cases()[named(0)[Exact]].Blocked, ShouldBeTrue)
+		So(tr.cases(), ShouldContainKey, named(mostCases)[Exact])
+		So(tr.cases(), ShouldNotContainKey, named(1)[Exact])
 	})
 	Convey("What a caller sends is stated as one printable line", t, func() {
 		tr := newTrail(t)
 		r := crash(named(1), 1)
-		r.Describe = "GET shop/\x00\n\xff from 10.0.0.1" + string(make([]byte, 2*longestDescription))
+		r.Describe[Exact] = "GET shop/\x00\n\xff from 10.0.0.1" + string(make([]byte, 2*longestDescription))
 		tr.report(r)
-		So(tr.cases()[named(1)].Request, ShouldStartWith, "GET shop/??")
-		So(len(tr.cases()[named(1)].Request), ShouldBeLessThanOrEqualTo, longestDescription)
+		So(tr.cases()[named(1)[Exact]].Request, ShouldStartWith, "GET shop/??")
+		So(len(tr.cases()[named(1)[Exact]].Request), ShouldBeLessThanOrEqualTo, longestDescription)
 	})
 }
--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -41,10 +41,16 @@
 // The rulings.
 const (
 	Free    Ruling = iota
-	Suspect        // it is tried at one leaf at a time, by one daemon at a time
+	Canary         // it is like suspected ones: it is sent to one leaf first
+	Suspect        // as Canary, and by one daemon at a time
 	Blocked        // it reaches no leaf
 )
 
+var rulingNames = [...]string{Free: "free", Canary: "canary", Suspect: "suspect", Blocked: "blocked"}
+
+// String returns the ruling in one word.
+func (r Ruling) String() string { return rulingNames[r] }
+
 // Leader is the leader of the control group, as a daemon reaches it.
 type Leader interface {
 	// Report hands over what became of attempts.
@@ -118,25 +124,37 @@
 func (g *Registry) note() { g.some.Store(len(g.agreed)+len(g.local) > 0) }
 
 // Rule says what may be done with a request.
-func (g *Registry) Rule(f Fingerprint) Ruling {
+func (g *Registry) Rule(fs Fingerprints) Ruling {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c, known := g.agreed[f]
+	out := Free
+	for w, f := range fs {
+		suspect := Canary
+		if Width(w) == Exact {
+			suspect = Suspect
+		}
+		switch c, known := g.agreed[f]; {
+		case known && c.Blocked:
+			return Blocked
+		case g.suspects(f, known):
+			out = max(out, suspect)
+		}
+	}
+	return out
+}
+
+// suspects reports whether anything is held against a fingerprint; the lock is held.
+func (g *Registry) suspects(f Fingerprint, agreed bool) bool {
 	s := g.local[f]
-	if s != nil && g.clock() >= s.until {
+	switch {
+	case s == nil:
+		return agreed
+	case g.clock() >= s.until:
 		delete(g.local, f)
 		g.note()
-		s = nil
+		return agreed
 	}
-	switch {
-	case known && c.Blocked:
-		return Blocked
-	case s != nil && s.cleared:
-		return Free
-	case known, s != nil:
-		return Suspect
-	}
-	return Free
+	return !s.cleared
 }
 
 // Try asks whether a suspected request may be sent to a leaf now. Every Granted ends in
@@ -194,11 +212,12 @@
 func (g *Registry) Report(r *Report) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	s := g.seen(r.Request)
-	s.cleared = r.Survived
+	for _, f := range r.Request {
+		g.seen(f).cleared = r.Survived
+	}
 	if len(g.queue) >= mostReports {
 		reportsLost.Inc(1)
-		klog.Errorf("quarantine: report of request=%s leaf_ends=%d is lost, %d wait for the leader", r.Request, r.Ends, len(g.queue))
+		klog.Errorf("quarantine: report of request=%s leaf_ends=%d is lost, %d wait for the leader", r.Request[Exact], r.Ends, len(g.queue))
 		return
 	}
 	g.queue = append(g.queue, queuedReport{r, g.clock()})
@@ -256,8 +275,10 @@
 	defer g.mu.Unlock()
 	if err == nil {
 		for _, w := range waiting {
-			if s := g.local[w.Request]; s != nil {
-				s.until = g.clock().Add(settleTime)
+			for _, f := range w.Request {
+				if s := g.local[f]; s != nil {
+					s.until = g.clock().Add(settleTime)
+				}
 			}
 		}
 		return len(g.queue) > 0
@@ -269,7 +290,7 @@
 			continue
 		}
 		reportsLost.Inc(1)
-		klog.Errorf("quarantine: report of request=%s leaf_ends=%d is lost: %v", w.Request, w.Ends, err)
+		klog.Errorf("quarantine: report of request=%s leaf_ends=%d is lost: %v", w.Request[Exact], w.Ends, err)
 	}
 	g.queue = append(kept, g.queue...)
 	return len(g.queue) > 0
