cli, settings, entryvm: the quarantine is listed, lifted and kept out of trees in files

pearmoor quarantine lists what is suspected and blocked, pearmoor lift lets it out with a reason in the audit trail; explain and history serve as for any node. export leaves the quarantine out and apply leaves it as it is: a file older than what was agreed since would let crashing requests loose. A VM does not make its routes anew when only the quarantine has changed.

--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -101,6 +101,7 @@
 	a.declarePlan(k)
 	a.declareExplain(k)
 	a.declareTrail(k)
+	a.declareQuarantine(k)
 	a.declareDiff(k)
 	a.declareRevert(k)
 	a.declareFile(k)
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -15,6 +15,9 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"pearmoor/internal/link/peer"
+	"pearmoor/internal/link/wire"
+	"pearmoor/internal/quarantine"
 	"pearmoor/internal/settings"
 )
 
@@ -177,6 +180,61 @@
 	})
 }
 
+// report hands crashes of one request to the control VM, as a daemon does.
+func (c *tier) report(uri string, attempts int) quarantine.Fingerprints {
+	pool := peer.NewPool(nil)
+	defer func() { _ = pool.Close() }()
+	conn, err := pool.Conn(c.t.Context(), c.addr)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	req := quarantine.Request{Method: "GET", Host: "shop.example", URI: uri, Caller: "10.0.0.1"}
+	names := req.Fingerprints()
+	in := &wire.CrashReport{LeafEnds: 3}
+	for w, f := range names {
+		in.Fingerprints, in.Requests = append(in.Fingerprints, f.Bytes()), append(in.Requests, req.Describe(quarantine.Width(w)))
+	}
+	for range attempts {
+		if _, err := wire.NewDRPCControlClient(conn).ReportCrashes(c.t.Context(), &wire.CrashReports{Reports: []*wire.CrashReport{in}}); err != nil {
+			c.t.Fatal(err)
+		}
+		time.Sleep(time.Millisecond) // the next attempt begins after this report
+	}
+	return names
+}
+
+func TestQuarantineAndLift(t *testing.T) {
+	Convey("Requests that crash leaves", t, func() {
+		c := startTier(t)
+		So(c.must("quarantine").out, ShouldContainSubstring, "no request")
+		c.must("set", "/desk/a", "--leaves="+oneLeaf, "--reason=first")
+		blocked, suspected := c.report("/search?q=bad", 3), c.report("/other", 1)
+		name := blocked[quarantine.Exact].String()
+
+		// They are listed and explained, and who put them there is in the trail.
+		r := c.must("quarantine")
+		So(r.out, ShouldContainSubstring, "GET shop.example/search?q=bad from 10.0.0.1")
+		So(r.out, ShouldContainSubstring, name+"  blocked")
+		So(r.out, ShouldContainSubstring, suspected[quarantine.Exact].String()+"  suspected")
+		So(c.must("explain", "/quarantine/"+name).out, ShouldContainSubstring, "pearmoor")
+
+		// A tree kept in a file holds none of it, and leaves it as it is.
+		file := filepath.Join(t.TempDir(), "tree.yaml")
+		text := c.must("export").out
+		So(text, ShouldNotContainSubstring, "quarantine")
+		So(os.WriteFile(file, []byte(text), 0o600), ShouldBeNil)
+		So(c.must("apply", file, "--reason=again").out, ShouldContainSubstring, "nothing to change")
+
+		// Lifted, one is gone and the others stay.
+		So(c.run("lift", "none", "--reason=x").code, ShouldEqual, ExitInvalid)
+		c.must("lift", name, "--reason=leaves survive it")
+		out := c.must("quarantine").out
+		So(out, ShouldNotContainSubstring, name)
+		So(out, ShouldContainSubstring, blocked[quarantine.AnyQuery].String())
+		So(c.must("history").out, ShouldContainSubstring, "leaves survive it")
+	})
+}
+
 func TestExplainAndRevert(t *testing.T) {
 	Convey("With three changes", t, func() {
 		c := startTier(t)
--- a/internal/cli/file.go
+++ b/internal/cli/file.go
@@ -13,6 +13,7 @@
 func (a *app) declareFile(k *kingpin.Application) {
 	var version uint64
 	c := k.Command("export", `Write the tree as YAML, to keep in version control. It records its version as the base for 'apply'.
+The quarantine is left out; 'apply' leaves it as it is.
 
 Example: pearmoor export > tree.yaml`)
 	c.Flag("at", "Version of the tree; 0 is the newest.").Uint64Var(&version)
@@ -21,6 +22,7 @@
 		if err != nil {
 			return err
 		}
+		tree = tree.Replay(at, []settings.Edit{{Path: settings.QuarantinePath, Op: settings.Remove}})
 		_, err = a.out.Write(tree.ExportFileAt(at))
 		return errors.Wrap(err, "write the tree")
 	})
@@ -59,7 +61,7 @@
 	if err != nil {
 		return err
 	}
-	edits := settings.Diff(now, wanted)
+	edits := outside(settings.Diff(now, wanted))
 	if f.base.given && f.base.value != version && len(edits) > 0 {
 		return a.staleBase(f.base.value, version)
 	}
@@ -73,7 +75,7 @@
 	if err != nil {
 		return err
 	}
-	return a.change(f, old, version, settings.Diff(old, wanted))
+	return a.change(f, old, version, outside(settings.Diff(old, wanted)))
 }
 
 func (a *app) staleBase(base, newest uint64) error {
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -22,6 +22,7 @@
 	"pearmoor/internal/quarantine"
 	"pearmoor/internal/relay"
 	"pearmoor/internal/route"
+	"pearmoor/internal/settings"
 	"pearmoor/internal/vm"
 )
 
@@ -265,13 +266,17 @@
 // install puts each new configuration in use and confirms it, until ctx ends.
 func (v *VM) install(ctx context.Context) {
 	version := uint64(0)
+	var before *settings.Tree
 	for {
 		changed := v.client.Changed()
 		view := v.client.Current()
 		if view.Tree != nil && view.ConfigVersion > version {
 			version = view.ConfigVersion
 			v.quarantine.Install(quarantine.FromTree(view.Tree))
-			v.use(view)
+			if before == nil || !view.Tree.SameBut(before, settings.QuarantinePath) {
+				v.use(view)
+			}
+			before = view.Tree
 		}
 		v.client.Ack(view.ConfigVersion, view.Epoch())
 		select {
--- a/internal/settings/path.go
+++ b/internal/settings/path.go
@@ -67,3 +67,9 @@
 	}
 	return segments, ""
 }
+
+// Below reports whether path is that of the node at top, or of one below it.
+func Below(path, top string) bool {
+	path, top = trimPath(path), trimPath(top)
+	return path == top || strings.HasPrefix(path, top+Root)
+}
--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"slices"
 	"strings"
 
 	"pearmoor/internal/contract"
@@ -89,6 +90,24 @@
 // does not withstand forgery.
 func (t *Tree) Digest() uint64 { return t.root.digest }
 
+// SameBut reports whether the trees state the same but for the node of that name below
+// the root.
+func (t *Tree) SameBut(o *Tree, name string) bool {
+	if !slices.EqualFunc(t.root.stated, o.root.stated, func(a, b stated) bool { return a.name == b.name && a.text == b.text }) {
+		return false
+	}
+	others := func(n *node) []uint64 {
+		var out []uint64
+		for _, c := range n.children {
+			if c.name != name {
+				out = append(out, c.digest)
+			}
+		}
+		return out
+	}
+	return slices.Equal(others(t.root), others(o.root))
+}
+
 // Tier returns the settings that only the root may state.
 func (t *Tree) Tier() Tier { return t.tier }
 
