--- a/internal/entryvm/quarantine_test.go
+++ b/internal/entryvm/quarantine_test.go
@@ -17,6 +17,7 @@
 	"pearmoor/internal/discovery"
 	"pearmoor/internal/link/target"
 	"pearmoor/internal/policy"
+	"pearmoor/internal/quarantine"
 	"pearmoor/internal/route"
 	"pearmoor/internal/vm"
 )
@@ -164,6 +165,12 @@
 	}
 }
 
+func (f *fleet) endsOf(path string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ends[path]
+}
+
 func (f *fleet) checkRetries(path string) {
 	f.t.Helper()
 	f.mu.Lock()
@@ -304,6 +311,30 @@
 	}
 }
 
+// restart stops every VM and starts all of them again at their addresses, with what is on
+// their disks.
+func (c *crashTier) restart() {
+	c.t.Helper()
+	before := c.vms
+	c.vms = nil
+	for _, v := range before {
+		v.stop()
+	}
+	for i, v := range before {
+		c.start(v.conf.Name, i%3, v.conf.DataDir, c.listenAt(v.conf.PeerAddr))
+	}
+}
+
+func (c *crashTier) listenAt(addr string) (lis net.Listener) {
+	c.t.Helper()
+	eventually(c.t, "an address is free again", func() bool {
+		var err error
+		lis, err = net.Listen("tcp", addr)
+		return err == nil
+	})
+	return lis
+}
+
 // ask sends one attempt; its status is 0 if the connection broke off.
 func (c *crashTier) ask(v *crashVM, path string) (status int, body string) {
 	req, err := http.NewRequest(http.MethodGet, v.callers+path, nil)
@@ -351,6 +382,18 @@
 	return asked, refused
 }
 
+// crashSome crashes the leaves that pick chooses.
+func (f *fleet) crashSome(pick func(*fleetLeaf) bool) {
+	for _, l := range f.leaves {
+		l.mu.Lock()
+		id := l.id
+		l.mu.Unlock()
+		if id != "" && pick(l) {
+			l.crash(id)
+		}
+	}
+}
+
 func eventually(t *testing.T, what string, done func() bool) {
 	t.Helper()
 	for end := time.Now().Add(20 * time.Second); !done(); time.Sleep(20 * time.Millisecond) {
@@ -390,3 +433,57 @@
 		})
 	}
 }
+
+// Every VM loses its memory at once, after a request was found to crash leaves.
+func TestQuarantineOutlastsARestartOfEverything(t *testing.T) {
+	tier := startCrashTier(t)
+	path := gatherPath + fatal
+	eventually(t, "the request is blocked", func() bool {
+		status, body := tier.ask(tier.vms[0], path)
+		return status == http.StatusServiceUnavailable && strings.Contains(body, "quarantine")
+	})
+	before := tier.fleet.endsOf(path)
+	tier.restart()
+	tier.waitReady()
+	for _, v := range tier.vms {
+		if status, body := tier.ask(v, path); status != http.StatusServiceUnavailable || !strings.Contains(body, "quarantine") {
+			t.Errorf("%s: status %d, %q", v.conf.Name, status, body)
+		}
+	}
+	if n := tier.fleet.endsOf(path); n > before {
+		t.Errorf("%d leaves ended after the restart", n-before)
+	}
+}
+
+// Racks lose power, leaves go down and up by turns, a service loses all leaves, again and
+// again, under requests that crash nothing.
+func TestLossesOfLeavesBlockNoRequest(t *testing.T) {
+	tier := startCrashTier(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	asked, _ := tier.innocent(ctx, slices.Clone(tier.vms))
+	for n := range 16 {
+		tier.fleet.crashSome(func(l *fleetLeaf) bool {
+			switch n % 4 {
+			case 0:
+				return l.domain == "hall-0"
+			case 1:
+				return l.service == "fetch"
+			case 2:
+				return l.domain == "hall-1"
+			}
+			return true
+		})
+		time.Sleep(crashDown + crashDown/3)
+	}
+	cancel()
+	suspected, blocked := 0, 0
+	for _, c := range quarantine.FromTree(tier.vms[0].client.Current().Tree) {
+		suspected++
+		if c.Blocked {
+			blocked++
+			t.Errorf("blocked: %+v", c)
+		}
+	}
+	t.Logf("%d attempts, %d names suspected, %d blocked", asked.Load(), suspected, blocked)
+}
--- a/internal/forward/leaf_test.go
+++ b/internal/forward/leaf_test.go
@@ -30,6 +30,7 @@
 // connection; it returns false to close it.
 type fakeLeaf struct {
 	addr string
+	lis  net.Listener
 	runs atomic.Int32
 	mu   sync.Mutex
 	got  []asked
@@ -44,7 +45,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { lis.Close() })
-	l := &fakeLeaf{addr: lis.Addr().String()}
+	l := &fakeLeaf{addr: lis.Addr().String(), lis: lis}
 	go func() {
 		for {
 			c, err := lis.Accept()
@@ -132,6 +133,13 @@
 	}
 }
 
+// dies ends the leaf as soon as it runs a request.
+func dies(l *fakeLeaf, _ net.Conn, _ asked) bool {
+	l.runs.Add(1)
+	_ = l.lis.Close()
+	return false
+}
+
 // silent runs each request and never replies.
 func silent(l *fakeLeaf, c net.Conn, _ asked) bool {
 	l.runs.Add(1)
