quarantine: wide names are held only against requests that vary

A name that stands for any query, or for anybody, refuses others than the request that crashed leaves. What comes unchanged is blocked by its exact name; a wide one is blocked after two queries or three callers of it, attempts that end otherwise than with a leaf are not held against it, and once cleared it does not come back for a request that is known already. Before, three attempts of one request at a path that nobody else asked for in between blocked the path for everybody.

Sends are counted in flight only while a request is guarded: a gather of 216 parts went through its shards once a send.

--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -44,6 +44,7 @@
 	trial     bool                     // it is sent to one leaf first, since it is suspected to crash leaves
 	granted   bool                     // with the leader's leave
 	blocked   bool                     // it was found to be so meanwhile
+	held      bool                     // a shard may be held
 	names     *quarantine.Fingerprints // once they were asked for
 	verdict   contract.Verdict
 	last      *target.Reply
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -19,7 +19,7 @@
 	s := &r.shards[i]
 	if !r.maySend() {
 		if !hedge {
-			s.held, s.stuck = true, false
+			s.held, s.stuck, r.held = true, false, true
 		}
 		return
 	}
--- a/internal/forward/suspicion.go
+++ b/internal/forward/suspicion.go
@@ -78,10 +78,12 @@
 
 // maySend reports whether one more send may be made now.
 func (r *run) maySend() bool {
-	if r.blocked {
+	switch {
+	case r.blocked:
 		return false
-	}
-	if r.suspicion.Ends > 0 && !r.suspicion.Survived && r.e.cfg.Quarantine != nil && r.e.cfg.Quarantine.Rule(r.fingerprints()) == quarantine.Blocked {
+	case !r.suspicion.Guarded():
+		return true
+	case r.suspicion.Ends > 0 && r.e.cfg.Quarantine != nil && r.e.cfg.Quarantine.Rule(r.fingerprints()) == quarantine.Blocked:
 		r.blocked = true
 		return false
 	}
@@ -110,6 +112,10 @@
 // resume sends for the shards that were held, as far as they may be, and ends those that
 // are left when none may be any more.
 func (r *run) resume() {
+	if !r.held && !r.blocked && !r.suspicion.Guarded() {
+		return
+	}
+	r.held = false
 	if r.blocked || r.suspicion.Spent(r.inFlight()) {
 		for i := range r.shards {
 			if s := &r.shards[i]; !s.done && len(s.flights) == 0 {
@@ -119,9 +125,13 @@
 		return
 	}
 	for i := range r.shards {
-		if s := &r.shards[i]; s.held && !s.done && r.maySend() {
+		switch s := &r.shards[i]; {
+		case !s.held || s.done:
+		case r.maySend():
 			s.held = false
 			r.again(i)
+		default:
+			r.held = true
 		}
 	}
 }
--- a/internal/link/target/ended.go
+++ b/internal/link/target/ended.go
@@ -18,12 +18,16 @@
 	return err
 }
 
+// placeWait is how long a place to connect from is waited for: others that wait for one
+// connect as well.
+const placeWait = 5 * time.Millisecond
+
 // hasEnded reports whether the leaf has ended, by a connect that is refused after a
 // connection was lost at that time. One that succeeds takes the place of the lost one.
 func (l *Link) hasEnded(lost time.Time) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	for {
+	for began := time.Now(); ; {
 		l.mu.Lock()
 		switch {
 		case l.over, l.refusedAt.After(lost):
@@ -33,20 +37,24 @@
 			l.mu.Unlock()
 			return false
 		}
-		probe := l.dialing == 0 && l.open < l.limit
+		idle := l.dialing == 0
+		probe := idle && l.open < l.limit
 		if probe {
 			l.open++
 		}
 		dialed := l.dialed
 		l.mu.Unlock()
-		if probe {
+		switch {
+		case probe:
 			if c, err := l.dial(ctx); err == nil {
 				l.keep(c)
 			}
-		} else {
+		case idle && time.Since(began) > placeWait:
+			return false
+		default:
 			select {
 			case <-dialed:
-			case <-ctx.Done():
+			case <-time.After(placeWait):
 			}
 		}
 		if ctx.Err() != nil {
--- a/internal/quarantine/case.go
+++ b/internal/quarantine/case.go
@@ -17,11 +17,16 @@
 	blockAttempts = 4
 )
 
+// fewestVariants is how many narrower names a name stands for before it is blocked: what
+// comes unchanged is blocked by its exact one, and others that share the wide one go on.
+var fewestVariants = [widths]int{Exact: 1, AnyQuery: 2, AnyCaller: 3}
+
 // Case is what is agreed about one request.
 type Case struct {
 	Ends     int  // leaves that ended under attempts that no leaf answered
 	Crashes  int  // attempts, one after the other, under which leaves ended
 	Attempts int  // attempts, one after the other, that reached leaves and had no answer
+	Variants int  // narrower names of these
 	Blocked  bool // no attempt reaches a leaf
 	Request  string
 	Seen     time.Time // last report
@@ -68,7 +73,7 @@
 			c.Crashes++
 		}
 	}
-	if c.Ends >= fewestEnds && (c.Crashes >= blockCrashes || c.Attempts >= blockAttempts) {
+	if c.Ends >= fewestEnds && c.Variants >= fewestVariants[w] && (c.Crashes >= blockCrashes || c.Attempts >= blockAttempts) {
 		c.Blocked = true
 	}
 	return c, true
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -23,9 +23,9 @@
 	Length int64  // of the whole body; -1: not stated
 }
 
-// Width is how much of a request a fingerprint names. What crashes a leaf may be in any
-// of it: a request that comes with another query each time, or from another address, has
-// no exact fingerprint twice.
+// Width is how much of a request a fingerprint leaves open. What crashes a leaf may be in
+// any of it: a request that comes with another query each time, or from another address,
+// has no exact fingerprint twice. A wide one is held only against requests that vary.
 type Width int
 
 // The widths.
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -88,13 +88,21 @@
 	var changes []Change
 	for _, r := range reports {
 		delete(l.trials, r.Request[Exact])
+		narrower := false // a narrower name was known before
 		for w, f := range r.Request {
 			before, known := out[f]
-			if !r.Survived && r.Ends == 0 && !known {
-				continue // nothing is held against it
+			repeats := narrower
+			narrower = known
+			if !r.Survived && (r.Ends == 0 && (!known || Width(w) != Exact) || !known && repeats) {
+				// Nothing is held against a name without an end, nor against what shares a
+				// wide one with a request that is known by a narrower one.
+				continue
 			}
 			last, seen := l.last[f]
 			follows := !seen || now.Add(-r.Began) > last
+			if !repeats && (Width(w) != Exact || !known) {
+				before.Variants++
+			}
 			next, kept := before.after(r, Width(w), follows, wall.UTC().Truncate(time.Second))
 			switch {
 			case kept:
--- a/internal/quarantine/tree.go
+++ b/internal/quarantine/tree.go
@@ -32,7 +32,7 @@
 		if err != nil && q.Seen != "" {
 			klog.Warningf("quarantine: %s states no time of its last report, it is the first to be dropped: %v", pathOf(f), err)
 		}
-		out[f] = Case{Ends: q.Ends, Crashes: q.Crashes, Attempts: q.Attempts, Blocked: q.Blocked, Request: q.Request, Seen: seen}
+		out[f] = Case{Ends: q.Ends, Crashes: q.Crashes, Attempts: q.Attempts, Variants: q.Variants, Blocked: q.Blocked, Request: q.Request, Seen: seen}
 	}
 	return out
 }
@@ -59,6 +59,7 @@
 		set(settings.NameQuarantineEnds, strconv.Itoa(c.After.Ends))
 		set(settings.NameQuarantineCrashes, strconv.Itoa(c.After.Crashes))
 		set(settings.NameQuarantineAttempts, strconv.Itoa(c.After.Attempts))
+		set(settings.NameQuarantineVariants, strconv.Itoa(c.After.Variants))
 		set(settings.NameQuarantineBlocked, strconv.FormatBool(c.After.Blocked))
 		set(settings.NameQuarantineSeen, c.After.Seen.Format(time.RFC3339))
 	}
--- a/internal/settings/forwarding.go
+++ b/internal/settings/forwarding.go
@@ -56,6 +56,7 @@
 	Ends     int
 	Crashes  int
 	Attempts int
+	Variants int
 	Blocked  bool
 	Seen     string // RFC 3339
 }
@@ -109,6 +110,7 @@
 	NameQuarantineEnds     = "quarantine-leaf-ends"
 	NameQuarantineCrashes  = "quarantine-crashes"
 	NameQuarantineAttempts = "quarantine-attempts"
+	NameQuarantineVariants = "quarantine-variants"
 	NameQuarantineBlocked  = "quarantine-blocked"
 	NameQuarantineSeen     = "quarantine-seen"
 )
@@ -204,6 +206,7 @@
 		count(NameQuarantineEnds, "leaves", "0", "How many leaves have ended under attempts of the request that no leaf answered.", func(e *Effective) *int { return &e.Quarantine.Ends }),
 		count(NameQuarantineCrashes, "attempts", "0", "Under how many attempts of the request leaves have ended.", func(e *Effective) *int { return &e.Quarantine.Crashes }),
 		count(NameQuarantineAttempts, "attempts", "0", "How many attempts of the request have reached leaves without an answer, one after the other.", func(e *Effective) *int { return &e.Quarantine.Attempts }),
+		count(NameQuarantineVariants, "names", "0", "How many narrower names the attempts had: queries, or callers.", func(e *Effective) *int { return &e.Quarantine.Variants }),
 		{Name: NameQuarantineBlocked, Kind: Bool, Unit: "true or false", Default: "false",
 			Doc:  "Whether the request is refused before it reaches a leaf. Until then it is tried at one leaf at a time.",
 			bind: func(e *Effective, _ *Tier, v *value) { e.Quarantine.Blocked = v.num == 1 }},
