--- a/internal/standin/behavior.go
+++ b/internal/standin/behavior.go
@@ -37,6 +37,9 @@
 	CrossShare        float64  `json:"cross_share"`         // reply with another request's identity and hits
 	WrongVersionShare float64  `json:"wrong_version_share"` // run and reply another index version
 
+	CrashKey string   `json:"crash_key"` // run key of requests that end the leaf when they begin to run; "" is none
+	CrashFor Duration `json:"crash_for"` // how long it is down then
+
 	Draining       bool     `json:"draining"`        // refuses new work, finishes what it has
 	ReportInFlight *int     `json:"report_inflight"` // load reported in place of the true one
 	ReportLag      Duration `json:"report_lag"`      // the status is refreshed this seldom
@@ -96,7 +99,7 @@
 		value Duration
 	}{
 		{"connect_cost", b.ConnectCost}, {"latency", b.Latency}, {"cold_start", b.ColdStart},
-		{"retry_after", b.RetryAfter}, {"late_by", b.LateBy}, {"report_lag", b.ReportLag},
+		{"retry_after", b.RetryAfter}, {"late_by", b.LateBy}, {"crash_for", b.CrashFor}, {"report_lag", b.ReportLag},
 	} {
 		atLeast(d.field, float64(d.value), 0)
 	}
--- a/internal/standin/handle.go
+++ b/internal/standin/handle.go
@@ -70,6 +70,12 @@
 		return
 	}
 	l.runs.add(RunKey{Request: runID(&q), Service: q.Service, Shard: q.Shard}, q.Repeatable)
+	if b.CrashKey != "" && runKey(&q) == b.CrashKey {
+		l.slots.release()
+		go l.crash(time.Duration(b.CrashFor))
+		<-r.Context().Done() // the connections end with the leaf
+		return
+	}
 	reply, ok := l.run(ctx, r, &task{LeafRequest: q, shards: shards}, b)
 	// The slot is free before the first byte of the reply leaves, so that a
 	// sender that counts exactly is never seen above the slots.
--- a/internal/standin/leaf.go
+++ b/internal/standin/leaf.go
@@ -35,6 +35,7 @@
 	slots     slots
 	conns     connCount
 	counts    counters
+	closed    atomic.Bool
 
 	mu      sync.Mutex
 	addr    string
@@ -120,8 +121,25 @@
 	return err
 }
 
+// crash ends the leaf as Down does and starts it again.
+func (l *Leaf) crash(down time.Duration) {
+	if l.Down() != nil {
+		return
+	}
+	time.Sleep(down)
+	for !l.closed.Load() && l.Up() != nil { // its port may still be in use
+		time.Sleep(crashRetry)
+	}
+}
+
+// crashRetry is how long a leaf waits for its port.
+const crashRetry = 10 * time.Millisecond
+
 // Close ends the leaf.
-func (l *Leaf) Close() error { return l.Down() }
+func (l *Leaf) Close() error {
+	l.closed.Store(true)
+	return l.Down()
+}
 
 // Shutdown ends the leaf after the requests in flight, or when ctx ends.
 func (l *Leaf) Shutdown(ctx context.Context) error {
