quarantine, contract: one way to the leader, one mark of a leaf that ended, for both interfaces

Daemons report and ask over a drpc service of its own, open to VMs' certificates; the operators' service is closed to them. No decision changes.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -191,11 +191,12 @@
 	req := quarantine.Request{Method: "GET", Host: "shop.example", URI: uri, Caller: "10.0.0.1"}
 	names := req.Fingerprints()
 	in := &wire.CrashReport{LeafEnds: 3}
-	for w, f := range names {
-		in.Fingerprints, in.Requests = append(in.Fingerprints, f.Bytes()), append(in.Requests, req.Describe(quarantine.Width(w)))
+	in.Fingerprints = names.ToWire()
+	for w := range names {
+		in.Requests = append(in.Requests, req.Describe(quarantine.Width(w)))
 	}
 	for range attempts {
-		if _, err := wire.NewDRPCControlClient(conn).ReportCrashes(c.t.Context(), &wire.CrashReports{Reports: []*wire.CrashReport{in}}); err != nil {
+		if _, err := wire.NewDRPCQuarantineClient(conn).Report(c.t.Context(), &wire.CrashReports{Reports: []*wire.CrashReport{in}}); err != nil {
 			c.t.Fatal(err)
 		}
 		time.Sleep(time.Millisecond) // the next attempt begins after this report
--- a/internal/contract/answer.go
+++ b/internal/contract/answer.go
@@ -38,6 +38,8 @@
 	Session     string          `json:"session,omitempty"`      // from GET /v1/addresses; required when not repeatable
 	MinCoverage *float64        `json:"min_coverage,omitempty"` // 0..1: the caller accepts an early answer from here on
 	Limit       int             `json:"limit,omitempty"`        // most hits wanted; 0 means all
+
+	Caller string `json:"-"` // address that it came from, without the port
 }
 
 // IsRepeatable reports whether the request may be sent more than once.
--- a/internal/contract/verdict.go
+++ b/internal/contract/verdict.go
@@ -74,6 +74,15 @@
 	return fmt.Sprintf("%s (%s): %v", e.Reason, e.Verdict, e.Cause)
 }
 
+// ErrLeafEnded marks the cause of a failure under which the target itself has ended: nothing
+// listens at its address, or another incarnation has taken its place.
+var ErrLeafEnded = errors.New("the leaf ended under the request")
+
+// LeafEnded reports whether the target ended under a request that it may have run.
+func (e *Error) LeafEnded() bool {
+	return e != nil && e.Verdict != NotRun && e.Cause != nil && errors.Is(e.Cause, ErrLeafEnded)
+}
+
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Cause }
 
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -153,6 +153,9 @@
 	if err := wire.DRPCRegisterSpread(mux, &spreadServer{n}); err != nil {
 		return err
 	}
+	if err := wire.DRPCRegisterQuarantine(mux, quarantineServer{&operatorServer{n}}); err != nil {
+		return err
+	}
 	return wire.DRPCRegisterQuorum(mux, &quorumServer{n})
 }
 
--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -59,11 +59,14 @@
 	return out
 }
 
+// quarantineServer answers daemons that tell of requests that crash leaves.
+type quarantineServer struct{ *operatorServer }
+
 var errBadFingerprint = peer.Permanent(errors.New("control: a fingerprint is 16 bytes"))
 
-// ReportCrashes implements wire.DRPCControlServer. It returns once what the reports change is
+// Report implements wire.DRPCQuarantineServer. It returns once what the reports change is
 // agreed on. A report that is sent again counts as one of the same attempt.
-func (s *operatorServer) ReportCrashes(ctx context.Context, req *wire.CrashReports) (*wire.CrashReportsReply, error) {
+func (s quarantineServer) Report(ctx context.Context, req *wire.CrashReports) (*wire.CrashReportsReply, error) {
 	redirect, err := s.toLeader()
 	if err != nil || redirect != "" {
 		return &wire.CrashReportsReply{Redirect: redirect}, err
@@ -100,7 +103,7 @@
 }
 
 // joinCrashes makes one change of all reports that wait.
-func (s *operatorServer) joinCrashes(ctx context.Context) {
+func (s quarantineServer) joinCrashes(ctx context.Context) {
 	waiting := s.crashes.take()
 	if len(waiting) == 0 {
 		return
@@ -115,7 +118,7 @@
 	}
 }
 
-func (s *operatorServer) changeQuarantine(ctx context.Context, reports []*quarantine.Report) error {
+func (s quarantineServer) changeQuarantine(ctx context.Context, reports []*quarantine.Report) error {
 	for range maxCrashTries {
 		tree, version, err := s.treeAt(0)
 		if err != nil {
@@ -159,8 +162,8 @@
 	}
 }
 
-// Trial implements wire.DRPCControlServer.
-func (s *operatorServer) Trial(_ context.Context, req *wire.TrialRequest) (*wire.TrialReply, error) {
+// Trial implements wire.DRPCQuarantineServer.
+func (s quarantineServer) Trial(_ context.Context, req *wire.TrialRequest) (*wire.TrialReply, error) {
 	redirect, err := s.toLeader()
 	if err != nil || redirect != "" {
 		return &wire.TrialReply{Redirect: redirect}, err
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -72,7 +72,7 @@
 		Every: time.Duration(listEvery * float64(conf.DrainWithin)),
 		Alone: time.Duration(aloneAfter * float64(conf.DrainWithin)),
 	}, v.book)
-	v.quarantine = quarantine.NewRegistry(vm.Monotonic, quarantineLeader{v})
+	v.quarantine = quarantine.NewRegistry(vm.Monotonic, &quarantine.Remote{Conns: v.otherConns, Contacts: v.controlContacts})
 	v.engine = forward.New(forward.Config{
 		Clock: vm.Monotonic, Dialect: conf.Dialect, Book: v.book, Board: forward.NewBoard(vm.Monotonic, conf.Domain), Log: conf.Log, Senders: v.senders,
 		Near: newNearDaemons(v), Quarantine: v.quarantine,
@@ -272,7 +272,7 @@
 		view := v.client.Current()
 		if view.Tree != nil && view.ConfigVersion > version {
 			version = view.ConfigVersion
-			v.quarantine.Install(quarantine.FromTree(view.Tree))
+			v.quarantine.Observe(view.ConfigVersion, view.Tree)
 			if before == nil || !view.Tree.SameBut(before, settings.QuarantinePath) {
 				v.use(view)
 			}
--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -16,11 +16,6 @@
 	return err != nil && err.Cause != nil && errors.Is(err.Cause, target.ErrStale)
 }
 
-// hasEnded reports whether the leaf ended under a request that it may have run.
-func hasEnded(err *contract.Error) bool {
-	return err != nil && err.Verdict != contract.NotRun && err.Cause != nil && errors.Is(err.Cause, target.ErrEnded)
-}
-
 // decide returns the answer if it is due at now, and nil to go on.
 func (r *run) decide(now time.Time) *Answer {
 	switch r.progress(now).Decide(r.times) {
--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -293,7 +293,7 @@
 			fault.Cause = errors.Mark(fault.Cause, target.ErrStale)
 		}
 		if e.Ended {
-			fault.Cause = errors.Mark(fault.Cause, target.ErrEnded)
+			fault.Cause = errors.Mark(fault.Cause, contract.ErrLeafEnded)
 		}
 		return learnedOf(fault), nil, fault
 	}
--- a/internal/forward/scatter.go
+++ b/internal/forward/scatter.go
@@ -165,7 +165,7 @@
 		if res.err != nil {
 			e.Verdict, e.Reason = uint32(res.err.Verdict), string(res.err.Reason)
 			if res.err.Cause != nil {
-				e.Cause, e.Stale, e.Ended = res.err.Cause.Error(), isStale(res.err), hasEnded(res.err)
+				e.Cause, e.Stale, e.Ended = res.err.Cause.Error(), isStale(res.err), res.err.LeafEnded()
 			}
 		} else {
 			e.Status, e.Refused = uint32(res.reply.Status), res.reply.Refused
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -166,7 +166,7 @@
 		}
 	case n.out == policy.Unlearned && n.fault != nil && n.fault.Reason == contract.ReasonTargetFailed && (!n.away || n.fault.Verdict == contract.NotRun):
 		board.Unreachable(life)
-	case hasEnded(n.fault):
+	case n.fault.LeafEnded():
 		board.Unreachable(life)
 	case n.reply != nil && n.reply.Status == http.StatusMisdirectedRequest:
 		board.Misplaced(life)
@@ -205,7 +205,7 @@
 		return policy.Unlearned
 	case err.Reason == contract.ReasonDeadline:
 		return policy.Overdue
-	case isStale(err) && !hasEnded(err):
+	case isStale(err) && !err.LeafEnded():
 		return policy.Unlearned
 	}
 	return policy.Misbehaved
@@ -352,7 +352,7 @@
 	case r.send.Stream != nil && (!notRun || res.err == nil):
 		s.end() // part of the body is gone
 		return
-	case isStale(res.err) && !hasEnded(res.err) && r.entry.Repeatable:
+	case isStale(res.err) && !res.err.LeafEnded() && r.entry.Repeatable:
 		// The leaf itself is well: it only dropped a connection.
 		s.tried = nil
 	case res.set != nil && notRun || res.err != nil && peer.NotSent(res.err.Cause):
--- a/internal/forward/suspicion.go
+++ b/internal/forward/suspicion.go
@@ -99,7 +99,7 @@
 		r.suspicion.Unsent()
 	case res.err == nil && res.reply.Status < http.StatusInternalServerError:
 		r.suspicion.Survived = true // a leaf that fails may not have come to what ends it
-	case hasEnded(res.err):
+	case res.err.LeafEnded():
 		r.suspicion.Ends++
 		leafEnds.Inc(1)
 		r.e.cfg.Log.Line(r.part(), "leaf ended").Str("id", r.req.ID).Str("request", r.fingerprints()[quarantine.Exact].String()).
--- a/internal/link/peer/authorize.go
+++ b/internal/link/peer/authorize.go
@@ -10,10 +10,11 @@
 // rpcKinds says which kind of certificate each drpc service is open to. A
 // service that is not listed is closed to everybody.
 var rpcKinds = map[string]Kind{
-	"/pearmoor.wire.Control/": Operator,
-	"/pearmoor.wire.Spread/":  VM,
-	"/pearmoor.wire.Quorum/":  VM,
-	"/pearmoor.wire.Home/":    VM,
+	"/pearmoor.wire.Control/":    Operator,
+	"/pearmoor.wire.Spread/":     VM,
+	"/pearmoor.wire.Quorum/":     VM,
+	"/pearmoor.wire.Quarantine/": VM,
+	"/pearmoor.wire.Home/":       VM,
 }
 
 // authorize refuses a call that is not open to the identity's kind. Without it
--- a/internal/link/target/ended.go
+++ b/internal/link/target/ended.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"pearmoor/internal/contract"
 )
 
 // markEnded marks the failure of an exchange whose connection was lost, if the leaf itself
@@ -13,7 +15,7 @@
 // answers.
 func (l *Link) markEnded(err error) error {
 	if l.hasEnded(time.Now()) {
-		return errors.Mark(err, ErrEnded)
+		return errors.Mark(err, contract.ErrLeafEnded)
 	}
 	return err
 }
--- a/internal/link/target/link.go
+++ b/internal/link/target/link.go
@@ -65,10 +65,6 @@
 // ErrBusy says that this daemon's share of the leaf's connections is in use.
 var ErrBusy = errors.New("target: the daemon's share of the leaf's connections is in use")
 
-// ErrEnded marks a failure of an exchange under which the leaf itself has ended: nothing
-// listens at its address, or it is known that another incarnation has taken its place.
-var ErrEnded = errors.New("target: the leaf ended under the request")
-
 // errClosed says that the leaf has left.
 var errClosed = errors.New("target: the leaf has left")
 
--- a/internal/quarantine/case.go
+++ b/internal/quarantine/case.go
@@ -43,16 +43,11 @@
 
 // Name states which request the report is of, as a message does.
 func (r *Report) Name(fingerprints [][]byte, describe []string) error {
-	if len(fingerprints) != len(r.Request) || len(describe) != len(r.Describe) {
-		return errors.Newf("quarantine: a report with %d fingerprints and %d descriptions, %d are wanted", len(fingerprints), len(describe), len(r.Request))
-	}
-	for w, b := range fingerprints {
-		f, ok := FromBytes(b)
-		if !ok {
-			return errors.Newf("quarantine: a fingerprint of %d bytes", len(b))
-		}
-		r.Request[w], r.Describe[w] = f, describe[w]
+	var ok bool
+	if r.Request, ok = FingerprintsFromWire(fingerprints); !ok || len(describe) != len(r.Describe) {
+		return errors.Newf("quarantine: a report with %d fingerprints and %d descriptions, %d of 16 bytes are wanted", len(fingerprints), len(describe), len(r.Request))
 	}
+	copy(r.Describe[:], describe)
 	return nil
 }
 
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -82,10 +82,29 @@
 // String returns the fingerprint in hexadecimal.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
-// Bytes returns the fingerprint as it goes into messages.
-func (f Fingerprint) Bytes() []byte { return f[:] }
+// ToWire returns the fingerprints as they go into messages.
+func (fs *Fingerprints) ToWire() [][]byte {
+	out := make([][]byte, len(fs))
+	for w := range fs {
+		out[w] = fs[w][:]
+	}
+	return out
+}
+
+// FingerprintsFromWire reads what ToWire returned; false if it can't be that.
+func FingerprintsFromWire(in [][]byte) (fs Fingerprints, ok bool) {
+	if len(in) != len(fs) {
+		return fs, false
+	}
+	for w, b := range in {
+		if fs[w], ok = FromBytes(b); !ok {
+			return fs, false
+		}
+	}
+	return fs, true
+}
 
-// FromBytes reads what Bytes returned; false if it can't be one.
+// FromBytes reads a fingerprint of a message; false if it can't be one.
 func FromBytes(b []byte) (f Fingerprint, ok bool) {
 	if len(b) != len(f) {
 		return f, false
--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 	"k8s.io/klog/v2"
 
+	"pearmoor/internal/settings"
 	"pearmoor/internal/vm"
 )
 
@@ -68,7 +69,8 @@
 	leader Leader
 	queued chan struct{}
 
-	some atomic.Bool // there is something to look up
+	some    atomic.Bool   // there is something to look up
+	version atomic.Uint64 // of the tree that agreed is of
 
 	mu     sync.Mutex
 	agreed Cases
@@ -96,10 +98,28 @@
 // Empty reports whether no request is suspected or blocked, so that none need be looked up.
 func (g *Registry) Empty() bool { return g == nil || !g.some.Load() }
 
+// Observe takes in what a version of the settings tree holds.
+func (g *Registry) Observe(version uint64, t *settings.Tree) {
+	if g == nil || t == nil || g.version.Load() >= version {
+		return
+	}
+	cases := FromTree(t)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.version.Load() < version {
+		g.install(cases)
+		g.version.Store(version)
+	}
+}
+
 // Install puts what is agreed in place.
 func (g *Registry) Install(cases Cases) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.install(cases)
+}
+
+func (g *Registry) install(cases Cases) {
 	blocked := 0
 	for f, c := range cases {
 		if c.Blocked {
--- /dev/null
+++ b/internal/quarantine/remote.go
@@ -0,0 +1,85 @@
+package quarantine
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc"
+
+	"pearmoor/internal/link/peer"
+	"pearmoor/internal/link/wire"
+)
+
+// callTime bounds one call to a control VM.
+const callTime = time.Second
+
+// Remote reaches the leader of the control group over the network. It implements Leader.
+type Remote struct {
+	Conns interface {
+		Conn(ctx context.Context, addr string) (drpc.Conn, error)
+	}
+	// Contacts returns the control VMs to ask, best first.
+	Contacts func() []string
+}
+
+// Report implements Leader.
+func (l *Remote) Report(ctx context.Context, reports []*Report) error {
+	req := &wire.CrashReports{Reports: make([]*wire.CrashReport, len(reports))}
+	for i, r := range reports {
+		req.Reports[i] = &wire.CrashReport{
+			Fingerprints: r.Request.ToWire(), Requests: r.Describe[:], LeafEnds: uint32(r.Ends), Survived: r.Survived,
+			BeganMs: uint32(r.Began.Milliseconds()),
+		}
+	}
+	return l.ask(ctx, func(ctx context.Context, c wire.DRPCQuarantineClient) (string, error) {
+		out, err := c.Report(ctx, req)
+		return out.GetRedirect(), err
+	})
+}
+
+// Try implements Leader.
+func (l *Remote) Try(ctx context.Context, f Fingerprint) (Grant, error) {
+	grant := Denied
+	err := l.ask(ctx, func(ctx context.Context, c wire.DRPCQuarantineClient) (string, error) {
+		out, err := c.Trial(ctx, &wire.TrialRequest{Fingerprint: f[:]})
+		grant = Grant(min(out.GetGrant(), uint32(Granted)))
+		return out.GetRedirect(), err
+	})
+	return grant, err
+}
+
+// Release implements Leader.
+func (l *Remote) Release(ctx context.Context, f Fingerprint) error {
+	return l.ask(ctx, func(ctx context.Context, c wire.DRPCQuarantineClient) (string, error) {
+		out, err := c.Trial(ctx, &wire.TrialRequest{Fingerprint: f[:], Release: true})
+		return out.GetRedirect(), err
+	})
+}
+
+// ask calls the control VMs in turn until the leader has answered.
+func (l *Remote) ask(ctx context.Context, call func(context.Context, wire.DRPCQuarantineClient) (redirect string, err error)) error {
+	last := errors.New("quarantine: no control VM is known")
+	answered := peer.Walk(ctx, l.Contacts(), func(addr string) (string, bool) {
+		redirect, err := l.askOne(ctx, addr, call)
+		if err != nil {
+			last = err
+		}
+		return redirect, err == nil && redirect == ""
+	})
+	if answered {
+		return nil
+	}
+	return errors.CombineErrors(last, ctx.Err())
+}
+
+func (l *Remote) askOne(ctx context.Context, addr string, call func(context.Context, wire.DRPCQuarantineClient) (string, error)) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	conn, err := l.Conns.Conn(ctx, addr)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = conn.Close() }()
+	return call(ctx, wire.NewDRPCQuarantineClient(conn))
+}
