query: a query that crashes the leaves that run it stops reaching them

The same cause in POST /v1/query: homes retry and hedge a shard whose leaf ended, and nothing is learned of queries. Now a home holds back retries and hedges of a job under which leaves end until one has answered, the entry reports what ended, a suspected query that may be repeated is sent to one leaf first, and a blocked one is refused at every entry and home (quarantined, not_run). Identity, evidence, agreement and the way back are those of forwarded requests.

One leaf that ends before any other has answered is still made up for (TestLeafThatEndsIsMadeUpForOnceAnotherAnswers). A suspected query that may run once only goes to its shards as before, and is blocked like the others.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"pearmoor/internal/link/leaf"
 	"pearmoor/internal/link/peer"
 	"pearmoor/internal/link/wire"
+	"pearmoor/internal/quarantine"
 	"pearmoor/internal/query"
 	"pearmoor/internal/relay"
 	"pearmoor/internal/vm"
@@ -37,15 +38,16 @@
 	controlConns *peer.Pool
 	queryConns   *peer.Pool
 
-	control *control.Node // nil: not a control VM
-	client  *relay.Client // nil: no entry
-	engine  *query.Engine
-	entry   *entry.Server
-	sender  *leaf.Sender
-	prober  *leaf.Prober
-	homes   *homes
-	gates   *admit.Gates
-	horizon directory.Horizon
+	control    *control.Node // nil: not a control VM
+	client     *relay.Client // nil: no entry
+	engine     *query.Engine
+	quarantine *quarantine.Registry
+	entry      *entry.Server
+	sender     *leaf.Sender
+	prober     *leaf.Prober
+	homes      *homes
+	gates      *admit.Gates
+	horizon    directory.Horizon
 }
 
 // New binds the daemon's ports and puts its parts together; nothing runs yet.
@@ -168,9 +170,13 @@
 		self: d.self, source: d.client, gates: d.gates, sender: d.sender, prober: d.prober, ack: d.client.Ack,
 		horizon: &d.horizon,
 	}
+	d.quarantine = quarantine.NewRegistry(vm.Now, &quarantine.Remote{
+		Conns:    d.queryConns,
+		Contacts: func() []string { return append(d.client.ControlVMs(), d.controlAddrs()...) },
+	})
 	d.engine = query.New(query.Config{
 		Self: d.self, Source: d.client, Gates: d.gates, Sender: d.sender,
-		Catalog: d.prober, Conns: d.queryConns, Clock: vm.Now,
+		Catalog: d.prober, Conns: d.queryConns, Clock: vm.Now, Quarantine: d.quarantine,
 	})
 	d.entry, err = entry.New(entry.Config{
 		Self: d.self, Engine: d.engine, Source: d.client, Clock: vm.Now,
@@ -263,6 +269,7 @@
 	g.Go(func() error { return ended(ctx, d.client.Run(ctx)) })
 	g.Go(func() error { return ended(ctx, d.prober.Run(ctx)) })
 	g.Go(func() error { d.homes.run(ctx); return nil })
+	g.Go(func() error { d.quarantine.Run(ctx); return nil })
 	g.Go(func() error { d.gates.WatchStalls(ctx); return nil })
 	g.Go(func() error { return d.entry.Serve(callers, d.listeners.caller, d.callerTLS()) })
 }
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"runtime/debug"
 	"strconv"
@@ -72,6 +73,10 @@
 	if err != nil {
 		return nil, err
 	}
+	req.Caller = r.RemoteAddr
+	if host, _, err := net.SplitHostPort(r.RemoteAddr); err == nil {
+		req.Caller = host
+	}
 	if err := s.refuse(view, req); err != nil {
 		return nil, err
 	}
--- a/internal/link/leaf/pool.go
+++ b/internal/link/leaf/pool.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -236,9 +237,30 @@
 	}
 }
 
+// refuses reports whether nothing listens at the leaf's address any more: a connect is
+// refused. One that succeeds is kept.
+func (p *pool) refuses() bool {
+	p.mu.Lock()
+	place := p.open < p.link.Conns
+	if place {
+		p.open++
+	}
+	p.mu.Unlock()
+	if !place {
+		return false // other connections are open, or being opened
+	}
+	c, err := p.dialFor(probeTimeout)
+	if err == nil {
+		p.put(c)
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // dial opens the connection whose place take has counted.
-func (p *pool) dial() (*conn, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+func (p *pool) dial() (*conn, error) { return p.dialFor(dialTimeout) }
+
+func (p *pool) dialFor(limit time.Duration) (*conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	conf := p.tlsConfig()
 	w := &wire{pool: p, exact: conf == nil}
--- a/internal/link/leaf/roundtrip.go
+++ b/internal/link/leaf/roundtrip.go
@@ -109,6 +109,9 @@
 	case nothingSent:
 		return deadConn(err)
 	}
+	if !half && !x.killed.Load() && !x.left.Load() && x.pool.refuses() {
+		err = errors.Mark(err, contract.ErrLeafEnded)
+	}
 	out := broken(contract.ReasonTargetFailed, err)
 	if half && !x.killed.Load() {
 		x.told(&out)
--- a/internal/link/leaf/wire.go
+++ b/internal/link/leaf/wire.go
@@ -17,6 +17,9 @@
 
 const (
 	dialTimeout = 2 * time.Second
+	// probeTimeout bounds the connect that tells a leaf that has ended from one that has
+	// only lost a connection.
+	probeTimeout = 50 * time.Millisecond
 	// A connection that is cut without a word looks open. Keep-alives find out
 	// when it is idle, the user timeout when sent bytes stay unacknowledged.
 	keepAliveIdle     = 5 * time.Second
--- a/internal/query/call.go
+++ b/internal/query/call.go
@@ -139,7 +139,7 @@
 		return false
 	}
 	certain := d.err == nil || d.err.Verdict == contract.NotRun
-	if !certain && (!c.q.repeatable || !c.r.retries.Spend()) {
+	if !certain && (!c.q.repeatable || c.q.canary || !c.r.retries.Spend()) {
 		return false
 	}
 	if c.doubt && !c.q.repeatable {
@@ -151,7 +151,7 @@
 
 // hedge asks a second home when the first is silent.
 func (c *call) hedge(ctx context.Context) {
-	if !c.q.repeatable || c.inFlight != 1 || c.sent >= len(c.homes) || !c.r.hedges.Spend() {
+	if !c.q.repeatable || c.q.canary || c.inFlight != 1 || c.sent >= len(c.homes) || !c.r.hedges.Spend() {
 		return
 	}
 	if c.send(ctx) {
--- a/internal/query/config.go
+++ b/internal/query/config.go
@@ -3,6 +3,7 @@
 import (
 	"pearmoor/internal/admit"
 	"pearmoor/internal/link/leaf"
+	"pearmoor/internal/quarantine"
 	"pearmoor/internal/query/scatter"
 	"pearmoor/internal/query/session"
 	"pearmoor/internal/relay"
@@ -31,6 +32,8 @@
 	Conns   relay.Conns
 	Clock   vm.Clock
 	Keys    session.Limits // zero: DefaultKeys
+	// Quarantine knows the queries that crash leaves; nil: none.
+	Quarantine *quarantine.Registry
 }
 
 // DefaultKeys bounds the memory for keys and kept answers of requests that are
--- a/internal/query/engine.go
+++ b/internal/query/engine.go
@@ -89,7 +89,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, p.timeout-min(wayBack, p.timeout/10))
 	defer cancel()
-	return e.execute(ctx, st, p)
+	return e.guarded(ctx, st, p)
 }
 
 // sessionSlack is how much longer than its list a session takes new keys: for the way of
--- a/internal/query/entry.go
+++ b/internal/query/entry.go
@@ -24,6 +24,12 @@
 	}
 	outs[0] = e.runScope(ctx, st, p, scopes[0])
 	wg.Wait()
+	for _, out := range outs {
+		for _, part := range out.parts {
+			p.leafEnds += part.leafEnds
+			p.survived = p.survived || part.answered > 0
+		}
+	}
 	return e.merge(st, p, outs)
 }
 
@@ -272,7 +278,7 @@
 func (s *scopeRun) subquery(t *target) *subquery {
 	r := s.p.req
 	q := &subquery{
-		unit: t.unit, id: s.p.id, body: r.Body, repeatable: r.IsRepeatable(),
+		names: s.p.names, unit: t.unit, id: s.p.id, body: r.Body, repeatable: r.IsRepeatable(),
 		pin: s.out.pin, partial: s.partial, shards: s.out.split[t.unit],
 		limit: s.p.limit(), attemptBase: uint32(s.round) * attemptStride * attemptStride,
 	}
--- a/internal/query/home.go
+++ b/internal/query/home.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -10,6 +11,7 @@
 	"pearmoor/internal/contract"
 	"pearmoor/internal/domain"
 	"pearmoor/internal/link/leaf"
+	"pearmoor/internal/policy"
 	"pearmoor/internal/query/scatter"
 	"pearmoor/internal/settings"
 )
@@ -59,6 +61,9 @@
 	if st == nil || !st.Confirmed(e.Clock()) {
 		return refusedPart(contract.ReasonUnconfirmed, unconfirmedWait)
 	}
+	if e.blocked(q) {
+		return refusedPart(contract.ReasonQuarantined, policy.QuarantinedRetryAfter)
+	}
 	eff, ok := st.Effective(q.service)
 	if !ok || len(eff.Leaves) == 0 {
 		return refusedPart(contract.ReasonUnknownPath, 0)
@@ -107,7 +112,10 @@
 		Body: q.body, Repeatable: q.repeatable,
 		Priority: eff.Priority, Goal: eff.Goal,
 		HedgeAfter: eff.HedgeAfter, HedgeShare: eff.HedgeBudget,
-		Order: orderOf(q.id), Immediate: q.immediate, Avoid: q.avoid,
+		Order: orderOf(q.id), Immediate: q.immediate, Avoid: q.avoid, Canary: q.canary,
+	}
+	if q.canary && len(job.Only) == 0 && len(snap.Holders) > 0 {
+		job.Only = []uint32{firstHeld(snap)}
 	}
 	if q.minCoverage > 0 && eff.EarlyCoverage > 0 {
 		job.EarlyAt = max(q.minCoverage, eff.EarlyCoverage)
@@ -115,6 +123,12 @@
 	return job
 }
 
+// firstHeld returns the first shard with a live replica.
+func firstHeld(s *leaf.Snapshot) uint32 {
+	i := slices.IndexFunc(s.Holders, func(h []settings.Leaf) bool { return len(h) > 0 })
+	return uint32(max(i, 0))
+}
+
 // inside drops shards that the version does not have.
 func inside(shards []uint32, n int) []uint32 {
 	kept := shards[:0:0]
@@ -129,7 +143,7 @@
 // newPart turns the outcome of the shards into a part. It is a refusal when no
 // leaf ran anything.
 func newPart(job *scatter.Job, r *scatter.Result, q *subquery) *part {
-	p := &part{version: job.Version, shards: uint32(len(r.Shards)), extra: r.Extra, early: r.Early, retryAfter: r.RetryAfter}
+	p := &part{leafEnds: r.LeafEnds, version: job.Version, shards: uint32(len(r.Shards)), extra: r.Extra, early: r.Early, retryAfter: r.RetryAfter}
 	nothingRan := true
 	eachWanted(job, func(shard uint32) {
 		out := &r.Shards[shard]
--- a/internal/query/keyed.go
+++ b/internal/query/keyed.go
@@ -141,7 +141,7 @@
 		left = hopLeft(time.Until(at))
 	}
 	reply, err := wire.NewDRPCHomeClient(conn).Keyed(ctx, &wire.KeyedQuery{
-		RequestId: id, Request: raw, DeadlineMs: uint32(left.Milliseconds()), Incarnation: owner.Incarnation,
+		RequestId: id, Request: raw, Caller: r.Caller, DeadlineMs: uint32(left.Milliseconds()), Incarnation: owner.Incarnation,
 	})
 	if err != nil {
 		if peer.NotSent(err) {
@@ -212,6 +212,7 @@
 	if err := json.Unmarshal(w.Request, &r); err != nil {
 		return nil, invalid(contract.ReasonInvalid, fault("request", "", err.Error(), "send one JSON object"))
 	}
+	r.Caller = w.Caller
 	st := e.view()
 	if st == nil {
 		return nil, inDoubt(errors.New("the daemon has no configuration"))
--- a/internal/query/part.go
+++ b/internal/query/part.go
@@ -8,6 +8,7 @@
 
 	"pearmoor/internal/contract"
 	"pearmoor/internal/link/wire"
+	"pearmoor/internal/quarantine"
 	"pearmoor/internal/relay"
 	"pearmoor/internal/settings"
 )
@@ -39,6 +40,8 @@
 	attemptBase uint32
 	immediate   bool     // only with permits that are free now
 	avoid       []string // addresses of replicas that have been tried
+	canary      bool     // one shard only, once
+	names       quarantine.Fingerprints
 }
 
 // part is what a home answered.
@@ -56,6 +59,7 @@
 	versions   []versionState
 	waiting    int
 	level      float64 // share of queries the home wants; 0: not said
+	leafEnds   int     // leaves that ended under the query
 }
 
 // mayHaveRun reports whether any leaf may have run something for p.
@@ -119,13 +123,15 @@
 		DeadlineMs: uint32(left.Milliseconds()), Repeatable: q.repeatable,
 		Pin: q.pin, Partial: q.partial, Shards: q.shards, Limit: uint32(q.limit),
 		MinCoverage: q.minCoverage, AttemptBase: q.attemptBase,
-		Immediate: q.immediate, Avoid: q.avoid,
+		Immediate: q.immediate, Avoid: q.avoid, Canary: q.canary, Fingerprints: q.names.ToWire(),
 		ConfigVersion: config, Origin: origin,
 	}
 }
 
 func subqueryFromWire(w *wire.SubQuery) *subquery {
+	names, _ := quarantine.FingerprintsFromWire(w.Fingerprints) // without any, nothing is known of the query
 	return &subquery{
+		names: names, canary: w.Canary,
 		unit: unit{w.Service, int(w.Group)}, id: w.QueryId, body: w.Body,
 		repeatable: w.Repeatable, pin: w.Pin, partial: w.Partial, shards: w.Shards,
 		limit: int(w.Limit), minCoverage: w.MinCoverage, attemptBase: w.AttemptBase,
@@ -139,7 +145,7 @@
 		RetryAfterMs: uint32(p.retryAfter.Milliseconds()),
 		IndexVersion: p.version, Answered: uint32(p.answered), Total: p.shards,
 		ExtraAttempts: uint32(p.extra), Early: p.early, Waiting: uint32(p.waiting),
-		Versions: versionsToWire(p.versions), Omitted: uint32(p.omitted), AdmitLevel: p.level,
+		Versions: versionsToWire(p.versions), Omitted: uint32(p.omitted), AdmitLevel: p.level, LeafEnds: uint32(p.leafEnds),
 	}
 	for _, m := range p.missing {
 		w.Missing = append(w.Missing, &wire.SubMissing{Shard: m.Shard, Reason: string(m.Reason), Verdict: uint32(m.Verdict)})
@@ -159,7 +165,7 @@
 		refusal: contract.Reason(w.Refusal), retryAfter: time.Duration(w.RetryAfterMs) * time.Millisecond,
 		version: w.IndexVersion, shards: w.Total, answered: int(w.Answered),
 		omitted: int(w.Omitted), extra: int(w.ExtraAttempts), early: w.Early,
-		versions: versionsFromWire(w.Versions), waiting: int(w.Waiting), level: w.AdmitLevel,
+		versions: versionsFromWire(w.Versions), waiting: int(w.Waiting), level: w.AdmitLevel, leafEnds: int(w.LeafEnds),
 	}
 	for _, m := range w.Missing {
 		p.missing = append(p.missing, contract.Missing{
--- a/internal/query/scatter/api.go
+++ b/internal/query/scatter/api.go
@@ -47,6 +47,7 @@
 	HedgeShare  float64       // hedge budget as a share of primaries; sets the learned quantile
 	Order       uint64        // the same at every home; under overload the lowest is shed first
 	Lender      Lender        // nil: there is no other home
+	Canary      bool          // neither hedge nor retry
 	Immediate   bool          // send only with permits that are free now; neither hedge nor retry
 	Avoid       []string      // addresses of replicas that are not to be used
 	EarlyAt     float64       // coverage from which an early answer is allowed; 0: never
@@ -66,6 +67,7 @@
 	Extra      int // hedges and retries sent
 	Early      bool
 	RetryAfter time.Duration // shortest of the refusals'; 0 if none said
+	LeafEnds   int           // leaves that ended under the job
 }
 
 // Answered returns how many shards answered.
--- a/internal/query/scatter/attempt.go
+++ b/internal/query/scatter/attempt.go
@@ -38,6 +38,7 @@
 // launch notes an attempt as under way and returns its context.
 func (s *shardRun) launch(id uint32, replica int) context.Context {
 	ctx, cancel := context.WithCancel(s.ctx)
+	s.guard.sent()
 	s.flights = append(s.flights, flight{id: id, cancel: cancel, replica: replica})
 	return ctx
 }
--- a/internal/query/scatter/fake_test.go
+++ b/internal/query/scatter/fake_test.go
@@ -32,6 +32,7 @@
 	conflict         // 409 without running
 	unreachable      // nothing was written
 	hang             // runs, never answers
+	ends             // crashes as it runs
 	actCount
 )
 
@@ -124,6 +125,9 @@
 	case conflict:
 		permit.Done(admit.Declined, 0)
 		return sendResult{err: contract.Refuse(contract.ReasonNoReplica, nil)}
+	case ends:
+		permit.Done(admit.Failed, 0)
+		return sendResult{err: &contract.Error{Verdict: contract.MayHaveRun, Reason: contract.ReasonTargetFailed, Cause: contract.ErrLeafEnded}}
 	case reset, hang:
 		permit.Done(admit.Failed, 0)
 		return sendResult{err: &contract.Error{Verdict: contract.MayHaveRun, Reason: contract.ReasonTargetFailed}}
--- a/internal/query/scatter/group.go
+++ b/internal/query/scatter/group.go
@@ -65,7 +65,10 @@
 	r.ctx, r.stop = context.WithCancel(ctx)
 	defer r.stop()
 	r.gather()
-	return &Result{Shards: r.shards, Extra: int(r.extra.Load()), Early: r.early, RetryAfter: time.Duration(r.retryAfter.Load())}
+	return &Result{
+		Shards: r.shards, Extra: int(r.extra.Load()), Early: r.early, RetryAfter: time.Duration(r.retryAfter.Load()),
+		LeafEnds: r.guard.ends(),
+	}
 }
 
 // run is one Job under way.
@@ -79,6 +82,7 @@
 	extra      atomic.Int32
 	retryAfter atomic.Int64 // nanoseconds; 0: unknown
 	early      bool
+	guard      guard
 }
 
 type shardDone struct {
--- a/internal/query/scatter/hedge.go
+++ b/internal/query/scatter/hedge.go
@@ -18,7 +18,7 @@
 // everything behind them waits too, for as long as the faster of them takes: one
 // such pair in a service made the tail of every query that touched it.
 func (s *shardRun) straggle() {
-	if !s.job.Repeatable || s.job.Immediate || len(s.flights) == 0 {
+	if !s.job.Repeatable || s.job.Immediate || s.job.Canary || len(s.flights) == 0 || s.guard.holds() {
 		return
 	}
 	if s.hedges != nil {
--- a/internal/query/scatter/scatter_test.go
+++ b/internal/query/scatter/scatter_test.go
@@ -34,6 +34,44 @@
 	}
 }
 
+// Every replica that runs the query crashes: retries must not take the other ones too.
+func TestLeavesThatEndAreNotMadeUpForWithoutAnAnswer(t *testing.T) {
+	inBubble(t, func() {
+		Convey("Given a query that ends each leaf", t, func() {
+			r := newRig(func(string, *contract.LeafRequest) behavior {
+				return behavior{act: ends, delay: time.Millisecond}
+			}, []string{"a", "b", "c", "d", "e", "f", "g", "h"})
+			job := testJob(4, leavesOf("a", "b"))
+			for i, pair := range [][]string{{"a", "b"}, {"c", "d"}, {"e", "f"}, {"g", "h"}} {
+				job.Holders[i] = leavesOf(pair...)
+			}
+			res := r.run(job, time.Second)
+			r.settle()
+			So(res.Answered(), ShouldEqual, 0)
+			So(res.LeafEnds, ShouldBeLessThanOrEqualTo, 5)
+		})
+	})
+}
+
+// A replica crashes before any shard has answered: its shard must not be missing for that.
+func TestLeafThatEndsIsMadeUpForOnceAnotherAnswers(t *testing.T) {
+	inBubble(t, func() {
+		Convey("Given one leaf that ends, and others that answer later", t, func() {
+			r := newRig(func(leaf string, _ *contract.LeafRequest) behavior {
+				if leaf == "a" {
+					return behavior{act: ends, delay: time.Millisecond}
+				}
+				return behavior{delay: 20 * time.Millisecond}
+			}, []string{"a", "b", "c", "d"})
+			job := testJob(2, leavesOf("c", "d"))
+			job.Holders[0] = leavesOf("a", "b")
+			res := r.run(job, time.Second)
+			r.settle()
+			So(res.Answered(), ShouldEqual, 2)
+		})
+	})
+}
+
 // The caller of a request that is not repeatable sees may_have_run. The replica
 // runs it and loses the connection before the reply; another replica is free,
 // but asking it would run the request twice.
--- a/internal/query/scatter/shard.go
+++ b/internal/query/scatter/shard.go
@@ -94,6 +94,7 @@
 // take handles the end of one attempt and reports whether it ends the shard.
 func (s *shardRun) take(d attemptDone) (Shard, bool) {
 	s.landed(d.id)
+	s.guard.landed(&d)
 	if d.err == nil {
 		return s.answered(d), true
 	}
@@ -122,6 +123,7 @@
 	for len(s.flights) > 0 {
 		d := <-s.results
 		s.landed(d.id)
+		s.guard.landed(&d)
 		if d.err == nil {
 			return s.answered(d)
 		}
@@ -216,13 +218,16 @@
 	if s.ctx.Err() != nil {
 		return contract.ReasonDeadline, false
 	}
-	if s.job.Immediate || (!s.job.Repeatable && s.verdict != contract.NotRun) {
+	if s.job.Immediate || s.job.Canary || (!s.job.Repeatable && s.verdict != contract.NotRun) {
 		return s.last.Reason, false
 	}
 	free := s.untried() && costless(&s.last)
 	if s.sent >= s.maxAttempts() || !s.anotherRound() {
 		return s.last.Reason, false
 	}
+	if !s.guard.enter(s.ctx) {
+		return s.last.Reason, false
+	}
 	if !free && !s.g.retries.Spend() {
 		return contract.ReasonBudget, false
 	}
--- a/internal/query/validate.go
+++ b/internal/query/validate.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"pearmoor/internal/contract"
+	"pearmoor/internal/quarantine"
 	"pearmoor/internal/query/session"
 	"pearmoor/internal/settings"
 )
@@ -17,6 +18,9 @@
 	maxKeyBytes      = 256
 )
 
+// queryMethod keeps the fingerprints of queries apart from those of forwarded requests.
+const queryMethod = "QUERY"
+
 // plan is a validated request.
 type plan struct {
 	req      *contract.Request
@@ -24,6 +28,11 @@
 	at       *settings.Effective // at the path asked
 	services []string
 	timeout  time.Duration
+
+	content  quarantine.Request
+	names    quarantine.Fingerprints
+	leafEnds int  // leaves that ended under it
+	survived bool // a leaf answered it
 }
 
 // invalid returns the refusal of a request that is itself at fault.
@@ -40,6 +49,8 @@
 			"no query service is at or below it", "name a query service or a node above one; pearmoor get lists them"))
 	}
 	p := &plan{req: r, id: id, at: at, services: services}
+	p.content = quarantine.Request{Method: queryMethod, URI: r.Path, Caller: r.Caller, Body: r.Body, Length: int64(len(r.Body))}
+	p.names = p.content.Fingerprints()
 	var fs contract.Faults
 	fs = append(fs, p.checkDeadline()...)
 	fs = append(fs, p.checkLimits()...)
