soak, quarantine: a request that crashes leaves among the soak's faults; the cost of looking a request up

The soak sends one such request every 0.7 s through all its faults; after all has healed at most three of ten attempts, two at each VM, may reach leaves.

--- /dev/null
+++ b/internal/quarantine/bench_test.go
@@ -0,0 +1,20 @@
+package quarantine
+
+import (
+	"testing"
+
+	"pearmoor/internal/vm"
+)
+
+// BenchmarkLookUp is what a request costs while another one is in quarantine.
+func BenchmarkLookUp(b *testing.B) {
+	g := NewRegistry(vm.Monotonic, nil)
+	g.Install(Cases{named(1)[Exact]: {Blocked: true}})
+	r := &Request{Method: "GET", Host: "shop.example", URI: "/search/2f41?page=3", Caller: "100.64.0.17"}
+	b.ReportAllocs()
+	for b.Loop() {
+		if g.Rule(r.Fingerprints()) != Free {
+			b.Fatal("refused")
+		}
+	}
+}
--- a/soak/doc_test.go
+++ b/soak/doc_test.go
@@ -6,7 +6,7 @@
 // and restarted; settings that change, with a signal and without; disks wiped, writes
 // torn; links to VMs and leaves that delay, hold everything, hold what comes back, are
 // narrow, or are reset, by a proxy before each of them; leaves that are slow, silent, reset, refuse,
-// lose their answers, answer twice, leave or crash; a list of leaves that fails;
+// lose their answers, answer twice, leave or crash; a request that crashes each leaf that runs it; a list of leaves that fails;
 // disks that are slow, stand still or are full, through a file system that only the soak's
 // build has; connections reset several times in a row; operators that send configurations, again, invalid and long ones, to any VM. At the end
 // a long one is sent and read back while the links of all control VMs are narrow.
@@ -20,5 +20,6 @@
 // request that may run once runs at most once; a stop cuts no request that was passed
 // on; a leaf that leaves gets nothing new; a read configuration is never older than one
 // acknowledged before; a leaf's connections stay within its limit; afterwards all is
-// served again and what was acknowledged is there.
+// served again and what was acknowledged is there, and a request that went on to crash leaves
+// reaches hardly any.
 package soak
--- a/soak/leaves_test.go
+++ b/soak/leaves_test.go
@@ -48,6 +48,7 @@
 	server  *http.Server
 	mode    atomic.Int32
 	conns   atomic.Int32
+	crashed atomic.Bool
 
 	mu      sync.Mutex
 	leaving time.Time // since when the list shows it; zero: it does not
@@ -109,6 +110,11 @@
 
 func (l *leaf) run(rw http.ResponseWriter, r *http.Request, id, body string, m mode) {
 	l.w.ran(id, l.service, r.Method+" "+r.RequestURI+" "+body)
+	if r.RequestURI == fatalPath {
+		go l.crash()
+		<-r.Context().Done() // the connections end with the leaf
+		return
+	}
 	wait := 3 * time.Millisecond
 	switch m {
 	case slow:
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -91,6 +91,9 @@
 	var wg sync.WaitGroup
 	w.runCallers(ctx, &wg)
 	w.runOperators(ctx, &wg)
+	wg.Go(func() {
+		w.runFatal(ctx, &caller{w: w, rng: rand.New(rand.NewPCG(seed, 9)), client: &http.Client{Transport: &http.Transport{}, Timeout: 4 * time.Second}})
+	})
 	time.Sleep(time.Second)
 	beside, cancelBeside := context.WithCancel(ctx)
 	var others sync.WaitGroup
@@ -105,6 +108,7 @@
 	wg.Wait()
 	w.longOverNarrowLinks()
 	time.Sleep(settleTime + 100*time.Millisecond)
+	w.checkFatal()
 	w.checkWell()
 	w.report(t, seed)
 }
