--- a/internal/quarantine/case.go
+++ b/internal/quarantine/case.go
@@ -19,7 +19,7 @@
 
 // fewestVariants is how many narrower names a name stands for before it is blocked: what
 // comes unchanged is blocked by its exact one, and others that share the wide one go on.
-var fewestVariants = [widths]int{Exact: 1, AnyQuery: 2, AnyCaller: 3}
+var fewestVariants = [widths]int{Exact: 1, AnyQuery: 2, AnyCaller: 2, AnyBoth: 3}
 
 // Case is what is agreed about one request.
 type Case struct {
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -32,10 +32,14 @@
 const (
 	Exact Width = iota
 	AnyQuery
-	AnyCaller // and any query
+	AnyCaller
+	AnyBoth // any query of any caller
 	widths
 )
 
+// narrower are the widths next below each.
+var narrower = [widths][]Width{AnyQuery: {Exact}, AnyCaller: {Exact}, AnyBoth: {AnyQuery, AnyCaller}}
+
 // Fingerprints name one request, by width.
 type Fingerprints [widths]Fingerprint
 
@@ -45,7 +49,8 @@
 	return Fingerprints{
 		Exact:     r.sum(Exact, r.URI, r.Caller),
 		AnyQuery:  r.sum(AnyQuery, path, r.Caller),
-		AnyCaller: r.sum(AnyCaller, path, ""),
+		AnyCaller: r.sum(AnyCaller, r.URI, ""),
+		AnyBoth:   r.sum(AnyBoth, path, ""),
 	}
 }
 
@@ -57,6 +62,8 @@
 		return r.Method + " " + r.Host + r.URI + " from " + r.Caller
 	case AnyQuery:
 		return r.Method + " " + r.Host + path + " with any query from " + r.Caller
+	case AnyCaller:
+		return r.Method + " " + r.Host + r.URI + " from anybody"
 	}
 	return r.Method + " " + r.Host + path + " with any query from anybody"
 }
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -12,7 +12,7 @@
 
 const (
 	// mostCases bounds the fingerprints that are agreed on.
-	mostCases = 768
+	mostCases = 1024
 	// trialTime is how long a trial that is not reported holds up the next one.
 	trialTime = 10 * time.Second
 )
@@ -88,11 +88,13 @@
 	var changes []Change
 	for _, r := range reports {
 		delete(l.trials, r.Request[Exact])
-		narrower := false // a narrower name was known before
+		var knew [widths]bool // before this report
 		for w, f := range r.Request {
-			before, known := out[f]
-			repeats := narrower
-			narrower = known
+			_, knew[w] = out[f]
+		}
+		for w, f := range r.Request {
+			before, known := out[f], knew[w]
+			repeats := slices.ContainsFunc(narrower[w], func(n Width) bool { return knew[n] })
 			if !r.Survived && (r.Ends == 0 && (!known || Width(w) != Exact) || !known && repeats) {
 				// Nothing is held against a name without an end, nor against what shares a
 				// wide one with a request that is known by a narrower one.
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -48,7 +48,7 @@
 
 // crash is an attempt that took 100 ms.
 func crash(f Fingerprints, ends int) *Report {
-	return &Report{Request: f, Describe: [widths]string{"GET shop/ from 10.0.0.1", "b", "c"}, Ends: ends, Began: 100 * time.Millisecond}
+	return &Report{Request: f, Describe: [widths]string{"GET shop/ from 10.0.0.1", "b", "c", "d"}, Ends: ends, Began: 100 * time.Millisecond}
 }
 
 // A request crashes leaves in each attempt, with minutes and changes of leader in between.
@@ -95,6 +95,7 @@
 		{"another query each time", func(n int) *Request { return &Request{URI: fmt.Sprint("/a?page=", n), Caller: "10.0.0.1"} }},
 		{"another address each time", func(n int) *Request { return &Request{URI: "/a", Caller: fmt.Sprint("10.0.0.", n)} }},
 		{"one of two queries", func(n int) *Request { return &Request{URI: fmt.Sprint("/a?page=", n%2), Caller: "10.0.0.1"} }},
+		{"one of two addresses", func(n int) *Request { return &Request{URI: "/a", Caller: fmt.Sprint("10.0.0.", n%2)} }},
 		{"both", func(n int) *Request {
 			return &Request{URI: fmt.Sprint("/a?page=", n), Caller: fmt.Sprint("10.0.0.", n)}
 		}},
