--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -42,7 +42,7 @@
 	denied    int // further sends that the budget did not allow
 	suspicion policy.Suspicion
 	trial     bool                     // it is sent to one leaf first, since it is suspected to crash leaves
-	granted   bool                     // with the leader's leave
+	granted   bool                     // with the leader's permission
 	blocked   bool                     // it was found to be so meanwhile
 	held      bool                     // a shard may be held
 	names     *quarantine.Fingerprints // once they were asked for
--- a/internal/forward/suspicion.go
+++ b/internal/forward/suspicion.go
@@ -21,7 +21,7 @@
 
 var errQuarantined = errors.New("forward: the request is known or suspected to crash the leaves that run it")
 
-// trialWait bounds the wait for leave to try a suspected request.
+// trialWait bounds the wait for permission to try a suspected request.
 const trialWait = 300 * time.Millisecond
 
 // content is what names the request, whichever attempt of it this is.
@@ -61,7 +61,7 @@
 		grant = known.Try(ctx, names[quarantine.Exact])
 		r.granted = grant == quarantine.Granted
 	}
-	r.e.cfg.Log.Line("quarantine", "request looked up").Str("id", r.req.ID).Str("request", names[quarantine.Exact].String()).
+	r.e.cfg.Log.Line("quarantine", "request checked").Str("id", r.req.ID).Str("request", names[quarantine.Exact].String()).
 		Str("ruling", ruling.String()).Str("trial", grant.String()).End()
 	if grant == quarantine.Granted {
 		quarantineTrials.Inc(1)
--- a/internal/quarantine/case.go
+++ b/internal/quarantine/case.go
@@ -17,8 +17,8 @@
 	blockAttempts = 4
 )
 
-// fewestVariants is how many narrower names a name stands for before it is blocked: what
-// comes unchanged is blocked by its exact one, and others that share the wide one go on.
+// fewestVariants is how many narrower names a name stands for before it is blocked. A request
+// that comes unchanged is blocked by its exact name alone.
 var fewestVariants = [widths]int{Exact: 1, AnyQuery: 2, AnyCaller: 2, AnyBoth: 3}
 
 // Case is what is agreed about one request.
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -96,8 +96,8 @@
 			before, known := out[f], knew[w]
 			repeats := slices.ContainsFunc(narrower[w], func(n Width) bool { return knew[n] })
 			if !r.Survived && (r.Ends == 0 && (!known || Width(w) != Exact) || !known && repeats) {
-				// Nothing is held against a name without an end, nor against what shares a
-				// wide one with a request that is known by a narrower one.
+				// Without an end there is no new suspicion, and a request that is known by a
+				// narrow name brings none on others that share a wide one.
 				continue
 			}
 			last, seen := l.last[f]
--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -4,7 +4,6 @@
 	"context"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"k8s.io/klog/v2"
@@ -14,17 +13,8 @@
 )
 
 const (
-	// mostReports bounds the reports that wait for the leader, and mostLocal what a daemon
-	// holds against requests by itself.
-	mostReports = 256
-	mostLocal   = 1024
-	// reportPause is between two tries to reach the leader, and reportFor how long a report
-	// is tried.
-	reportPause = 200 * time.Millisecond
-	reportFor   = time.Minute
-	// settleTime is how long a daemon goes by its own sight after the leader has taken its
-	// report: what was agreed on comes back within it.
-	settleTime = 5 * time.Second
+	// mostLocal bounds the fingerprints that a daemon suspects by itself.
+	mostLocal = 1024
 	// loneTrials is how often a daemon that does not reach the leader tries a request.
 	loneTrials = 1
 )
@@ -32,7 +22,6 @@
 var (
 	suspectGauge = metrics.GetOrRegisterGauge("quarantine.suspected", metrics.DefaultRegistry)
 	blockedGauge = metrics.GetOrRegisterGauge("quarantine.blocked", metrics.DefaultRegistry)
-	reportsLost  = metrics.GetOrRegisterCounter("quarantine.reports.lost", metrics.DefaultRegistry)
 	lonelyTrials = metrics.GetOrRegisterCounter("quarantine.trials.without_leader", metrics.DefaultRegistry)
 )
 
@@ -56,20 +45,20 @@
 type Leader interface {
 	// Report hands over what became of attempts.
 	Report(ctx context.Context, reports []*Report) error
-	// Try asks for leave to try a suspected request.
+	// Try asks for permission to try a suspected request.
 	Try(ctx context.Context, f Fingerprint) (Grant, error)
 	// Release gives that back, since no leaf was reached.
 	Release(ctx context.Context, f Fingerprint) error
 }
 
 // Registry is what one daemon knows of requests that crash leaves: what is agreed, and
-// what it has seen itself since. It is safe for concurrent use.
+// what it has observed itself since. It is safe for concurrent use.
 type Registry struct {
 	clock  vm.Clock
 	leader Leader
 	queued chan struct{}
 
-	some    atomic.Bool   // there is something to look up
+	known   atomic.Bool   // there is a request to check others against
 	version atomic.Uint64 // of the tree that agreed is of
 
 	mu     sync.Mutex
@@ -78,25 +67,20 @@
 	queue  []queuedReport
 }
 
-// sighting is what this daemon has seen of a request.
+// sighting is what this daemon has observed of a fingerprint.
 type sighting struct {
 	cleared bool // a leaf answered it
 	tried   int  // trials made without the leader
 	until   vm.Instant
 }
 
-type queuedReport struct {
-	*Report
-	at vm.Instant
-}
-
 // NewRegistry returns a registry that knows nothing.
 func NewRegistry(clock vm.Clock, leader Leader) *Registry {
 	return &Registry{clock: clock, leader: leader, queued: make(chan struct{}, 1), local: make(map[Fingerprint]*sighting)}
 }
 
 // Empty reports whether no request is suspected or blocked, so that none need be looked up.
-func (g *Registry) Empty() bool { return g == nil || !g.some.Load() }
+func (g *Registry) Empty() bool { return g == nil || !g.known.Load() }
 
 // Observe takes in what a version of the settings tree holds.
 func (g *Registry) Observe(version uint64, t *settings.Tree) {
@@ -140,8 +124,8 @@
 	g.note()
 }
 
-// note keeps some; the lock is held.
-func (g *Registry) note() { g.some.Store(len(g.agreed)+len(g.local) > 0) }
+// note keeps known; the lock is held.
+func (g *Registry) note() { g.known.Store(len(g.agreed)+len(g.local) > 0) }
 
 // Rule says what may be done with a request.
 func (g *Registry) Rule(fs Fingerprints) Ruling {
@@ -228,25 +212,6 @@
 	}
 }
 
-// Report takes in what became of an attempt, and hands it to the leader.
-func (g *Registry) Report(r *Report) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, f := range r.Request {
-		g.seen(f).cleared = r.Survived
-	}
-	if len(g.queue) >= mostReports {
-		reportsLost.Inc(1)
-		klog.Errorf("quarantine: report of request=%s leaf_ends=%d is lost, %d wait for the leader", r.Request[Exact], r.Ends, len(g.queue))
-		return
-	}
-	g.queue = append(g.queue, queuedReport{r, g.clock()})
-	select {
-	case g.queued <- struct{}{}:
-	default:
-	}
-}
-
 // Release gives a trial back that reached no leaf.
 func (g *Registry) Release(f Fingerprint) {
 	go func() {
@@ -257,61 +222,3 @@
 		}
 	}()
 }
-
-// Run hands reports to the leader until ctx ends.
-func (g *Registry) Run(ctx context.Context) {
-	for ctx.Err() == nil {
-		select {
-		case <-g.queued:
-		case <-ctx.Done():
-			return
-		}
-		for g.deliver(ctx) {
-			if !vm.Sleep(ctx, reportPause) {
-				return
-			}
-		}
-	}
-}
-
-// deliver hands over what waits, and reports whether it has to be tried again.
-func (g *Registry) deliver(ctx context.Context) (again bool) {
-	g.mu.Lock()
-	waiting := g.queue
-	g.queue = nil
-	g.mu.Unlock()
-	if len(waiting) == 0 {
-		return false
-	}
-	now := g.clock()
-	reports := make([]*Report, 0, len(waiting))
-	for _, w := range waiting {
-		r := *w.Report
-		r.Began += now.Sub(w.at)
-		reports = append(reports, &r)
-	}
-	err := g.leader.Report(ctx, reports)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if err == nil {
-		for _, w := range waiting {
-			for _, f := range w.Request {
-				if s := g.local[f]; s != nil {
-					s.until = g.clock().Add(settleTime)
-				}
-			}
-		}
-		return len(g.queue) > 0
-	}
-	kept := waiting[:0]
-	for _, w := range waiting {
-		if now.Sub(w.at) < reportFor {
-			kept = append(kept, w)
-			continue
-		}
-		reportsLost.Inc(1)
-		klog.Errorf("quarantine: report of request=%s leaf_ends=%d is lost: %v", w.Request[Exact], w.Ends, err)
-	}
-	g.queue = append(kept, g.queue...)
-	return len(g.queue) > 0
-}
--- /dev/null
+++ b/internal/quarantine/registry_test.go
@@ -0,0 +1,81 @@
+package quarantine
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"pearmoor/internal/settings"
+	"pearmoor/internal/vm"
+)
+
+// fakeLeader refuses calls while it is down.
+type fakeLeader struct {
+	mu   sync.Mutex
+	down bool
+	got  []*Report
+}
+
+var errDown = errors.New("no leader")
+
+func (l *fakeLeader) Report(_ context.Context, rs []*Report) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return errDown
+	}
+	l.got = append(l.got, rs...)
+	return nil
+}
+
+func (l *fakeLeader) Try(context.Context, Fingerprint) (Grant, error) { return Denied, errDown }
+func (l *fakeLeader) Release(context.Context, Fingerprint) error      { return errDown }
+
+func (l *fakeLeader) set(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
+func bubbleClock() vm.Instant { return vm.Instant(time.Now().UnixNano()) }
+
+// The leader is lost as a request crashes leaves: the daemon that saw it must not forget it,
+// nor try it again and again by itself.
+func TestReportWaitsForTheNextLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		Convey("A report is kept until it is taken, and counts from when it was made", t, func() {
+			l := &fakeLeader{down: true}
+			g := NewRegistry(bubbleClock, l)
+			ctx, cancel := context.WithCancel(t.Context())
+			go g.Run(ctx)
+			g.Report(crash(named(1), 3))
+			time.Sleep(20 * time.Second)
+			So(g.Rule(named(1)), ShouldEqual, Suspect)
+			So(g.Try(ctx, named(1)[Exact]), ShouldEqual, Granted)
+			So(g.Try(ctx, named(1)[Exact]), ShouldEqual, Wait)
+			l.set(false)
+			time.Sleep(time.Second)
+			So(len(l.got), ShouldEqual, 1)
+			So(l.got[0].Began, ShouldBeGreaterThan, 20*time.Second)
+			cancel()
+			synctest.Wait()
+		})
+	})
+}
+
+// A daemon takes in an older view after a newer one.
+func TestObservedQuarantineNeverGoesBack(t *testing.T) {
+	Convey("The newest version holds", t, func() {
+		tr := newTrail(t)
+		tr.report(crash(named(1), 3))
+		g := NewRegistry(vm.Monotonic, nil)
+		g.Observe(7, tr.tree)
+		g.Observe(6, settings.New())
+		So(g.Rule(named(1)), ShouldEqual, Suspect)
+	})
+}
--- a/internal/query/suspect.go
+++ b/internal/query/suspect.go
@@ -15,7 +15,7 @@
 // canaryBase keeps the attempts of a canary apart from those of the query behind it.
 const canaryBase = (maxRepins + 1) * attemptStride * attemptStride
 
-// trialWait bounds the wait for leave to try a suspected query.
+// trialWait bounds the wait for permission to try a suspected query.
 const trialWait = 300 * time.Millisecond
 
 var errQuarantined = errors.New("query: it is known or suspected to crash the targets that run it")
--- a/internal/settings/forwarding.go
+++ b/internal/settings/forwarding.go
@@ -49,21 +49,6 @@
 	Extra        string
 }
 
-// QuarantineSettings are what a node below QuarantinePath states of one request that
-// crashes the leaves that run it. Package quarantine gives them a meaning.
-type QuarantineSettings struct {
-	Request  string
-	Ends     int
-	Crashes  int
-	Attempts int
-	Variants int
-	Blocked  bool
-	Seen     string // RFC 3339
-}
-
-// QuarantinePath is the node whose children are named by the fingerprints of requests.
-const QuarantinePath = "quarantine"
-
 // The nodes that hold a whole configuration sent by an operator's system.
 const (
 	RoutesPath   = "routes"
@@ -104,17 +89,6 @@
 	NameReleaseExtra       = "release-extra"
 )
 
-// The settings of a request in quarantine.
-const (
-	NameQuarantineRequest  = "quarantine-request"
-	NameQuarantineEnds     = "quarantine-leaf-ends"
-	NameQuarantineCrashes  = "quarantine-crashes"
-	NameQuarantineAttempts = "quarantine-attempts"
-	NameQuarantineVariants = "quarantine-variants"
-	NameQuarantineBlocked  = "quarantine-blocked"
-	NameQuarantineSeen     = "quarantine-seen"
-)
-
 const (
 	longestTimeout = "24h"
 	mostOfAKind    = "1000000000"
@@ -199,17 +173,3 @@
 		text(NameReleaseExtra, "JSON object", "Fields of the whole configuration that this release does not know. They are kept and have no effect.", func(e *Effective) *string { return &e.Release.Extra }),
 	}
 }
-
-func quarantineSettings() []Setting {
-	return []Setting{
-		text(NameQuarantineRequest, "method, host, path, caller", "The request that the node's fingerprint stands for.", func(e *Effective) *string { return &e.Quarantine.Request }),
-		count(NameQuarantineEnds, "leaves", "0", "How many leaves have ended under attempts of the request that no leaf answered.", func(e *Effective) *int { return &e.Quarantine.Ends }),
-		count(NameQuarantineCrashes, "attempts", "0", "Under how many attempts of the request leaves have ended.", func(e *Effective) *int { return &e.Quarantine.Crashes }),
-		count(NameQuarantineAttempts, "attempts", "0", "How many attempts of the request have reached leaves without an answer, one after the other.", func(e *Effective) *int { return &e.Quarantine.Attempts }),
-		count(NameQuarantineVariants, "names", "0", "How many narrower names the attempts had: queries, or callers.", func(e *Effective) *int { return &e.Quarantine.Variants }),
-		{Name: NameQuarantineBlocked, Kind: Bool, Unit: "true or false", Default: "false",
-			Doc:  "Whether the request is refused before it reaches a leaf. Until then it is tried at one leaf at a time.",
-			bind: func(e *Effective, _ *Tier, v *value) { e.Quarantine.Blocked = v.num == 1 }},
-		text(NameQuarantineSeen, "RFC 3339 time", "When the last attempt of the request was reported.", func(e *Effective) *string { return &e.Quarantine.Seen }),
-	}
-}
