discovery: a first list of leaves has time for its length

What callers saw, at the size of the target: a VM that starts behind a narrow link never has a list of leaves, and answers nothing. Cause: one call for the list has 1.4 s whatever it carries, and a starting daemon asks one daemon more every 50 ms, each of which sends the whole.

A starting daemon asks how many leaves there are first, and for the list at one daemon at a time, within a time for its length. Later calls carry what has changed and keep their limit, but for the one behind a failure.

--- a/internal/discovery/book.go
+++ b/internal/discovery/book.go
@@ -246,7 +246,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out := &wire.LeavesReply{Run: b.run, Version: b.version, AgeMs: uint32(b.age().Milliseconds()), Quiet: b.quiet}
-	if !b.known || req.Digest == b.snap.digest {
+	out.Leaves = uint32(len(b.snap.leaves))
+	if !b.known || req.CountOnly || req.Digest == b.snap.digest {
 		return out
 	}
 	now := b.clock()
--- /dev/null
+++ b/internal/discovery/first_test.go
@@ -0,0 +1,68 @@
+package discovery
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"storj.io/drpc/drpcmux"
+
+	"pearmoor/internal/link/peer"
+	"pearmoor/internal/link/wire"
+	"pearmoor/internal/standin"
+	"pearmoor/internal/vm"
+)
+
+// A daemon starts behind a narrow link, in a tier with so many leaves that their list takes
+// seconds over it: a limit that does not know that ends each call for it, for ever.
+func TestFirstListOfManyLeavesArrives(t *testing.T) {
+	const manyLeaves, rate, within = 23_000, 500_000, 12 * time.Second // leaves, bytes a second
+	var list []Listed
+	for n := range manyLeaves {
+		list = append(list, Listed{ID: fmt.Sprintf("i-%010d", n), Service: fmt.Sprintf("service-%d", n/3), Addr: fmt.Sprintf("10.%d.%d.9:8569", n>>8, n&255), Domain: "lalitpur-hall", Slots: 2})
+	}
+	reader := NewBook(vm.Monotonic)
+	reader.Take(list, vm.Monotonic())
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterLeaves(mux, NewFinder(Config{Every: time.Hour}, reader).Server()); err != nil {
+		t.Fatal(err)
+	}
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	served := make(chan struct{})
+	go func() { defer close(served); _ = peer.ServeTrusted(ctx, lis, mux) }()
+	var ups []string
+	for range 3 {
+		link, err := standin.NewNarrowLink(lis.Addr().String(), rate, time.Millisecond)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer link.Close()
+		ups = append(ups, link.Addr())
+	}
+	pool := peer.NewTrustedPool()
+	book := NewBook(vm.Monotonic)
+	f := NewFinder(Config{
+		Conns: pool, Every: time.Hour, Alone: time.Hour, Reads: func() bool { return false }, Quiet: func() []string { return nil },
+		Wanted: func() bool { return false }, Upstreams: func() []string { return ups }, Spread: func() time.Duration { return 0 },
+	}, book)
+	done := make(chan struct{})
+	go func() { defer close(done); f.Run(ctx) }()
+	began := time.Now()
+	for !book.Known() && time.Since(began) < within {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if n := len(book.Snapshot().All()); n != manyLeaves {
+		t.Errorf("%d of %d leaves are known after %v", n, manyLeaves, time.Since(began))
+	}
+	t.Logf("known after %v", time.Since(began))
+	cancel()
+	_ = pool.Close()
+	<-done
+	<-served
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
+	"pearmoor/internal/link/peer"
 	"pearmoor/internal/link/wire"
 	"pearmoor/internal/relay"
 	"pearmoor/internal/vm"
@@ -46,6 +48,8 @@
 const (
 	watchHold   = time.Second
 	watchMargin = 400 * time.Millisecond // beyond the hold; a silent cut shows no other sign
+	// leafBytes is what a leaf takes in a reply, at most.
+	leafBytes = 160
 	watchRetry  = 100 * time.Millisecond
 	readTimeout = 2 * time.Second
 )
@@ -164,11 +168,35 @@
 // to a VM without power ends only with its time.
 func (f *Finder) first(ctx context.Context) {
 	var asked work.Each
+	var fetching sync.Mutex
 	asked.InTurn(ctx, watchRetry/2, f.cfg.Upstreams, f.book.Known, func(addr string) {
-		_, _ = f.watchOnce(ctx, addr) // an error is met again, and told, by the watch that follows
+		// An error is met again, and logged, by the watch that follows.
+		leaves, err := f.count(ctx, addr)
+		if err != nil || leaves < 0 || !fetching.TryLock() {
+			return
+		}
+		defer fetching.Unlock()
+		_, _ = f.watchOnce(ctx, addr, leaves)
 	})
 }
 
+// count asks the daemon at addr how many leaves it knows, -1 for no list. A whole list is
+// asked for at one daemon at a time: many at once would each be slower by the others.
+func (f *Finder) count(ctx context.Context, addr string) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchMargin)
+	defer cancel()
+	conn, err := f.cfg.Conns.Conn(ctx, addr)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = conn.Close() }()
+	reply, err := wire.NewDRPCLeavesClient(conn).Watch(ctx, &wire.LeavesRequest{CountOnly: true})
+	if err != nil || reply.Run == 0 {
+		return -1, err
+	}
+	return int(reply.Leaves), nil
+}
+
 // watch asks another daemon for news while this one is not the reader.
 func (f *Finder) watch(ctx context.Context) {
 	f.first(ctx)
@@ -180,7 +208,11 @@
 			continue
 		}
 		asked := f.cfg.Clock()
-		fresh, err := f.watchOnce(ctx, ups[next%len(ups)])
+		leaves := 0 // mostly it is what has changed
+		if next > 0 {
+			leaves = len(f.book.Snapshot().All())
+		}
+		fresh, err := f.watchOnce(ctx, ups[next%len(ups)], leaves)
 		if err == nil && fresh {
 			next = 0
 			continue
@@ -194,9 +226,10 @@
 	}
 }
 
-// watchOnce reports whether the daemon at addr has a reading that is not old.
-func (f *Finder) watchOnce(ctx context.Context, addr string) (fresh bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, watchHold+watchMargin)
+// watchOnce reports whether the daemon at addr has a reading that is not old. Its reply may
+// hold so many leaves.
+func (f *Finder) watchOnce(ctx context.Context, addr string, leaves int) (fresh bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, peer.TimeFor(watchHold+watchMargin, leaves*leafBytes))
 	defer cancel()
 	conn, err := f.cfg.Conns.Conn(ctx, addr)
 	if err != nil {
@@ -233,7 +266,7 @@
 	for {
 		changed := s.book.Changed()
 		reply := s.book.reply(req)
-		if len(reply.Entries)+len(reply.Removed) > 0 || reply.Whole || quietDigest(reply.Quiet) != req.Quiet || s.book.Age() > s.fresh {
+		if req.CountOnly || len(reply.Entries)+len(reply.Removed) > 0 || reply.Whole || quietDigest(reply.Quiet) != req.Quiet || s.book.Age() > s.fresh {
 			return reply, nil
 		}
 		select {
