--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -49,7 +49,7 @@
 	watchHold   = time.Second
 	watchMargin = 400 * time.Millisecond // beyond the hold; a silent cut shows no other sign
 	// leafBytes is what a leaf takes in a reply, at most.
-	leafBytes = 160
+	leafBytes   = 160
 	watchRetry  = 100 * time.Millisecond
 	readTimeout = 2 * time.Second
 )
--- a/internal/entryvm/drain.go
+++ b/internal/entryvm/drain.go
@@ -17,10 +17,10 @@
 	// endShare is the part of the grace by which the requests in flight must have
 	// ended; the rest is for handing leadership over.
 	endShare = 0.9
-	// lastWords is the time that the final answers of requests take that have not
+	// finalAnswers is the time that the final answers of requests take that have not
 	// ended by then. Of those that a leaf never answers some were sent a moment before
 	// the daemon stopped taking any; their callers saw the connection break off.
-	lastWords = 150 * time.Millisecond
+	finalAnswers = 150 * time.Millisecond
 )
 
 // drain is the graceful shutdown. Callers learn from the address list, and from
@@ -35,13 +35,13 @@
 	end := began.Add(time.Duration(endShare * float64(v.conf.Grace)))
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	defer time.AfterFunc(time.Until(end.Add(-lastWords)), v.engine.EndAll).Stop()
+	defer time.AfterFunc(time.Until(end.Add(-finalAnswers)), v.engine.EndAll).Stop()
 	if err := v.server.Shutdown(ctx); err != nil {
 		klog.Warningf("entry: %s cuts off requests in flight: %v", v.conf.Name, err)
 	}
 	v.client.SetPhase(vm.Gone)
-	time.Sleep(goneWord)
+	time.Sleep(farewell)
 }
 
-// goneWord is what the last word to control takes on a working network.
-const goneWord = 60 * time.Millisecond
+// farewell is what the last word to control takes on a working network.
+const farewell = 60 * time.Millisecond
--- a/internal/entryvm/near.go
+++ b/internal/entryvm/near.go
@@ -43,13 +43,13 @@
 	if ms == nil {
 		return ""
 	}
-	takers := n.v.takers(ms)
+	eligible := n.v.eligible(ms)
 	now := vm.Monotonic()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var best *helper
 	addr, ties := "", 0
-	for _, m := range takers {
+	for _, m := range eligible {
 		if m.Domain != domain || m.PeerAddr == n.v.conf.PeerAddr {
 			continue
 		}
--- a/internal/entryvm/steer.go
+++ b/internal/entryvm/steer.go
@@ -18,27 +18,27 @@
 
 // steering remembers the choice of daemons that take callers.
 type steering struct {
-	mu     sync.Mutex
-	of     *vm.Membership
-	at     vm.Instant
-	takers []*vm.Member
+	mu       sync.Mutex
+	of       *vm.Membership
+	at       vm.Instant
+	eligible []*vm.Member
 }
 
-// takers returns the daemons that callers are sent to: of those that serve and are not
-// silent, those that policy.Takers chooses.
-func (v *VM) takers(ms *vm.Membership) []*vm.Member {
+// eligible returns the daemons that callers are sent to: of those that serve and are not
+// silent, those that policy.Eligible chooses.
+func (v *VM) eligible(ms *vm.Membership) []*vm.Member {
 	now := vm.Monotonic()
 	v.steer.mu.Lock()
 	defer v.steer.mu.Unlock()
 	if v.steer.of != ms || now.Sub(v.steer.at) >= steerEvery || v.draining.Load() {
-		before := v.steer.takers
+		before := v.steer.eligible
 		v.steer.of, v.steer.at = ms, now
-		v.steer.takers = v.chooseTakers(ms)
-		if !slices.EqualFunc(before, v.steer.takers, sameName) {
-			klog.Infof("entry: callers are sent to %v of %d daemons", memberNames(v.steer.takers), len(ms.Members))
+		v.steer.eligible = v.chooseEligible(ms)
+		if !slices.EqualFunc(before, v.steer.eligible, sameName) {
+			klog.Infof("entry: callers are sent to %v of %d daemons", memberNames(v.steer.eligible), len(ms.Members))
 		}
 	}
-	return v.steer.takers
+	return v.steer.eligible
 }
 
 func sameName(a, b *vm.Member) bool { return a.Name == b.Name }
@@ -51,7 +51,7 @@
 	return out
 }
 
-func (v *VM) chooseTakers(ms *vm.Membership) []*vm.Member {
+func (v *VM) chooseEligible(ms *vm.Membership) []*vm.Member {
 	quiet := v.book.Quiet()
 	var all []*vm.Member
 	for i := range ms.Members {
@@ -62,7 +62,7 @@
 		}
 		all = append(all, m)
 	}
-	return policy.Takers(all, widest(v.engine.Table()))
+	return policy.Eligible(all, widest(v.engine.Table()))
 }
 
 // widest returns the processor that a table's widest gather asks of a VM.
@@ -88,10 +88,10 @@
 	if ms == nil {
 		return 0
 	}
-	takers := v.takers(ms)
-	for _, m := range takers {
+	eligible := v.eligible(ms)
+	for _, m := range eligible {
 		if m.Name == v.conf.Name {
-			return len(takers)
+			return len(eligible)
 		}
 	}
 	return max(idleSharers*len(ms.Members), 1)
--- a/internal/entryvm/steer_test.go
+++ b/internal/entryvm/steer_test.go
@@ -54,9 +54,9 @@
 		ms.Members[2].Phase = vm.Draining
 		ms.Members[3].CallerAddr = ""
 		v.book.SetQuiet([]string{"self", "silent"})
-		So(names(v.takers(ms)), ShouldResemble, []string{"self", "well"})
+		So(names(v.eligible(ms)), ShouldResemble, []string{"self", "well"})
 		v.draining.Store(true)
-		So(names(v.takers(ms)), ShouldResemble, []string{"well"})
+		So(names(v.eligible(ms)), ShouldResemble, []string{"well"})
 	})
 }
 
@@ -88,8 +88,8 @@
 		{"nobody is there", 0, 0, 0, 0, 0, 0},
 	} {
 		Convey(c.what, t, func() {
-			takers := slices.Concat(group(c.near, "valley", "hall-1"), group(c.other, "valley", "hall-2"), group(c.far, "delta", "hall-9"))
-			got := named(takers, "valley", "hall-1")
+			eligible := slices.Concat(group(c.near, "valley", "hall-1"), group(c.other, "valley", "hall-2"), group(c.far, "delta", "hall-9"))
+			got := named(eligible, "valley", "hall-1")
 			count := func(domain string) (n int) {
 				for _, addr := range got {
 					if strings.HasPrefix(addr, domain) {
@@ -103,8 +103,8 @@
 		})
 	}
 	Convey("Lists of many daemons differ, so that none is named to all", t, func() {
-		takers := group(200, "valley", "hall-1")
-		So(named(takers, "valley", "hall-1"), ShouldNotResemble, named(takers, "valley", "hall-1"))
+		eligible := group(200, "valley", "hall-1")
+		So(named(eligible, "valley", "hall-1"), ShouldNotResemble, named(eligible, "valley", "hall-1"))
 	})
 }
 
@@ -124,10 +124,10 @@
 			all = append(all, &small)
 		}
 	}
-	takers := policy.Takers(all, policy.Millicores(87, 60*time.Millisecond))
+	eligible := policy.Eligible(all, policy.Millicores(87, 60*time.Millisecond))
 	lost := 0
 	for range asks {
-		list := named(takers, "valley", "hall-0")
+		list := named(eligible, "valley", "hall-0")
 		if strings.HasPrefix(list[0], "large-") && strings.HasPrefix(list[1], "large-") {
 			lost++
 		}
@@ -135,7 +135,7 @@
 	if share := float64(lost) / asks; share > 0.1 {
 		t.Errorf("%.2f of the callers reach nobody", share)
 	}
-	if len(takers) > len(all)/5 {
-		t.Errorf("%d of %d take callers: each holds connections to every leaf", len(takers), len(all))
+	if len(eligible) > len(all)/5 {
+		t.Errorf("%d of %d take callers: each holds connections to every leaf", len(eligible), len(all))
 	}
 }
--- a/internal/entryvm/tier.go
+++ b/internal/entryvm/tier.go
@@ -62,7 +62,7 @@
 		}
 		return []string{v.conf.CallerAddr}, keep
 	}
-	return named(v.takers(ms), region, domain), keep
+	return named(v.eligible(ms), region, domain), keep
 }
 
 // named returns whom to name to a caller: daemons of its region, else of all, those of
@@ -70,11 +70,11 @@
 //
 // Daemons of its own domain alone would leave it without any when the domain is lost,
 // and a caller that gets no new list from the lost ones either keeps the old one.
-func named(takers []*vm.Member, region, domain string) []string {
-	takers = slices.Clone(takers)
-	rand.Shuffle(len(takers), func(i, k int) { takers[i], takers[k] = takers[k], takers[i] })
+func named(eligible []*vm.Member, region, domain string) []string {
+	eligible = slices.Clone(eligible)
+	rand.Shuffle(len(eligible), func(i, k int) { eligible[i], eligible[k] = eligible[k], eligible[i] })
 	var near, other, far []string
-	for _, m := range takers {
+	for _, m := range eligible {
 		switch {
 		case m.Region != region:
 			far = append(far, m.CallerAddr)
--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -64,8 +64,8 @@
 	return p
 }
 
-// lastWord returns the answer of a request that can't be waited for any longer.
-func (r *run) lastWord() *Answer {
+// finalAnswer returns the answer of a request that can't be waited for any longer.
+func (r *run) finalAnswer() *Answer {
 	if r.have > 0 && r.have >= r.need {
 		return r.answer()
 	}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -161,7 +161,7 @@
 		case <-timer.C:
 			r.wake(time.Now())
 		case <-r.e.ending:
-			a := r.lastWord()
+			a := r.finalAnswer()
 			r.log(a)
 			return a
 		case <-ctx.Done():
--- a/internal/link/leaf/wire.go
+++ b/internal/link/leaf/wire.go
@@ -12,7 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
-	"pearmoor/internal/link/farend"
+	"pearmoor/internal/link/linger"
 )
 
 const (
@@ -82,7 +82,7 @@
 		return w.drop()
 	}
 	w.half.Store(true)
-	w.endOnce.Do(func() { farend.Await(w.Conn, endLimit, func() { _ = w.drop() }) })
+	w.endOnce.Do(func() { linger.Close(w.Conn, endLimit, func() { _ = w.drop() }) })
 	return nil
 }
 
--- a/internal/link/target/link.go
+++ b/internal/link/target/link.go
@@ -14,7 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sys/unix"
 
-	"pearmoor/internal/link/farend"
+	"pearmoor/internal/link/linger"
 )
 
 const (
@@ -343,7 +343,7 @@
 		l.ended()
 		return
 	}
-	farend.Await(c.Conn, endLimit, l.ended)
+	linger.Close(c.Conn, endLimit, l.ended)
 }
 
 // ended counts a connection out.
--- a/internal/policy/takers.go
+++ b/internal/policy/eligible.go
@@ -14,9 +14,9 @@
 	// its gather may take on a VM that callers are sent to. The rest is for the way
 	// to the caller and the leaves' own work.
 	gatherShare = 0.5
-	// fewTakers is how many daemons must be fit for the widest gathers to leave the
+	// fewEligible is how many daemons must be fit for the widest gathers to leave the
 	// others out: the loss of one must not leave all callers to the next.
-	fewTakers = 3
+	fewEligible = 3
 )
 
 // Millicores returns the processor that gathers over so many shards, wanted within
@@ -32,10 +32,10 @@
 	return uint32(1000 * float64(PartCost*time.Duration(shards)) / (gatherShare * float64(aim)))
 }
 
-// Takers returns the daemons that callers are sent to: those with the processor that
+// Eligible returns the daemons that callers are sent to: those with the processor that
 // the widest gathers need, or where too few have it, those that come closest; all where
 // even those are too few.
-func Takers(all []*vm.Member, need uint32) []*vm.Member {
+func Eligible(all []*vm.Member, need uint32) []*vm.Member {
 	largest := uint32(0)
 	for _, m := range all {
 		largest = max(largest, m.Millicores)
@@ -47,7 +47,7 @@
 				fit = append(fit, m)
 			}
 		}
-		if len(fit) >= fewTakers {
+		if len(fit) >= fewEligible {
 			return fit
 		}
 	}
--- a/internal/policy/takers_test.go
+++ b/internal/policy/eligible_test.go
@@ -28,16 +28,16 @@
 		So(need, ShouldEqual, 450)
 
 		Convey("the larger ones take callers", func() {
-			So(len(Takers(all, need)), ShouldEqual, 6)
+			So(len(Eligible(all, need)), ShouldEqual, 6)
 		})
 		Convey("narrow gathers go to all", func() {
-			So(len(Takers(all, Millicores(20, 60*time.Millisecond))), ShouldEqual, 26)
+			So(len(Eligible(all, Millicores(20, 60*time.Millisecond))), ShouldEqual, 26)
 		})
 		Convey("where none is fit those that come closest take callers", func() {
-			So(len(Takers(all, 2000)), ShouldEqual, 6)
+			So(len(Eligible(all, 2000)), ShouldEqual, 6)
 		})
 		Convey("where too few of them are left all take callers", func() {
-			So(len(Takers(all[4:], need)), ShouldEqual, 22)
+			So(len(Eligible(all[4:], need)), ShouldEqual, 22)
 		})
 	})
 }
