--- a/internal/entryvm/quarantine_test.go
+++ b/internal/entryvm/quarantine_test.go
@@ -406,8 +406,10 @@
 // A request that crashes each leaf that runs it comes again and again, at every VM in turn
 // and at VMs that have just started.
 func TestRequestThatCrashesLeavesStopsReachingThem(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct{ name, prefix string }{{"gather", gatherPath}, {"single", singlePath}} {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			tier := startCrashTier(t)
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
@@ -436,6 +438,7 @@
 
 // Every VM loses its memory at once, after a request was found to crash leaves.
 func TestQuarantineOutlastsARestartOfEverything(t *testing.T) {
+	t.Parallel()
 	tier := startCrashTier(t)
 	path := gatherPath + fatal
 	eventually(t, "the request is blocked", func() bool {
@@ -458,6 +461,7 @@
 // Racks lose power, leaves go down and up by turns, a service loses all leaves, again and
 // again, under requests that crash nothing.
 func TestLossesOfLeavesBlockNoRequest(t *testing.T) {
+	t.Parallel()
 	tier := startCrashTier(t)
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
