relay: a failing test of two relays lost together

The daemon's word came to the leader over one pool of connections at 4.0 s and over the other, which carries heartbeats, at 11.4 s only. Its two relays were cut off until 12.5 s.

Ruled out: a pool that is stuck (calls to the leader over it were never made), a leader that could not be reached. Each call to a relay costs what it is held and a margin that grows with its failures, more than the pause after which the other relay is asked again, so the two are asked in turn: 25 s in the test until a change is heard.

--- a/internal/relay/client_test.go
+++ b/internal/relay/client_test.go
@@ -155,6 +155,41 @@
 	})
 }
 
+// Both relays of a daemon are cut off silently while the leader answers. Callers would be
+// served by an older configuration for as long as the two are asked in turn, each while
+// the pause of the other ends.
+func TestBothRelaysLost(t *testing.T) {
+	inWorld(t, func(w *world) {
+		ds := w.startMany(24, 1, 6)
+		relay, _ := busiestRelay(ds)
+		child := ds[slices.IndexFunc(ds, func(d *daemon) bool {
+			r := d.relays()
+			return len(r) > 0 && r[0] == relay.client.cfg.Self.PeerAddr
+		})]
+		lost := child.relays()
+		for _, addr := range lost {
+			w.fabric.setCut(addr, true)
+		}
+		time.Sleep(100 * time.Millisecond)
+		var longest time.Duration
+		for i := range 60 {
+			w.move(i)
+			state, _ := w.leader.history.State()
+			want, began := state.ConfigVersion, time.Now()
+			for child.client.Current().ConfigVersion < want && time.Since(began) < time.Minute {
+				time.Sleep(10 * time.Millisecond)
+				synctest.Wait()
+			}
+			longest = max(longest, time.Since(began))
+			time.Sleep(700 * time.Millisecond)
+		}
+		Convey("the daemon asks the leader between them and hears of every change soon", t, func() {
+			So(len(lost), ShouldEqual, maxRelays)
+			So(longest, ShouldBeLessThan, 3*time.Second)
+		})
+	})
+}
+
 // A relay loses the leader but not its children. It has nothing to grant, says
 // so, and the children go elsewhere before their leases run out; meanwhile no
 // child believes a lease that the leader has given up.
