relay: after a relay has failed a control VM is asked first

Two relays that were cut off together were asked in turn: a call to one costs what it is held and its margin, 1.5 s to 4 s, more than the pause of the other (0.5 s and up). Now one failure of a relay puts control VMs before all relays until one of them has answered, and the margin of a relay grows to 1 s at most. A daemon whose relay is lost costs the leader one call for each time the relay is tried again (1 s to 30 s apart); of 3,600 daemons with a third of the relays lost that is 1,200 calls at first, spread over the ends of held calls.

Lost and regained upstreams are in the log, a line each: the finding could not be told from a stuck pool of connections without them.

--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -253,7 +253,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	addr, _ := c.up.pick(c.cfg.Clock())
-	return slices.Contains(c.up.relays, addr)
+	return c.up.isRelay(addr)
 }
 
 // push sends at once what can't wait for the next poll, and what children of this
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -16,8 +16,10 @@
 	// callMargin is how long a reply may take beyond the time it is held. A silent
 	// cut shows no other sign, so this and the hold bound what it costs.
 	callMargin = 500 * time.Millisecond
-	// maxCallMargin lets a slow upstream answer after several calls ran out.
-	maxCallMargin = 3 * time.Second
+	// maxCallMargin lets a slow upstream answer after several calls ran out. Beside a
+	// relay there are others to ask, and what is new is unheard while it is waited for.
+	maxCallMargin  = 3 * time.Second
+	maxRelayMargin = time.Second
 	// driftParts takes 1% off a lease: the clocks of two VMs may run that far apart
 	// before the daemon believes its lease longer than the leader does.
 	driftParts = 100
@@ -162,7 +164,11 @@
 func (c *Client) margin(addr string) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return min(callMargin+c.up.paused[addr].last, maxCallMargin)
+	most := maxCallMargin
+	if c.up.isRelay(addr) {
+		most = maxRelayMargin
+	}
+	return min(callMargin+c.up.paused[addr].last, most)
 }
 
 func (c *Client) noReply(ctx context.Context, addr string, err error) outcome {
@@ -173,10 +179,18 @@
 	klog.V(1).Infof("relay: no reply from %s: %v", addr, err)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.up.failed(addr, c.cfg.Clock())
+	c.passOver(addr, c.cfg.Clock(), err.Error())
 	return callFailed
 }
 
+// passOver leaves addr alone for a while. The caller holds mu.
+func (c *Client) passOver(addr string, now vm.Instant, why string) {
+	if !c.up.fails(addr) {
+		klog.Infof("relay: upstream lost addr=%s config=%d: %s", addr, c.view.ConfigVersion, why)
+	}
+	c.up.failed(addr, now)
+}
+
 // receive takes in a reply to a request sent at that instant. Granted reports
 // whether the leader confirmed what the request carried.
 func (c *Client) receive(addr string, sent vm.Instant, req *wire.SyncRequest, r *wire.SyncReply, push bool) (out outcome, granted bool) {
@@ -190,8 +204,8 @@
 	if leader := r.GetRedirect(); leader != "" && leader != addr {
 		// A relay on a control VM that does not lead has nothing to pass on. Tried
 		// first again and again, it would keep this daemon from the leader it names.
-		if slices.Contains(c.up.relays, addr) {
-			c.up.failed(addr, now)
+		if c.up.isRelay(addr) {
+			c.passOver(addr, now, "it names another as the leader")
 		}
 		c.publish(before)
 		return c.follow(addr, leader, now), false
@@ -213,10 +227,13 @@
 		// One that answers, but is itself cut off from the leader, is passed
 		// over like a lost one. A push is not held until the leader has answered.
 		if !push {
-			c.up.failed(addr, now)
+			c.passOver(addr, now, "it renews no lease")
 		}
 		return unconfirmed, granted
 	}
+	if c.up.fails(addr) {
+		klog.Infof("relay: upstream back addr=%s config=%d", addr, c.view.ConfigVersion)
+	}
 	c.up.worked(addr)
 	// A reply may bring what a reply to the other lane has just brought. It came
 	// early all the same: waiting for the rest of the interval would leave no call
@@ -240,7 +257,7 @@
 	if c.up.redirected(leader, now) {
 		return redirected
 	}
-	c.up.failed(addr, now)
+	c.passOver(addr, now, "it names a leader that was just lost")
 	return unconfirmed
 }
 
--- a/internal/relay/upstream.go
+++ b/internal/relay/upstream.go
@@ -38,6 +38,7 @@
 
 	relaysFor *vm.Membership // membership that relays were worked out from
 	relays    []string
+	direct    bool // a relay has failed, and no control VM has answered since
 }
 
 type pause struct {
@@ -90,8 +91,13 @@
 	return slices.Concat(sorted[first:], sorted[:first])
 }
 
-// candidates lists the addresses to sync with, best first.
+// candidates lists the addresses to sync with, best first. After a relay has failed a
+// control VM is asked before any relay: two that are lost would else be asked in turn,
+// each while the pause of the other ends, beside a leader that answers.
 func (u *upstreams) candidates() []string {
+	if u.direct {
+		return slices.Concat(u.controlVMs(), u.relays)
+	}
 	return slices.Concat(u.relays, u.controlVMs())
 }
 
@@ -146,8 +152,9 @@
 // failed passes addr over for a while.
 func (u *upstreams) failed(addr string, now vm.Instant) {
 	first, most := firstControlPause, maxControlPause
-	if slices.Contains(u.relays, addr) {
+	if u.isRelay(addr) {
 		first, most = firstRelayPause, maxRelayPause
+		u.direct = true
 	}
 	last := min(max(first, 2*u.paused[addr].last), most)
 	u.paused[addr] = pause{until: now.Add(u.jitter(last)), last: last}
@@ -156,8 +163,16 @@
 	}
 }
 
+// fails reports whether addr has failed and not worked since.
+func (u *upstreams) fails(addr string) bool { return u.paused[addr].last > 0 }
+
 // worked forgets earlier failures of addr.
-func (u *upstreams) worked(addr string) { delete(u.paused, addr) }
+func (u *upstreams) worked(addr string) {
+	delete(u.paused, addr)
+	u.direct = u.direct && u.isRelay(addr)
+}
+
+func (u *upstreams) isRelay(addr string) bool { return slices.Contains(u.relays, addr) }
 
 // redirected takes addr as the leader. It reports false when addr was just found
 // not to work: the one who names it has not noticed yet.
