--- a/internal/relay/client_test.go
+++ b/internal/relay/client_test.go
@@ -190,6 +190,45 @@
 	})
 }
 
+// naming is a control VM that does not lead and names the one that does.
+type naming struct {
+	*modelLeader
+	leader string
+}
+
+func (n naming) Sync(context.Context, *wire.SyncRequest) (*wire.SyncReply, error) {
+	return &wire.SyncReply{Redirect: n.leader}, nil
+}
+
+// A daemon is cut off, and meanwhile a relay of it that is a control VM is elected. The
+// other control VMs name that one. Callers would be served by an older configuration
+// until it is no longer passed over, as relays are for up to half a minute.
+func TestRelayElectedWhileCutOff(t *testing.T) {
+	inWorld(t, func(w *world) {
+		ds := w.startMany(24, 1, 6)
+		child := ds[slices.IndexFunc(ds, func(d *daemon) bool { return len(d.relays()) > 0 })]
+		elected := child.relays()[0]
+		child.upstreams(func(u *upstreams) { u.setControl([]string{leaderAddr, elected}) })
+		self := child.client.cfg.Self.PeerAddr
+		w.fabric.setCut(self, true)
+		time.Sleep(8 * time.Second)
+		w.fabric.serve(elected, w.leader)
+		w.fabric.serve(leaderAddr, naming{w.leader, elected})
+		w.move(1)
+		state, _ := w.leader.history.State()
+		w.fabric.setCut(self, false)
+		began := time.Now()
+		for child.client.Current().ConfigVersion < state.ConfigVersion && time.Since(began) < time.Minute {
+			time.Sleep(10 * time.Millisecond)
+			synctest.Wait()
+		}
+		took := time.Since(began)
+		Convey("the daemon hears of a change soon after the cut", t, func() {
+			So(took, ShouldBeLessThan, 3*time.Second)
+		})
+	})
+}
+
 // A relay loses the leader but not its children. It has nothing to grant, says
 // so, and the children go elsewhere before their leases run out; meanwhile no
 // child believes a lease that the leader has given up.
