relay: a control VM is asked as a control VM, never as a relay

A daemon whose relay is a control VM passed it over as a relay after failures, 1 s doubled to 30 s, also when it was elected meanwhile; the other control VMs named it and were passed over for naming one that was just lost.

--- a/internal/relay/upstream.go
+++ b/internal/relay/upstream.go
@@ -95,10 +95,11 @@
 // control VM is asked before any relay: two that are lost would else be asked in turn,
 // each while the pause of the other ends, beside a leader that answers.
 func (u *upstreams) candidates() []string {
+	relays := slices.DeleteFunc(slices.Clone(u.relays), func(a string) bool { return !u.isRelay(a) })
 	if u.direct {
-		return slices.Concat(u.controlVMs(), u.relays)
+		return slices.Concat(u.controlVMs(), relays)
 	}
-	return slices.Concat(u.relays, u.controlVMs())
+	return slices.Concat(relays, u.controlVMs())
 }
 
 // controlVMs lists the addresses where control VMs may be, best first. The one that
@@ -172,7 +173,11 @@
 	u.direct = u.direct && u.isRelay(addr)
 }
 
-func (u *upstreams) isRelay(addr string) bool { return slices.Contains(u.relays, addr) }
+// isRelay reports whether addr is asked as a relay. A control VM is not: it passes
+// nothing on, and passed over as long as a relay it could not be followed once it leads.
+func (u *upstreams) isRelay(addr string) bool {
+	return slices.Contains(u.relays, addr) && !slices.Contains(u.control, addr)
+}
 
 // redirected takes addr as the leader. It reports false when addr was just found
 // not to work: the one who names it has not noticed yet.
