entryvm: a daemon finds out for itself which VMs callers can't reach

What callers saw: while all VMs fit for the widest gathers were lost together, as after a loss of power at the VMs with a disk, every address list named these only, for as long as they were away. The leader, which tells who is silent, was lost with them. Small VMs went on to ask the lost ones for parts of gathers.

Change: before a daemon names VMs to a caller it probes two of them, at most four times a second. If neither answers it probes all and asks three others whether they reach any; without such a witness it takes itself for the one that is cut off. A daemon that callers are not sent to asks others like itself for parts.

With the probe taken out TestListsNameSmallVMsWhileAllLargeOnesAreLost fails ("callers are sent to [large-0 large-1 large-2]").

--- a/internal/entryvm/near.go
+++ b/internal/entryvm/near.go
@@ -37,19 +37,19 @@
 func newNearDaemons(v *VM) *nearDaemons { return &nearDaemons{v: v, byAddr: make(map[string]*helper)} }
 
 // Daemon implements forward.Near: the one with the fewest calls of this daemon under
-// way, of those that take callers in the domain.
+// way, of its helpers in the domain.
 func (n *nearDaemons) Daemon(domain string) string {
 	ms := n.v.client.Current().Members()
 	if ms == nil {
 		return ""
 	}
-	eligible := n.v.eligible(ms)
+	helpers := n.v.helpers(ms)
 	now := vm.Monotonic()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var best *helper
 	addr, ties := "", 0
-	for _, m := range eligible {
+	for _, m := range helpers {
 		if m.Domain != domain || m.PeerAddr == n.v.conf.PeerAddr {
 			continue
 		}
--- /dev/null
+++ b/internal/entryvm/reach_test.go
@@ -0,0 +1,127 @@
+package entryvm
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pearmoor/internal/route"
+	"pearmoor/internal/vm"
+)
+
+// reachTier is one small VM, others like it, and large ones that callers are sent to.
+type reachTier struct {
+	self           *VM
+	ms             *vm.Membership
+	largeN, smallN int
+}
+
+// newReachTier starts a tier. VMs that are lost accept connections and answer nothing.
+func newReachTier(t *testing.T, largeLost, smallLost bool) *reachTier {
+	t.Helper()
+	tier := &reachTier{ms: &vm.Membership{}, largeN: 3, smallN: 4}
+	add := func(name string, millicores uint32, lost bool) *VM {
+		lis := listen(t)
+		m := member(name, "hall-1", millicores)
+		m.PeerAddr = lis.Addr().String()
+		tier.ms.Members = append(tier.ms.Members, m)
+		v := testVM(t, name, m.PeerAddr, "")
+		v.engine.Install(wideTable(), 1)
+		if lost {
+			t.Cleanup(func() { _ = lis.Close() })
+		} else {
+			serve(t, v, lis)
+		}
+		return v
+	}
+	for i := range tier.largeN {
+		add(fmt.Sprintf("large-%d", i), 512, largeLost)
+	}
+	for i := range tier.smallN - 1 {
+		add(fmt.Sprintf("small-%d", i), 192, smallLost)
+	}
+	tier.self = add("self", 192, false)
+	return tier
+}
+
+// wideTable has a gather that is too wide for small VMs.
+func wideTable() *route.Table {
+	r := &route.Release{Number: 1}
+	wide := route.Route{Name: "wide", Host: "shop.example", Prefix: "/all/", Repeatable: true, Timeout: time.Second, TargetLatency: 60 * time.Millisecond, Top: 5, Attempts: 1}
+	for i := range 87 {
+		name := fmt.Sprintf("shard-%d", i)
+		r.Services = append(r.Services, route.Service{Name: name, Connections: 10})
+		wide.Shards = append(wide.Shards, name)
+	}
+	r.Routes = []route.Route{wide}
+	return route.NewTable(r)
+}
+
+func (tier *reachTier) named(t *testing.T) []string {
+	t.Helper()
+	out := names(tier.self.reachable(tier.ms))
+	slices.Sort(out)
+	return out
+}
+
+var (
+	largeNames = []string{"large-0", "large-1", "large-2"}
+	smallNames = []string{"self", "small-0", "small-1", "small-2"}
+)
+
+// Guards against address lists that name lost VMs only while the leader, lost with them, can't tell.
+func TestListsNameSmallVMsWhileAllLargeOnesAreLost(t *testing.T) {
+	if got := newReachTier(t, true, false).named(t); !slices.Equal(got, smallNames) {
+		t.Errorf("callers are sent to %v", got)
+	}
+}
+
+// Guards against small VMs in address lists while large ones can be reached.
+func TestListsNameLargeVMsOnly(t *testing.T) {
+	tier := newReachTier(t, false, false)
+	for range 3 {
+		if got := tier.named(t); !slices.Equal(got, largeNames) {
+			t.Errorf("callers are sent to %v", got)
+		}
+	}
+}
+
+// Guards against a daemon that is cut off from the tier and sends its callers to small VMs.
+func TestCutOffDaemonNamesLargeVMs(t *testing.T) {
+	if got := newReachTier(t, true, true).named(t); !slices.Equal(got, largeNames) {
+		t.Errorf("callers are sent to %v", got)
+	}
+}
+
+// Guards against large VMs being left out of address lists long after they are back.
+func TestLargeVMsAreNamedAgain(t *testing.T) {
+	tier := newReachTier(t, true, false)
+	_ = tier.named(t)
+	for i := range tier.largeN {
+		m := &tier.ms.Members[i]
+		lis := listen(t)
+		m.PeerAddr = lis.Addr().String()
+		v := testVM(t, m.Name, m.PeerAddr, "")
+		v.engine.Install(wideTable(), 1)
+		serve(t, v, lis)
+	}
+	tier.ms = &vm.Membership{Members: tier.ms.Members}
+	if got := tier.named(t); !slices.Equal(got, largeNames) {
+		t.Errorf("callers are sent to %v", got)
+	}
+}
+
+// Guards against gathers at small VMs that wait for parts from lost large ones.
+func TestSmallVMsAskSmallVMsForParts(t *testing.T) {
+	tier := newReachTier(t, true, false)
+	if got := names(tier.self.helpers(tier.ms)); slices.ContainsFunc(got, func(n string) bool { return strings.HasPrefix(n, "large") }) || len(got) == 0 {
+		t.Errorf("a small VM asks %v", got)
+	}
+	large := testVM(t, "large-0", tier.ms.Members[0].PeerAddr, "")
+	large.engine.Install(wideTable(), 1)
+	if got := names(large.helpers(tier.ms)); !slices.Equal(got, largeNames) {
+		t.Errorf("a large VM asks %v", got)
+	}
+}
--- a/internal/entryvm/steer.go
+++ b/internal/entryvm/steer.go
@@ -21,24 +21,67 @@
 	mu       sync.Mutex
 	of       *vm.Membership
 	at       vm.Instant
+	serving  []*vm.Member
 	eligible []*vm.Member
+	others   []*vm.Member // serving, and not eligible
 }
 
 // eligible returns the daemons that callers are sent to: of those that serve and are not
 // silent, those that policy.Eligible chooses.
 func (v *VM) eligible(ms *vm.Membership) []*vm.Member {
+	eligible, _, _ := v.choice(ms)
+	return eligible
+}
+
+// choice returns the daemons that callers are sent to, the others that serve, and both.
+func (v *VM) choice(ms *vm.Membership) (eligible, others, serving []*vm.Member) {
 	now := vm.Monotonic()
 	v.steer.mu.Lock()
 	defer v.steer.mu.Unlock()
 	if v.steer.of != ms || now.Sub(v.steer.at) >= steerEvery || v.draining.Load() {
 		before := v.steer.eligible
 		v.steer.of, v.steer.at = ms, now
-		v.steer.eligible = v.chooseEligible(ms)
+		v.steer.serving = v.serving(ms)
+		v.steer.eligible = policy.Eligible(v.steer.serving, widest(v.engine.Table()))
+		v.steer.others = without(v.steer.serving, v.steer.eligible)
 		if !slices.EqualFunc(before, v.steer.eligible, sameName) {
 			klog.Infof("entry: callers are sent to %v of %d daemons", memberNames(v.steer.eligible), len(ms.Members))
 		}
 	}
-	return v.steer.eligible
+	return v.steer.eligible, v.steer.others, v.steer.serving
+}
+
+// reachable returns the daemons that callers are sent to, as far as this daemon can reach
+// them: others in place of those that are lost.
+func (v *VM) reachable(ms *vm.Membership) []*vm.Member {
+	eligible, others, serving := v.choice(ms)
+	v.prober.check(eligible, others)
+	if left := v.prober.without(serving); len(left) < len(serving) {
+		return policy.Eligible(left, widest(v.engine.Table()))
+	}
+	return eligible
+}
+
+// helpers returns the daemons that this one asks for parts of a gather: those that callers
+// are sent to. A daemon that they are not sent to gets a gather only while those are out of
+// reach, and asks others like itself.
+func (v *VM) helpers(ms *vm.Membership) []*vm.Member {
+	eligible, others, _ := v.choice(ms)
+	if slices.ContainsFunc(eligible, func(m *vm.Member) bool { return m.Name == v.conf.Name }) {
+		return eligible
+	}
+	return others
+}
+
+// without returns the members that are not among some, which has the same order.
+func without(all, some []*vm.Member) []*vm.Member {
+	return slices.DeleteFunc(slices.Clone(all), func(m *vm.Member) bool {
+		found := len(some) > 0 && some[0] == m
+		if found {
+			some = some[1:]
+		}
+		return found
+	})
 }
 
 func sameName(a, b *vm.Member) bool { return a.Name == b.Name }
@@ -51,7 +94,8 @@
 	return out
 }
 
-func (v *VM) chooseEligible(ms *vm.Membership) []*vm.Member {
+// serving returns the daemons that serve and are not silent.
+func (v *VM) serving(ms *vm.Membership) []*vm.Member {
 	quiet := v.book.Quiet()
 	var all []*vm.Member
 	for i := range ms.Members {
@@ -62,7 +106,7 @@
 		}
 		all = append(all, m)
 	}
-	return policy.Eligible(all, widest(v.engine.Table()))
+	return all
 }
 
 // widest returns the processor that a table's widest gather asks of a VM.
--- a/internal/entryvm/tier.go
+++ b/internal/entryvm/tier.go
@@ -62,7 +62,7 @@
 		}
 		return []string{v.conf.CallerAddr}, keep
 	}
-	return named(v.eligible(ms), region, domain), keep
+	return named(v.reachable(ms), region, domain), keep
 }
 
 // named returns whom to name to a caller: daemons of its region, else of all, those of
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -45,6 +45,7 @@
 	mux          atomic.Pointer[drpcmux.Mux]
 
 	steer    steering
+	prober   *prober
 	draining atomic.Bool
 	release  atomic.Uint64 // number of the release in force here
 	// releaseBytes is about what a read of it takes.
@@ -65,6 +66,7 @@
 		Self: self, Control: v.contacts(), Conns: v.controlConns, Clock: vm.Now, Restarts: true, Eager: true,
 		Interval: heartbeatEvery,
 	})
+	v.prober = newProber(v)
 	v.book = discovery.NewBook(vm.Monotonic)
 	v.finder = discovery.NewFinder(discovery.Config{
 		Source: conf.Source, Conns: v.otherConns, Clock: vm.Monotonic,
