forward: a request of which nothing was sent is refused as not run

What callers saw: 504 or 502, "may have run", for requests that never reached a leaf, for instance while a leaf's VM has no power and connects to it get no answer. A request that may run only once is not tried again after these.

Cause: giving up took each send in flight for one that may have run, also one that still waited for a connection. A call knew whether it had been attached to a connection, and told nobody.

Change: giving up first abandons the sends in flight, after which a call that is not attached to a connection never is; then it asks which were. Sends through another daemon count from the moment a stream to it is open. So "not run" stays provable: TestWithdrawnCallSendsNothing, and TestGatherThatLeftForOneLeafMayHaveRun for a gather of which one part was sent.

--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -111,10 +111,9 @@
 // giveUp returns the final answer of a request without success.
 func (r *run) giveUp(reason contract.Reason) *Answer {
 	verdict := r.verdict
-	for i := range r.shards {
-		if len(r.shards[i].flights) > 0 {
-			verdict = verdict.Join(contract.MayHaveRun)
-		}
+	r.abandon()
+	if r.sent() {
+		verdict = verdict.Join(contract.MayHaveRun)
 	}
 	a := &Answer{Verdict: verdict, Reason: reason}
 	if r.lastErr != nil {
@@ -151,7 +150,7 @@
 	return policy.ComeBack(r.last.RetryAfter)
 }
 
-// abandon lets go of what is still under way.
+// abandon cancels the sends in flight.
 func (r *run) abandon() {
 	for i := range r.shards {
 		for _, f := range r.shards[i].flights {
@@ -163,6 +162,19 @@
 	}
 }
 
+// sent reports whether any of the sends in flight may have reached a leaf, or still may
+// unless they were abandoned.
+func (r *run) sent() bool {
+	for i := range r.shards {
+		for _, f := range r.shards[i].flights {
+			if f.batch == nil && f.call.Sent() || f.batch != nil && f.batch.sent() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (r *run) log(a *Answer) {
 	what := "answered"
 	if a.Status >= http.StatusInternalServerError && a.Header == nil {
--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -243,17 +243,24 @@
 func (b *batch) opened(stream wire.DRPCGather_ScatterClient) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.over {
+		return false
+	}
 	b.stream = stream
-	return !b.over
+	return true
 }
 
 // release tells the daemon that nobody waits any more. A stream that is closed keeps
 // its connection, where one whose context ends loses it.
 func (b *batch) release() {
 	b.mu.Lock()
+	before := b.over
 	b.over = true
 	stream := b.stream
 	b.mu.Unlock()
+	if before {
+		return
+	}
 	if stream == nil {
 		b.cancel() // nothing was sent yet
 		return
@@ -261,6 +268,13 @@
 	go func() { _ = stream.CloseSend() }() // the stream's end shows a failure
 }
 
+// sent reports whether the daemon may have got the request, once it is released.
+func (b *batch) sent() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.stream != nil
+}
+
 func (b *batch) receive(reply *wire.ScatterReply) {
 	set := &partSet{records: reply.Records, before: b.newest}
 	b.newest = set
--- /dev/null
+++ b/internal/forward/unsent_test.go
@@ -0,0 +1,78 @@
+package forward
+
+import (
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"pearmoor/internal/contract"
+	"pearmoor/internal/link/target"
+	"pearmoor/internal/route"
+)
+
+// unreachableLeaf returns a leaf whose address accepts no further connection: a connect to
+// it gets no answer, as from a VM without power.
+func unreachableLeaf(t *testing.T) *fakeLeaf {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	at, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := (&net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: at.(*syscall.SockaddrInet4).Port}).String()
+	for range 16 {
+		c, err := net.DialTimeout("tcp", addr, 100*time.Millisecond)
+		if err != nil {
+			return &fakeLeaf{addr: addr}
+		}
+		t.Cleanup(func() { _ = c.Close() })
+	}
+	t.Fatal("the address accepts every connection")
+	return nil
+}
+
+// Guards against "may have run" for a request of which nothing was sent to any leaf when its time is over.
+func TestRequestThatNeverLeftIsNotRun(t *testing.T) {
+	rt := once("s")
+	rt.Timeout = 300 * time.Millisecond
+	w := newWorld(t, rt, map[string][]*fakeLeaf{"s": {unreachableLeaf(t)}})
+	resp, text := w.do(t, http.MethodPost, "/", "charge")
+	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("status %d %q, come back %q", resp.StatusCode, text, resp.Header.Get("Retry-After"))
+	}
+}
+
+// Guards against "not run" for a gather of which one part has been sent to a leaf.
+func TestGatherThatLeftForOneLeafMayHaveRun(t *testing.T) {
+	rt := route.Route{Shards: []string{"s0", "s1"}, Attempts: 1, Repeatable: true, Top: 2, LeastCoverage: 1, Timeout: 300 * time.Millisecond}
+	quiet := startLeaf(t, silent)
+	w := newWorld(t, rt, map[string][]*fakeLeaf{"s0": {unreachableLeaf(t)}, "s1": {quiet}})
+	resp, text := w.do(t, http.MethodGet, "/", "")
+	if resp.StatusCode != http.StatusGatewayTimeout || quiet.runs.Load() != 1 {
+		t.Errorf("status %d %q, %d runs", resp.StatusCode, text, quiet.runs.Load())
+	}
+}
+
+// Guards against a send that is withdrawn as not run and goes out after all.
+func TestWithdrawnCallSendsNothing(t *testing.T) {
+	leaf := startLeaf(t, answers("done"))
+	call := &target.Call{}
+	call.Abandon()
+	link := target.NewLink("i", leaf.addr, 2)
+	_, err := link.Do(call, &target.Request{Dialect: testDialect, Method: http.MethodGet, ID: "id", Deadline: time.Now().Add(time.Second)})
+	if err == nil || err.Verdict != contract.NotRun || call.Sent() || len(leaf.requests()) != 0 {
+		t.Errorf("err %v, %d requests reached the leaf", err, len(leaf.requests()))
+	}
+}
--- a/internal/link/target/exchange.go
+++ b/internal/link/target/exchange.go
@@ -65,6 +65,7 @@
 type Call struct {
 	mu        sync.Mutex
 	conn      *conn
+	attached  bool // to a connection, be it given back since
 	abandoned bool
 	cancel    context.CancelFunc
 }
@@ -72,10 +73,6 @@
 // Abandon says that nobody waits for the reply any more. Its connection is closed, and
 // the leaf drops the request with it: left to work on it, a leaf that has paused or is
 // slow would first go through all that nobody waits for.
-//
-// With replies read for 150 ms more, to save the new connections, the mean worth of 15
-// days with trouble on 11 VMs was 0.793, with 20 ms 0.796, with 4 ms 0.801 and without
-// 0.803, at one new connection in eight more (19,000 for 17,000 a day).
 func (c *Call) Abandon() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -91,6 +88,14 @@
 	}
 }
 
+// Sent reports whether any of the request may have been sent. Of a call that was abandoned
+// before, nothing will be.
+func (c *Call) Sent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.attached
+}
+
 // attach binds the call to a connection right before the first byte is written.
 // It reports false when the call has been abandoned: nothing may be sent then.
 func (c *Call) attach(cn *conn, deadline time.Time) bool {
@@ -99,7 +104,7 @@
 	if c.abandoned {
 		return false
 	}
-	c.conn = cn
+	c.conn, c.attached = cn, true
 	_ = cn.SetDeadline(deadline.Add(lateGrace))
 	return true
 }
