entryvm: VMs that callers are sent to are probed in the background

A daemon that callers ask for lists now probes one VM every 0.5 s, a second if the first does not answer within 30 ms, and an answer is relied on until the next probe. Only the first list after a while waits.

--- a/internal/entryvm/reach.go
+++ b/internal/entryvm/reach.go
@@ -20,15 +20,19 @@
 	// probes others on behalf of this one.
 	probeTime   = 100 * time.Millisecond
 	witnessTime = 2 * probeTime
-	// probeEvery is how long the outcome of a probe that was answered is relied on.
-	probeEvery = 250 * time.Millisecond
+	// probeEvery is the time between two probes while callers ask for address lists,
+	// and probedFor how long after the last one they go on. An answer is relied on for
+	// freshFor.
+	probeEvery = 500 * time.Millisecond
+	probedFor  = 5 * time.Second
+	freshFor   = probeEvery + probeTime
 	// lostFor is how long a daemon that was found lost is left out of address lists
 	// before it is probed again.
 	lostFor = 500 * time.Millisecond
-	// sampled is how many of the daemons that accept client traffic are probed for one
-	// address list, and witnesses how many others are asked about those that do not answer.
-	sampled   = 2
-	witnesses = 3
+	// A second daemon is probed when the first has not answered within secondAfter, and
+	// all when neither does. Then witnesses others are asked about them.
+	secondAfter = 30 * time.Millisecond
+	witnesses   = 3
 	// mostProbed bounds the daemons probed for one call.
 	mostProbed = 64
 )
@@ -43,10 +47,11 @@
 type prober struct {
 	v *VM
 
-	mu    sync.Mutex
-	okAt  vm.Instant // when a sample was last answered
-	round chan struct{}
-	lost  map[string]vm.Instant // by peer address, until when
+	mu      sync.Mutex
+	askedAt vm.Instant // when an address list was asked for last
+	okAt    vm.Instant // when a probe was last answered
+	round   chan struct{}
+	lost    map[string]vm.Instant // by peer address, until when
 }
 
 func newProber(v *VM) *prober { return &prober{v: v, lost: make(map[string]vm.Instant)} }
@@ -67,15 +72,39 @@
 	return slices.DeleteFunc(slices.Clone(ms), func(m *vm.Member) bool { _, lost := p.lost[m.PeerAddr]; return lost })
 }
 
-// check probes a sample of candidates, and when none of it answers all of them. It returns
-// once it is known which are lost. Without others to name instead nothing is probed.
+// run probes for as long as callers ask for address lists, until ctx ends.
+func (p *prober) run(ctx context.Context) {
+	for vm.Sleep(ctx, probeEvery) {
+		p.mu.Lock()
+		wanted := p.askedAt != 0 && vm.Monotonic().Sub(p.askedAt) < probedFor
+		p.mu.Unlock()
+		if ms := p.v.client.Current().Members(); wanted && ms != nil {
+			eligible, others, _ := p.v.choice(ms)
+			p.probeSome(eligible, others)
+		}
+	}
+}
+
+// check returns once it is known whether candidates can be reached, which mostly it is.
 func (p *prober) check(candidates, others []*vm.Member) {
-	addrs := p.addrs(candidates)
 	p.mu.Lock()
-	if len(addrs) == 0 || len(others) == 0 || p.okAt != 0 && vm.Monotonic().Sub(p.okAt) < probeEvery {
-		p.mu.Unlock()
+	now := vm.Monotonic()
+	p.askedAt = now
+	fresh := p.round == nil && p.okAt != 0 && now.Sub(p.okAt) < freshFor
+	p.mu.Unlock()
+	if !fresh {
+		p.probeSome(candidates, others)
+	}
+}
+
+// probeSome probes two of the candidates, and all when neither answers. Without others to
+// name instead it does nothing.
+func (p *prober) probeSome(candidates, others []*vm.Member) {
+	addrs := p.addrs(candidates)
+	if len(addrs) == 0 || len(others) == 0 {
 		return
 	}
+	p.mu.Lock()
 	over := p.round
 	if over == nil {
 		over = make(chan struct{})
@@ -101,19 +130,8 @@
 // examine is one round; it closes over.
 func (p *prober) examine(candidates, others []string, over chan struct{}) {
 	began := time.Now()
-	sample := candidates[:min(len(candidates), sampled)]
-	answers := make(chan bool, len(sample))
-	for _, addr := range sample {
-		go func() { answers <- p.answers(addr) }()
-	}
-	reached := 0
-	for range sample {
-		if <-answers {
-			reached++
-			break
-		}
-	}
-	if reached > 0 {
+	sample := candidates[:min(len(candidates), 2)]
+	if p.anyAnswers(sample) {
 		p.end(over, true)
 		return
 	}
@@ -127,6 +145,34 @@
 	p.end(over, false)
 }
 
+// anyAnswers reports whether one of the addresses answers. Each is probed only when those
+// before it have not answered for a while.
+func (p *prober) anyAnswers(addrs []string) bool {
+	answers := make(chan bool, len(addrs))
+	due := time.NewTimer(0)
+	defer due.Stop()
+	for open := 0; open > 0 || len(addrs) > 0; {
+		select {
+		case <-due.C:
+			if len(addrs) == 0 {
+				continue
+			}
+			addr := addrs[0]
+			addrs = addrs[1:]
+			open++
+			go func() { answers <- p.answers(addr) }()
+			due.Reset(secondAfter)
+		case ok := <-answers:
+			if ok {
+				return true
+			}
+			open--
+			due.Reset(0)
+		}
+	}
+	return false
+}
+
 func (p *prober) end(over chan struct{}, answered bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -238,6 +238,7 @@
 	g.Go(func() error { v.install(ctx); return nil })
 	g.Go(func() error { v.findGroup(ctx); return nil })
 	g.Go(func() error { v.quarantine.Run(ctx); return nil })
+	g.Go(func() error { v.prober.run(ctx); return nil })
 	if lis.Callers != nil {
 		g.Go(func() error { return v.server.Serve(ctx, lis.Callers) })
 	}
