--- a/internal/entryvm/config.go
+++ b/internal/entryvm/config.go
@@ -66,4 +66,8 @@
 	// caller that tries it a second.
 	heartbeatEvery = 500 * time.Millisecond
 	quietAfter     = 1400 * time.Millisecond
+	// addressLifetime is how long callers are told to keep an address list: no longer
+	// than they wait for a connection, so that the second attempt of a caller that was
+	// sent to a lost VM is made with a new list.
+	addressLifetime = time.Second
 )
--- a/internal/entryvm/tier.go
+++ b/internal/entryvm/tier.go
@@ -14,7 +14,6 @@
 
 	"pearmoor/internal/link/peer"
 	"pearmoor/internal/link/wire"
-	"pearmoor/internal/policy"
 	"pearmoor/internal/relay"
 	"pearmoor/internal/route"
 	"pearmoor/internal/settings"
@@ -55,20 +54,15 @@
 // Addresses returns the entry addresses for a caller in that domain, and for how
 // many seconds to keep them.
 func (v *VM) Addresses(_, region, domain string) ([]string, float64) {
+	keep := min(addressLifetime, v.conf.Lifetime).Seconds()
 	ms := v.client.Current().Members()
 	if ms == nil {
 		if v.draining.Load() || v.conf.CallerAddr == "" {
 			return nil, 0
 		}
-		return []string{v.conf.CallerAddr}, v.keepFor(1, 1)
+		return []string{v.conf.CallerAddr}, keep
 	}
-	addrs := named(v.reachable(ms), region, domain)
-	return addrs, v.keepFor(len(addrs), len(ms.Members))
-}
-
-// keepFor returns for how many seconds to keep a list of so many of the tier's daemons.
-func (v *VM) keepFor(named, daemons int) float64 {
-	return min(policy.ListLifetime(named, daemons), v.conf.Lifetime).Seconds()
+	return named(v.reachable(ms), region, domain), keep
 }
 
 // named returns whom to name to a caller: daemons of its region, else of all, those of
--- a/internal/policy/eligible.go
+++ b/internal/policy/eligible.go
@@ -17,24 +17,8 @@
 	// fewEligible is how many daemons must be fit for the widest gathers to leave the
 	// others out: the loss of one must not leave all callers to the next.
 	fewEligible = 3
-	// longestList and shortestList bound how long callers are told to keep an address
-	// list. The shortest is as long as they wait for a connection, so that the second
-	// attempt of a caller that was sent to a lost VM is made with a new list.
-	longestList  = 4 * time.Second
-	shortestList = time.Second
 )
 
-// ListLifetime returns how long callers should keep a list of so many of the tier's daemons.
-//
-// A new list keeps them from VMs that are lost since, but costs a second when the daemon
-// that is asked for it is lost. The fewer are named, the less do the two go together.
-func ListLifetime(named, daemons int) time.Duration {
-	if named >= daemons {
-		return longestList
-	}
-	return max(shortestList, longestList*time.Duration(named)/time.Duration(daemons))
-}
-
 // Millicores returns the processor that gathers over so many shards, wanted within
 // aim, ask of a VM, in thousandths of a core.
 //
