--- a/internal/entryvm/config.go
+++ b/internal/entryvm/config.go
@@ -66,8 +66,8 @@
 	// caller that tries it a second.
 	heartbeatEvery = 500 * time.Millisecond
 	quietAfter     = 1400 * time.Millisecond
-	// addressLifetime is how long callers are told to keep an address list: no longer
-	// than they wait for a connection, so that the second attempt of a caller that was
-	// sent to a lost VM is made with a new list.
-	addressLifetime = time.Second
+	// addressLifetime is how long callers are told to keep an address list. A short one
+	// keeps them from a VM that leaves or is lost; a long one from asking for a new
+	// list, which costs a second each time that a VM without power is asked first.
+	addressLifetime = 4 * time.Second
 )
