discovery: a lost upstream costs the list of leaves one call, not each second one

What callers saw: nothing yet. While the relay that is asked first is lost, each list of leaves comes up to 1.4 s late, with crashed and draining leaves in use for as long.

Cause: after each answer the daemon began with the first upstream again, whatever became of the calls to it; the class of relays-lost-together.

Change: an upstream that does not answer, or has nothing newer, is passed over for longer than a call to it takes, doubled up to 15 s. When all are passed over the one whose pause ends first is asked, so a daemon that was cut off itself asks at once.

--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -49,9 +50,13 @@
 	watchHold   = time.Second
 	watchMargin = 400 * time.Millisecond // beyond the hold; a silent cut shows no other sign
 	// leafBytes is what a leaf takes in a reply, at most.
-	leafBytes   = 160
-	watchRetry  = 100 * time.Millisecond
-	readTimeout = 2 * time.Second
+	leafBytes  = 160
+	watchRetry = 100 * time.Millisecond
+	// pauseFirst and pauseLongest bound how long an upstream is passed over after calls to
+	// it were of no use: at first for longer than such a call takes.
+	pauseFirst   = 2 * (watchHold + watchMargin)
+	pauseLongest = 15 * time.Second
+	readTimeout  = 2 * time.Second
 )
 
 // Finder keeps a Book up to date.
@@ -200,32 +205,73 @@
 // watch asks another daemon for news while this one is not the reader.
 func (f *Finder) watch(ctx context.Context) {
 	f.first(ctx)
-	next := 0
+	failing := make(upstreamPauses)
+	last := "" // where the newest list is from
 	for ctx.Err() == nil {
-		ups := f.cfg.Upstreams()
-		if f.cfg.Reads() || len(ups) == 0 {
+		asked := f.cfg.Clock()
+		addr, ok := failing.pick(f.cfg.Upstreams(), asked)
+		if f.cfg.Reads() || !ok {
 			vm.Sleep(ctx, watchRetry)
 			continue
 		}
-		asked := f.cfg.Clock()
 		leaves := 0 // mostly it is what has changed
-		if next > 0 {
+		if addr != last {
 			leaves = len(f.book.Snapshot().All())
 		}
-		fresh, err := f.watchOnce(ctx, ups[next%len(ups)], leaves)
+		fresh, err := f.watchOnce(ctx, addr, leaves)
 		if err == nil && fresh {
-			next = 0
+			delete(failing, addr)
+			last = addr
 			continue
 		}
-		// It does not answer, or has nothing newer than this daemon: the next one
-		// may.
-		next++
-		if took := f.cfg.Clock().Sub(asked); took < watchRetry {
+		// It does not answer, or has nothing newer than this daemon: another one may.
+		now := f.cfg.Clock()
+		failing.add(addr, now)
+		if now.Sub(asked) < watchRetry {
 			vm.Sleep(ctx, watchRetry/2+rand.N(watchRetry))
 		}
 	}
 }
 
+// upstreamPauses is for how long upstreams that were of no use are passed over.
+type upstreamPauses map[string]*upstreamPause
+
+type upstreamPause struct {
+	failures int // in a row
+	until    vm.Instant
+}
+
+// add counts a failure of an upstream. The pause doubles with each.
+func (p upstreamPauses) add(addr string, now vm.Instant) {
+	x := p[addr]
+	if x == nil {
+		x = &upstreamPause{}
+		p[addr] = x
+	}
+	x.until = now.Add(min(pauseFirst<<min(x.failures, 8), pauseLongest))
+	x.failures++
+}
+
+// pick returns the first of addrs that is not paused, else the one whose pause ends first.
+// It forgets the others.
+func (p upstreamPauses) pick(addrs []string, now vm.Instant) (addr string, ok bool) {
+	for known := range p {
+		if !slices.Contains(addrs, known) {
+			delete(p, known)
+		}
+	}
+	for _, a := range addrs {
+		x := p[a]
+		if x == nil || now >= x.until {
+			return a, true
+		}
+		if !ok || x.until < p[addr].until {
+			addr, ok = a, true
+		}
+	}
+	return addr, ok
+}
+
 // watchOnce reports whether the daemon at addr has a reading that is not old. Its reply may
 // hold so many leaves.
 func (f *Finder) watchOnce(ctx context.Context, addr string, leaves int) (fresh bool, err error) {
--- /dev/null
+++ b/internal/discovery/watch_test.go
@@ -0,0 +1,72 @@
+package discovery
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"storj.io/drpc/drpcmux"
+
+	"pearmoor/internal/link/peer"
+	"pearmoor/internal/link/wire"
+	"pearmoor/internal/vm"
+)
+
+// Guards against lists of leaves that come late for as long as the daemon that is asked first is lost.
+func TestLostUpstreamCostsOneCall(t *testing.T) {
+	const newsEvery, lasts, late, mostLate = 100 * time.Millisecond, 8 * time.Second, time.Second, time.Second
+	reader := NewBook(vm.Monotonic)
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterLeaves(mux, NewFinder(Config{Every: time.Hour}, reader).Server()); err != nil {
+		t.Fatal(err)
+	}
+	lost, good := listen(t), listen(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	served := make(chan struct{})
+	go func() { defer close(served); _ = peer.ServeTrusted(ctx, good, mux) }()
+	pool := peer.NewTrustedPool()
+	book := NewBook(vm.Monotonic)
+	f := NewFinder(Config{
+		Conns: pool, Every: time.Hour, Alone: time.Hour, Reads: func() bool { return false }, Quiet: func() []string { return nil },
+		Wanted: func() bool { return false }, Spread: func() time.Duration { return 0 },
+		Upstreams: func() []string { return []string{lost.Addr().String(), good.Addr().String()} },
+	}, book)
+	done := make(chan struct{})
+	go func() { defer close(done); f.Run(ctx) }()
+	behind := time.Duration(0)
+	for n := 0; n < int(lasts/newsEvery); n++ {
+		reader.Take([]Listed{{ID: fmt.Sprint(n), Service: "s", Addr: "127.0.0.1:1", Slots: 2}}, vm.Monotonic())
+		time.Sleep(newsEvery)
+		if known := newest(book); n-known >= int(late/newsEvery) {
+			behind += newsEvery
+		}
+	}
+	if behind > mostLate {
+		t.Errorf("the list was over %v old for %v of %v", late, behind, lasts)
+	}
+	cancel()
+	_ = pool.Close()
+	<-done
+	<-served
+}
+
+// newest returns the number of the only leaf that a book knows, -1 for none.
+func newest(b *Book) int {
+	n := -1
+	for _, l := range b.Snapshot().All() {
+		_, _ = fmt.Sscan(l.ID, &n)
+	}
+	return n
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = lis.Close() })
+	return lis
+}
