query: a query that is shed leaves a line with the queue that its level went by

A refusal said only "the targets take N% of the queries offered". Whether the tier refused what it could serve could not be told from that. Now the line names the service, the queue, the service time learned, the slots, and for how long the queue has stood, or that the level was reported by the service's homes.

--- a/internal/query/overload.go
+++ b/internal/query/overload.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
 
 	"pearmoor/internal/admit"
 	"pearmoor/internal/contract"
@@ -39,28 +40,42 @@
 	return max(levelLeast, min(1, (waitFull-part)/(waitFull-waitFree)))
 }
 
-// queueWait returns the wait that the queues for a service's leaves mean for a new
-// request, which waits in all of them. Leaves that fail don't count: a service
-// that is down is said to be missing and must not shut out queries for the others.
-// Nor do queues that have stood for less than burst: what came at once, as after a stall
-// of a daemon, is served within its deadline.
-func queueWait(gates *admit.Gates, leaves []settings.Leaf, burst time.Duration) time.Duration {
-	var waiting, slots int
-	var service, standing time.Duration
+// queue is what the queues for a service's leaves have come to.
+type queue struct {
+	waiting  int           // at the leaf with the longest
+	service  time.Duration // of the slowest leaf
+	slots    int           // of all
+	standing time.Duration // of the queue that has not been empty for longest
+}
+
+// queueOf returns the queues for leaves. Leaves that fail don't count: a service that is
+// down is said to be missing and must not shut out queries for the others.
+func queueOf(gates *admit.Gates, leaves []settings.Leaf) (q queue) {
 	for _, leaf := range leaves {
 		load := gates.Load(leaf.Addr)
 		if load.Failing || load.Slots == 0 {
 			continue
 		}
-		waiting = max(waiting, load.Waiting)
-		service = max(service, load.Service)
-		slots += load.Slots
-		standing = max(standing, load.Standing)
+		q.waiting = max(q.waiting, load.Waiting)
+		q.service = max(q.service, load.Service)
+		q.slots += load.Slots
+		q.standing = max(q.standing, load.Standing)
 	}
-	if slots == 0 || standing < burst {
+	return q
+}
+
+// wait returns the wait that the queues mean for a new request, which waits in all of
+// them. Queues that have stood for less than burst don't count: what came at once, as
+// after a stall of a daemon, is served within its deadline.
+func (q queue) wait(burst time.Duration) time.Duration {
+	if q.slots == 0 || q.standing < burst {
 		return 0
 	}
-	return time.Duration(waiting) * service / time.Duration(slots)
+	return time.Duration(q.waiting) * q.service / time.Duration(q.slots)
+}
+
+func queueWait(gates *admit.Gates, leaves []settings.Leaf, burst time.Duration) time.Duration {
+	return queueOf(gates, leaves).wait(burst)
 }
 
 // admitLevel returns the level of a service that this daemon is home of.
@@ -73,20 +88,36 @@
 // the same whichever of the services is the most loaded one.
 func (e *Engine) shed(p *plan, scopes [][]*target) *contract.Error {
 	lowest := 1.0
+	var most *target // loaded
 	for _, targets := range scopes {
 		for _, t := range targets {
-			lowest = min(lowest, e.levelOf(t))
+			if level := e.levelOf(t); level < lowest {
+				lowest, most = level, t
+			}
 		}
 	}
 	if lowest >= 1 || lot(p.id) < lowest {
 		return nil
 	}
 	meter.shed.Inc(1)
+	e.logShed(p.id, lowest, most)
 	wait := shedWait + time.Duration((1-lowest)*rand.Float64()*float64(shedWait))
 	return &contract.Error{Verdict: contract.NotRun, Reason: contract.ReasonOverload, RetryAfter: wait.Milliseconds(),
 		Cause: errors.Newf("the targets take %.0f%% of the queries offered", 100*lowest)}
 }
 
+// logShed tells what the level of a query that was shed went by. It has no more lines than
+// there are refusals.
+func (e *Engine) logShed(id string, level float64, t *target) {
+	if !isHome(t, e.Self) {
+		klog.Infof("query: shed id=%s level=%.2f service=%s reported by its homes", id, level, t.eff.Path)
+		return
+	}
+	q := queueOf(e.Gates, t.eff.Leaves)
+	klog.Infof("query: shed id=%s level=%.2f service=%s waiting=%d service_time=%v slots=%d standing=%v",
+		id, level, t.eff.Path, q.waiting, q.service, q.slots, q.standing)
+}
+
 // levelOf returns the level of t: its own here, else the mean of what its homes
 // last said, since the queries are spread over them.
 func (e *Engine) levelOf(t *target) float64 {
