--- a/internal/entryvm/config.go
+++ b/internal/entryvm/config.go
@@ -70,4 +70,7 @@
 	// keeps them from a VM that leaves or is lost; a long one from asking for a new
 	// list, which costs a second each time that a VM without power is asked first.
 	addressLifetime = 4 * time.Second
+	// substituteLifetime is the same of a list that names daemons in place of lost ones,
+	// which are better as soon as they are back.
+	substituteLifetime = time.Second
 )
--- a/internal/entryvm/reach_test.go
+++ b/internal/entryvm/reach_test.go
@@ -61,7 +61,8 @@
 
 func (tier *reachTier) named(t *testing.T) []string {
 	t.Helper()
-	out := names(tier.self.reachable(tier.ms))
+	members, _ := tier.self.reachable(tier.ms)
+	out := names(members)
 	slices.Sort(out)
 	return out
 }
@@ -125,3 +126,16 @@
 		t.Errorf("a large VM asks %v", got)
 	}
 }
+
+// Guards against callers that stay with small VMs for seconds after the large ones are back.
+func TestListsOfSubstitutesAreShort(t *testing.T) {
+	for _, c := range []struct {
+		lost bool
+		want time.Duration
+	}{{false, addressLifetime}, {true, substituteLifetime}} {
+		tier := newReachTier(t, c.lost, false)
+		if _, keep := tier.self.reachable(tier.ms); keep != c.want {
+			t.Errorf("lost=%v: a list is kept for %v", c.lost, keep)
+		}
+	}
+}
--- a/internal/entryvm/steer.go
+++ b/internal/entryvm/steer.go
@@ -52,14 +52,14 @@
 }
 
 // reachable returns the daemons that callers are sent to, as far as this daemon can reach
-// them: others in place of those that are lost.
-func (v *VM) reachable(ms *vm.Membership) []*vm.Member {
+// them: others in place of those that are lost, and for how long to name these.
+func (v *VM) reachable(ms *vm.Membership) ([]*vm.Member, time.Duration) {
 	eligible, others, serving := v.choice(ms)
 	v.prober.check(eligible, others)
 	if left := v.prober.without(serving); len(left) < len(serving) {
-		return policy.Eligible(left, widest(v.engine.Table()))
+		return policy.Eligible(left, widest(v.engine.Table())), substituteLifetime
 	}
-	return eligible
+	return eligible, addressLifetime
 }
 
 // helpers returns the daemons that this one asks for parts of a gather: those that callers
--- a/internal/entryvm/tier.go
+++ b/internal/entryvm/tier.go
@@ -54,15 +54,15 @@
 // Addresses returns the entry addresses for a caller in that domain, and for how
 // many seconds to keep them.
 func (v *VM) Addresses(_, region, domain string) ([]string, float64) {
-	keep := min(addressLifetime, v.conf.Lifetime).Seconds()
 	ms := v.client.Current().Members()
 	if ms == nil {
 		if v.draining.Load() || v.conf.CallerAddr == "" {
 			return nil, 0
 		}
-		return []string{v.conf.CallerAddr}, keep
+		return []string{v.conf.CallerAddr}, min(addressLifetime, v.conf.Lifetime).Seconds()
 	}
-	return named(v.reachable(ms), region, domain), keep
+	reachable, keep := v.reachable(ms)
+	return named(reachable, region, domain), min(keep, v.conf.Lifetime).Seconds()
 }
 
 // named returns whom to name to a caller: daemons of its region, else of all, those of
