--- a/internal/entryvm/reach.go
+++ b/internal/entryvm/reach.go
@@ -29,10 +29,11 @@
 	// lostFor is how long a daemon that was found lost is left out of address lists
 	// before it is probed again.
 	lostFor = 500 * time.Millisecond
-	// A second daemon is probed when the first has not answered within secondAfter, and
-	// all when neither does. Then witnesses others are asked about them.
-	secondAfter = 30 * time.Millisecond
-	witnesses   = 3
+	// Of sampled daemons each is probed when those before it have not answered within
+	// nextAfter, and all when none of them does. Then witnesses others are asked about them.
+	sampled   = 2
+	nextAfter = 30 * time.Millisecond
+	witnesses = 3
 	// mostProbed bounds the daemons probed for one call.
 	mostProbed = 64
 )
@@ -97,8 +98,8 @@
 	}
 }
 
-// probeSome probes two of the candidates, and all when neither answers. Without others to
-// name instead it does nothing.
+// probeSome probes a sample of the candidates, and all when none of it answers. Without
+// others to name instead it does nothing.
 func (p *prober) probeSome(candidates, others []*vm.Member) {
 	addrs := p.addrs(candidates)
 	if len(addrs) == 0 || len(others) == 0 {
@@ -130,7 +131,7 @@
 // examine is one round; it closes over.
 func (p *prober) examine(candidates, others []string, over chan struct{}) {
 	began := time.Now()
-	sample := candidates[:min(len(candidates), 2)]
+	sample := candidates[:min(len(candidates), sampled)]
 	if p.anyAnswers(sample) {
 		p.end(over, true)
 		return
@@ -161,7 +162,7 @@
 			addrs = addrs[1:]
 			open++
 			go func() { answers <- p.answers(addr) }()
-			due.Reset(secondAfter)
+			due.Reset(nextAfter)
 		case ok := <-answers:
 			if ok {
 				return true
