--- a/soak/doc_test.go
+++ b/soak/doc_test.go
@@ -8,7 +8,8 @@
 // narrow, or are reset, by a proxy before each of them; leaves that are slow, silent, reset, refuse,
 // lose their answers, answer twice, leave or crash; a request that crashes each leaf that runs it; a list of leaves that fails;
 // disks that are slow, stand still or are full, through a file system that only the soak's
-// build has; connections reset several times in a row; operators that send configurations, again, invalid and long ones, to any VM. At the end
+// build has; connections reset several times in a row; all VMs with a disk lost together; operators that send configurations, again,
+// invalid and long ones, to any VM. At the end
 // a long one is sent and read back while the links of all control VMs are narrow.
 //
 // Not here: clocks that step, which nothing outside a process can feign without rights over
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -97,7 +97,7 @@
 	time.Sleep(time.Second)
 	beside, cancelBeside := context.WithCancel(ctx)
 	var others sync.WaitGroup
-	for i, play := range []func(context.Context, *rand.Rand){w.growAndShrink, w.disturbDisks, w.resetInSeries} {
+	for i, play := range []func(context.Context, *rand.Rand){w.growAndShrink, w.disturbDisks, w.resetInSeries, w.loseControl} {
 		others.Go(func() { play(beside, rand.New(rand.NewPCG(seed, uint64(2+i)))) })
 	}
 	w.faults(*duration)
