entryvm: the test of a restart waits until the group has blocked the request

Trace of that run: before the restart the group of that tier had "suspected leaf_ends=9 crashes=1 attempts=1" (14:13:08.453) and no line says "blocked"; after it each VM reads the same ("blocked=false leaf_ends=9 crashes=1", 14:13:12.17 to .24) and tries the request once, "granted without the leader", which is elected at 12.85. So nothing agreed was lost.

Why the test went on: it took a 503 with "quarantined" for a blocked request. One that is only suspected is refused in the same words while another daemon tries it, and is allowed three crashes before it is blocked.

Change: the test also waits until the group's tree has a blocked request. What it checks after the restart is as it was.

--- a/internal/entryvm/quarantine_test.go
+++ b/internal/entryvm/quarantine_test.go
@@ -436,6 +436,17 @@
 	}
 }
 
+// blocked reports whether the group has agreed to block a request: one that is only suspected
+// is refused as well while another daemon tries it.
+func (tier *crashTier) blocked() bool {
+	for _, c := range quarantine.FromTree(tier.vms[0].client.Current().Tree) {
+		if c.Blocked {
+			return true
+		}
+	}
+	return false
+}
+
 // Every VM loses its memory at once, after a request was found to crash leaves.
 func TestQuarantineOutlastsARestartOfEverything(t *testing.T) {
 	t.Parallel()
@@ -443,7 +454,7 @@
 	path := gatherPath + fatal
 	eventually(t, "the request is blocked", func() bool {
 		status, body := tier.ask(tier.vms[0], path)
-		return status == http.StatusServiceUnavailable && strings.Contains(body, "quarantine")
+		return status == http.StatusServiceUnavailable && strings.Contains(body, "quarantine") && tier.blocked()
 	})
 	before := tier.fleet.endsOf(path)
 	tier.restart()
