query: a shed query's line tells the queue that decided, read once

The line read the queue again after the decision, so it could name another one than the level went by. The level now comes with its queue, one way for a service's own homes and for what a query is shed by; queueWait, a step between the two, is gone. The test of a burst asks the same of the queue itself; its bounds are as they were. Levels and refusals are unchanged.

--- a/internal/query/burst_test.go
+++ b/internal/query/burst_test.go
@@ -44,7 +44,7 @@
 			t.Fatalf("%d wait", gates.Load(leaf.Addr).Waiting)
 		}
 	}
-	level := func() float64 { return levelAt(queueWait(gates, []settings.Leaf{leaf}, deadline), deadline) }
+	level := func() float64 { return levelAt(queueOf(gates, []settings.Leaf{leaf}).wait(deadline), deadline) }
 	if got := level(); got != 1 {
 		t.Errorf("%.2f of the queries are taken while a burst is served", got)
 	}
--- a/internal/query/home.go
+++ b/internal/query/home.go
@@ -101,7 +101,7 @@
 	h.waiting.Add(-n)
 	p := newPart(job, r, q)
 	p.waiting = int(h.waiting.Load())
-	p.level = e.admitLevel(eff)
+	p.level, _ = e.admitLevel(eff)
 	return p
 }
 
--- a/internal/query/overload.go
+++ b/internal/query/overload.go
@@ -74,13 +74,11 @@
 	return time.Duration(q.waiting) * q.service / time.Duration(q.slots)
 }
 
-func queueWait(gates *admit.Gates, leaves []settings.Leaf, burst time.Duration) time.Duration {
-	return queueOf(gates, leaves).wait(burst)
-}
-
-// admitLevel returns the level of a service that this daemon is home of.
-func (e *Engine) admitLevel(eff *settings.Effective) float64 {
-	return levelAt(queueWait(e.Gates, eff.Leaves, eff.DeadlineDefault), eff.DeadlineDefault)
+// admitLevel returns the level of a service that this daemon is home of, and the queue that
+// it goes by.
+func (e *Engine) admitLevel(eff *settings.Effective) (float64, queue) {
+	q := queueOf(e.Gates, eff.Leaves)
+	return levelAt(q.wait(eff.DeadlineDefault), eff.DeadlineDefault), q
 }
 
 // shed refuses p before anything is sent when a service of its path wants fewer
@@ -89,10 +87,11 @@
 func (e *Engine) shed(p *plan, scopes [][]*target) *contract.Error {
 	lowest := 1.0
 	var most *target // loaded
+	var by queue     // that its level went by
 	for _, targets := range scopes {
 		for _, t := range targets {
-			if level := e.levelOf(t); level < lowest {
-				lowest, most = level, t
+			if level, q := e.levelOf(t); level < lowest {
+				lowest, most, by = level, t, q
 			}
 		}
 	}
@@ -100,7 +99,7 @@
 		return nil
 	}
 	meter.shed.Inc(1)
-	e.logShed(p.id, lowest, most)
+	e.logShed(p.id, lowest, most, by)
 	wait := shedWait + time.Duration((1-lowest)*rand.Float64()*float64(shedWait))
 	return &contract.Error{Verdict: contract.NotRun, Reason: contract.ReasonOverload, RetryAfter: wait.Milliseconds(),
 		Cause: errors.Newf("the targets take %.0f%% of the queries offered", 100*lowest)}
@@ -108,23 +107,22 @@
 
 // logShed tells what the level of a query that was shed went by. It has no more lines than
 // there are refusals.
-func (e *Engine) logShed(id string, level float64, t *target) {
+func (e *Engine) logShed(id string, level float64, t *target, q queue) {
 	if !isHome(t, e.Self) {
 		klog.Infof("query: shed id=%s level=%.2f service=%s reported by its homes", id, level, t.eff.Path)
 		return
 	}
-	q := queueOf(e.Gates, t.eff.Leaves)
 	klog.Infof("query: shed id=%s level=%.2f service=%s waiting=%d service_time=%v slots=%d standing=%v",
 		id, level, t.eff.Path, q.waiting, q.service, q.slots, q.standing)
 }
 
-// levelOf returns the level of t: its own here, else the mean of what its homes
-// last said, since the queries are spread over them.
-func (e *Engine) levelOf(t *target) float64 {
+// levelOf returns the level of t: its own here, with the queue that it goes by, else the
+// mean of what its homes last said, since the queries are spread over them.
+func (e *Engine) levelOf(t *target) (float64, queue) {
 	if isHome(t, e.Self) {
 		return e.admitLevel(t.eff)
 	}
-	return e.route(t).meanLevel(t.placed.Homes, e.Clock(), t.eff.DeadlineDefault)
+	return e.route(t).meanLevel(t.placed.Homes, e.Clock(), t.eff.DeadlineDefault), queue{}
 }
 
 // orderOf draws a number for a request: the same one wherever it is drawn.
