decision: a line is queued or counted, never both

What an operator saw: "left out" with one line too many.

Cause: writers took turns since, but the ring's reader swaps lines out of their places by itself. A writer a whole ring ahead loads a place, loses the compare-and-swap to the reader and gives its place up; the reader later counts that place as a lost line.

Change: a bounded queue in place of the ring. A line finds a place or is counted. One goroutine empties the queue, tells the count and writes, so the path past the ring and the lock of the blocks are gone. A stopped reader of the output now keeps the oldest lines, not the newest.

--- a/internal/decision/decision.go
+++ b/internal/decision/decision.go
@@ -6,6 +6,7 @@
 package decision
 
 import (
+	"bytes"
 	"io"
 	"strconv"
 	"sync"
@@ -13,13 +14,12 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
-	"github.com/rs/zerolog/diode"
 )
 
 const (
-	// ringLines is how many lines wait to be written: some 2 flushes at the rate below.
-	ringLines  = 512
-	flushEvery = 200 * time.Millisecond
+	// queuedLines is how many lines wait to be written at most.
+	queuedLines = 512
+	flushEvery  = 200 * time.Millisecond
 	// linesPerSecond bounds the processor time that lines about requests take: 2 µs each
 	// (BenchmarkLine), and about as much again to write them out in blocks.
 	linesPerSecond = 400
@@ -51,84 +51,90 @@
 
 // Log writes lines. A nil Log writes nothing.
 type Log struct {
-	out    zerolog.Logger // to the ring
-	direct zerolog.Logger // past it
-	ring   diode.Writer
+	out    zerolog.Logger // to the queue
+	queue  chan []byte
 	blocks *blockWriter
 	stop   chan struct{}
+	done   chan struct{}
 
-	mu          sync.Mutex
-	second      int64
-	count       int
-	dropped     int64
-	overwritten bool // some of them in the ring
+	mu      sync.Mutex
+	second  int64
+	count   int
+	dropped int64
 }
 
 // New returns a log that writes to w until Close.
 func New(w io.Writer) *Log {
-	l := &Log{blocks: newBlockWriter(w), stop: make(chan struct{})}
-	l.ring = diode.NewWriter(l.blocks, ringLines, flushEvery, l.missed)
-	// The ring counts a line twice when two that are written at once are a whole ring apart.
-	l.out = zerolog.New(zerolog.SyncWriter(l.ring))
-	l.direct = zerolog.New(l.blocks)
-	go l.flush()
+	l := &Log{
+		queue:  make(chan []byte, queuedLines),
+		blocks: newBlockWriter(w),
+		stop:   make(chan struct{}),
+		done:   make(chan struct{}),
+	}
+	l.out = zerolog.New(queueWriter{l})
+	go l.run()
 	return l
 }
 
 // Close writes out what there is. Lines that come later are lost.
 func (l *Log) Close() {
 	close(l.stop)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = l.ring.Close() // its writer is no closer
-		l.tellDropped(true)
-		l.blocks.flush()
-	}()
 	select {
-	case <-done:
+	case <-l.done:
 	case <-time.After(closeWait):
 	}
 }
 
-func (l *Log) flush() {
+func (l *Log) run() {
+	defer close(l.done)
 	ticker := time.NewTicker(flushEvery)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
-			l.tellDropped(false)
-			l.blocks.flush()
+			l.flush()
 		case <-l.stop:
+			l.flush()
 			return
 		}
 	}
 }
 
-// missed counts lines that were overwritten before they could be written.
-func (l *Log) missed(n int) {
-	leftOut.Inc(int64(n))
+// flush writes out the queue, then how many lines found no place in it or in the rate.
+func (l *Log) flush() {
+	for range len(l.queue) {
+		l.blocks.add(<-l.queue)
+	}
 	l.mu.Lock()
-	l.dropped += int64(n)
-	l.overwritten = true
+	n := l.dropped
+	l.dropped = 0
 	l.mu.Unlock()
+	if n > 0 {
+		out := zerolog.New(l.blocks)
+		lineTo(&out, "warning", "decision").Int("lines", n).end("left out")
+	}
+	l.blocks.flush()
 }
 
-// tellDropped tells how many lines were left out since it was called last, past the ring
-// if that is closed or overwrites lines: this one would be lost with them.
-func (l *Log) tellDropped(closed bool) {
-	l.mu.Lock()
-	n, direct := l.dropped, closed || l.overwritten
-	l.dropped, l.overwritten = 0, false
-	l.mu.Unlock()
-	if n == 0 {
-		return
-	}
-	out := &l.out
-	if direct {
-		out = &l.direct
+// queueWriter queues lines for flush.
+type queueWriter struct{ log *Log }
+
+// Write implements io.Writer for one whole line, which it copies.
+func (w queueWriter) Write(line []byte) (int, error) {
+	select {
+	case w.log.queue <- bytes.Clone(line):
+	default:
+		w.log.mu.Lock()
+		w.log.drop()
+		w.log.mu.Unlock()
 	}
-	lineTo(out, "warning", "decision").Int("lines", n).end("left out")
+	return len(line), nil
+}
+
+// drop counts a line that is left out; the lock is held.
+func (l *Log) drop() {
+	l.dropped++
+	leftOut.Inc(1)
 }
 
 func (l *Log) line(level, part string) Line { return lineTo(&l.out, level, part) }
@@ -157,8 +163,7 @@
 		l.second, l.count = now, 0
 	}
 	if l.count >= linesPerSecond {
-		l.dropped++
-		leftOut.Inc(1)
+		l.drop()
 		return false
 	}
 	l.count++
--- a/internal/decision/decision_test.go
+++ b/internal/decision/decision_test.go
@@ -96,7 +96,7 @@
 func TestLogNeverBlocks(t *testing.T) {
 	out := &stuck{gate: make(chan struct{})}
 	log := New(out)
-	const lines = 20 * ringLines
+	const lines = 20 * queuedLines
 	for i := range lines {
 		log.line("info", "gather").Int("n", int64(i)).end("answered")
 	}
@@ -143,6 +143,33 @@
 	}
 }
 
+// Guards against lines that are counted as left out twice when one is queued while another is written out.
+func TestLinesWrittenOutMeanwhileAreCountedOnce(t *testing.T) {
+	const logs, each = 16, 50000
+	var wg sync.WaitGroup
+	for range logs {
+		wg.Go(func() {
+			out := &stuck{gate: make(chan struct{})}
+			log := New(out)
+			go func() {
+				time.Sleep(2 * flushEvery)
+				close(out.gate)
+			}()
+			for i := range each {
+				log.line("info", "gather").Int("n", int64(i)).end("answered")
+				if i%1000 == 0 {
+					time.Sleep(flushEvery / 20)
+				}
+			}
+			log.Close()
+			if n := out.counted(t); n != each {
+				t.Errorf("%d lines written or told to be left out, of %d", n, each)
+			}
+		})
+	}
+	wg.Wait()
+}
+
 // counted returns how many lines were written, or told to be left out.
 func (s *stuck) counted(t *testing.T) int {
 	n := 0
