forward, entryvm: callers are also told of VMs that hand gathers over to the fit ones

What callers saw: while all VMs that are fit for the widest gathers are lost (five of 200, the ones with disks) those with a list made before the loss reach nobody, for 4 s or more.

Cause: lists name the fit VMs only, as a gather takes 58 ms of a fifth of a core.

Change: where the fit VMs are less than a tenth of the tier, lists name two others for each, spread over the failure domains. These offer each gather to a fit VM, which accepts first and begins when it is told to. Until then it can be taken back, not run; after that it is never given to another. An answer that was handed over ends its caller's connection, so connections that last lead to fit VMs and only new ones meet the hop. The budget of services that are no shards is shared by all that are named.

Why it works: half of a caller's two tries, and two thirds of its addresses, are VMs that no loss of the disks takes; nothing but unbegun gathers is ever sent twice.

--- a/internal/entryvm/near.go
+++ b/internal/entryvm/near.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -36,21 +37,42 @@
 
 func newNearDaemons(v *VM) *nearDaemons { return &nearDaemons{v: v, byAddr: make(map[string]*helper)} }
 
-// Daemon implements forward.Near: the one with the fewest calls of this daemon under
-// way, of its helpers in the domain.
+// Daemon implements forward.Near: one of this daemon's helpers in the domain.
 func (n *nearDaemons) Daemon(domain string) string {
 	ms := n.v.client.Current().Members()
 	if ms == nil {
 		return ""
 	}
-	helpers := n.v.helpers(ms)
+	return n.pick(n.v.helpers(ms), func(m *vm.Member) bool { return m.Domain == domain })
+}
+
+// Runner implements forward.Near: a fit daemon, of this one's own domain where there is one.
+func (n *nearDaemons) Runner(asked []string) string {
+	ms := n.v.client.Current().Members()
+	if ms == nil {
+		return ""
+	}
+	fit := n.v.choose(ms).fit
+	if slices.ContainsFunc(fit, n.v.isSelf) {
+		return ""
+	}
+	fresh := func(m *vm.Member) bool { return !slices.Contains(asked, m.PeerAddr) }
+	if addr := n.pick(fit, func(m *vm.Member) bool { return m.Domain == n.v.conf.Domain && fresh(m) }); addr != "" {
+		return addr
+	}
+	return n.pick(fit, fresh)
+}
+
+// pick returns the daemon with the fewest calls of this one under way, of those wanted that
+// are not left alone after a failure.
+func (n *nearDaemons) pick(among []*vm.Member, wanted func(*vm.Member) bool) string {
 	now := vm.Monotonic()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	var best *helper
 	addr, ties := "", 0
-	for _, m := range helpers {
-		if m.Domain != domain || m.PeerAddr == n.v.conf.PeerAddr {
+	for _, m := range among {
+		if !wanted(m) || m.PeerAddr == n.v.conf.PeerAddr {
 			continue
 		}
 		h := n.of(m.PeerAddr)
@@ -90,6 +112,15 @@
 	return wire.NewDRPCGatherClient(conn).Scatter(ctx)
 }
 
+// Handover implements forward.Near.
+func (n *nearDaemons) Handover(ctx context.Context, addr string) (wire.DRPCGather_HandoverClient, error) {
+	conn, err := n.v.partConns.Conn(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	return wire.NewDRPCGatherClient(conn).Handover(ctx)
+}
+
 // Ended implements forward.Near.
 func (n *nearDaemons) Ended(addr string, err error) {
 	n.mu.Lock()
--- a/internal/entryvm/reach.go
+++ b/internal/entryvm/reach.go
@@ -80,8 +80,8 @@
 		wanted := p.askedAt != 0 && vm.Monotonic().Sub(p.askedAt) < probedFor
 		p.mu.Unlock()
 		if ms := p.v.client.Current().Members(); wanted && ms != nil {
-			eligible, others, _ := p.v.choice(ms)
-			p.probeSome(eligible, others)
+			c := p.v.choose(ms)
+			p.probeSome(c.fit, c.others)
 		}
 	}
 }
--- a/internal/entryvm/steer.go
+++ b/internal/entryvm/steer.go
@@ -18,71 +18,68 @@
 
 // steering remembers the choice of daemons that take callers.
 type steering struct {
-	mu       sync.Mutex
-	of       *vm.Membership
-	at       vm.Instant
+	mu     sync.Mutex
+	of     *vm.Membership
+	at     vm.Instant
+	choice choice
+}
+
+// choice is what the daemons that serve are used for.
+type choice struct {
 	serving  []*vm.Member
-	eligible []*vm.Member
-	others   []*vm.Member // serving, and not eligible
+	fit      []*vm.Member // with the processor for the widest gathers
+	others   []*vm.Member // serving, and not fit
+	eligible []*vm.Member // that callers are sent to
 }
 
 // eligible returns the daemons that callers are sent to: of those that serve and are not
 // silent, those that policy.Eligible chooses.
-func (v *VM) eligible(ms *vm.Membership) []*vm.Member {
-	eligible, _, _ := v.choice(ms)
-	return eligible
-}
+func (v *VM) eligible(ms *vm.Membership) []*vm.Member { return v.choose(ms).eligible }
 
-// choice returns the daemons that callers are sent to, the others that serve, and both.
-func (v *VM) choice(ms *vm.Membership) (eligible, others, serving []*vm.Member) {
+// choose returns what the daemons are used for now.
+func (v *VM) choose(ms *vm.Membership) choice {
 	now := vm.Monotonic()
 	v.steer.mu.Lock()
 	defer v.steer.mu.Unlock()
 	if v.steer.of != ms || now.Sub(v.steer.at) >= steerEvery || v.draining.Load() {
-		before := v.steer.eligible
+		before := v.steer.choice.eligible
 		v.steer.of, v.steer.at = ms, now
-		v.steer.serving = v.serving(ms)
-		v.steer.eligible = policy.Eligible(v.steer.serving, widest(v.engine.Table()))
-		v.steer.others = without(v.steer.serving, v.steer.eligible)
-		if !slices.EqualFunc(before, v.steer.eligible, sameName) {
-			klog.Infof("entry: callers are sent to %v of %d daemons", memberNames(v.steer.eligible), len(ms.Members))
+		v.steer.choice = choiceOf(v.serving(ms), widest(v.engine.Table()))
+		if now := v.steer.choice.eligible; !slices.EqualFunc(before, now, sameName) {
+			klog.Infof("entry: callers are sent to %v of %d daemons", memberNames(now), len(ms.Members))
 		}
 	}
-	return v.steer.eligible, v.steer.others, v.steer.serving
+	return v.steer.choice
+}
+
+func choiceOf(serving []*vm.Member, need uint32) choice {
+	c := choice{serving: serving, fit: policy.Fit(serving, need), eligible: policy.Eligible(serving, need)}
+	c.others = slices.DeleteFunc(slices.Clone(serving), func(m *vm.Member) bool { return slices.Contains(c.fit, m) })
+	return c
 }
 
 // reachable returns the daemons that callers are sent to, as far as this daemon can reach
 // them: others in place of those that are lost, and for how long to name these.
 func (v *VM) reachable(ms *vm.Membership) ([]*vm.Member, time.Duration) {
-	eligible, others, serving := v.choice(ms)
-	v.prober.check(eligible, others)
-	if left := v.prober.without(serving); len(left) < len(serving) {
+	c := v.choose(ms)
+	v.prober.check(c.fit, c.others)
+	if left := v.prober.without(c.serving); len(left) < len(c.serving) {
 		return policy.Eligible(left, widest(v.engine.Table())), substituteLifetime
 	}
-	return eligible, addressLifetime
+	return c.eligible, addressLifetime
 }
 
-// helpers returns the daemons that this one asks for parts of a gather: those that callers
-// are sent to. A daemon that they are not sent to gets a gather only while those are out of
-// reach, and asks others like itself.
+// helpers returns the daemons that this one asks for parts of a gather: the fit ones. One
+// that is not fit has a gather only while those are out of reach, and asks others like itself.
 func (v *VM) helpers(ms *vm.Membership) []*vm.Member {
-	eligible, others, _ := v.choice(ms)
-	if slices.ContainsFunc(eligible, func(m *vm.Member) bool { return m.Name == v.conf.Name }) {
-		return eligible
+	c := v.choose(ms)
+	if slices.ContainsFunc(c.fit, v.isSelf) {
+		return c.fit
 	}
-	return others
+	return c.others
 }
 
-// without returns the members that are not among some, which has the same order.
-func without(all, some []*vm.Member) []*vm.Member {
-	return slices.DeleteFunc(slices.Clone(all), func(m *vm.Member) bool {
-		found := len(some) > 0 && some[0] == m
-		if found {
-			some = some[1:]
-		}
-		return found
-	})
-}
+func (v *VM) isSelf(m *vm.Member) bool { return m.Name == v.conf.Name }
 
 func sameName(a, b *vm.Member) bool { return a.Name == b.Name }
 
@@ -120,23 +117,27 @@
 	return need
 }
 
-// idleSharers is how many times the tier's daemons a daemon counts that callers are not
-// sent to. It gets a few requests all the same, of callers with an old list, and the
-// shares of the others add up to the whole.
+// idleSharers is how many times the tier's daemons a daemon counts that is not meant to send.
+// It gets a few requests all the same, of callers with an old list, and the shares of the
+// others add up to the whole.
 const idleSharers = 4
 
-// senders returns among how many daemons what is shared by those that send to leaves is
-// divided, 0 while that is not known.
-func (v *VM) senders() int {
+// gatherSenders returns among how many daemons what is shared by those that send to shards
+// is divided, 0 while that is not known.
+func (v *VM) gatherSenders() int { return v.senders(func(c choice) []*vm.Member { return c.fit }) }
+
+// singleSenders is the same for other services.
+func (v *VM) singleSenders() int {
+	return v.senders(func(c choice) []*vm.Member { return c.eligible })
+}
+
+func (v *VM) senders(of func(choice) []*vm.Member) int {
 	ms := v.client.Current().Members()
 	if ms == nil {
 		return 0
 	}
-	eligible := v.eligible(ms)
-	for _, m := range eligible {
-		if m.Name == v.conf.Name {
-			return len(eligible)
-		}
+	if sharers := of(v.choose(ms)); slices.ContainsFunc(sharers, v.isSelf) {
+		return len(sharers)
 	}
 	return max(idleSharers*len(ms.Members), 1)
 }
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -76,9 +76,10 @@
 	}, v.book)
 	v.quarantine = quarantine.NewRegistry(vm.Monotonic, &quarantine.Remote{Conns: v.otherConns, Contacts: v.controlContacts})
 	v.engine = forward.New(forward.Config{
-		Clock: vm.Monotonic, Dialect: conf.Dialect, Book: v.book, Board: forward.NewBoard(vm.Monotonic, conf.Domain), Log: conf.Log, Senders: v.senders,
+		Clock: vm.Monotonic, Dialect: conf.Dialect, Book: v.book, Board: forward.NewBoard(vm.Monotonic, conf.Domain), Log: conf.Log, Senders: v.gatherSenders,
 		Near: newNearDaemons(v), Quarantine: v.quarantine,
-		Budgets: policy.NewBudgets(conf.Budget, vm.Monotonic, v.senders),
+		Budgets:       policy.NewBudgets(conf.Budget, vm.Monotonic, v.gatherSenders),
+		SingleBudgets: policy.NewBudgets(conf.Budget, vm.Monotonic, v.singleSenders),
 	})
 	v.server = forward.NewServer(&forward.Handler{Engine: v.engine, Dialect: conf.Dialect, Log: conf.Log, Draining: v.draining.Load})
 	if conf.DataDir != "" {
--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -45,10 +45,15 @@
 type Near interface {
 	// Daemon returns the address of a daemon in the failure domain, empty for none.
 	Daemon(domain string) string
-	// Scatter opens a call to it.
+	// Runner returns the address of a daemon that whole gathers are handed to, other than
+	// those asked already; empty where there is none or this one runs them itself.
+	Runner(asked []string) string
+	// Handover opens a call to it.
+	Handover(ctx context.Context, addr string) (wire.DRPCGather_HandoverClient, error)
+	// Scatter opens a call to a daemon near leaves.
 	Scatter(ctx context.Context, addr string) (wire.DRPCGather_ScatterClient, error)
 	// Ended tells how what was asked of a daemon ended: nil if it answered. It is called
-	// once for each address that Daemon has returned.
+	// once for each address that Daemon or Runner has returned.
 	Ended(addr string, err error)
 	// Suspect tells that a daemon is long overdue.
 	Suspect(addr string)
--- a/internal/forward/delegate_test.go
+++ b/internal/forward/delegate_test.go
@@ -26,6 +26,7 @@
 // oneNear is a Near that knows one daemon.
 type oneNear struct {
 	addr      string
+	runner    string // empty: gathers are not handed over
 	pool      *peer.Pool
 	asked     atomic.Int32
 	failed    atomic.Int32
@@ -34,6 +35,21 @@
 
 func (n *oneNear) Daemon(string) string { n.asked.Add(1); return n.addr }
 
+func (n *oneNear) Runner(asked []string) string {
+	if len(asked) > 0 {
+		return ""
+	}
+	return n.runner
+}
+
+func (n *oneNear) Handover(ctx context.Context, addr string) (wire.DRPCGather_HandoverClient, error) {
+	conn, err := n.pool.Conn(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	return wire.NewDRPCGatherClient(conn).Handover(ctx)
+}
+
 func (n *oneNear) Scatter(ctx context.Context, addr string) (wire.DRPCGather_ScatterClient, error) {
 	conn, err := n.pool.Conn(ctx, addr)
 	if err != nil {
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"pearmoor/internal/contract"
 	"pearmoor/internal/decision"
 	"pearmoor/internal/discovery"
@@ -24,8 +27,10 @@
 	Dialect *target.Dialect
 	Book    *discovery.Book
 	Board   *Board
-	Budgets *policy.Budgets
-	Log     *decision.Log
+	Budgets *policy.Budgets // for shards
+	// SingleBudgets is for all other services; nil: Budgets.
+	SingleBudgets *policy.Budgets
+	Log           *decision.Log
 	// Senders returns among how many daemons what is shared by those that send to leaves
 	// is divided, 0 while that is not known.
 	Senders func() int
@@ -60,6 +65,9 @@
 
 // New returns an engine that refuses every request until Install.
 func New(cfg Config) *Engine {
+	if cfg.SingleBudgets == nil {
+		cfg.SingleBudgets = cfg.Budgets
+	}
 	e := &Engine{cfg: cfg, ending: make(chan struct{})}
 	e.sends = work.NewPool(e.perform)
 	return e
@@ -117,6 +125,8 @@
 	Stream  *target.Stream // the rest of a long body; nil when Body is whole
 	Arrived time.Time
 	Wait    time.Duration // how long the caller waits from its arrival; 0: not stated
+	Handed  bool          // another daemon handed it over
+	Head    []byte        // as it goes to leaves; nil: to be made of the above
 }
 
 // Answer is what a caller is told. A nil Answer means that the caller has left.
@@ -128,6 +138,7 @@
 	Parts      []string // signatures of the parts, when the answer is made of parts
 	Missing    int
 	Merged     bool
+	Handed     bool // by another daemon
 	RetryAfter time.Duration
 	Verdict    contract.Verdict
 	Reason     contract.Reason
@@ -153,6 +164,14 @@
 		return &Answer{Status: http.StatusNotFound, Verdict: contract.NotRun, Reason: contract.ReasonUnknownPath}
 	}
 	r := e.newRun(a, entry, req)
+	if answer, handed := r.handOver(ctx); handed {
+		return answer
+	}
+	return r.enterAndDo(ctx)
+}
+
+// enterAndDo answers a request here, unless it must not reach a leaf.
+func (r *run) enterAndDo(ctx context.Context) *Answer {
 	if refused := r.enter(ctx); refused != nil {
 		r.log(refused)
 		return refused
@@ -160,6 +179,27 @@
 	return r.do(ctx)
 }
 
+// budgets returns what bounds extra sends to a service.
+func (a *active) budgets(e *Engine, service string) *policy.Budgets {
+	if a.table.Gathered(service) {
+		return e.cfg.Budgets
+	}
+	return e.cfg.SingleBudgets
+}
+
+// guard answers a request whose handling panics with an error: its caller would see a
+// connection that breaks off, which says nothing of what became of the request.
+func (e *Engine) guard(id string, handle func() *Answer) (a *Answer) {
+	defer func() {
+		if p := recover(); p != nil {
+			panics.Inc(1)
+			klog.Errorf("caller: handling id=%s panicked: %v %s", id, p, debug.Stack())
+			a = &Answer{Status: http.StatusInternalServerError, Verdict: contract.MayHaveRun, Reason: contract.ReasonInternal}
+		}
+	}()
+	return handle()
+}
+
 // limit returns how many connections this daemon may have open to a leaf. The leaf's own
 // limit is for all daemons together.
 func (a *active) limit(l *discovery.Leaf) int {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -2,11 +2,9 @@
 
 import (
 	"bytes"
-	"context"
 	"io"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"slices"
 	"strconv"
 	"strings"
@@ -14,7 +12,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
-	"k8s.io/klog/v2"
 
 	"pearmoor/internal/contract"
 	"pearmoor/internal/decision"
@@ -70,7 +67,7 @@
 	}
 	conn := connOf(r.Context())
 	conn.begin(req.ID, arrived)
-	a := h.forward(r.Context(), req)
+	a := h.Engine.guard(req.ID, func() *Answer { return h.Engine.Forward(r.Context(), req) })
 	if a == nil {
 		left.Inc(1)
 		panic(http.ErrAbortHandler)
@@ -79,19 +76,6 @@
 	latency.Update(time.Since(arrived).Microseconds())
 }
 
-// forward answers a request whose handling panics with an error: its caller would see a
-// connection that breaks off, which says nothing of what became of the request.
-func (h *Handler) forward(ctx context.Context, req *Request) (a *Answer) {
-	defer func() {
-		if p := recover(); p != nil {
-			panics.Inc(1)
-			klog.Errorf("caller: handling id=%s panicked: %v %s", req.ID, p, debug.Stack())
-			a = &Answer{Status: http.StatusInternalServerError, Verdict: contract.MayHaveRun, Reason: contract.ReasonInternal}
-		}
-	}()
-	return h.Engine.Forward(ctx, req)
-}
-
 // badRequest is a fault of the request itself with its status.
 type badRequest struct {
 	contract.Fault
@@ -119,12 +103,9 @@
 		return nil, fault
 	}
 	req := &Request{
-		ID: id, Method: r.Method, URI: r.RequestURI, Path: r.URL.EscapedPath(), Host: r.Host,
+		ID: id, Method: r.Method, URI: r.RequestURI, Path: pathOf(r.RequestURI), Host: r.Host,
 		Caller: callerOf(r), Header: r.Header, Arrived: arrived, Wait: wait,
 	}
-	if path, _, _ := strings.Cut(r.RequestURI, "?"); path != "" {
-		req.Path = path
-	}
 	if fault := readBody(r, req, limits.BodyBytes); fault != nil {
 		return nil, fault
 	}
@@ -134,6 +115,12 @@
 	return req, nil
 }
 
+// pathOf returns the path of a request line's target, as the caller wrote it.
+func pathOf(uri string) string {
+	path, _, _ := strings.Cut(uri, "?")
+	return path
+}
+
 // callerOf returns the address of a request's caller, whatever its connection.
 func callerOf(r *http.Request) string {
 	host, _, err := net.SplitHostPort(r.RemoteAddr)
@@ -233,7 +220,13 @@
 }
 
 // write sends an answer to the caller.
+//
+// Where another daemon answered, the connection ends, and with it the hop: callers keep
+// connections to daemons that answer themselves.
 func (h *Handler) write(w http.ResponseWriter, a *Answer) {
+	if a.Handed {
+		w.Header().Set("Connection", "close")
+	}
 	switch {
 	case a.Merged:
 		answered.Inc(1)
--- /dev/null
+++ b/internal/forward/handover.go
@@ -0,0 +1,370 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"pearmoor/internal/contract"
+	"pearmoor/internal/link/peer"
+	"pearmoor/internal/link/wire"
+)
+
+const (
+	// acceptWithin is how long a daemon may take to accept a gather before another one is
+	// asked beside it, and mostOffers how many are asked.
+	acceptWithin = 25 * time.Millisecond
+	mostOffers   = 3
+	// silentRunner is how long after the time for an answer a daemon that has a gather may
+	// go without a word before it counts as lost.
+	silentRunner = 50 * time.Millisecond
+)
+
+var (
+	handoversAnswered = metrics.GetOrRegisterCounter("forward.handovers.answered", metrics.DefaultRegistry)
+	handoversLost     = metrics.GetOrRegisterCounter("forward.handovers.lost", metrics.DefaultRegistry)
+	handoversUntaken  = metrics.GetOrRegisterCounter("forward.handovers.untaken", metrics.DefaultRegistry)
+	handoverAccepted  = metrics.GetOrRegisterHistogram("forward.handovers.accept_us", metrics.DefaultRegistry, metrics.NewExpDecaySample(512, 0.015))
+
+	errDeclined     = errors.New("forward: the daemon has another configuration, or stops")
+	errSilentRunner = errors.New("forward: nothing is heard of the daemon that has the gather")
+)
+
+// handover is a gather for which a daemon with the processor for it is sought.
+//
+// A daemon accepts first, and begins only when it is told to. Until then the gather can be
+// taken back, and has not run. After that it is never given to another one: a daemon of
+// which nothing is heard may be slow, and two of them would send to more leaves of a shard
+// than its route allows.
+type handover struct {
+	run    *run
+	req    *wire.HandoverRequest
+	events chan offerEvent
+	offers []*offer
+	open   int // offers without a word
+	taken  *offer
+	over   chan struct{} // closed when nobody waits any more
+}
+
+// offer is one daemon that is asked.
+type offer struct {
+	of     *handover
+	addr   string
+	begin  chan struct{}
+	cancel context.CancelFunc
+}
+
+// offerEvent is a word of a daemon that was asked.
+type offerEvent struct {
+	from   *offer
+	answer *Answer // nil: it accepts, or is at work
+	err    error   // the end of the call
+}
+
+// handOver has another daemon answer a gather that this one has too little processor for.
+// It is false when this daemon is to answer: there is no other, or none has accepted.
+func (r *run) handOver(ctx context.Context) (a *Answer, handed bool) {
+	if r.e.cfg.Near == nil || r.req.Handed || r.send.Stream != nil || !r.entry.Gathers() {
+		return nil, false
+	}
+	h := &handover{run: r, events: make(chan offerEvent, mostOffers), over: make(chan struct{})}
+	if !h.offer() {
+		return nil, false
+	}
+	defer close(h.over)
+	if h.taken = h.accepted(ctx); h.taken == nil {
+		r.hedgeAt = time.Now().Add(r.times.Late)
+		return nil, ctx.Err() != nil
+	}
+	handoverAccepted.Update(time.Since(r.req.Arrived).Microseconds())
+	a = h.follow(ctx)
+	return a, true
+}
+
+// offer asks one more daemon. It is false when there is none.
+func (h *handover) offer() bool {
+	if len(h.offers) >= mostOffers {
+		return false
+	}
+	var asked []string
+	for _, o := range h.offers {
+		asked = append(asked, o.addr)
+	}
+	r := h.run
+	addr := r.e.cfg.Near.Runner(asked)
+	if addr == "" {
+		return false
+	}
+	if h.req == nil {
+		h.req = &wire.HandoverRequest{
+			Id: r.req.ID, Method: r.req.Method, Head: r.send.Head, Body: r.req.Body, Caller: r.req.Caller,
+			WaitUs: micros(r.req.Wait), SpentUs: micros(time.Since(r.req.Arrived) + hopTime), Release: r.a.table.Number,
+		}
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), r.at(r.times.End+streamOver))
+	o := &offer{of: h, addr: addr, begin: make(chan struct{}, 1), cancel: cancel}
+	h.offers = append(h.offers, o)
+	h.open++
+	go o.call(ctx)
+	return true
+}
+
+// accepted returns the first daemon that accepts, and nil when none does or the caller leaves.
+func (h *handover) accepted(ctx context.Context) *offer {
+	timer := time.NewTimer(acceptWithin)
+	defer timer.Stop()
+	for h.open > 0 {
+		select {
+		case ev := <-h.events:
+			if ev.err == nil {
+				return ev.from
+			}
+			h.open--
+			h.log("handover not accepted", ev.from, ev.err)
+			h.offer()
+		case <-timer.C:
+			h.run.e.cfg.Near.Suspect(h.offers[len(h.offers)-1].addr)
+			if !h.offer() {
+				h.log("handover not accepted in time", nil, nil)
+				handoversUntaken.Inc(1)
+				return nil
+			}
+			timer.Reset(acceptWithin)
+		case <-h.run.e.ending:
+			return nil
+		case <-ctx.Done():
+			return nil
+		}
+	}
+	handoversUntaken.Inc(1)
+	return nil
+}
+
+// follow lets the daemon that has accepted begin and returns its answer, nil if the caller leaves.
+func (h *handover) follow(ctx context.Context) *Answer {
+	r := h.run
+	h.taken.begin <- struct{}{}
+	silent := time.NewTimer(time.Until(r.at(r.times.AnswerBy + silentRunner)))
+	defer silent.Stop()
+	for {
+		select {
+		case ev := <-h.events:
+			switch {
+			case ev.from != h.taken:
+			case ev.err != nil:
+				return h.lost(ev.err, contract.ReasonTargetFailed)
+			case ev.answer != nil:
+				handoversAnswered.Inc(1)
+				h.log("handed over", h.taken, nil)
+				return ev.answer
+			default:
+				silent.Reset(time.Until(r.at(r.times.End + streamOver)))
+			}
+		case <-silent.C:
+			r.e.cfg.Near.Suspect(h.taken.addr)
+			return h.lost(errSilentRunner, contract.ReasonDeadline)
+		case <-r.e.ending:
+			return h.lost(nil, contract.ReasonDraining)
+		case <-ctx.Done():
+			r.logLeft(ctx)
+			return nil
+		}
+	}
+}
+
+// lost is the answer to a gather whose daemon has begun and brings none.
+func (h *handover) lost(err error, reason contract.Reason) *Answer {
+	handoversLost.Inc(1)
+	h.log("handover lost", h.taken, err)
+	status := http.StatusBadGateway
+	if reason == contract.ReasonDeadline {
+		status = http.StatusGatewayTimeout
+	}
+	return &Answer{Status: status, Verdict: contract.MayHaveRun, Reason: reason, Cause: err, Handed: true}
+}
+
+func (h *handover) log(what string, o *offer, err error) {
+	r := h.run
+	l := r.e.cfg.Log.Line("gather", what).Str("id", r.req.ID).Str("route", r.entry.Name).Int("asked", int64(len(h.offers))).
+		Ms("after", time.Since(r.req.Arrived)).Ms("answer_by", r.times.AnswerBy).Int("release", int64(r.a.table.Number))
+	if o != nil {
+		l = l.Str("daemon", o.addr)
+	}
+	l.Err(err).End()
+}
+
+// call asks the daemon and passes on what it says.
+func (o *offer) call(ctx context.Context) {
+	defer o.cancel()
+	err := o.exchange(ctx)
+	ended := err
+	if errors.Is(err, errDeclined) || o.of.isOver() && !peer.NotSent(err) {
+		ended = nil
+	}
+	o.of.run.e.cfg.Near.Ended(o.addr, ended)
+	if err != nil {
+		o.tell(offerEvent{from: o, err: err})
+	}
+}
+
+func (o *offer) tell(ev offerEvent) {
+	select {
+	case o.of.events <- ev:
+	case <-o.of.over:
+	}
+}
+
+func (h *handover) isOver() bool {
+	select {
+	case <-h.over:
+		return true
+	default:
+		return false
+	}
+}
+
+func (o *offer) exchange(ctx context.Context) error {
+	stream, err := o.of.run.e.cfg.Near.Handover(ctx, o.addr)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = stream.Close() }() // it has ended, or its connection has
+	if err := stream.Send(o.of.req); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		select {
+		case <-o.of.over:
+			_ = stream.CloseSend() // the stream's end shows a failure
+		case <-ended:
+		}
+	}()
+	reply, err := stream.Recv()
+	switch {
+	case err != nil:
+		return err
+	case reply.Declined:
+		return errDeclined
+	}
+	o.tell(offerEvent{from: o})
+	select {
+	case <-o.begin:
+	case <-o.of.over:
+		return nil
+	}
+	if err := stream.Send(&wire.HandoverRequest{}); err != nil {
+		return err
+	}
+	for {
+		reply, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		ev := offerEvent{from: o, answer: answerOf(reply)}
+		o.tell(ev)
+		if ev.answer != nil {
+			return nil
+		}
+	}
+}
+
+// answerOf returns the answer in a reply, nil where there is none yet.
+func answerOf(reply *wire.HandoverReply) *Answer {
+	if reply.Status == 0 {
+		return nil
+	}
+	a := &Answer{
+		Status: int(reply.Status), Body: reply.Body, Parts: reply.Parts, Missing: int(reply.Missing),
+		Merged: reply.Status == http.StatusOK, Handed: true, RetryAfter: time.Duration(reply.RetryAfterUs) * time.Microsecond,
+		Verdict: contract.Verdict(min(reply.Verdict, uint32(contract.Ran))), Reason: contract.Reason(reply.Reason),
+	}
+	if reply.Cause != "" {
+		a.Cause = errors.New(reply.Cause)
+	}
+	return a
+}
+
+func replyOf(a *Answer) *wire.HandoverReply {
+	out := &wire.HandoverReply{
+		Status: uint32(a.Status), Body: a.Body, Parts: a.Parts, Missing: uint32(a.Missing),
+		RetryAfterUs: micros(a.RetryAfter), Verdict: uint32(a.Verdict), Reason: string(a.Reason),
+	}
+	if a.Cause != nil {
+		out.Cause = a.Cause.Error()
+	}
+	return out
+}
+
+// Handover implements wire.DRPCGatherServer.
+func (s *Scatterer) Handover(stream wire.DRPCGather_HandoverStream) error {
+	in, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	r := s.e.handedRun(in)
+	if r == nil {
+		return stream.Send(&wire.HandoverReply{Declined: true})
+	}
+	if err := stream.Send(&wire.HandoverReply{}); err != nil {
+		return err
+	}
+	if _, err := stream.Recv(); err != nil {
+		return nil // taken back
+	}
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	go func() {
+		_, _ = stream.Recv() // the asking daemon has closed its side, or is gone
+		cancel()
+	}()
+	answer := make(chan *Answer, 1)
+	go func() { answer <- s.e.guard(r.req.ID, func() *Answer { return r.enterAndDo(ctx) }) }()
+	late := time.NewTimer(time.Until(r.at(r.times.AnswerBy)))
+	defer late.Stop()
+	for {
+		select {
+		case a := <-answer:
+			if a == nil {
+				return nil // nobody waits
+			}
+			return stream.Send(replyOf(a))
+		case <-late.C:
+			if err := stream.Send(&wire.HandoverReply{}); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// handedRun returns the run of a gather that another daemon hands over, nil to decline: one
+// that was routed by another configuration must not be followed by one of this daemon's.
+func (e *Engine) handedRun(in *wire.HandoverRequest) *run {
+	a := e.active.Load()
+	if a == nil || a.table.Number != in.Release || e.stopping() {
+		return nil
+	}
+	uri, host := targetOf(in.Head)
+	entry, ok := a.table.Find(host, pathOf(uri))
+	if !ok || !entry.Gathers() {
+		return nil
+	}
+	return e.newRun(a, entry, &Request{
+		ID: in.Id, Method: in.Method, URI: uri, Path: pathOf(uri), Host: host, Caller: in.Caller, Body: in.Body,
+		Arrived: time.Now().Add(-time.Duration(in.SpentUs) * time.Microsecond), Wait: time.Duration(in.WaitUs) * time.Microsecond,
+		Head: in.Head, Handed: true,
+	})
+}
+
+func (e *Engine) stopping() bool {
+	select {
+	case <-e.ending:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -124,10 +124,13 @@
 func (r *run) prepare() {
 	r.send = target.Request{
 		Dialect: r.e.cfg.Dialect, Method: r.req.Method, ID: r.req.ID,
-		Head: head(r.req), Body: r.req.Body, Stream: r.req.Stream,
+		Head: r.req.Head, Body: r.req.Body, Stream: r.req.Stream,
 		Deadline: r.at(r.times.Deadline), Repeatable: r.entry.Repeatable,
 		BodyLimit: wholeLimit, ConnWait: policy.ConnWait(r.know.pace.Usual()),
 	}
+	if r.send.Head == nil {
+		r.send.Head = head(r.req)
+	}
 	if r.entry.Gathers() {
 		r.send.BodyLimit, r.send.WholeOnly = partLimit, true
 	}
@@ -139,7 +142,7 @@
 	defer r.abandon()
 	defer r.report()
 	for i := range r.shards {
-		r.e.cfg.Budgets.Request(r.shards[i].service)
+		r.a.budgets(r.e, r.shards[i].service).Request(r.shards[i].service)
 	}
 	r.launchAll()
 	timer := time.NewTimer(0)
--- a/internal/policy/eligible.go
+++ b/internal/policy/eligible.go
@@ -1,8 +1,13 @@
 package policy
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"pearmoor/internal/vm"
 )
 
@@ -17,6 +22,11 @@
 	// fewEligible is how many daemons must be fit for the widest gathers to leave the
 	// others out: the loss of one must not leave all callers to the next.
 	fewEligible = 3
+	// The fit daemons are a small part of a tier if they are less than one in smallPart.
+	// Then othersPerFit for each are named beside them: of callers that try two addresses
+	// a tenth at most have two fit ones.
+	smallPart    = 10
+	othersPerFit = 2
 )
 
 // Millicores returns the processor that gathers over so many shards, wanted within
@@ -32,10 +42,9 @@
 	return uint32(1000 * float64(PartCost*time.Duration(shards)) / (gatherShare * float64(aim)))
 }
 
-// Eligible returns the daemons that callers are sent to: those with the processor that
-// the widest gathers need, or where too few have it, those that come closest; all where
-// even those are too few.
-func Eligible(all []*vm.Member, need uint32) []*vm.Member {
+// Fit returns the daemons with the processor that the widest gathers need, or where too few
+// have it, those that come closest; all where even those are too few.
+func Fit(all []*vm.Member, need uint32) []*vm.Member {
 	largest := uint32(0)
 	for _, m := range all {
 		largest = max(largest, m.Millicores)
@@ -53,3 +62,48 @@
 	}
 	return all
 }
+
+// Eligible returns the daemons that callers are sent to: the fit ones, and where these are
+// a small part of the tier others beside them, which hand gathers over to the fit ones. A
+// caller that knows of the fit ones only reaches nobody while they are lost together.
+func Eligible(all []*vm.Member, need uint32) []*vm.Member {
+	fit := Fit(all, need)
+	if len(fit)*smallPart >= len(all) {
+		return fit
+	}
+	return slices.Concat(fit, spread(without(all, fit), othersPerFit*len(fit)))
+}
+
+// spread returns n of the members, as evenly over the failure domains as can be, and as far
+// as possible the same when others come or go.
+func spread(ms []*vm.Member, n int) []*vm.Member {
+	domains := make(map[string][]*vm.Member)
+	for _, m := range ms {
+		domains[m.Domain] = append(domains[m.Domain], m)
+	}
+	byHash := func(a, b *vm.Member) int { return cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)) }
+	names := slices.Sorted(maps.Keys(domains))
+	for _, name := range names {
+		slices.SortFunc(domains[name], byHash)
+	}
+	var out []*vm.Member
+	for rank := 0; len(out) < min(n, len(ms)); rank++ {
+		for _, name := range names {
+			if list := domains[name]; rank < len(list) && len(out) < n {
+				out = append(out, list[rank])
+			}
+		}
+	}
+	return out
+}
+
+// without returns the members that are not among some, which has the same order.
+func without(all, some []*vm.Member) []*vm.Member {
+	return slices.DeleteFunc(slices.Clone(all), func(m *vm.Member) bool {
+		found := len(some) > 0 && some[0] == m
+		if found {
+			some = some[1:]
+		}
+		return found
+	})
+}
--- a/internal/policy/eligible_test.go
+++ b/internal/policy/eligible_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -41,3 +42,35 @@
 		})
 	})
 }
+
+// Guards against address lists of which a common loss leaves nobody, and against others in them that move from list to list.
+func TestFewFitVMsAreNamedWithOthers(t *testing.T) {
+	need := Millicores(87, 60*time.Millisecond)
+	for _, c := range []struct{ domains, fitEach, othersEach int }{{5, 1, 39}, {3, 2, 27}, {5, 1, 12}} {
+		var all []*vm.Member
+		for d := range c.domains {
+			domain := fmt.Sprintf("hall-%d", d)
+			all = append(all, daemons(c.fitEach, domain, 512)...)
+			all = append(all, daemons(c.othersEach, domain, 192)...)
+		}
+		got := Eligible(all, need)
+		fit := c.domains * c.fitEach
+		if pairs := float64(fit*(fit-1)) / float64(len(got)*(len(got)-1)); pairs > 0.1 {
+			t.Errorf("%+v: two addresses are of fit VMs for %.2f of the callers", c, pairs)
+		}
+		inDomain := map[string]int{}
+		for _, m := range got {
+			inDomain[m.Domain]++
+		}
+		for domain, n := range inDomain {
+			if n != (1+othersPerFit)*c.fitEach {
+				t.Errorf("%+v: %d are of %s", c, n, domain)
+			}
+		}
+		lost := got[len(got)-1]
+		left := Eligible(slices.DeleteFunc(slices.Clone(all), func(m *vm.Member) bool { return m == lost }), need)
+		if kept := len(got) - len(without(got, left)); kept != len(got)-1 {
+			t.Errorf("%+v: %d of %d stay when one is lost", c, kept, len(got)-1)
+		}
+	}
+}
