--- a/internal/link/leaf/cancel_test.go
+++ b/internal/link/leaf/cancel_test.go
@@ -127,7 +127,7 @@
 
 // A leaf answers in full however often it is told to stop. Telling it frees
 // nothing and costs a connection each time, so after a few it is told rarely.
-func TestDeafLeafKeepsItsConnections(t *testing.T) {
+func TestLeafThatIgnoresCancelKeepsItsConnections(t *testing.T) {
 	Convey("A leaf that ignores cancellation", t, func() {
 		f := newFakeLeaf(t)
 		release := make(chan struct{})
@@ -143,7 +143,7 @@
 		const attempts = 20
 		for range attempts {
 			before := cancelled.Count()
-			told := r.sender.pool(r.leaf.Addr).hearing.ignored < deafAfter
+			told := r.sender.pool(r.leaf.Addr).cancelSupport.ignored < ignoresCancelAfter
 			ctx, cancel := context.WithCancel(deadline(t, generous))
 			done := r.sendAsync(ctx, t, "1")
 			eventually(t, "the leaf works", func() bool { return f.inFlight.Load() == 1 })
@@ -160,7 +160,7 @@
 			}
 			eventually(t, "the leaf is done", func() bool { return r.inFlight() == 0 })
 		}
-		So(f.opened.Load(), ShouldBeLessThanOrEqualTo, deafAfter+1)
+		So(f.opened.Load(), ShouldBeLessThanOrEqualTo, ignoresCancelAfter+1)
 		So(f.most.Load(), ShouldEqual, 1)
 	})
 }
--- a/internal/link/leaf/exchange.go
+++ b/internal/link/leaf/exchange.go
@@ -156,7 +156,7 @@
 		return true
 	}
 	wait := x.pool.connectCost()
-	if !x.pool.worthTelling() {
+	if !x.pool.worthCancelling() {
 		wait = max(wait, x.deadline.Sub(x.clock()))
 	}
 	x.schedule(wait, x.tell)
--- a/internal/link/leaf/pool.go
+++ b/internal/link/leaf/pool.go
@@ -35,15 +35,15 @@
 	sender *Sender
 	addr   string
 
-	mu      sync.Mutex
-	link    Link
-	tls     *tls.Config // used if link.TLS
-	open    int         // dialling, idle or in use
-	over    bool        // more are open than the share allows
-	idle    []*conn     // the last used is taken first
-	waiting []chan struct{}
-	cost    time.Duration // learnt connect cost
-	hearing hearing
+	mu            sync.Mutex
+	link          Link
+	tls           *tls.Config // used if link.TLS
+	open          int         // dialling, idle or in use
+	over          bool        // more are open than the share allows
+	idle          []*conn     // the last used is taken first
+	waiting       []chan struct{}
+	cost          time.Duration // learnt connect cost
+	cancelSupport cancelSupport
 }
 
 var (
--- a/internal/link/leaf/roundtrip.go
+++ b/internal/link/leaf/roundtrip.go
@@ -87,7 +87,7 @@
 	after := x.clock().Sub(x.toldAt)
 	x.mu.Unlock()
 	if out.reply == nil || after > x.pool.connectCost() {
-		x.pool.told(out.reply == nil)
+		x.pool.cancelled(out.reply == nil)
 	}
 	if out.reply == nil && out.learnt == admit.Failed {
 		out.learnt = admit.Cancelled
