forward: a daemon that has a gather has its time from when it began

What callers saw: 504 for a second attempt, whose target latency is used up, 50 ms after it came, from a VM that had handed it over; the daemon that had it was at work (84 of 87 parts there).

Cause: the wait for a word counted from the time for an answer, which for such an attempt is over when it arrives, so the wait to be accepted was taken off it.

Change: it counts from the later of that time and the begin, and is 100 ms.

--- a/internal/forward/handover.go
+++ b/internal/forward/handover.go
@@ -18,9 +18,9 @@
 	// asked beside it, and mostOffers how many are asked.
 	acceptWithin = 25 * time.Millisecond
 	mostOffers   = 3
-	// silentRunner is how long after the time for an answer a daemon that has a gather may
-	// go without a word before it counts as lost.
-	silentRunner = 50 * time.Millisecond
+	// silentRunner is how long a daemon that has begun with a gather may go without a word
+	// after the time for an answer before it counts as lost.
+	silentRunner = 100 * time.Millisecond
 )
 
 var (
@@ -147,7 +147,7 @@
 func (h *handover) follow(ctx context.Context) *Answer {
 	r := h.run
 	h.taken.begin <- struct{}{}
-	silent := time.NewTimer(time.Until(r.at(r.times.AnswerBy + silentRunner)))
+	silent := time.NewTimer(max(time.Until(r.at(r.times.AnswerBy)), 0) + silentRunner)
 	defer silent.Stop()
 	for {
 		select {
