--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -221,8 +221,8 @@
 
 // write sends an answer to the caller.
 //
-// Where another daemon answered, the connection ends, and with it the hop: callers keep
-// connections to daemons that answer themselves.
+// The connection ends where another daemon answered, so that callers keep connections to
+// daemons that answer themselves.
 func (h *Handler) write(w http.ResponseWriter, a *Answer) {
 	if a.Handed {
 		w.Header().Set("Connection", "close")
--- a/internal/forward/handover.go
+++ b/internal/forward/handover.go
@@ -18,8 +18,8 @@
 	// asked beside it, and mostOffers how many are asked.
 	acceptWithin = 25 * time.Millisecond
 	mostOffers   = 3
-	// silentRunner is how long a daemon that has begun with a gather may go without a word
-	// after the time for an answer before it counts as lost.
+	// silentRunner is how long a daemon that has begun may go without a reply after the time
+	// for an answer before it counts as lost.
 	silentRunner = 100 * time.Millisecond
 )
 
@@ -30,26 +30,26 @@
 	handoverAccepted  = metrics.GetOrRegisterHistogram("forward.handovers.accept_us", metrics.DefaultRegistry, metrics.NewExpDecaySample(512, 0.015))
 
 	errDeclined     = errors.New("forward: the daemon has another configuration, or stops")
-	errSilentRunner = errors.New("forward: nothing is heard of the daemon that has the gather")
+	errSilentRunner = errors.New("forward: the daemon that has the gather does not answer")
 )
 
-// handover is a gather for which a daemon with the processor for it is sought.
+// handover is a gather that is offered to daemons with the processor for it.
 //
-// A daemon accepts first, and begins only when it is told to. Until then the gather can be
-// taken back, and has not run. After that it is never given to another one: a daemon of
-// which nothing is heard may be slow, and two of them would send to more leaves of a shard
-// than its route allows.
+// A daemon accepts an offer first and starts only when it is told to begin. Until then the
+// gather can be withdrawn and has not run. After that no other daemon gets it: one that does
+// not answer may only be slow, and two of them would send to more leaves of a shard than
+// the route allows.
 type handover struct {
 	run    *run
 	req    *wire.HandoverRequest
 	events chan offerEvent
 	offers []*offer
-	open   int // offers without a word
-	taken  *offer
-	over   chan struct{} // closed when nobody waits any more
+	open   int           // offers without a reply
+	taken  *offer        // the one that was told to begin
+	over   chan struct{} // closed when the caller has its answer, or has left
 }
 
-// offer is one daemon that is asked.
+// offer is a call to one daemon.
 type offer struct {
 	of     *handover
 	addr   string
@@ -57,15 +57,15 @@
 	cancel context.CancelFunc
 }
 
-// offerEvent is a word of a daemon that was asked.
+// offerEvent is a reply to an offer, or the end of its call.
 type offerEvent struct {
 	from   *offer
-	answer *Answer // nil: it accepts, or is at work
-	err    error   // the end of the call
+	answer *Answer // nil: the daemon accepts, or is at work
+	err    error
 }
 
 // handOver has another daemon answer a gather that this one has too little processor for.
-// It is false when this daemon is to answer: there is no other, or none has accepted.
+// It is false when none has accepted and this daemon is to answer.
 func (r *run) handOver(ctx context.Context) (a *Answer, handed bool) {
 	if r.e.cfg.Near == nil || r.req.Handed || r.send.Stream != nil || !r.entry.Gathers() {
 		return nil, false
@@ -84,7 +84,7 @@
 	return a, true
 }
 
-// offer asks one more daemon. It is false when there is none.
+// offer calls one more daemon. It is false when there is none.
 func (h *handover) offer() bool {
 	if len(h.offers) >= mostOffers {
 		return false
@@ -143,7 +143,7 @@
 	return nil
 }
 
-// follow lets the daemon that has accepted begin and returns its answer, nil if the caller leaves.
+// follow tells the daemon that has accepted to begin and returns its answer, nil if the caller leaves.
 func (h *handover) follow(ctx context.Context) *Answer {
 	r := h.run
 	h.taken.begin <- struct{}{}
@@ -175,7 +175,7 @@
 	}
 }
 
-// lost is the answer to a gather whose daemon has begun and brings none.
+// lost is the answer to a gather whose daemon has begun and does not answer.
 func (h *handover) lost(err error, reason contract.Reason) *Answer {
 	handoversLost.Inc(1)
 	h.log("handover lost", h.taken, err)
@@ -196,7 +196,7 @@
 	l.Err(err).End()
 }
 
-// call asks the daemon and passes on what it says.
+// call makes the offer and passes on the replies.
 func (o *offer) call(ctx context.Context) {
 	defer o.cancel()
 	err := o.exchange(ctx)
