--- a/internal/entryvm/quarantine_test.go
+++ b/internal/entryvm/quarantine_test.go
@@ -188,6 +188,11 @@
 		c.t.Error(err)
 		return 0, ""
 	}
+	return c.send(req)
+}
+
+// send sends a request as an attempt of its own.
+func (c *crashTier) send(req *http.Request) (status int, body string) {
 	req.Host = crashHost
 	req.Header.Set(crashDialect.RequestID, fmt.Sprintf("a-%d", c.ids.Add(1)))
 	req.Header.Set(crashDialect.Deadline, "1000")
@@ -270,6 +275,33 @@
 	}
 }
 
+// Guards against a request that crashes leaves and is taken for another one each time it comes.
+func TestRequestThatCrashesLeavesIsKnownHoweverItComes(t *testing.T) {
+	t.Parallel()
+	for name, vary := range map[string]func(n int, req *http.Request){
+		"header":     func(n int, req *http.Request) { req.Header.Set("Trace", fmt.Sprint(n)) },
+		"connection": func(_ int, req *http.Request) { req.Close = true },
+		"encoding":   func(n int, req *http.Request) { req.ContentLength -= int64(n%2) * (req.ContentLength + 1) },
+		"query":      func(n int, req *http.Request) { req.URL.RawQuery = fmt.Sprint("n=", n) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			tier := startCrashTier(t)
+			path := gatherPath + fatal
+			for n := range 12 {
+				req, err := http.NewRequest(http.MethodGet, tier.vms[n%len(tier.vms)].callers+path, strings.NewReader("body"))
+				if err != nil {
+					t.Fatal(err)
+				}
+				vary(n, req)
+				tier.send(req)
+				time.Sleep(700 * time.Millisecond)
+			}
+			tier.fleet.checkRetries(path)
+		})
+	}
+}
+
 // blocked reports whether the group has agreed to block a request: one that is only suspected
 // is refused as well while another daemon tries it.
 func (tier *crashTier) blocked() bool {
