query: shards whose homes could not be connected to are told as not run

What callers saw: "deadline, may_have_run" for the shards of homes on VMs without power, though nothing was sent; a request that may run once is not tried again after that.

Cause: at its deadline a daemon counted each call to a home that was in flight as one that may have run.

Evidence: TestShardsOfUnreachableHomesAreNotRun, two of three homes whose connects get no answer, failed every run.

Change: calls in flight have 2 ms to end after the deadline, of the 5 ms that are kept for the way back. Their context is over, so one that was never sent ends at once and says so; one without an end counts as before. A part that comes in that moment is taken. internal/query passes.

--- a/internal/query/call.go
+++ b/internal/query/call.go
@@ -15,6 +15,10 @@
 // that a reply crossed between them never matches.
 const attemptStride = 1 << 10
 
+// expiredWait bounds the wait for the ends of remote calls after their deadline; it is
+// taken from wayBack.
+const expiredWait = 2 * time.Millisecond
+
 // call asks the homes of one unit until one answers or none is left.
 type call struct {
 	e        *Engine
@@ -68,7 +72,7 @@
 		case <-timer.C:
 			c.hedge(ctx)
 		case <-ctx.Done():
-			return c.expired(ctx)
+			return c.expired()
 		}
 	}
 }
@@ -83,16 +87,7 @@
 
 // take handles one result and returns the part that ends the call, if it does.
 func (c *call) take(ctx context.Context, d callDone) *part {
-	c.inFlight--
-	if d.local {
-		c.local--
-	}
-	if d.err == nil && c.crossed(d.part) {
-		d.err = &contract.Error{Verdict: contract.MayHaveRun, Reason: contract.ReasonWrongReply}
-	}
-	if d.err == nil {
-		c.r.learn(d.home.Name, d.part, c.e.Clock())
-	}
+	c.landed(&d)
 	if c.first != nil {
 		return c.filled(d)
 	}
@@ -117,6 +112,20 @@
 	return c.refused
 }
 
+// landed counts a result out and learns from it.
+func (c *call) landed(d *callDone) {
+	c.inFlight--
+	if d.local {
+		c.local--
+	}
+	if d.err == nil && c.crossed(d.part) {
+		d.err = &contract.Error{Verdict: contract.MayHaveRun, Reason: contract.ReasonWrongReply}
+	}
+	if d.err == nil {
+		c.r.learn(d.home.Name, d.part, c.e.Clock())
+	}
+}
+
 // settle raises what p says was not run when another home was asked as well and
 // has not proved that it sent nothing: p only knows of its own home's attempts.
 func (c *call) settle(p *part) {
@@ -159,21 +168,28 @@
 	}
 }
 
-// expired ends the call at its deadline. A part run by this daemon itself ends at
-// the same deadline with what it has, so it is worth the moment's wait.
-func (c *call) expired(ctx context.Context) *part {
-	for c.local > 0 {
-		d := <-c.results
-		if !d.local {
-			continue
-		}
-		c.local--
-		if c.first != nil {
-			return c.filled(d)
-		}
-		if d.err == nil && d.part.refusal == "" {
-			c.settle(d.part)
-			return d.part
+// expired ends the call at its deadline. A part run by this daemon itself ends at the same
+// deadline with what it has, and a call to another home that was never sent says so: both
+// are worth a moment's wait.
+func (c *call) expired() *part {
+	timer := time.NewTimer(expiredWait)
+	defer timer.Stop()
+	overdue := timer.C
+	for c.local > 0 || c.inFlight > 0 && overdue != nil {
+		select {
+		case d := <-c.results:
+			c.landed(&d)
+			switch {
+			case c.first != nil:
+				return c.filled(d)
+			case d.err == nil && d.part.refusal == "":
+				c.settle(d.part)
+				return d.part
+			case d.err != nil && d.err.Verdict != contract.NotRun:
+				c.doubt = true
+			}
+		case <-overdue:
+			overdue = nil
 		}
 	}
 	if c.first != nil {
--- a/internal/query/conn_test.go
+++ b/internal/query/conn_test.go
@@ -33,6 +33,10 @@
 	if d.isCrashed() {
 		return &peer.NotSentError{Addr: c.addr, Cause: errors.New("connection refused")}
 	}
+	if d.unreachable.Load() {
+		<-ctx.Done()
+		return &peer.NotSentError{Addr: c.addr, Cause: ctx.Err()}
+	}
 	time.Sleep(oneWay)
 	done := make(chan error, 1)
 	go func() { done <- d.handle(ctx, rpc, clone(in), out) }()
--- a/internal/query/engine_test.go
+++ b/internal/query/engine_test.go
@@ -94,6 +94,30 @@
 	}
 }
 
+// Guards against "may have run" for shards whose homes could not be connected to until the deadline.
+func TestShardsOfUnreachableHomesAreNotRun(t *testing.T) {
+	err := inWorld(t, 2, "", func(w *world) error {
+		w.daemons["b"].unreachable.Store(true)
+		w.daemons["c"].unreachable.Store(true)
+		a, err := ask(w, "a", "q")
+		if err != nil {
+			return err
+		}
+		if len(a.Coverage.Missing) == 0 {
+			return errors.New("every home was reached")
+		}
+		for _, m := range a.Coverage.Missing {
+			if m.Verdict != contract.NotRun {
+				return errors.Newf("shard %d of %s: %s, %v", m.Shard, m.Service, m.Reason, m.Verdict)
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
 // The caller is told not_run at once by a daemon whose lease has run out, with
 // when to come back, and no leaf has run anything.
 func TestLostLeaseRefuses(t *testing.T) {
--- a/internal/query/world_test.go
+++ b/internal/query/world_test.go
@@ -81,6 +81,8 @@
 	mu      sync.Mutex
 	seen    map[string][]leaf.Snapshot
 	crashed bool
+	// unreachable: a connect to it gets no answer, as from a VM without power.
+	unreachable atomic.Bool
 }
 
 // shardsAt is the partition map's size: every second version splits or joins.
