policy, entryvm: the choice of daemons grows with daemons, not with their square

The choice that brought looked each daemon up among the fit ones, ten times a second at every daemon. The choice itself is the same.

--- a/internal/entryvm/steer.go
+++ b/internal/entryvm/steer.go
@@ -53,9 +53,8 @@
 }
 
 func choiceOf(serving []*vm.Member, need uint32) choice {
-	c := choice{serving: serving, fit: policy.Fit(serving, need), eligible: policy.Eligible(serving, need)}
-	c.others = slices.DeleteFunc(slices.Clone(serving), func(m *vm.Member) bool { return slices.Contains(c.fit, m) })
-	return c
+	fit := policy.Fit(serving, need)
+	return choice{serving: serving, fit: fit, others: policy.Without(serving, fit), eligible: policy.Eligible(serving, need)}
 }
 
 // reachable returns the daemons that callers are sent to, as far as this daemon can reach
--- a/internal/entryvm/steer_test.go
+++ b/internal/entryvm/steer_test.go
@@ -139,3 +139,26 @@
 		t.Errorf("%d of %d take callers: each holds connections to every leaf", len(eligible), len(all))
 	}
 }
+
+// BenchmarkChoice is the choice of daemons in a tier of the target's size.
+func BenchmarkChoice(b *testing.B) {
+	for _, c := range []struct {
+		what string
+		fit  int
+	}{{"alike", 3600}, {"few fit", 17}} {
+		b.Run(c.what, func(b *testing.B) {
+			var all []*vm.Member
+			for i := range 3600 {
+				millicores := uint32(192)
+				if i < c.fit {
+					millicores = 512
+				}
+				m := member(fmt.Sprint("vm-", i), fmt.Sprint("hall-", i%17), millicores)
+				all = append(all, &m)
+			}
+			for b.Loop() {
+				choiceOf(all, 435)
+			}
+		})
+	}
+}
--- a/internal/policy/eligible.go
+++ b/internal/policy/eligible.go
@@ -71,34 +71,37 @@
 	if len(fit)*smallPart >= len(all) {
 		return fit
 	}
-	return slices.Concat(fit, spread(without(all, fit), othersPerFit*len(fit)))
+	return slices.Concat(fit, spread(Without(all, fit), othersPerFit*len(fit)))
 }
 
 // spread returns n of the members, as evenly over the failure domains as can be, and as far
 // as possible the same when others come or go.
 func spread(ms []*vm.Member, n int) []*vm.Member {
-	domains := make(map[string][]*vm.Member)
+	type ranked struct {
+		member *vm.Member
+		hash   uint64
+	}
+	domains := make(map[string][]ranked)
 	for _, m := range ms {
-		domains[m.Domain] = append(domains[m.Domain], m)
+		domains[m.Domain] = append(domains[m.Domain], ranked{m, xxhash.Sum64String(m.Name)})
 	}
-	byHash := func(a, b *vm.Member) int { return cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)) }
 	names := slices.Sorted(maps.Keys(domains))
 	for _, name := range names {
-		slices.SortFunc(domains[name], byHash)
+		slices.SortFunc(domains[name], func(a, b ranked) int { return cmp.Compare(a.hash, b.hash) })
 	}
 	var out []*vm.Member
 	for rank := 0; len(out) < min(n, len(ms)); rank++ {
 		for _, name := range names {
 			if list := domains[name]; rank < len(list) && len(out) < n {
-				out = append(out, list[rank])
+				out = append(out, list[rank].member)
 			}
 		}
 	}
 	return out
 }
 
-// without returns the members that are not among some, which has the same order.
-func without(all, some []*vm.Member) []*vm.Member {
+// Without returns the members that are not among some, which has the same order.
+func Without(all, some []*vm.Member) []*vm.Member {
 	return slices.DeleteFunc(slices.Clone(all), func(m *vm.Member) bool {
 		found := len(some) > 0 && some[0] == m
 		if found {
--- a/internal/policy/eligible_test.go
+++ b/internal/policy/eligible_test.go
@@ -69,7 +69,7 @@
 		}
 		lost := got[len(got)-1]
 		left := Eligible(slices.DeleteFunc(slices.Clone(all), func(m *vm.Member) bool { return m == lost }), need)
-		if kept := len(got) - len(without(got, left)); kept != len(got)-1 {
+		if kept := len(got) - len(Without(got, left)); kept != len(got)-1 {
 			t.Errorf("%+v: %d of %d stay when one is lost", c, kept, len(got)-1)
 		}
 	}
