--- a/internal/forward/handover_test.go
+++ b/internal/forward/handover_test.go
@@ -8,13 +8,12 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
-	"storj.io/drpc/drpcmux"
-
 	"pearmoor/internal/contract"
-	"pearmoor/internal/link/peer"
 	"pearmoor/internal/link/wire"
+	"pearmoor/internal/policy"
 	"pearmoor/internal/route"
 )
 
@@ -224,45 +223,23 @@
 	}
 }
 
-// slowRunner accepts a gather after a while and answers it after a while more.
-type slowRunner struct {
-	wire.DRPCGatherUnimplementedServer
-	accept, answer time.Duration
-}
-
-func (s *slowRunner) Handover(stream wire.DRPCGather_HandoverStream) error {
-	if _, err := stream.Recv(); err != nil {
-		return err
-	}
-	time.Sleep(s.accept)
-	if err := stream.Send(&wire.HandoverReply{}); err != nil {
-		return err
-	}
-	if _, err := stream.Recv(); err != nil {
-		return err
-	}
-	time.Sleep(s.answer)
-	return stream.Send(replyOf(&Answer{Status: http.StatusOK, Merged: true, Parts: []string{"a"}, Verdict: contract.Ran}))
-}
-
 // Guards against a daemon that counts as lost at once where the time for an answer was over when it began.
 func TestSlowDaemonIsNotLostWhereTheAimIsPast(t *testing.T) {
-	rt, leaves := awayRoute(t, wholePart)
-	rt.TargetLatency, rt.AnswerMargin, rt.Timeout = 2*time.Millisecond, 2*time.Millisecond, 20*time.Second
-	w := newHandover(t, rt, leaves)
-	mux := drpcmux.New()
-	if err := wire.DRPCRegisterGather(mux, &slowRunner{accept: (2*mostOffers - 1) * acceptWithin / 2, answer: silentRunner / 2}); err != nil {
-		t.Fatal(err)
-	}
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
-	go func() { _ = peer.ServeTrusted(ctx, lis, mux) }()
-	w.near.runners = []string{lis.Addr().String(), silentAddr(t), silentAddr(t)}
-	if resp, text := w.do(t, http.MethodGet, "/", ""); resp.StatusCode != http.StatusOK {
-		t.Errorf("status %d %q", resp.StatusCode, text)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		r := &run{
+			e: New(Config{Near: &oneNear{}}), a: &active{table: &route.Table{}}, entry: &route.Entry{},
+			req: &Request{Arrived: time.Now()}, times: policy.Times{End: time.Second},
+		}
+		h := &handover{run: r, events: make(chan offerEvent, mostOffers), over: make(chan struct{})}
+		h.taken = &offer{of: h, begin: make(chan struct{}, 1)}
+		time.Sleep(silentRunner) // until it has accepted
+		go func() {
+			<-h.taken.begin
+			time.Sleep(silentRunner - time.Millisecond)
+			h.events <- offerEvent{from: h.taken, answer: &Answer{Status: http.StatusOK}}
+		}()
+		if a := h.follow(t.Context()); a == nil || a.Status != http.StatusOK {
+			t.Errorf("answer %+v", a)
+		}
+	})
 }
