forward, entryvm: one budget for extra sends, shared by the fit daemons

Without it a VM that is not fit has next to no extra sends for the few single requests that it gets, as before.

--- a/internal/entryvm/steer.go
+++ b/internal/entryvm/steer.go
@@ -116,27 +116,19 @@
 	return need
 }
 
-// idleSharers is how many times the tier's daemons a daemon counts that is not meant to send.
-// It gets a few requests all the same, of callers with an old list, and the shares of the
-// others add up to the whole.
+// idleSharers is how many times the tier's daemons a daemon counts that is not fit. It
+// sends for few requests, and the shares of the fit ones add up to the whole.
 const idleSharers = 4
 
-// gatherSenders returns among how many daemons what is shared by those that send to shards
-// is divided, 0 while that is not known.
-func (v *VM) gatherSenders() int { return v.senders(func(c choice) []*vm.Member { return c.fit }) }
-
-// singleSenders is the same for other services.
-func (v *VM) singleSenders() int {
-	return v.senders(func(c choice) []*vm.Member { return c.eligible })
-}
-
-func (v *VM) senders(of func(choice) []*vm.Member) int {
+// senders returns among how many daemons what is shared by those that send to leaves is
+// divided, 0 while that is not known.
+func (v *VM) senders() int {
 	ms := v.client.Current().Members()
 	if ms == nil {
 		return 0
 	}
-	if sharers := of(v.choose(ms)); slices.ContainsFunc(sharers, v.isSelf) {
-		return len(sharers)
+	if fit := v.choose(ms).fit; slices.ContainsFunc(fit, v.isSelf) {
+		return len(fit)
 	}
 	return max(idleSharers*len(ms.Members), 1)
 }
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -76,10 +76,9 @@
 	}, v.book)
 	v.quarantine = quarantine.NewRegistry(vm.Monotonic, &quarantine.Remote{Conns: v.otherConns, Contacts: v.controlContacts})
 	v.engine = forward.New(forward.Config{
-		Clock: vm.Monotonic, Dialect: conf.Dialect, Book: v.book, Board: forward.NewBoard(vm.Monotonic, conf.Domain), Log: conf.Log, Senders: v.gatherSenders,
+		Clock: vm.Monotonic, Dialect: conf.Dialect, Book: v.book, Board: forward.NewBoard(vm.Monotonic, conf.Domain), Log: conf.Log, Senders: v.senders,
 		Near: newNearDaemons(v), Quarantine: v.quarantine,
-		Budgets:       policy.NewBudgets(conf.Budget, vm.Monotonic, v.gatherSenders),
-		SingleBudgets: policy.NewBudgets(conf.Budget, vm.Monotonic, v.singleSenders),
+		Budgets: policy.NewBudgets(conf.Budget, vm.Monotonic, v.senders),
 	})
 	v.server = forward.NewServer(&forward.Handler{Engine: v.engine, Dialect: conf.Dialect, Log: conf.Log, Draining: v.draining.Load})
 	if conf.DataDir != "" {
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -27,10 +27,8 @@
 	Dialect *target.Dialect
 	Book    *discovery.Book
 	Board   *Board
-	Budgets *policy.Budgets // for shards
-	// SingleBudgets is for all other services; nil: Budgets.
-	SingleBudgets *policy.Budgets
-	Log           *decision.Log
+	Budgets *policy.Budgets
+	Log     *decision.Log
 	// Senders returns among how many daemons what is shared by those that send to leaves
 	// is divided, 0 while that is not known.
 	Senders func() int
@@ -65,9 +63,6 @@
 
 // New returns an engine that refuses every request until Install.
 func New(cfg Config) *Engine {
-	if cfg.SingleBudgets == nil {
-		cfg.SingleBudgets = cfg.Budgets
-	}
 	e := &Engine{cfg: cfg, ending: make(chan struct{})}
 	e.sends = work.NewPool(e.perform)
 	return e
@@ -179,14 +174,6 @@
 	return r.do(ctx)
 }
 
-// budgets returns what bounds extra sends to a service.
-func (a *active) budgets(e *Engine, service string) *policy.Budgets {
-	if a.table.Gathered(service) {
-		return e.cfg.Budgets
-	}
-	return e.cfg.SingleBudgets
-}
-
 // guard answers a request whose handling panics with an error: its caller would see a
 // connection that breaks off, which says nothing of what became of the request.
 func (e *Engine) guard(id string, handle func() *Answer) (a *Answer) {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -142,7 +142,7 @@
 	defer r.abandon()
 	defer r.report()
 	for i := range r.shards {
-		r.a.budgets(r.e, r.shards[i].service).Request(r.shards[i].service)
+		r.e.cfg.Budgets.Request(r.shards[i].service)
 	}
 	r.launchAll()
 	timer := time.NewTimer(0)
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -41,7 +41,7 @@
 // further one.
 func (r *run) sendTo(i int, leaf *discovery.Leaf, hedge bool) {
 	s := &r.shards[i]
-	if s.sends+len(s.flights) > 0 && !r.a.budgets(r.e, s.service).Spend(s.service, hedge) {
+	if s.sends+len(s.flights) > 0 && !r.e.cfg.Budgets.Spend(s.service, hedge) {
 		r.denied++
 		if !hedge {
 			r.noBudget(s)
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -15,7 +15,6 @@
 	Limits  Limits
 	hosts   map[string][]*Entry // by prefix, the longest first
 	service map[string]*Service
-	shards  map[string]bool // services that are shards of a route
 	entries []*Entry
 }
 
@@ -32,7 +31,6 @@
 		Number: r.Number, Limits: r.Limits,
 		hosts:   make(map[string][]*Entry),
 		service: make(map[string]*Service, len(r.Services)),
-		shards:  make(map[string]bool),
 	}
 	for i := range r.Services {
 		t.service[r.Services[i].Name] = &r.Services[i]
@@ -42,9 +40,6 @@
 		pace.Step()
 		e := &Entry{Route: r.Routes[i], spread: newSpread(r.Routes[i].Split)}
 		e.Shards = distinct(e.Shards)
-		for _, s := range e.Shards {
-			t.shards[s] = true
-		}
 		host := NormalHost(e.Host)
 		t.hosts[host] = append(t.hosts[host], e)
 		t.entries = append(t.entries, e)
@@ -85,9 +80,6 @@
 	return s, ok
 }
 
-// Gathered reports whether a service is a shard of a route.
-func (t *Table) Gathered(service string) bool { return t.shards[service] }
-
 // Pick returns the service for the next request of a route without shards.
 func (e *Entry) Pick() string {
 	if e.spread == nil {
