--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -50,6 +50,8 @@
 	releaseNumber atomic.Uint64 // number of the release in use on this VM
 	// releaseBytes is the estimated size of a read of the release in use.
 	releaseBytes atomic.Int64
+	// confirmedAt is the ConfirmedAt of the newest view that is in use completely.
+	confirmedAt atomic.Int64
 }
 
 // New creates a VM. Nothing runs until Run.
@@ -76,7 +78,7 @@
 	}, v.leafCache)
 	v.quarantine = quarantine.NewRegistry(vm.Monotonic, &quarantine.RemoteLeader{Conns: v.bulkConns, ControlAddrs: v.controlContacts})
 	v.engine = forward.New(forward.Config{
-		Clock: vm.Monotonic, Dialect: conf.Dialect, Leaves: v.leafCache, Tracker: forward.NewLeafTracker(vm.Monotonic, conf.Domain), Log: conf.Log, DaemonCount: v.senderCount,
+		Clock: vm.Monotonic, Dialect: conf.Dialect, Leaves: v.leafCache, Tracker: forward.NewLeafTracker(vm.Monotonic, conf.Domain), Log: conf.Log, DaemonCount: v.senderCount, Confirmation: v.confirmation,
 		Peers: newPeerDaemons(v), Quarantine: v.quarantine,
 		Budgets: policy.NewBudgets(conf.Budget, vm.Monotonic, v.senderCount),
 	})
@@ -285,6 +287,7 @@
 			}
 			previous = view.Tree
 		}
+		v.confirmedAt.Store(int64(view.ConfirmedAt))
 		v.client.Ack(view.ConfigVersion, view.Epoch())
 		select {
 		case <-changed:
@@ -294,6 +297,15 @@
 	}
 }
 
+// confirmation returns how current the configuration in use is.
+func (v *VM) confirmation() policy.Confirmation {
+	at := vm.Instant(v.confirmedAt.Load())
+	if at == 0 {
+		return policy.Confirmation{}
+	}
+	return policy.Confirmation{Confirmed: true, Age: vm.Now().Sub(at)}
+}
+
 // applyRelease puts the release of a view into use. If it cannot be decoded, the previous
 // release stays in use.
 func (v *VM) applyRelease(view *relay.View) {
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -32,6 +32,8 @@
 	// DaemonCount returns the number of daemons that share the connection limits of the
 	// leaves, 0 while it is unknown.
 	DaemonCount func() int
+	// Confirmation returns how current the installed table is; nil if it always is.
+	Confirmation func() policy.Confirmation
 	// Peers gives access to other daemons; nil if all sends are made directly.
 	Peers PeerDaemons
 	// Quarantine records the requests that crash leaves; nil if there is no quarantine.
@@ -158,8 +160,9 @@
 	}
 	entry, ok := active.table.Find(req.Host, req.Path)
 	if !ok {
+		confirmation := e.confirmation()
 		e.cfg.Log.Line("route", "none").Str("id", req.ID).Str("host", req.Host).Str("path", req.Path).
-			Int("release", int64(active.table.Number)).End()
+			Int("release", int64(active.table.Number)).Bool("confirmed", confirmation.Confirmed).Ms("confirmed_ago", confirmation.Age).End()
 		return &Answer{Status: http.StatusNotFound, Verdict: contract.NotRun, Reason: contract.ReasonUnknownPath}
 	}
 	r := e.newRun(active, entry, req)
@@ -169,6 +172,14 @@
 	return r.checkAndExecute(ctx)
 }
 
+// confirmation returns how current the installed table is.
+func (e *Engine) confirmation() policy.Confirmation {
+	if e.cfg.Confirmation == nil {
+		return policy.Confirmation{Confirmed: true}
+	}
+	return e.cfg.Confirmation()
+}
+
 // checkAndExecute executes the request on this daemon, unless the quarantine refuses it.
 func (r *run) checkAndExecute(ctx context.Context) *Answer {
 	if refused := r.checkQuarantine(ctx); refused != nil {
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -72,7 +72,6 @@
 	fullHeartbeats   bool   // send no heartbeat in the short form
 	leaseDuration    time.Duration
 	leaseEnd         vm.Instant // used once the membership contains this run
-	lastConfirmed    vm.Instant // send time of the last call that was granted
 	upstreams        *upstreams
 	supersededErr    error
 	wasMember        bool       // the membership has contained this run
@@ -103,7 +102,7 @@
 func (c *Client) SetSeeds(addrs []string) {
 	c.mu.Lock()
 	c.upstreams.setSeeds(addrs)
-	neverConfirmed := c.lastConfirmed == 0
+	neverConfirmed := c.view.ConfirmedAt == 0
 	c.mu.Unlock()
 	if neverConfirmed {
 		signal(c.newAddrs)
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -39,11 +39,18 @@
 	startupPeriod        = 5 * time.Second
 )
 
+// confirmationGapLogged is the shortest time without a confirmation that is logged when it
+// ends. Several heartbeats have failed by then.
+const confirmationGapLogged = 2 * time.Second
+
 var (
 	exchangeCounter       = metrics.GetOrRegisterCounter("relay.exchanges", nil)
 	failedExchangeCounter = metrics.GetOrRegisterCounter("relay.exchanges.failed", nil)
 	refusedStateCounter   = metrics.GetOrRegisterCounter("relay.state.refused", nil)
-	configVersionGauge    = metrics.GetOrRegisterGauge("relay.config.version", nil)
+	// confirmationGap is the age in ms that the confirmation had reached when the next one
+	// arrived.
+	confirmationGap    = metrics.GetOrRegisterHistogram("relay.confirmation.gap_ms", nil, metrics.NewExpDecaySample(512, 0.015))
+	configVersionGauge = metrics.GetOrRegisterGauge("relay.config.version", nil)
 )
 
 // outcome is the result of an exchange.
@@ -86,7 +93,7 @@
 func (c *Client) retryLimit() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.lastConfirmed == 0 && c.cfg.Clock().Sub(c.started) < startupPeriod {
+	if c.view.ConfirmedAt == 0 && c.cfg.Clock().Sub(c.started) < startupPeriod {
 		return startupMaxRetryDelay
 	}
 	return maxRetryDelay
@@ -223,7 +230,7 @@
 	// ones were unknown, so it grants none.
 	granted = r.GetGranted() && covers(c.view, r) && !partlyUnknown
 	if granted {
-		c.lastConfirmed = max(c.lastConfirmed, sent)
+		c.confirmView(addr, now, sent.Add(-time.Duration(r.GetAgeMs())*time.Millisecond))
 		c.extendLease(sent, r)
 	}
 	c.notifyChanged(before)
@@ -253,6 +260,27 @@
 	return leaseRenewed, granted
 }
 
+// confirmView records that the view was the newest at the given instant: when the request
+// was sent, minus the age of the grant. The caller holds mu.
+func (c *Client) confirmView(addr string, now, at vm.Instant) {
+	before := c.view.ConfirmedAt
+	if at <= before {
+		return
+	}
+	next := *c.view
+	next.ConfirmedAt = at
+	c.view = &next
+	if before == 0 {
+		klog.Infof("relay: configuration confirmed by=%s config=%d after=%v from the start", addr, next.ConfigVersion, now.Sub(c.started))
+		return
+	}
+	gap := now.Sub(before)
+	confirmationGap.Update(gap.Milliseconds())
+	if gap >= confirmationGapLogged {
+		klog.Infof("relay: configuration confirmed again by=%s config=%d unconfirmed=%v", addr, next.ConfigVersion, gap)
+	}
+}
+
 // replyHasNews reports whether a reply contains state that the sender of the request
 // did not have.
 func replyHasNews(req *wire.SyncRequest, r *wire.SyncReply) bool {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -115,7 +115,7 @@
 	limit := 2*c.heartbeatInterval() + replyMargin
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.lastConfirmed != 0 && c.cfg.Clock().Sub(c.lastConfirmed) > limit
+	return c.view.ConfirmedAt != 0 && c.cfg.Clock().Sub(c.view.ConfirmedAt) > limit
 }
 
 // fillGrants adds the leader's grants to the reply. The child counts its lease from
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -16,6 +16,9 @@
 	Settled       *vm.Membership  // shares of this epoch may be used
 	Pending       *vm.Membership  // nil if no transition is in progress
 	LeaseEnd      vm.Instant      // new requests are accepted strictly before this instant
+	// ConfirmedAt is the newest instant at which a leader is known to have had no newer
+	// configuration or membership than this view; 0 if no leader has confirmed this run.
+	ConfirmedAt vm.Instant
 
 	cache *placementCache // shared by the views of one tree and membership; nil: no caching
 }
