--- /dev/null
+++ b/internal/entryvm/unconfirmed_test.go
@@ -0,0 +1,89 @@
+package entryvm
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"pearmoor/internal/route"
+)
+
+const (
+	// configApplyTime is the ConfigApplyTime of the VMs in these tests.
+	configApplyTime = 2 * time.Second
+	addedPath       = "/added/"
+)
+
+// releaseWithAddedRoute returns crashRelease with one more route.
+func releaseWithAddedRoute() *route.Release {
+	r := crashRelease()
+	added := r.Routes[1]
+	added.Name, added.Prefix = "added", addedPath
+	r.Number, r.Routes = 2, append(r.Routes, added)
+	return r
+}
+
+func (c *crashTier) put(v *crashVM, r *route.Release) {
+	c.t.Helper()
+	eventually(c.t, "a configuration is accepted", func() bool {
+		ctx, cancel := context.WithTimeout(c.t.Context(), 2*time.Second)
+		defer cancel()
+		return v.PutRelease(ctx, r) == nil
+	})
+}
+
+// startAlone stops every VM and starts only v again, on the same disk.
+func (c *crashTier) startAlone(v *crashVM) *crashVM {
+	c.t.Helper()
+	for _, other := range c.vms {
+		other.stop()
+	}
+	c.vms = nil
+	started := c.start(v.conf.Name, 0, v.conf.DataDir, c.listenAt(v.conf.PeerAddr))
+	eventually(c.t, "the VM that started alone serves", func() bool {
+		status, _ := c.ask(started, gatherPath+"probe")
+		return status == http.StatusOK
+	})
+	return started
+}
+
+// Guards against a VM without the control group that tells callers that a route does not
+// exist, although it may have been added since.
+func TestVMWithoutControlGroupDeniesNoRoute(t *testing.T) {
+	t.Parallel()
+	tier := startCrashTier(t)
+	small := tier.vms[len(tier.vms)-1]
+	eventually(t, "an unknown route is denied by a confirmed configuration", func() bool {
+		status, _ := tier.ask(small, "/none/")
+		return status == http.StatusNotFound
+	})
+	for _, v := range tier.vms[:3] {
+		v.stop()
+	}
+	time.Sleep(configApplyTime + 2*heartbeatInterval)
+	status, body := tier.ask(small, "/none/")
+	if status != http.StatusServiceUnavailable || !strings.Contains(body, "unconfirmed") {
+		t.Errorf("without a confirmed configuration: got status %d, body %q, want 503", status, body)
+	}
+	if status, body := tier.ask(small, gatherPath+"known"); status != http.StatusOK {
+		t.Errorf("a known route: got status %d, body %q, want 200", status, body)
+	}
+}
+
+// Guards against a VM that has just started from an old disk and denies a route that was
+// added while it was down.
+func TestStartedVMDeniesNoRouteBeforeItIsConfirmed(t *testing.T) {
+	t.Parallel()
+	tier := startCrashTier(t)
+	down := tier.vms[0]
+	down.stop()
+	tier.put(tier.vms[1], releaseWithAddedRoute())
+	alone := tier.startAlone(down)
+	for _, path := range []string{addedPath, "/none/"} {
+		if status, body := tier.ask(alone, path); status != http.StatusServiceUnavailable || !strings.Contains(body, "unconfirmed") {
+			t.Errorf("%s: got status %d, body %q, want 503", path, status, body)
+		}
+	}
+}
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -78,7 +78,7 @@
 	}, v.leafCache)
 	v.quarantine = quarantine.NewRegistry(vm.Monotonic, &quarantine.RemoteLeader{Conns: v.bulkConns, ControlAddrs: v.controlContacts})
 	v.engine = forward.New(forward.Config{
-		Clock: vm.Monotonic, Dialect: conf.Dialect, Leaves: v.leafCache, Tracker: forward.NewLeafTracker(vm.Monotonic, conf.Domain), Log: conf.Log, DaemonCount: v.senderCount, Confirmation: v.confirmation,
+		Clock: vm.Monotonic, Dialect: conf.Dialect, Leaves: v.leafCache, Tracker: forward.NewLeafTracker(vm.Monotonic, conf.Domain), Log: conf.Log, DaemonCount: v.senderCount, Confirmation: v.confirmation, ConfigApplyTime: conf.ConfigApplyTime,
 		Peers: newPeerDaemons(v), Quarantine: v.quarantine,
 		Budgets: policy.NewBudgets(conf.Budget, vm.Monotonic, v.senderCount),
 	})
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -34,6 +34,9 @@
 	DaemonCount func() int
 	// Confirmation returns how current the installed table is; nil if it always is.
 	Confirmation func() policy.Confirmation
+	// ConfigApplyTime is the time within which an accepted configuration must be in use on
+	// every daemon.
+	ConfigApplyTime time.Duration
 	// Peers gives access to other daemons; nil if all sends are made directly.
 	Peers PeerDaemons
 	// Quarantine records the requests that crash leaves; nil if there is no quarantine.
@@ -145,24 +148,32 @@
 	Cause      error
 }
 
-// unconfiguredRetryAfter is the Retry-After of requests that arrive before this daemon has
-// its configuration. It is longer than a daemon needs to get the configuration after a
-// restart of the whole system.
-const unconfiguredRetryAfter = 500 * time.Millisecond
+// unconfirmedRetryAfter is the Retry-After of requests that this daemon can neither serve nor
+// deny, because it has no configuration or none that is confirmed. It is longer than a daemon
+// needs to get the configuration after a restart of the whole system.
+const unconfirmedRetryAfter = 500 * time.Millisecond
+
+// unconfirmedAnswer is the answer to such a request.
+func unconfirmedAnswer() *Answer {
+	return &Answer{Status: http.StatusServiceUnavailable, RetryAfter: unconfirmedRetryAfter,
+		Verdict: contract.NotRun, Reason: contract.ReasonUnconfirmed}
+}
 
 // Forward answers one request. It returns when the answer is ready, the request has failed,
 // or ctx is cancelled because the caller has left.
 func (e *Engine) Forward(ctx context.Context, req *Request) *Answer {
 	active := e.active.Load()
 	if active == nil {
-		return &Answer{Status: http.StatusServiceUnavailable, RetryAfter: unconfiguredRetryAfter,
-			Verdict: contract.NotRun, Reason: contract.ReasonUnconfirmed}
+		return unconfirmedAnswer()
 	}
 	entry, ok := active.table.Find(req.Host, req.Path)
 	if !ok {
 		confirmation := e.confirmation()
 		e.cfg.Log.Line("route", "none").Str("id", req.ID).Str("host", req.Host).Str("path", req.Path).
 			Int("release", int64(active.table.Number)).Bool("confirmed", confirmation.Confirmed).Ms("confirmed_ago", confirmation.Age).End()
+		if !e.mayDeny() {
+			return unconfirmedAnswer()
+		}
 		return &Answer{Status: http.StatusNotFound, Verdict: contract.NotRun, Reason: contract.ReasonUnknownPath}
 	}
 	r := e.newRun(active, entry, req)
@@ -180,6 +191,11 @@
 	return e.cfg.Confirmation()
 }
 
+// mayDeny reports whether a request may be denied because the installed table does not allow
+// it. A newer configuration may allow it, and a caller does not repeat a request that was
+// denied.
+func (e *Engine) mayDeny() bool { return e.confirmation().MayDeny(e.cfg.ConfigApplyTime) }
+
 // checkAndExecute executes the request on this daemon, unless the quarantine refuses it.
 func (r *run) checkAndExecute(ctx context.Context) *Answer {
 	if refused := r.checkQuarantine(ctx); refused != nil {
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -62,6 +62,10 @@
 		badRequests.Inc(1)
 		h.Log.Line("caller", "bad request").Str("id", r.Header.Get(h.Dialect.RequestID)).
 			Str("from", r.RemoteAddr).Int("status", int64(fault.status)).Str("field", fault.Field).Str("why", fault.Why).End()
+		if fault.exceedsLimit() && !h.Engine.mayDeny() {
+			h.writeAnswer(w, unconfirmedAnswer())
+			return
+		}
 		http.Error(w, fault.String(), fault.status)
 		return
 	}
@@ -82,6 +86,11 @@
 	status int
 }
 
+// exceedsLimit reports whether the request exceeds a limit of the configuration.
+func (b *badRequest) exceedsLimit() bool {
+	return b.status == http.StatusRequestHeaderFieldsTooLarge || b.status == http.StatusRequestEntityTooLarge
+}
+
 func newBadRequest(status int, field, value, why, fix string) *badRequest {
 	return &badRequest{contract.Fault{Field: field, Value: value, Why: why, Fix: fix}, status}
 }
--- a/internal/policy/confirmation.go
+++ b/internal/policy/confirmation.go
@@ -10,3 +10,8 @@
 	// Age is how long ago that was for the configuration in use.
 	Age time.Duration
 }
+
+// MayDeny reports whether the daemon may tell a caller that the configuration does not allow
+// a request. limit is the time within which an accepted configuration must be in use on every
+// daemon: one that was accepted since the confirmation is not overdue here before then.
+func (c Confirmation) MayDeny(limit time.Duration) bool { return c.Confirmed && c.Age <= limit }
