--- a/internal/entryvm/quarantine_test.go
+++ b/internal/entryvm/quarantine_test.go
@@ -302,11 +302,23 @@
 	}
 }
 
-// blocked reports whether the control group has blocked a request. The status of an answer
-// does not tell, because a merely suspected request is refused as well while another
-// daemon tries it.
-func (tier *crashTier) blocked() bool {
-	for _, c := range quarantine.CasesFromTree(tier.vms[0].client.Current().Tree) {
+// block sends a request that crashes leaves to v until the control group has blocked it.
+func (tier *crashTier) block(v *crashVM, path string) {
+	tier.t.Helper()
+	eventually(tier.t, "the request is blocked", func() bool {
+		status, body := tier.ask(v, path)
+		return status == http.StatusServiceUnavailable && strings.Contains(body, "quarantine") && v.knowsBlocked()
+	})
+}
+
+// blocked reports whether the control group has blocked a request.
+func (tier *crashTier) blocked() bool { return tier.vms[0].knowsBlocked() }
+
+// knowsBlocked reports whether v knows of a blocked request. The status of an answer does
+// not tell, because a merely suspected request is refused as well while another daemon
+// tries it.
+func (v *crashVM) knowsBlocked() bool {
+	for _, c := range quarantine.CasesFromTree(v.client.Current().Tree) {
 		if c.Blocked {
 			return true
 		}
@@ -320,10 +332,7 @@
 	t.Parallel()
 	tier := startCrashTier(t)
 	path := gatherPath + crashSuffix
-	eventually(t, "the request is blocked", func() bool {
-		status, body := tier.ask(tier.vms[0], path)
-		return status == http.StatusServiceUnavailable && strings.Contains(body, "quarantine") && tier.blocked()
-	})
+	tier.block(tier.vms[0], path)
 	before := tier.fleet.crashCount(path)
 	tier.restart()
 	tier.waitReady()
--- a/internal/entryvm/unconfirmed_test.go
+++ b/internal/entryvm/unconfirmed_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"pearmoor/internal/quarantine"
 	"pearmoor/internal/route"
 )
 
@@ -87,3 +88,45 @@
 		}
 	}
 }
+
+// Guards against a quarantined request that reaches leaves after a restart: the VM that
+// answers has an old disk on which the request is only suspected, and no leader to ask.
+func TestStartedVMTriesNoSuspectedRequestBeforeItIsConfirmed(t *testing.T) {
+	t.Parallel()
+	tier, path := startCrashTier(t), gatherPath+crashSuffix
+	down := tier.vms[0]
+	tier.ask(tier.vms[1], path)
+	eventually(t, "the request is suspected", func() bool {
+		return len(quarantine.CasesFromTree(down.client.Current().Tree)) > 0
+	})
+	if tier.blocked() {
+		t.Fatal("the request is blocked before the VM is down")
+	}
+	down.stop()
+	tier.block(tier.vms[1], path)
+	crashes := tier.fleet.crashCount(path)
+	alone := tier.startAlone(down)
+	status, body := tier.ask(alone, path)
+	if status != http.StatusServiceUnavailable || !strings.Contains(body, "quarantine") {
+		t.Errorf("got status %d, body %q, want 503", status, body)
+	}
+	if n := tier.fleet.crashCount(path) - crashes; n > 0 {
+		t.Errorf("%d leaves crashed", n)
+	}
+}
+
+// Guards against a quarantined request that reaches every shard after a restart, at a VM with
+// a disk that is older than the quarantine.
+func TestStartedVMProbesOneLeafBeforeItIsConfirmed(t *testing.T) {
+	t.Parallel()
+	tier, path := startCrashTier(t), gatherPath+crashSuffix
+	down := tier.vms[0]
+	down.stop()
+	tier.block(tier.vms[1], path)
+	crashes := tier.fleet.crashCount(path)
+	alone := tier.startAlone(down)
+	tier.ask(alone, path)
+	if n := tier.fleet.crashCount(path) - crashes; n > 1 {
+		t.Errorf("%d leaves crashed, want 1 at most", n)
+	}
+}
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -297,14 +297,8 @@
 	}
 }
 
-// confirmation returns how current the configuration in use is.
-func (v *VM) confirmation() policy.Confirmation {
-	at := vm.Instant(v.confirmedAt.Load())
-	if at == 0 {
-		return policy.Confirmation{}
-	}
-	return policy.Confirmation{Confirmed: true, Age: vm.Now().Sub(at)}
-}
+// confirmation returns when the configuration in use was confirmed.
+func (v *VM) confirmation() policy.Confirmation { return policy.Confirmation(v.confirmedAt.Load()) }
 
 // applyRelease puts the release of a view into use. If it cannot be decoded, the previous
 // release stays in use.
--- a/internal/forward/confirmation_test.go
+++ b/internal/forward/confirmation_test.go
@@ -8,20 +8,27 @@
 
 	"pearmoor/internal/policy"
 	"pearmoor/internal/route"
+	"pearmoor/internal/vm"
 )
 
+// confirmedAgo returns a Confirmation of age ago.
+func confirmedAgo(ago time.Duration) func() policy.Confirmation {
+	at := policy.Confirmation(vm.Now().Add(-ago))
+	return func() policy.Confirmation { return at }
+}
+
 // Guards against denials that rest on an outdated configuration: callers do not repeat a
 // request after a 404, 413 or 431.
 func TestOnlyConfirmedConfigurationDenies(t *testing.T) {
 	const limit = 3 * time.Second
 	for _, c := range []struct {
 		name         string
-		confirmation policy.Confirmation
+		confirmation func() policy.Confirmation
 		denied       bool
 	}{
-		{"never confirmed", policy.Confirmation{}, false},
-		{"confirmed within the limit", policy.Confirmation{Confirmed: true, Age: limit}, true},
-		{"confirmed too long ago", policy.Confirmation{Confirmed: true, Age: limit + time.Millisecond}, false},
+		{"never confirmed", func() policy.Confirmation { return 0 }, false},
+		{"confirmed within the limit", confirmedAgo(limit - time.Second), true},
+		{"confirmed too long ago", confirmedAgo(limit), false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f := newFixture(t, repeatableRoute("s"), map[string][]*fakeLeaf{"s": {startLeaf(t, replyWith("done"))}})
@@ -29,7 +36,7 @@
 				Routes: []route.Route{{Name: "r", Host: "127.0.0.1", Prefix: "/known/", Service: "s", MaxAttempts: 2, Repeatable: true, Timeout: time.Second}}}
 			f.engine.Install(route.NewTable(rel), 2)
 			f.engine.cfg.ConfigApplyTime = limit
-			f.engine.cfg.Confirmation = func() policy.Confirmation { return c.confirmation }
+			f.engine.cfg.Confirmation = c.confirmation
 			check := func(what, path, body string, denial int) {
 				t.Helper()
 				want := http.StatusServiceUnavailable
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -32,7 +32,8 @@
 	// DaemonCount returns the number of daemons that share the connection limits of the
 	// leaves, 0 while it is unknown.
 	DaemonCount func() int
-	// Confirmation returns how current the installed table is; nil if it always is.
+	// Confirmation returns when the installed table was confirmed, by vm.Now; nil if it is
+	// always current.
 	Confirmation func() policy.Confirmation
 	// ConfigApplyTime is the time within which an accepted configuration must be in use on
 	// every daemon.
@@ -170,7 +171,7 @@
 	if !ok {
 		confirmation := e.confirmation()
 		e.cfg.Log.Line("route", "none").Str("id", req.ID).Str("host", req.Host).Str("path", req.Path).
-			Int("release", int64(active.table.Number)).Bool("confirmed", confirmation.Confirmed).Ms("confirmed_ago", confirmation.Age).End()
+			Int("release", int64(active.table.Number)).Bool("confirmed", confirmation.Exists()).Ms("confirmed_ago", confirmation.Age(vm.Now())).End()
 		if !e.mayDeny() {
 			return unconfirmedAnswer()
 		}
@@ -183,10 +184,10 @@
 	return r.checkAndExecute(ctx)
 }
 
-// confirmation returns how current the installed table is.
+// confirmation returns when the installed table was confirmed.
 func (e *Engine) confirmation() policy.Confirmation {
 	if e.cfg.Confirmation == nil {
-		return policy.Confirmation{Confirmed: true}
+		return policy.Confirmation(vm.Now())
 	}
 	return e.cfg.Confirmation()
 }
@@ -194,7 +195,9 @@
 // mayDeny reports whether a request may be denied because the installed table does not allow
 // it. A newer configuration may allow it, and a caller does not repeat a request that was
 // denied.
-func (e *Engine) mayDeny() bool { return e.confirmation().MayDeny(e.cfg.ConfigApplyTime) }
+func (e *Engine) mayDeny() bool {
+	return e.cfg.Confirmation == nil || e.confirmation().MayDeny(vm.Now(), e.cfg.ConfigApplyTime)
+}
 
 // checkAndExecute executes the request on this daemon, unless the quarantine refuses it.
 func (r *run) checkAndExecute(ctx context.Context) *Answer {
--- a/internal/forward/suspicion.go
+++ b/internal/forward/suspicion.go
@@ -46,7 +46,9 @@
 // checkQuarantine returns the answer to a request that must not be sent to a leaf now, nil if
 // the request may proceed.
 func (r *run) checkQuarantine(ctx context.Context) *Answer {
-	registry := r.e.cfg.Quarantine
+	registry, confirmed := r.e.cfg.Quarantine, r.e.confirmation().Exists()
+	// Without a confirmation the request may have been blocked by a newer configuration.
+	r.suspicion.Suspected = registry != nil && !confirmed
 	if registry.Empty() {
 		return nil
 	}
@@ -61,7 +63,7 @@
 	case quarantine.Suspect:
 		ctx, cancel := context.WithTimeout(ctx, trialGrantTimeout)
 		defer cancel()
-		grant = registry.Try(ctx, fingerprints[quarantine.Exact])
+		grant = registry.Try(ctx, fingerprints[quarantine.Exact], confirmed)
 		r.trialGranted = grant == quarantine.Granted
 	}
 	r.e.cfg.Log.Line("quarantine", "request checked").Str("id", r.req.ID).Str("request", fingerprints[quarantine.Exact].String()).
--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -16,8 +16,8 @@
 	// maxObservations bounds the fingerprints that a daemon remembers from its own
 	// observations.
 	maxObservations = 1024
-	// maxTrialsWithoutLeader is how often a daemon that cannot reach the leader tries a
-	// suspected request.
+	// maxTrialsWithoutLeader is how often a daemon that has lost the leader tries a suspected
+	// request.
 	maxTrialsWithoutLeader = 1
 )
 
@@ -166,25 +166,35 @@
 }
 
 // Try asks the leader whether a suspected request may be sent to a leaf now. Each Granted
-// must be followed by Report or Release.
-func (g *Registry) Try(ctx context.Context, f Fingerprint) Grant {
+// must be followed by Report or Release. confirmed states that a leader has confirmed the
+// cases to this run of the daemon: without that the request may have been blocked since, and
+// it is not tried without the leader.
+func (g *Registry) Try(ctx context.Context, f Fingerprint, confirmed bool) Grant {
 	grant, err := g.leader.Try(ctx, f)
 	if err == nil {
 		return grant
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	s := g.refresh(f)
 	grant = Wait
-	if s.trials < maxTrialsWithoutLeader {
-		s.trials++
-		trialsWithoutLeader.Inc(1)
+	if confirmed && g.tryWithoutLeader(f) {
 		grant = Granted
 	}
 	klog.Warningf("quarantine: request=%s granted=%v without the leader: %v", f, grant == Granted, err)
 	return grant
 }
 
+// tryWithoutLeader counts a trial and reports whether it is allowed.
+func (g *Registry) tryWithoutLeader(f Fingerprint) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s := g.refresh(f)
+	if s.trials >= maxTrialsWithoutLeader {
+		return false
+	}
+	s.trials++
+	trialsWithoutLeader.Inc(1)
+	return true
+}
+
 // refresh returns the observation of a fingerprint, creating it if needed, and extends its
 // lifetime. The caller holds g.mu.
 func (g *Registry) refresh(f Fingerprint) *observation {
--- a/internal/query/suspect.go
+++ b/internal/query/suspect.go
@@ -67,7 +67,8 @@
 	case quarantine.Suspect:
 		trialCtx, cancel := context.WithTimeout(ctx, trialTimeout)
 		defer cancel()
-		grant = e.Quarantine.Try(trialCtx, p.fingerprints[quarantine.Exact])
+		const confirmed = true // queries are accepted only under a lease
+		grant = e.Quarantine.Try(trialCtx, p.fingerprints[quarantine.Exact], confirmed)
 	}
 	klog.Infof("query: id=%s request=%s ruling=%v trial=%v", p.id, p.fingerprints[quarantine.Exact], ruling, grant)
 	switch {
