--- a/internal/quarantine/case.go
+++ b/internal/quarantine/case.go
@@ -54,8 +54,8 @@
 }
 
 // withReport returns the case updated with a report. follows states that the reported
-// attempt began after the last report; otherwise it ran concurrently and counts no further
-// attempt. The result is false if the report clears the request.
+// attempt began after the report of the last one that counted; otherwise it ran concurrently
+// and counts no further attempt. The result is false if the report clears the request.
 func (c Case) withReport(r *Report, scope Scope, follows bool, now time.Time) (Case, bool) {
 	if r.Answered {
 		return Case{}, false
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -18,19 +18,19 @@
 )
 
 // Coordinator is the state that the leader of the control group keeps in memory besides the
-// cases: the trials in progress and the times of the last reports. It is safe for concurrent
-// use.
+// cases: the trials in progress and when the last counted attempts were reported. It is safe
+// for concurrent use.
 type Coordinator struct {
 	clock vm.Clock
 
-	mu         sync.Mutex
-	trials     map[Fingerprint]vm.Instant // expiry of the trials in progress
-	lastReport map[Fingerprint]vm.Instant // time of the last report
+	mu          sync.Mutex
+	trials      map[Fingerprint]vm.Instant // expiry of the trials in progress
+	lastCounted map[Fingerprint]vm.Instant // when the last attempt that counted was reported
 }
 
 // NewCoordinator returns a Coordinator without trials.
 func NewCoordinator(clock vm.Clock) *Coordinator {
-	return &Coordinator{clock: clock, trials: make(map[Fingerprint]vm.Instant), lastReport: make(map[Fingerprint]vm.Instant)}
+	return &Coordinator{clock: clock, trials: make(map[Fingerprint]vm.Instant), lastCounted: make(map[Fingerprint]vm.Instant)}
 }
 
 // Grant is the answer to a daemon that asks to try a suspected request.
@@ -104,7 +104,7 @@
 				// requests of that scope.
 				continue
 			}
-			last, seen := l.lastReport[f]
+			last, seen := l.lastCounted[f]
 			follows := !seen || now.Add(-r.Age) > last
 			if !narrowerKnown && (Scope(scope) != Exact || !known) {
 				before.Variants++
@@ -112,11 +112,15 @@
 			next, suspected := before.withReport(r, Scope(scope), follows, wallTime.UTC().Truncate(time.Second))
 			switch {
 			case suspected:
-				l.lastReport[f] = now
+				// An attempt that overlaps the last counted one must not postpone the next
+				// that counts: where attempts overlap all the time, none would.
+				if follows {
+					l.lastCounted[f] = now
+				}
 				updated[f] = next
 				changes = append(changes, Change{Fingerprint: f, Before: before, After: next})
 			case known:
-				delete(l.lastReport, f)
+				delete(l.lastCounted, f)
 				delete(updated, f)
 				changes = append(changes, Change{Fingerprint: f, Before: before, Cleared: true})
 			}
@@ -152,7 +156,7 @@
 	for _, f := range oldest[:len(oldest)-maxCases] {
 		changes = append(changes, Change{Fingerprint: f, Before: cases[f], Evicted: true})
 		delete(cases, f)
-		delete(l.lastReport, f)
+		delete(l.lastCounted, f)
 	}
 	return changes
 }
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -143,6 +143,23 @@
 	})
 }
 
+// Guards against a request that many callers repeat at once: its attempts overlap all the
+// time, and it goes on crashing leaves unblocked.
+func TestOverlappingAttemptsOfCrashingRequestAreBlocked(t *testing.T) {
+	Convey("It is blocked when three attempts that do not overlap have crashed leaves", t, func() {
+		tr := newCoordinatorFixture(t)
+		nth := func(n int) Fingerprints {
+			return (&Request{Method: "GET", URI: "/a", Caller: fmt.Sprint("10.0.0.", n)}).Fingerprints()
+		}
+		attempts := 0
+		for ; attempts < 100 && !tr.cases()[nth(0)[AnyCaller]].Blocked; attempts++ {
+			tr.report(crashReport(nth(attempts), 1)) // attempts of 100 ms, one more each 20 ms
+			tr.advance(20 * time.Millisecond)
+		}
+		So(attempts, ShouldBeLessThanOrEqualTo, 13)
+	})
+}
+
 // When a rack loses power, twenty leaves exit under each of the requests in flight. These
 // requests must not be blocked.
 func TestRequestsInFlightDuringPowerLossAreNotBlocked(t *testing.T) {
