--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -42,7 +42,7 @@
 	budgetDenials      int // retries and hedges denied by the budget
 	suspicion          policy.Suspicion
 	isTrial            bool                     // the request is first sent to one leaf only, since it is suspected to crash leaves
-	trialGranted       bool                     // the leader has granted the trial
+	grantedTrial       *quarantine.Fingerprint  // fingerprint for which a trial is granted; nil if none is
 	quarantined        bool                     // the request was found to be quarantined during the run
 	hasHeldShards      bool                     // at least one shard may be held
 	cachedFingerprints *quarantine.Fingerprints // nil until first used
--- a/internal/forward/suspicion.go
+++ b/internal/forward/suspicion.go
@@ -63,8 +63,11 @@
 	case quarantine.Suspect:
 		ctx, cancel := context.WithTimeout(ctx, trialGrantTimeout)
 		defer cancel()
-		grant = registry.Try(ctx, fingerprints[quarantine.Exact], confirmed)
-		r.trialGranted = grant == quarantine.Granted
+		tried := fingerprints[registry.TrialScope(fingerprints)]
+		grant = registry.Try(ctx, tried, confirmed)
+		if grant == quarantine.Granted {
+			r.grantedTrial = &tried
+		}
 	}
 	r.e.cfg.Log.Line("quarantine", "request checked").Str("id", r.req.ID).Str("request", fingerprints[quarantine.Exact].String()).
 		Str("ruling", ruling.String()).Str("trial", grant.String()).End()
@@ -151,8 +154,8 @@
 	}
 	fingerprints := r.fingerprints()
 	if r.isTrial && !s.Answered && s.LeafExits == 0 && r.verdict == contract.NotRun && r.inFlight() == 0 {
-		if r.trialGranted {
-			registry.Release(fingerprints[quarantine.Exact])
+		if r.grantedTrial != nil {
+			registry.Release(*r.grantedTrial)
 		}
 		return
 	}
--- a/internal/quarantine/case.go
+++ b/internal/quarantine/case.go
@@ -33,6 +33,11 @@
 	LastReport         time.Time // time of the last report
 }
 
+// nearlyBlocked reports whether one more attempt with leaf exits blocks the scope.
+func (c Case) nearlyBlocked(scope Scope) bool {
+	return !c.Blocked && c.LeafExits >= minLeafExits && c.Variants >= minVariants[scope] && c.CrashedAttempts >= blockAfterCrashes-1
+}
+
 // Report is the outcome of one attempt for the leaves that it reached.
 type Report struct {
 	Fingerprints Fingerprints
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -89,7 +89,9 @@
 	}
 	var changes []Change
 	for _, r := range reports {
-		delete(l.trials, r.Fingerprints[Exact])
+		for _, f := range r.Fingerprints {
+			delete(l.trials, f)
+		}
 		var wasKnown [numScopes]bool // known before this report
 		for scope, f := range r.Fingerprints {
 			_, wasKnown[scope] = updated[f]
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -160,6 +160,40 @@
 	})
 }
 
+// Guards against a request that is about to be blocked and reaches a leaf at every VM at once.
+func TestRequestAboutToBeBlockedIsTriedByOneDaemonAtATime(t *testing.T) {
+	tr := newCoordinatorFixture(t)
+	nth := func(n int) *Request { return &Request{Method: "GET", URI: "/a", Caller: fmt.Sprint("10.0.0.", n)} }
+	check := func(r *Request) (Ruling, Fingerprint) {
+		g := NewRegistry(vm.Monotonic, nil)
+		g.SetCases(tr.cases())
+		fs := r.Fingerprints()
+		return g.Check(fs), fs[g.TrialScope(fs)]
+	}
+	Convey("After one crashed attempt other callers are not held up", t, func() {
+		tr.report(crashReport(nth(0).Fingerprints(), 3))
+		ruling, _ := check(nth(1))
+		So(ruling, ShouldEqual, Canary)
+	})
+	Convey("After two, one daemon tries it for all callers", t, func() {
+		tr.advance(time.Second)
+		tr.report(crashReport(nth(1).Fingerprints(), 1))
+		ruling, first := check(nth(2))
+		So(ruling, ShouldEqual, Suspect)
+		So(tr.coordinator.Try(tr.cases(), first), ShouldEqual, Granted)
+		_, second := check(nth(3))
+		So(tr.coordinator.Try(tr.cases(), second), ShouldEqual, Wait)
+		ruling, _ = check(&Request{Method: "GET", URI: "/a?q=1", Caller: "10.0.0.9"})
+		So(ruling, ShouldNotEqual, Suspect)
+	})
+	Convey("The report of the trial lets the next one begin", t, func() {
+		tr.report(&Report{Fingerprints: nth(2).Fingerprints(), Answered: true})
+		ruling, third := check(nth(3))
+		So(ruling, ShouldNotEqual, Suspect)
+		So(tr.coordinator.Try(tr.cases(), third), ShouldEqual, Granted)
+	})
+}
+
 // When a rack loses power, twenty leaves exit under each of the requests in flight. These
 // requests must not be blocked.
 func TestRequestsInFlightDuringPowerLossAreNotBlocked(t *testing.T) {
--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -34,7 +34,7 @@
 const (
 	Unrestricted Ruling = iota // no restriction
 	Canary                     // matches a wider scope of a suspected request: sent to one leaf first
-	Suspect                    // as Canary, and tried by one daemon at a time
+	Suspect                    // as Canary, and tried by one daemon at a time, see TrialScope
 	Blocked                    // not sent to any leaf
 )
 
@@ -136,20 +136,35 @@
 	defer g.mu.Unlock()
 	ruling := Unrestricted
 	for scope, f := range fs {
-		suspect := Canary
-		if Scope(scope) == Exact {
-			suspect = Suspect
-		}
 		switch c, known := g.cases[f]; {
 		case known && c.Blocked:
 			return Blocked
-		case g.isSuspected(f, known):
-			ruling = max(ruling, suspect)
+		case !g.isSuspected(f, known):
+		case Scope(scope) == Exact || triedTogether(Scope(scope), c):
+			ruling = max(ruling, Suspect)
+		default:
+			ruling = max(ruling, Canary)
 		}
 	}
 	return ruling
 }
 
+// TrialScope returns the scope in which a request that is ruled Suspect is tried: AnyCaller
+// if the next crash blocks it for all callers, because their attempts would otherwise reach a
+// leaf at each daemon at once.
+func (g *Registry) TrialScope(fs Fingerprints) Scope {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if c, known := g.cases[fs[AnyCaller]]; g.isSuspected(fs[AnyCaller], known) && triedTogether(AnyCaller, c) {
+		return AnyCaller
+	}
+	return Exact
+}
+
+// triedTogether reports whether the requests of a suspected wider scope are tried one at a
+// time. The scopes of any query are not: they also cover requests of other content.
+func triedTogether(scope Scope, c Case) bool { return scope == AnyCaller && c.nearlyBlocked(scope) }
+
 // isSuspected reports whether a fingerprint is suspected: by this daemon's own observation
 // if it has one, otherwise if a case exists. The caller holds g.mu.
 func (g *Registry) isSuspected(f Fingerprint, hasCase bool) bool {
--- a/internal/query/suspect.go
+++ b/internal/query/suspect.go
@@ -60,7 +60,7 @@
 // runCanary sends a suspected query to a single leaf. It returns an error unless that leaf
 // answered.
 func (e *Engine) runCanary(ctx context.Context, st tierView, p *plan, ruling quarantine.Ruling, start time.Time) *contract.Error {
-	grant := quarantine.Denied
+	grant, tried := quarantine.Denied, p.fingerprints[quarantine.Exact]
 	switch ruling {
 	case quarantine.Canary:
 		grant = quarantine.Granted
@@ -68,7 +68,8 @@
 		trialCtx, cancel := context.WithTimeout(ctx, trialTimeout)
 		defer cancel()
 		const confirmed = true // queries are accepted only under a lease
-		grant = e.Quarantine.Try(trialCtx, p.fingerprints[quarantine.Exact], confirmed)
+		tried = p.fingerprints[e.Quarantine.TrialScope(p.fingerprints)]
+		grant = e.Quarantine.Try(trialCtx, tried, confirmed)
 	}
 	klog.Infof("query: id=%s request=%s ruling=%v trial=%v", p.id, p.fingerprints[quarantine.Exact], ruling, grant)
 	switch {
@@ -93,7 +94,7 @@
 		return &contract.Error{Verdict: contract.MayHaveRun, Reason: contract.ReasonQuarantined, Cause: errQuarantined, RetryAfter: policy.TrialRetryAfter.Milliseconds()}
 	}
 	if ruling == quarantine.Suspect {
-		e.Quarantine.Release(p.fingerprints[quarantine.Exact])
+		e.Quarantine.Release(tried)
 	}
 	return &contract.Error{Verdict: contract.NotRun, Reason: answer.refusal, RetryAfter: answer.retryAfter.Milliseconds()}
 }
