--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -125,21 +125,23 @@
 		if err != nil {
 			return err
 		}
-		_, changes := s.crashReports.coordinator.Apply(quarantine.CasesFromTree(tree), reports, time.Now())
-		if len(changes) == 0 {
+		merge := s.crashReports.coordinator.Apply(quarantine.CasesFromTree(tree), reports, time.Now())
+		if len(merge.Changes) == 0 {
 			return nil
 		}
 		reply, err := s.changeAs(ctx, &wire.ChangeRequest{
 			ChangeId:    fmt.Sprintf("quarantine-%d-%x", version, rand.Uint64()),
 			BaseVersion: version,
-			Edits:       settings.EditsToWire(quarantine.Edits(changes)),
+			Edits:       settings.EditsToWire(quarantine.Edits(merge.Changes)),
 			Reason:      fmt.Sprintf("%d attempts of requests that may crash leaves", len(reports)),
 		}, quarantineOperator, true)
 		switch {
 		case err != nil:
+			s.crashReports.coordinator.Commit(merge)
 			return err
 		case reply.Outcome == wire.Outcome_ACCEPTED:
-			logQuarantineChanges(changes)
+			s.crashReports.coordinator.Commit(merge)
+			logQuarantineChanges(merge.Changes)
 			return nil
 		case reply.Outcome == wire.Outcome_INVALID:
 			return peer.Permanent(errors.Newf("control: change of the quarantine is invalid: %v", reply.Faults))
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -77,12 +77,19 @@
 	Evicted     bool // evicted because there were too many cases
 }
 
-// Apply merges reports into the cases and returns the resulting cases and the changes. The
-// argument is not modified.
-func (l *Coordinator) Apply(cases Cases, reports []*Report, wallTime time.Time) (Cases, []Change) {
+// Merge is the result of merging reports into the cases.
+type Merge struct {
+	Changes     []Change
+	lastCounted map[Fingerprint]vm.Instant // see Coordinator
+}
+
+// Apply merges reports into the cases, which are not modified. Commit must follow unless the
+// changes are certain not to be made: an attempt counts only once.
+func (l *Coordinator) Apply(cases Cases, reports []*Report, wallTime time.Time) *Merge {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock()
+	lastCounted := maps.Clone(l.lastCounted)
 	updated := maps.Clone(cases)
 	if updated == nil {
 		updated = make(Cases)
@@ -106,7 +113,7 @@
 				// requests of that scope.
 				continue
 			}
-			last, seen := l.lastCounted[f]
+			last, seen := lastCounted[f]
 			follows := !seen || now.Add(-r.Age) > last
 			if !narrowerKnown && (Scope(scope) != Exact || !known) {
 				before.Variants++
@@ -117,18 +124,25 @@
 				// An attempt that overlaps the last counted one must not postpone the next
 				// that counts: where attempts overlap all the time, none would.
 				if follows {
-					l.lastCounted[f] = now
+					lastCounted[f] = now
 				}
 				updated[f] = next
 				changes = append(changes, Change{Fingerprint: f, Before: before, After: next})
 			case known:
-				delete(l.lastCounted, f)
+				delete(lastCounted, f)
 				delete(updated, f)
 				changes = append(changes, Change{Fingerprint: f, Before: before, Cleared: true})
 			}
 		}
 	}
-	return updated, append(changes, l.evict(updated)...)
+	return &Merge{Changes: append(changes, evict(updated, lastCounted)...), lastCounted: lastCounted}
+}
+
+// Commit records that the changes of a Merge have been made, or may have been.
+func (l *Coordinator) Commit(m *Merge) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lastCounted = m.lastCounted
 }
 
 // Release ends a trial that did not reach a leaf.
@@ -140,7 +154,7 @@
 
 // evict removes the cases beyond maxCases: suspected ones before blocked ones, and within
 // each kind those with the oldest last report.
-func (l *Coordinator) evict(cases Cases) []Change {
+func evict(cases Cases, lastCounted map[Fingerprint]vm.Instant) []Change {
 	if len(cases) <= maxCases {
 		return nil
 	}
@@ -158,7 +172,7 @@
 	for _, f := range oldest[:len(oldest)-maxCases] {
 		changes = append(changes, Change{Fingerprint: f, Before: cases[f], Evicted: true})
 		delete(cases, f)
-		delete(l.lastCounted, f)
+		delete(lastCounted, f)
 	}
 	return changes
 }
--- a/internal/quarantine/ledger_test.go
+++ b/internal/quarantine/ledger_test.go
@@ -36,11 +36,12 @@
 
 func (tr *coordinatorFixture) report(rs ...*Report) {
 	tr.t.Helper()
-	_, changes := tr.coordinator.Apply(tr.cases(), rs, time.Unix(0, 0).Add(time.Duration(tr.now)))
-	next, err := tr.tree.Apply(1, Edits(changes))
+	merge := tr.coordinator.Apply(tr.cases(), rs, time.Unix(0, 0).Add(time.Duration(tr.now)))
+	next, err := tr.tree.Apply(1, Edits(merge.Changes))
 	if err != nil {
 		tr.t.Fatal(err)
 	}
+	tr.coordinator.Commit(merge)
 	tr.tree = next
 }
 
@@ -160,6 +161,18 @@
 	})
 }
 
+// Guards against a crashed attempt that is not counted because the change with its report
+// lost a race with an operator's change and was made again.
+func TestReportOfConflictingChangeIsCounted(t *testing.T) {
+	tr, f := newCoordinatorFixture(t), fingerprintsOf(1)
+	reports := []*Report{crashReport(f, 3)}
+	tr.coordinator.Apply(tr.cases(), reports, time.Unix(0, 0)) // its change is refused
+	tr.report(reports...)
+	if got := tr.cases()[f[Exact]].CrashedAttempts; got != 1 {
+		t.Errorf("%d crashed attempts counted, want 1", got)
+	}
+}
+
 // Guards against a request that is about to be blocked and reaches a leaf at every VM at once.
 func TestRequestAboutToBeBlockedIsTriedByOneDaemonAtATime(t *testing.T) {
 	tr := newCoordinatorFixture(t)
