--- a/internal/relay/client_test.go
+++ b/internal/relay/client_test.go
@@ -250,6 +250,36 @@
 	})
 }
 
+// Guards against daemons that stay with a relay that has lost the leader, as long as it hands
+// out the grants that it still has, and miss a change meanwhile.
+func TestChildrenOfRelayWithoutLeaderGetChanges(t *testing.T) {
+	const phases, phaseStep = 20, 53 * time.Millisecond
+	worst := time.Duration(0)
+	for phase := range phases {
+		runInCluster(t, func(w *cluster) {
+			w.interval = 500 * time.Millisecond
+			ds := w.startDaemons(24, 1, 6)
+			relay, _ := busiestRelay(ds)
+			time.Sleep(time.Duration(phase) * phaseStep)
+			w.network.cutBetween(relay.client.cfg.Self.PeerAddr, leaderAddr, true)
+			w.moveLeaf(1)
+			state, _ := w.leader.history.State()
+			began := time.Now()
+			for _, d := range excluding(ds, relay) {
+				for d.client.Current().ConfigVersion < state.ConfigVersion && time.Since(began) < time.Minute {
+					time.Sleep(10 * time.Millisecond)
+					synctest.Wait()
+				}
+			}
+			worst = max(worst, time.Since(began))
+		})
+	}
+	t.Logf("the last daemon got the change after %v", worst)
+	Convey("all get a change within 3 s", t, func() {
+		So(worst, ShouldBeLessThan, 3*time.Second)
+	})
+}
+
 // A daemon is paused for 30 s with a reply in flight and then resumes. It reads the
 // reply as if it had just arrived, but the reply answers a request of long ago. The
 // daemon must not regard its lease as renewed.
--- a/internal/relay/daemon_test.go
+++ b/internal/relay/daemon_test.go
@@ -31,13 +31,14 @@
 
 // cluster is a leader, its daemons and the network between them.
 type cluster struct {
-	ctx     context.Context
-	start   time.Time
-	network *testNetwork
-	leader  *modelLeader
-	mu      sync.Mutex
-	daemons []*daemon // all daemons ever started
-	running sync.WaitGroup
+	ctx      context.Context
+	start    time.Time
+	network  *testNetwork
+	leader   *modelLeader
+	interval time.Duration // Config.Interval of the daemons
+	mu       sync.Mutex
+	daemons  []*daemon // all daemons ever started
+	running  sync.WaitGroup
 }
 
 func newCluster(ctx context.Context, seed uint64) *cluster {
@@ -63,7 +64,7 @@
 	d := &daemon{cancel: cancel, inFlight: make(map[string]int)}
 	d.client = NewClient(Config{
 		Self: id, Control: []string{leaderAddr}, Conns: w.network.from(id.PeerAddr),
-		Clock: w.clock, MaxDirect: direct, Fanout: fanout,
+		Clock: w.clock, MaxDirect: direct, Fanout: fanout, Interval: w.interval,
 	})
 	d.client.SetPhase(vm.Serving)
 	w.network.serve(id.PeerAddr, d.client.Server())
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -121,7 +121,13 @@
 // fillGrants adds the leader's grants to the reply. The child counts its lease from
 // when it sent the request, which was before the request arrived here. The age of a
 // grant is the time from its start to the arrival of the request.
+//
+// A relay that is cut off adds none, although its grants have not expired: with them a child
+// would stay here and miss changes.
 func (s *server) fillGrants(r *wire.SyncReply, hbs []*wire.Heartbeat, arrived vm.Instant) {
+	if s.client.isCutOff() {
+		return
+	}
 	grants, _ := s.client.children.grantsOf(hbs)
 	for i, g := range grants {
 		if g.lease == 0 {
