--- a/internal/quarantine/case.go
+++ b/internal/quarantine/case.go
@@ -33,9 +33,10 @@
 	LastReport         time.Time // time of the last report
 }
 
-// nearlyBlocked reports whether one more attempt with leaf exits blocks the scope.
-func (c Case) nearlyBlocked(scope Scope) bool {
-	return !c.Blocked && c.LeafExits >= minLeafExits && c.Variants >= minVariants[scope] && c.CrashedAttempts >= blockAfterCrashes-1
+// hasEvidence reports whether enough leaves exited under enough variants of the request for a
+// block, which then depends on the number of attempts in a row.
+func (c Case) hasEvidence(scope Scope) bool {
+	return c.LeafExits >= minLeafExits && c.Variants >= minVariants[scope]
 }
 
 // Report is the outcome of one attempt for the leaves that it reached.
@@ -76,7 +77,7 @@
 			c.CrashedAttempts++
 		}
 	}
-	if c.LeafExits >= minLeafExits && c.Variants >= minVariants[scope] && (c.CrashedAttempts >= blockAfterCrashes || c.UnansweredAttempts >= blockAfterAttempts) {
+	if c.hasEvidence(scope) && (c.CrashedAttempts >= blockAfterCrashes || c.UnansweredAttempts >= blockAfterAttempts) {
 		c.Blocked = true
 	}
 	return c, true
--- a/internal/quarantine/registry.go
+++ b/internal/quarantine/registry.go
@@ -150,8 +150,8 @@
 }
 
 // TrialScope returns the scope in which a request that is ruled Suspect is tried: AnyCaller
-// if the next crash blocks it for all callers, because their attempts would otherwise reach a
-// leaf at each daemon at once.
+// if leaves exited under the attempts of several callers, which would otherwise reach a leaf
+// at each daemon at once.
 func (g *Registry) TrialScope(fs Fingerprints) Scope {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -163,7 +163,7 @@
 
 // triedTogether reports whether the requests of a suspected wider scope are tried one at a
 // time. The scopes of any query are not: they also cover requests of other content.
-func triedTogether(scope Scope, c Case) bool { return scope == AnyCaller && c.nearlyBlocked(scope) }
+func triedTogether(scope Scope, c Case) bool { return scope == AnyCaller && c.hasEvidence(scope) }
 
 // isSuspected reports whether a fingerprint is suspected: by this daemon's own observation
 // if it has one, otherwise if a case exists. The caller holds g.mu.
