--- a/internal/control/node_test.go
+++ b/internal/control/node_test.go
@@ -1,11 +1,15 @@
 package control
 
 import (
+	"encoding/json"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
 	"pearmoor/internal/link/wire"
+	"pearmoor/internal/route"
+	"pearmoor/internal/settings"
 	"pearmoor/internal/vm"
 )
 
@@ -43,6 +47,29 @@
 			So(a.Records[0].Unauthenticated, ShouldBeTrue)
 		})
 
+		// An edit that the settings' schema allows, and with which no daemon could read the
+		// routes: it would count as in force while every daemon went on with the old ones.
+		Convey("an edit with which daemons can't read the release is refused", func() {
+			body, err := json.Marshal(&route.Release{Number: 1, Services: []route.Service{{Name: "a"}, {Name: "b"}}, Routes: []route.Route{{
+				Name: "r", Host: "shop.example", Prefix: "/", Timeout: time.Second, MaxAttempts: 1, Split: []route.WeightedService{{Service: "a", Weight: 1}, {Service: "b", Weight: 2}},
+			}}})
+			So(err, ShouldBeNil)
+			put, err := c.control().PutRelease(callCtx(t), &wire.ReleaseRequest{Release: body})
+			So(err, ShouldBeNil)
+			So(put.Changed, ShouldBeTrue)
+			split := func(value string) *wire.ChangeReply {
+				req := changeRequest("split "+value, 1, settings.NameRouteSplit, value)
+				req.Edits[0].Path = settings.RoutesPath + "/r"
+				r, err := c.control().Change(callCtx(t), req)
+				So(err, ShouldBeNil)
+				return r
+			}
+			refused := split("a=one,b=2")
+			So(refused.Outcome, ShouldEqual, wire.Outcome_INVALID)
+			So(refused.Faults[0].Field, ShouldEqual, settings.RoutesPath+"/r")
+			So(split("a=1,b=3").Outcome, ShouldEqual, wire.Outcome_ACCEPTED)
+		})
+
 		// The only control VM lost its disk and founded its group again, while daemons
 		// still have the old group's configuration and shares. The new group does not
 		// know these shares, so it must not grant leases for them.
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -53,6 +53,10 @@
 	if err != nil || redirect != "" {
 		return &wire.ChangeReply{Redirect: redirect}, err
 	}
+	if faults := s.releaseFaults(req); len(faults) > 0 {
+		refusedMeter.Mark(1)
+		return &wire.ChangeReply{Outcome: wire.Outcome_INVALID, Faults: faults}, nil
+	}
 	start := time.Now()
 	reply, err := s.change(ctx, req)
 	switch {
--- a/internal/control/release.go
+++ b/internal/control/release.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
@@ -78,6 +79,28 @@
 	return nil, peer.Retryable(errors.Newf("control: release %d lost %d races with operators' changes; send it again", release.Number, maxReleaseAttempts))
 }
 
+// releaseFaults returns the faults of an operator's edits after which daemons could not
+// decode the release. The schema of the settings does not cover the syntax of lists.
+func (s *operatorServer) releaseFaults(req *wire.ChangeRequest) []*wire.Fault {
+	edits := settings.Canonical(settings.EditsFromWire(req.Edits))
+	if !slices.ContainsFunc(edits, func(e settings.Edit) bool { return route.IsReleasePath(e.Path) }) {
+		return nil
+	}
+	tree, version, err := s.treeAt(0)
+	if err != nil {
+		return nil // the change itself reports it
+	}
+	next, err := tree.Apply(version+1, edits)
+	if err != nil {
+		return nil // as above
+	}
+	var undecodable *route.DecodeError
+	if _, err := route.FromTree(next); errors.As(err, &undecodable) {
+		return []*wire.Fault{{Field: undecodable.Path, Why: undecodable.Err.Error(), Fix: "correct the list"}}
+	}
+	return nil
+}
+
 // Newest implements wire.DRPCControlServer. It returns the version and digest of the newest
 // settings tree. Only a confirmed leader answers, so no newer tree has been acknowledged.
 // The tree itself is not part of the reply: daemons receive it through Sync, compressed and
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -274,7 +274,7 @@
 
 // applyConfigs applies each new configuration and acknowledges it, until ctx ends.
 func (v *VM) applyConfigs(ctx context.Context) {
-	version := uint64(0)
+	version, inUse := uint64(0), true
 	var previous *settings.Tree
 	for {
 		changed := v.client.Changed()
@@ -283,11 +283,13 @@
 			version = view.ConfigVersion
 			v.quarantine.Update(view.ConfigVersion, view.Tree)
 			if previous == nil || !view.Tree.EqualExcept(previous, settings.QuarantinePath) {
-				v.applyRelease(view)
+				inUse = v.applyRelease(view)
 			}
 			previous = view.Tree
 		}
-		v.confirmedAt.Store(int64(view.ConfirmedAt))
+		if inUse {
+			v.confirmedAt.Store(int64(view.ConfirmedAt))
+		}
 		v.client.Ack(view.ConfigVersion, view.Epoch())
 		select {
 		case <-changed:
@@ -300,22 +302,23 @@
 // confirmation returns when the configuration in use was confirmed.
 func (v *VM) confirmation() policy.Confirmation { return policy.Confirmation(v.confirmedAt.Load()) }
 
-// applyRelease puts the release of a view into use. If it cannot be decoded, the previous
-// release stays in use.
-func (v *VM) applyRelease(view *relay.View) {
+// applyRelease puts the release of a view into use. It returns false if the release cannot be
+// decoded; the previous one then stays in use.
+func (v *VM) applyRelease(view *relay.View) bool {
 	rel, err := route.FromTree(view.Tree)
 	if err != nil {
 		klog.Errorf("entry: configuration version=%d cannot be decoded, release=%d stays in use: %v", view.ConfigVersion, v.releaseNumber.Load(), err)
-		return
+		return false
 	}
 	if rel == nil {
-		return
+		return true
 	}
 	v.engine.Install(route.NewTable(rel), view.ConfigVersion)
 	v.releaseBytes.Store(estimateReadBytes(rel))
 	v.releaseNumber.Store(rel.Number)
 	klog.Infof("entry: configuration in use release=%d version=%d routes=%d services=%d confirmed=%v",
 		rel.Number, view.ConfigVersion, len(rel.Routes), len(rel.Services), view.HoldsLease(vm.Now()))
+	return true
 }
 
 // estimateReadBytes estimates the size of a read of a release, in bytes.
--- a/internal/route/tree.go
+++ b/internal/route/tree.go
@@ -68,6 +68,16 @@
 	return out
 }
 
+// IsReleasePath reports whether the node at path belongs to the release.
+func IsReleasePath(path string) bool {
+	for _, base := range []string{settings.RoutesPath, settings.ServicesPath, settings.LimitsPath, settings.ReleasePath} {
+		if path == base || strings.HasPrefix(path, base+settings.Root) {
+			return true
+		}
+	}
+	return false
+}
+
 // releaseSettings lists the settings that a release may set, on any node.
 var releaseSettings = []string{
 	settings.NameRouteName, settings.NameRouteHost, settings.NameRoutePrefix, settings.NameRouteService,
@@ -186,7 +196,20 @@
 	return n, err == nil
 }
 
-// FromTree returns the release in the tree, or nil if there is none.
+// DecodeError is the error of a node of the tree that cannot be decoded.
+type DecodeError struct {
+	Path string // of the node
+	Err  error
+}
+
+// Error implements error.
+func (e *DecodeError) Error() string { return "route: " + e.Path + ": " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *DecodeError) Unwrap() error { return e.Err }
+
+// FromTree returns the release in the tree, or nil if there is none. Its error is a
+// *DecodeError.
 func FromTree(t *settings.Tree) (*Release, error) {
 	number, ok := ReleaseNumber(t)
 	if !ok {
@@ -204,7 +227,7 @@
 			e, _ := t.Effective(path)
 			s, err := readService(e, seg)
 			if err != nil {
-				return nil, errors.Wrapf(err, "route: %s", path)
+				return nil, &DecodeError{Path: path, Err: err}
 			}
 			r.Services = append(r.Services, s)
 		}
@@ -216,7 +239,7 @@
 			e, _ := t.Effective(path)
 			rt, err := readRoute(e, seg)
 			if err != nil {
-				return nil, errors.Wrapf(err, "route: %s", path)
+				return nil, &DecodeError{Path: path, Err: err}
 			}
 			r.Routes = append(r.Routes, rt)
 		}
