--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -35,7 +35,7 @@
 	controlConns *peer.Pool // heartbeats and the messages of the control group
 	bulkConns    *peer.Pool // calls that may be large or slow
 	gatherConns  *peer.Pool // gathers, handovers and probes
-	seat         *control.GroupMember
+	groupMember  *control.GroupMember
 	client       *relay.Client
 	leafCache    *discovery.LeafCache
 	leafSyncer   *discovery.Syncer
@@ -84,12 +84,12 @@
 	})
 	v.server = forward.NewServer(&forward.Handler{Engine: v.engine, Dialect: conf.Dialect, Log: conf.Log, Draining: v.draining.Load})
 	if conf.DataDir != "" {
-		v.seat = v.newSeat()
+		v.groupMember = v.newGroupMember()
 	}
 	return v, v.registerServices(nil)
 }
 
-func (v *VM) newSeat() *control.GroupMember {
+func (v *VM) newGroupMember() *control.GroupMember {
 	return control.NewGroupMember(control.GroupMemberConfig{
 		Config: control.Config{
 			Name: v.conf.Name, DataDir: v.conf.DataDir, PeerAddr: v.conf.PeerAddr, Conns: v.controlConns,
@@ -176,10 +176,10 @@
 }
 
 func (v *VM) controlNode() *control.Node {
-	if v.seat == nil {
+	if v.groupMember == nil {
 		return nil
 	}
-	return v.seat.Node()
+	return v.groupMember.Node()
 }
 
 // isLeader reports whether this VM leads the control group. The leader reads the leaf list
@@ -234,8 +234,8 @@
 	defer cancel()
 	g, ctx := errgroup.WithContext(runCtx)
 	g.Go(func() error { return peer.ServeTrusted(ctx, lis.Peers, v) })
-	if v.seat != nil {
-		g.Go(func() error { return v.seat.Run(ctx) })
+	if v.groupMember != nil {
+		g.Go(func() error { return v.groupMember.Run(ctx) })
 	}
 	v.client.SetPhase(vm.Serving)
 	g.Go(func() error { return ignoreIfDone(ctx, v.client.Run(ctx)) })
