--- a/internal/entryvm/config.go
+++ b/internal/entryvm/config.go
@@ -30,7 +30,6 @@
 	Budget          policy.BudgetLimits
 	LeafDrainTime   time.Duration // how long a leaf keeps serving after it has been marked for removal
 	GracePeriod     time.Duration // between the request to stop and the kill of the process
-	CatchUpTime     time.Duration // how long a restarted control VM may take to catch up
 	ConfigApplyTime time.Duration // within which an accepted configuration must be in use everywhere
 	MaxListLifetime time.Duration // upper bound of the lifetime of an address list at callers
 	ListPageRate    float64       // page reads of the leaf list per second, for the whole tier
--- a/internal/entryvm/size_test.go
+++ b/internal/entryvm/size_test.go
@@ -40,7 +40,7 @@
 		Name: name, Domain: "hall-1", Region: "valley", PeerAddr: peerAddr, CallerAddr: name + ":80",
 		Seeds: seeds, FirstStart: true, DataDir: dataDir, DiskBytes: 64 << 20,
 		Budget:        policy.BudgetLimits{Ratio: 0.2, Burst: 60, Window: 10 * time.Second},
-		LeafDrainTime: time.Second, GracePeriod: time.Second, CatchUpTime: time.Second, MaxListLifetime: time.Second, ListPageRate: 10,
+		LeafDrainTime: time.Second, GracePeriod: time.Second, MaxListLifetime: time.Second, ListPageRate: 10,
 		Source: noLeaves{}, Log: decision.New(io.Discard),
 	})
 	if err != nil {
--- a/internal/quarantine/coordinator.go
+++ b/internal/quarantine/coordinator.go
@@ -115,10 +115,11 @@
 			}
 			last, seen := lastCounted[f]
 			follows := !seen || now.Add(-r.Age) > last
+			current := before
 			if !narrowerKnown && (Scope(scope) != Exact || !known) {
-				before.Variants++
+				current.Variants++
 			}
-			next, suspected := before.withReport(r, Scope(scope), follows, wallTime.UTC().Truncate(time.Second))
+			next, suspected := current.withReport(r, Scope(scope), follows, wallTime.UTC().Truncate(time.Second))
 			switch {
 			case suspected:
 				// An attempt that overlaps the last counted one must not postpone the next
