--- a/soak/doc_test.go
+++ b/soak/doc_test.go
@@ -34,6 +34,7 @@
 //   - a graceful stop cuts off no request that a leaf has begun to run;
 //   - a leaving leaf gets no new requests;
 //   - a configuration that is read is never older than one acknowledged before;
+//   - no VM, in whatever state, denies a route that was acknowledged more than 3 s before;
 //   - a leaf's connections stay within its limit;
 //   - after the faults, all VMs serve again and acknowledged configurations are present, and a
 //     request that crashes leaves reaches at most a few.
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -40,6 +40,7 @@
 		{name: "kill", needsVM: true, inject: func(h *harness, e *faultEvent) { e.vm.kill(); time.Sleep(e.duration / 3); e.vm.start() }},
 		{name: "kill, back at once", needsVM: true, inject: func(h *harness, e *faultEvent) { e.vm.kill(); e.vm.start() }},
 		{name: "pause", needsVM: true, inject: func(h *harness, e *faultEvent) { h.pause(e.vm, e.duration) }},
+		{name: "pause, outdated afterwards", needsVM: true, inject: func(h *harness, e *faultEvent) { h.pause(e.vm, applyDelay+e.duration) }},
 		{name: "stop", needsVM: true, inject: func(h *harness, e *faultEvent) { e.vm.stopGracefully(false); e.vm.start() }},
 		{name: "stop with a reload", needsVM: true, inject: func(h *harness, e *faultEvent) { e.vm.stopGracefully(true); e.vm.start() }},
 		{name: "disk lost", needsVM: true, needsDisk: true, inject: func(h *harness, e *faultEvent) { e.vm.kill(); _ = os.RemoveAll(e.vm.dataDir()); e.vm.start() }},
--- a/soak/operator_test.go
+++ b/soak/operator_test.go
@@ -25,6 +25,7 @@
 	mu          sync.Mutex
 	shardSets   [][]string // the shards of each configuration sent
 	lastNumber  int
+	numbers     []int // of all configurations; each adds a route, which the later ones keep
 	acks        []ack
 	sent        map[int]string // encoded configurations sent, by number
 	extraRoutes atomic.Int64   // additional routes in each new configuration
@@ -61,6 +62,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.lastNumber += 1 + rng.IntN(5)
+	o.numbers = append(o.numbers, o.lastNumber)
 	set := allServices()[:shardServices]
 	rng.Shuffle(len(set), func(i, k int) { set[i], set[k] = set[k], set[i] })
 	set = set[:shardsPerConfiguration]
@@ -68,7 +70,7 @@
 	if o.sent == nil {
 		o.sent = make(map[int]string)
 	}
-	text, err := platform.EncodeRelease(release(o.lastNumber, set, int(o.extraRoutes.Load())))
+	text, err := platform.EncodeRelease(release(o.numbers, set, int(o.extraRoutes.Load())))
 	if err != nil {
 		panic(err) // can't fail: release sets valid values only
 	}
@@ -76,10 +78,11 @@
 	return o.lastNumber, o.sent[o.lastNumber]
 }
 
-// release returns a configuration with the given shards and number of additional routes.
-func release(number int, shards []string, extraRoutes int) *route.Release {
+// release returns the configuration with the last of the numbers, a route for each of them,
+// the given shards and number of additional routes.
+func release(numbers []int, shards []string, extraRoutes int) *route.Release {
 	r := &route.Release{
-		Number: uint64(number),
+		Number: uint64(numbers[len(numbers)-1]),
 		Limits: route.Limits{HeaderBytes: 16 << 10, BodyBytes: 256 << 10, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
 		Routes: []route.Route{
 			{Name: "search", Host: hostname, Prefix: "/search/", Repeatable: true, Timeout: 2 * time.Second, TargetLatency: 250 * time.Millisecond,
@@ -88,6 +91,10 @@
 				Service: ledger, MaxAttempts: 2},
 		},
 	}
+	for _, n := range numbers {
+		r.Routes = append(r.Routes, route.Route{Name: fmt.Sprintf("added-%d", n), Host: hostname, Prefix: addedPath(n),
+			Repeatable: true, Timeout: 2 * time.Second, TargetLatency: 400 * time.Millisecond, Priority: 2, Service: ledger, MaxAttempts: 1})
+	}
 	for i := range extraRoutes {
 		r.Routes = append(r.Routes, route.Route{Name: fmt.Sprintf("more-%04d", i), Host: fmt.Sprintf("host-%03d.example", i%300), Prefix: fmt.Sprintf("/more-%04d/", i),
 			Repeatable: true, Timeout: 2 * time.Second, TargetLatency: 400 * time.Millisecond, Priority: 2, Service: ledger, MaxAttempts: 2})
@@ -98,6 +105,33 @@
 	return r
 }
 
+// addedPath returns the prefix of the route that configuration n adds.
+func addedPath(n int) string { return fmt.Sprintf("/added-%d/", n) }
+
+const (
+	// addedRouteCallers is the number of callers of added routes. One that has asked a paused
+	// VM waits for it.
+	addedRouteCallers = 4
+	// addedRouteInterval is the time between two requests of such a caller.
+	addedRouteInterval = 100 * time.Millisecond
+)
+
+// checkAddedRoutes requests routes that were acknowledged more than applyDelay before, at
+// random VMs. Whatever state a VM is in, it must not say that such a route does not exist.
+func (h *harness) checkAddedRoutes(ctx context.Context, c *caller) {
+	defer c.client.CloseIdleConnections()
+	for ctx.Err() == nil {
+		v, id := h.vms[c.rng.IntN(vmCount)], c.newID()
+		if n := h.operators.newestAcked(time.Now().Add(-applyDelay)); n > 0 {
+			resp, _, err := c.send(v.addr(h.ports.callers), http.MethodGet, addedPath(n)+id, "", id)
+			if err == nil && resp.StatusCode == http.StatusNotFound {
+				h.fail("%s denied a route of configuration %d, which was acknowledged more than %v before", v.name, n, applyDelay)
+			}
+		}
+		time.Sleep(addedRouteInterval)
+	}
+}
+
 // pastConfiguration returns the number and text of a random configuration sent before.
 func (o *operatorState) pastConfiguration(rng *rand.Rand) (int, string) {
 	o.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -94,6 +94,11 @@
 	wg.Go(func() {
 		h.sendCrashingRequests(ctx, &caller{h: h, rng: rand.New(rand.NewPCG(seed, 9)), client: &http.Client{Transport: &http.Transport{}, Timeout: 4 * time.Second}})
 	})
+	for i := range addedRouteCallers {
+		wg.Go(func() {
+			h.checkAddedRoutes(ctx, &caller{h: h, rng: rand.New(rand.NewPCG(seed, uint64(11+i))), client: &http.Client{Transport: &http.Transport{}, Timeout: 4 * time.Second}})
+		})
+	}
 	time.Sleep(time.Second)
 	faultCtx, cancelFaults := context.WithCancel(ctx)
 	var faultLoops sync.WaitGroup
