--- a/internal/entryvm/quarantine_test.go
+++ b/internal/entryvm/quarantine_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -47,6 +48,17 @@
 	seeds  []string
 	vms    []*crashVM
 	nextID atomic.Int64
+	host   string // of the VMs' peer addresses
+}
+
+var lastHost atomic.Int64
+
+// ownHost returns a loopback address that no other tier uses, in this process or another: a
+// VM that starts again listens on its port again, which a connection of another process on a
+// shared address may have taken meanwhile.
+func ownHost() string {
+	pid := os.Getpid()
+	return net.IPv4(127, byte(1+pid/250%250), byte(pid%250), byte(1+lastHost.Add(1)%250)).String()
 }
 
 type crashVM struct {
@@ -56,11 +68,11 @@
 }
 
 func startCrashTier(t *testing.T) *crashTier {
-	tier := &crashTier{t: t, fleet: newFleet(t)}
+	tier := &crashTier{t: t, fleet: newFleet(t), host: ownHost()}
 	const disks, small = 3, 2
 	var peers []net.Listener
 	for range disks {
-		lis := listen(t)
+		lis := tier.listen()
 		peers = append(peers, lis)
 		tier.seeds = append(tier.seeds, lis.Addr().String())
 	}
@@ -68,7 +80,7 @@
 		tier.start(fmt.Sprintf("disk-%d", i), i, t.TempDir(), lis)
 	}
 	for i := range small {
-		tier.start(fmt.Sprintf("small-%d", i), i, "", listen(t))
+		tier.start(fmt.Sprintf("small-%d", i), i, "", tier.listen())
 	}
 	eventually(t, "the tier accepts a configuration", func() bool {
 		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
@@ -153,7 +165,7 @@
 	c.vms = kept
 	for i, v := range stopped {
 		v.stop()
-		c.start(v.conf.Name, i, "", listen(c.t))
+		c.start(v.conf.Name, i, "", c.listen())
 	}
 }
 
@@ -170,6 +182,16 @@
 	}
 }
 
+// listen returns a listener for the peer address of a VM.
+func (c *crashTier) listen() net.Listener {
+	c.t.Helper()
+	lis, err := net.Listen("tcp", net.JoinHostPort(c.host, "0"))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return lis
+}
+
 func (c *crashTier) listenAt(addr string) (lis net.Listener) {
 	c.t.Helper()
 	eventually(c.t, "an address is free again", func() bool {
--- a/internal/entryvm/unconfirmed_test.go
+++ b/internal/entryvm/unconfirmed_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"pearmoor/internal/link/wire"
 	"pearmoor/internal/quarantine"
 	"pearmoor/internal/route"
 )
@@ -35,6 +36,22 @@
 	})
 }
 
+// waitCommitted waits until the disk of v holds the configuration that v has, known there as
+// committed. The leader may tell a daemon of a change before it tells the control VM beside it.
+func (c *crashTier) waitCommitted(v *crashVM) {
+	c.t.Helper()
+	want := v.client.Current().ConfigVersion
+	eventually(c.t, "the disk holds the configuration", func() bool {
+		committed := uint64(0)
+		_, err := v.callControl(c.t.Context(), v.conf.PeerAddr, controlCallTimeout, func(ctx context.Context, control wire.DRPCControlClient) (string, error) {
+			out, err := control.Status(ctx, &wire.StatusRequest{})
+			committed = out.GetConfigVersion()
+			return "", err
+		})
+		return err == nil && committed >= want
+	})
+}
+
 // startAlone stops every VM and starts only v again, on the same disk.
 func (c *crashTier) startAlone(v *crashVM) *crashVM {
 	c.t.Helper()
@@ -79,6 +96,7 @@
 	t.Parallel()
 	tier := startCrashTier(t)
 	down := tier.vms[0]
+	tier.waitCommitted(down)
 	down.stop()
 	tier.put(tier.vms[1], releaseWithAddedRoute())
 	alone := tier.startAlone(down)
@@ -102,6 +120,7 @@
 	if tier.blocked() {
 		t.Fatal("the request is blocked before the VM is down")
 	}
+	tier.waitCommitted(down)
 	down.stop()
 	tier.block(tier.vms[1], path)
 	crashes := tier.fleet.crashCount(path)
@@ -121,6 +140,7 @@
 	t.Parallel()
 	tier, path := startCrashTier(t), gatherPath+crashSuffix
 	down := tier.vms[0]
+	tier.waitCommitted(down)
 	down.stop()
 	tier.block(tier.vms[1], path)
 	crashes := tier.fleet.crashCount(path)
