forward: a probe of an unconfirmed request holds the others back only while a leaf may have ended under it

What callers saw: after a restart of everything, gathers failed with 502 within 10 ms, though one shard of 87 had been asked. Cause: a VM without a confirmation sends each request to one leaf first, and took every end of that send for the end of the request: a reset, a refusal, a slow reply. Change: only the exit of a leaf holds the request back. Any other end of the probe, or 25 ms without one, lets the first sends of all other shards go, through daemons near the leaves where these are used. The probed shard is drawn at random. Evidence: TestUnconfirmedGatherSurvivesFailedProbe fails before (502 with all shards but one not asked; 504 with a silent leaf), passes now. TestStartedVMProbesOneLeafBeforeItIsConfirmed (a deadly request ends one leaf at most) passes unchanged.

--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -108,12 +109,23 @@
 	leaf  *discovery.Leaf
 }
 
-// launchAll makes the first send for every shard. Sends to leaves in another failure domain
-// are delegated to a daemon there, which returns only the greatest records of all parts
-// instead of every part with its headers.
+// launchAll makes the first send for every shard. While sends are made one at a time, the
+// shard that is sent to first is chosen at random.
 func (r *run) launchAll() {
-	if len(r.shards) < minDelegatedShards || r.e.cfg.Peers == nil || r.leafRequest.Stream != nil || r.suspicion.Guarded() {
-		for i := range r.shards {
+	all := make([]int, len(r.shards))
+	start := rand.N(len(all))
+	for i := range all {
+		all[i] = (start + i) % len(all)
+	}
+	r.launchShards(all)
+}
+
+// launchShards makes the first send for the given shards. Sends to leaves in another failure
+// domain are delegated to a daemon there, which returns only the greatest records of all parts
+// instead of every part with its headers.
+func (r *run) launchShards(shards []int) {
+	if len(shards) < minDelegatedShards || r.e.cfg.Peers == nil || r.leafRequest.Stream != nil || r.suspicion.Guarded() {
+		for _, i := range shards {
 			r.launch(i, false)
 		}
 		return
@@ -123,8 +135,8 @@
 	usual := r.stats.pace.Median()
 	remote := make(map[string][]assignment)
 	var direct []assignment
-	for i := range r.shards {
-		leaf := tracker.Choose(snap.ForService(r.shards[i].service), nil, usual)
+	for _, i := range shards {
+		leaf := tracker.Choose(snap.ForService(r.shards[i].service), r.shards[i].tried, usual)
 		switch {
 		case leaf == nil:
 			r.launch(i, false)
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -188,6 +188,9 @@
 	if !r.hedgeAt.IsZero() && r.hedgeAt.Before(at) {
 		at = r.hedgeAt
 	}
+	if end := r.afterArrival(policy.ProbeTimeout); r.suspicion.Unconfirmed && end.Before(at) {
+		at = end
+	}
 	for i := range r.shards {
 		if w := r.shards[i].retryAt; !w.IsZero() && w.Before(at) {
 			at = w
@@ -198,6 +201,9 @@
 
 // runTimers makes the hedges and retries that are due at now.
 func (r *run) runTimers(now time.Time) {
+	if !now.Before(r.afterArrival(policy.ProbeTimeout)) {
+		r.endProbe()
+	}
 	if !r.hedgeAt.IsZero() && !now.Before(r.hedgeAt) {
 		r.hedgeAt = time.Time{}
 		r.hedge(now)
--- a/internal/forward/suspicion.go
+++ b/internal/forward/suspicion.go
@@ -48,7 +48,7 @@
 func (r *run) checkQuarantine(ctx context.Context) *Answer {
 	registry, confirmed := r.e.cfg.Quarantine, r.e.confirmation().Exists()
 	// Without a confirmation the request may have been blocked by a newer configuration.
-	r.suspicion.Suspected = registry != nil && !confirmed
+	r.suspicion.Unconfirmed = registry != nil && !confirmed
 	if registry.Empty() {
 		return nil
 	}
@@ -101,6 +101,9 @@
 // updateSuspicion updates the suspicion that the request crashes leaves from the result of a
 // send.
 func (r *run) updateSuspicion(s *shard, res *result) {
+	if !res.err.LeafExited() {
+		r.suspicion.Unconfirmed = false // a reset, a refusal or an error says nothing about the request
+	}
 	switch {
 	case res.err != nil && res.err.Reason == contract.ReasonQuarantined:
 		r.quarantined = true
@@ -133,6 +136,10 @@
 		}
 		return
 	}
+	if !r.suspicion.Guarded() {
+		r.launchHeld()
+		return
+	}
 	for i := range r.shards {
 		switch s := &r.shards[i]; {
 		case !s.held || s.done:
@@ -145,6 +152,27 @@
 	}
 }
 
+// launchHeld makes the first send for every held shard.
+func (r *run) launchHeld() {
+	var held []int
+	for i := range r.shards {
+		if s := &r.shards[i]; s.held && !s.done {
+			s.held = false
+			held = append(held, i)
+		}
+	}
+	r.launchShards(held)
+}
+
+// endProbe sends for the held shards although the probe of an unconfirmed request has not
+// ended.
+func (r *run) endProbe() {
+	if r.suspicion.Unconfirmed && r.suspicion.LeafExits == 0 {
+		r.suspicion.Unconfirmed = false
+		r.resumeHeldShards()
+	}
+}
+
 // reportAttempt reports to the quarantine registry, at the end of the run, how many leaves
 // crashed and whether one survived the request.
 func (r *run) reportAttempt() {
--- a/internal/forward/suspicion_test.go
+++ b/internal/forward/suspicion_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"pearmoor/internal/policy"
 	"pearmoor/internal/quarantine"
 	"pearmoor/internal/route"
 	"pearmoor/internal/vm"
@@ -145,3 +146,41 @@
 		t.Errorf("the ruling is %v after an answer, want free", got)
 	}
 }
+
+// resetWithoutReply is a script of a leaf that runs a request and resets the connection
+// instead of replying. The leaf goes on serving.
+func resetWithoutReply(l *fakeLeaf, c net.Conn, _ receivedRequest) bool {
+	l.runs.Add(1)
+	_ = c.(*net.TCPConn).SetLinger(0)
+	return false
+}
+
+// Guards against a gather that fails with a single leaf while the quarantine is unconfirmed:
+// only the exit of a leaf says something about the request, a lost or slow reply does not.
+func TestUnconfirmedGatherSurvivesFailedProbe(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		faulty script
+	}{{"reset", resetWithoutReply}, {"silent", neverReply}} {
+		t.Run(c.name, func(t *testing.T) {
+			var first sync.Once
+			rt, leaves := remoteRoute(t, func(shard, k int) script {
+				return func(l *fakeLeaf, conn net.Conn, req receivedRequest) bool {
+					fails := false
+					first.Do(func() { fails = true })
+					if fails {
+						return c.faulty(l, conn, req)
+					}
+					return validPart(shard, k)(l, conn, req)
+				}
+			})
+			rt.MaxAttempts, rt.TargetLatency, rt.Timeout = 1, 300*time.Millisecond, 1200*time.Millisecond
+			f := newFixture(t, rt, leaves)
+			f.enableQuarantine()
+			f.engine.cfg.Confirmation = func() policy.Confirmation { return 0 }
+			if resp, text := f.do(t, http.MethodGet, "/a", ""); resp.StatusCode != http.StatusOK || resp.Header.Get("Missing") != "1" {
+				t.Errorf("status %d, %s parts missing, %q", resp.StatusCode, resp.Header.Get("Missing"), text)
+			}
+		})
+	}
+}
--- a/internal/policy/suspicion.go
+++ b/internal/policy/suspicion.go
@@ -6,6 +6,10 @@
 	// maxProbes is the maximum number of sends that one attempt of a suspected request makes
 	// before a leaf answers. They are made one at a time.
 	maxProbes = 1
+	// ProbeTimeout is how long a request of a daemon whose quarantine may be outdated waits
+	// for the result of its first send. A leaf that a request crashes usually closes its
+	// connection sooner.
+	ProbeTimeout = 25 * time.Millisecond
 	// QuarantinedRetryAfter is the Retry-After for a blocked request. Retrying succeeds only
 	// after an operator has removed the block.
 	QuarantinedRetryAfter = time.Minute
@@ -24,11 +28,17 @@
 	Suspected bool // suspected because of earlier attempts
 	LeafExits int  // leaves that exited during this attempt
 	Answered  bool // a leaf ran the request and answered
-	probes    int  // sends made one at a time
+	// Unconfirmed is set while it is unknown whether the request is quarantined, because no
+	// leader has confirmed the quarantine of this daemon. It is cleared by the first send
+	// that ends without the exit of a leaf, or after ProbeTimeout.
+	Unconfirmed bool
+	probes      int // sends made one at a time
 }
 
 // Guarded reports whether sends must be made one at a time.
-func (s *Suspicion) Guarded() bool { return !s.Answered && (s.Suspected || s.LeafExits > 0) }
+func (s *Suspicion) Guarded() bool {
+	return !s.Answered && (s.Suspected || s.Unconfirmed || s.LeafExits > 0)
+}
 
 // MaySend reports whether another send is allowed while inFlight sends are in flight.
 func (s *Suspicion) MaySend(inFlight int) bool {
