evacuation: failure domains whose leaves receive no requests, as agreed state

Change: an order to any VM reaches the leader, which commits it as a node of the settings tree below /evacuations, so that history, explain and the audit trail have it. Every VM puts it into use with its view: no first send, retry, hedge, part asked for near the leaves or handed over, no trial and no request that waited for a connection goes to a leaf there; a last check stands right before the write. Homes of /v1/query drain the leaves of such a domain. Order of orders: an order has no number. It carries the version of the tree that its VM had when it arrived; the leader refuses one that is older than the newest accepted order of the domain, and an order for the state that is already in force becomes a new revision all the same, which outdates every opposite order taken before it. A VM gives up on it after 0.4 of the time for which operators send again, and when its operator has left.

--- a/internal/cli/app.go
+++ b/internal/cli/app.go
@@ -105,6 +105,7 @@
 	a.declareExplain(k)
 	a.declareTrail(k)
 	a.declareQuarantine(k)
+	a.declareEvacuate(k)
 	a.declareDiff(k)
 	a.declareRevert(k)
 	a.declareFile(k)
--- a/internal/cli/file.go
+++ b/internal/cli/file.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"os"
+	"slices"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/cockroachdb/errors"
@@ -13,7 +14,7 @@
 func (a *app) declareFile(k *kingpin.Application) {
 	var version uint64
 	c := k.Command("export", `Write the tree as YAML, to keep in version control. It records its version as the base for 'apply'.
-The quarantine is left out; 'apply' leaves it as it is.
+The quarantine and the evacuations are left out; 'apply' leaves them as they are.
 
 Example: pearmoor export > tree.yaml`)
 	c.Flag("at", "Version of the tree; 0 is the newest.").Uint64Var(&version)
@@ -22,7 +23,9 @@
 		if err != nil {
 			return err
 		}
-		tree = tree.Replay(at, []settings.Edit{{Path: settings.QuarantinePath, Op: settings.Remove}})
+		for _, path := range settings.OperationalPaths() {
+			tree = tree.Replay(at, []settings.Edit{{Path: path, Op: settings.Remove}})
+		}
 		_, err = a.out.Write(tree.ExportFileWithBase(at))
 		return errors.Wrap(err, "write the tree")
 	})
@@ -61,7 +64,7 @@
 	if err != nil {
 		return err
 	}
-	edits := withoutQuarantine(settings.Diff(current, wanted))
+	edits := withoutOperationalState(settings.Diff(current, wanted))
 	if f.base.isSet && f.base.value != version && len(edits) > 0 {
 		return a.staleBaseError(f.base.value, version)
 	}
@@ -75,7 +78,7 @@
 	if err != nil {
 		return err
 	}
-	return a.submitChange(f, old, version, withoutQuarantine(settings.Diff(old, wanted)))
+	return a.submitChange(f, old, version, withoutOperationalState(settings.Diff(old, wanted)))
 }
 
 // staleBaseError returns the error for a file that was exported before the newest
@@ -111,3 +114,10 @@
 	text, err := os.ReadFile(name)
 	return text, errors.Wrap(err, "read the file")
 }
+
+// withoutOperationalState drops the edits to the quarantine and the evacuations. Exported
+// files leave them out, so applying one would otherwise let requests that crash leaves run
+// again, and end evacuations.
+func withoutOperationalState(edits []settings.Edit) []settings.Edit {
+	return slices.DeleteFunc(edits, func(e settings.Edit) bool { return settings.IsOperationalPath(e.Path) })
+}
--- a/internal/cli/quarantine.go
+++ b/internal/cli/quarantine.go
@@ -92,10 +92,3 @@
 	}
 	writeTable(w, "FINGERPRINT\tSTATE\tLEAF ENDS\tCRASHES\tATTEMPTS\tSEEN\tREQUEST", rows)
 }
-
-// withoutQuarantine drops the edits to the quarantine. Exported files leave the
-// quarantine out, so applying one would otherwise lift it and let requests that
-// crash leaves run again.
-func withoutQuarantine(edits []settings.Edit) []settings.Edit {
-	return slices.DeleteFunc(edits, func(e settings.Edit) bool { return settings.IsWithin(e.Path, settings.QuarantinePath) })
-}
--- a/internal/daemon/homes.go
+++ b/internal/daemon/homes.go
@@ -11,6 +11,7 @@
 
 	"pearmoor/internal/admit"
 	"pearmoor/internal/directory"
+	"pearmoor/internal/evacuation"
 	"pearmoor/internal/link/leaf"
 	"pearmoor/internal/relay"
 	"pearmoor/internal/settings"
@@ -111,9 +112,10 @@
 // share gets zero limits and is no longer probed.
 func (m *shareManager) configure(v *relay.View) {
 	next := assignment{leaves: make(map[string]settings.Leaf), services: make(map[string]bool)}
+	evacuated := evacuation.FromTree(v.Tree).Evacuated()
 	for _, path := range v.Tree.Services("") {
 		if e, ok := v.Tree.Effective(path); ok {
-			m.configureService(v, e, next)
+			m.configureService(v, e, evacuated, next)
 		}
 	}
 	for addr, l := range m.assigned.leaves {
@@ -134,7 +136,7 @@
 		len(next.leaves), len(next.services), v.ConfigVersion, v.Epoch())
 }
 
-func (m *shareManager) configureService(v *relay.View, e *settings.Effective, next assignment) {
+func (m *shareManager) configureService(v *relay.View, e *settings.Effective, evacuated []string, next assignment) {
 	var ownLeaves []settings.Leaf
 	for i, l := range e.Leaves {
 		slots, conns := v.Share(e.Path, e, i, m.self)
@@ -152,9 +154,22 @@
 	next.services[e.Path] = true
 	ownService := *e
 	ownService.Leaves = ownLeaves
+	ownService.Drained = withoutNewWork(e, evacuated)
 	m.prober.Watch(e.Path, &ownService)
 }
 
+// withoutNewWork returns the names of the service's leaves that are drained or in an evacuated
+// failure domain.
+func withoutNewWork(e *settings.Effective, evacuated []string) []string {
+	out := e.Drained
+	for _, l := range e.Leaves {
+		if slices.Contains(evacuated, l.Domain) && !slices.Contains(out, l.Name) {
+			out = append(slices.Clone(out), l.Name)
+		}
+	}
+	return out
+}
+
 // acknowledge reports to control that this daemon is within its current shares, and
 // returns false while requests or connections still exceed them. Without this wait the
 // new owner of a share would send requests while those of the old owner still run, and
--- a/internal/entryvm/config.go
+++ b/internal/entryvm/config.go
@@ -16,7 +16,9 @@
 	Region     string
 	PeerAddr   string // host:port for other daemons
 	CallerAddr string // host:port for callers; empty: accepts no callers
-	Millicores uint32 // CPU of the VM, in thousandths of a core
+	// DomainRegions maps the failure domains of the tier to their regions, as far as known.
+	DomainRegions map[string]string
+	Millicores    uint32 // CPU of the VM, in thousandths of a core
 
 	// Seeds are the peer addresses of some daemons of the tier. They are the only other
 	// daemons known at startup.
@@ -31,6 +33,7 @@
 	LeafDrainTime   time.Duration // how long a leaf keeps serving after it has been marked for removal
 	GracePeriod     time.Duration // between the request to stop and the kill of the process
 	ConfigApplyTime time.Duration // within which an accepted configuration must be in use everywhere
+	OrderResendTime time.Duration // for which operators send an order again that was not acknowledged
 	MaxListLifetime time.Duration // upper bound of the lifetime of an address list at callers
 	ListPageRate    float64       // page reads of the leaf list per second, for the whole tier
 
--- /dev/null
+++ b/internal/entryvm/evacuation.go
@@ -0,0 +1,119 @@
+package entryvm
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
+	"k8s.io/klog/v2"
+
+	"pearmoor/internal/contract"
+	"pearmoor/internal/link/peer"
+	"pearmoor/internal/link/wire"
+	"pearmoor/internal/vm"
+)
+
+const (
+	// orderSettleTime is the pause before an order is sent to the leader. If the order had
+	// waited unread, for example while this VM was suspended, its operator has closed the
+	// connection in the meantime, and the end of ctx becomes visible during the pause.
+	orderSettleTime = 2 * time.Millisecond
+	// orderTimeFraction is the fraction of Config.OrderResendTime for which an order is
+	// tried.
+	orderTimeFraction = 0.4
+)
+
+var (
+	evacuationsAcked    = metrics.GetOrRegisterCounter("operator.evacuations.acknowledged", metrics.DefaultRegistry)
+	evacuationsOutdated = metrics.GetOrRegisterCounter("operator.evacuations.outdated", metrics.DefaultRegistry)
+	evacuationsUnclear  = metrics.GetOrRegisterCounter("operator.evacuations.unclear", metrics.DefaultRegistry)
+	evacuationAckTimer  = metrics.GetOrRegisterTimer("operator.evacuations.latency", metrics.DefaultRegistry)
+	evacuatedDomains    = metrics.GetOrRegisterGauge("entry.evacuated_domains", metrics.DefaultRegistry)
+)
+
+var (
+	errNoStateYet    = errors.New("entry: this VM does not know the agreed state yet; send the order to another one")
+	errOutdatedOrder = errors.New("entry: this VM did not know the newest order for the failure domain; send the order again")
+)
+
+// Evacuate carries out an operator's order that the leaves of a failure domain receive no
+// requests, or ends that. It returns once the order is committed. A contract.Faults means that
+// the order is invalid. After any other error it may be in force or not, and may be repeated.
+//
+// The order carries the version that this VM knew when it received it. It is not read again
+// later: an operator may have given other orders through other VMs meanwhile.
+func (v *VM) Evacuate(ctx context.Context, domain string, evacuate bool) error {
+	start, view := time.Now(), v.client.Current()
+	if !v.knowsDomain(domain) {
+		return contract.Faults{{Field: "failure domain", Value: domain, Why: "no failure domain has this name", Fix: "name one of the tier's failure domains"}}
+	}
+	if view.Tree == nil {
+		return errNoStateYet
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(orderTimeFraction*float64(v.conf.OrderResendTime)))
+	defer cancel()
+	if !vm.Sleep(ctx, orderSettleTime) {
+		return errors.Wrap(ctx.Err(), "entry: the operator has left")
+	}
+	reply, err := v.sendEvacuation(ctx, newEvacuationRequest(domain, evacuate, view.ConfigVersion))
+	switch {
+	case err != nil:
+		evacuationsUnclear.Inc(1)
+		return err
+	case reply.Outdated:
+		evacuationsOutdated.Inc(1)
+		return errors.Wrapf(errOutdatedOrder, "version=%d newest=%d", view.ConfigVersion, reply.Version)
+	}
+	evacuationsAcked.Inc(1)
+	evacuationAckTimer.UpdateSince(start)
+	klog.Infof("operator: evacuation order acknowledged domain=%s evacuate=%v seen=%d version=%d took=%v", domain, evacuate, view.ConfigVersion, reply.Version, time.Since(start))
+	return nil
+}
+
+func newEvacuationRequest(domain string, evacuate bool, seenVersion uint64) *wire.EvacuationRequest {
+	return &wire.EvacuationRequest{Domain: domain, Evacuate: evacuate, SeenVersion: seenVersion, Operator: platformOperator}
+}
+
+// sendEvacuation sends an order to the control VMs in turn, following redirects, until the
+// leader has answered or ctx ends.
+func (v *VM) sendEvacuation(ctx context.Context, req *wire.EvacuationRequest) (*wire.EvacuationReply, error) {
+	lastErr := errors.New("entry: no control VM is known")
+	for ctx.Err() == nil {
+		var reply *wire.EvacuationReply
+		answered := peer.TryEach(ctx, v.controlContacts(), func(addr string) (string, bool) {
+			redirect, err := v.callControl(ctx, addr, controlCallTimeout, func(ctx context.Context, c wire.DRPCControlClient) (string, error) {
+				out, err := c.Evacuate(ctx, req)
+				reply = out
+				return out.GetRedirect(), err
+			})
+			if err != nil {
+				lastErr = err
+			}
+			return redirect, err == nil && redirect == ""
+		})
+		if answered {
+			return reply, nil
+		}
+		vm.Sleep(ctx, retryDelay)
+	}
+	return nil, errors.CombineErrors(lastErr, ctx.Err())
+}
+
+// knowsDomain reports whether the settings of this VM, a VM of the tier or a leaf names the
+// failure domain.
+func (v *VM) knowsDomain(domain string) bool {
+	if _, ok := v.conf.DomainRegions[domain]; ok || domain == v.conf.Domain {
+		return true
+	}
+	if ms := v.client.Current().Membership(); ms != nil && slices.ContainsFunc(ms.Members, func(m vm.Member) bool { return m.Domain == domain }) {
+		return true
+	}
+	for _, l := range v.leafCache.Snapshot().All() {
+		if l.Domain == domain {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/entryvm/fleet_test.go
+++ b/internal/entryvm/fleet_test.go
@@ -31,6 +31,7 @@
 type fleetLeaf struct {
 	f                     *fleet
 	service, addr, domain string
+	requests              atomic.Int64
 
 	mu  sync.Mutex
 	id  string
@@ -102,6 +103,7 @@
 }
 
 func (l *fleetLeaf) serve(w http.ResponseWriter, r *http.Request, id string) {
+	l.requests.Add(1)
 	w.Header().Set(crashDialect.RequestID, r.Header.Get(crashDialect.RequestID))
 	if r.Header.Get(crashDialect.LeafID) != id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
--- a/internal/entryvm/quarantine_test.go
+++ b/internal/entryvm/quarantine_test.go
@@ -113,7 +113,7 @@
 		PeerAddr: peers.Addr().String(), CallerAddr: callers.Addr().String(),
 		Seeds: c.seeds, FirstStart: dataDir != "", DataDir: dataDir, DiskBytes: 64 << 20, MaxLostDisks: 1,
 		Budget:        policy.BudgetLimits{Ratio: 0.2, Burst: 600, Window: 10 * time.Second},
-		LeafDrainTime: time.Second, GracePeriod: 300 * time.Millisecond, ConfigApplyTime: configApplyTime, MaxListLifetime: time.Second, ListPageRate: 1000,
+		LeafDrainTime: time.Second, GracePeriod: 300 * time.Millisecond, ConfigApplyTime: configApplyTime, OrderResendTime: 5 * time.Second, MaxListLifetime: time.Second, ListPageRate: 1000,
 		Source: c.fleet, Dialect: crashDialect, Log: decision.New(io.Discard),
 	})
 	if err != nil {
--- a/internal/entryvm/tier.go
+++ b/internal/entryvm/tier.go
@@ -37,6 +37,8 @@
 	// configuration is read.
 	routeBytes = 190
 	shardBytes = 10
+	// platformOperator is the operator's name in the audit trail.
+	platformOperator = "platform"
 	// retryDelay is the pause between two rounds over the control VMs.
 	retryDelay = 50 * time.Millisecond
 	// maxAddrs is the maximum number of addresses in a list for a caller, and
@@ -135,7 +137,7 @@
 		}
 		var reply *wire.ReleaseReply
 		_, err = v.callControl(ctx, leader, peer.CallTimeout(controlCallTimeout, len(body)), func(ctx context.Context, c wire.DRPCControlClient) (string, error) {
-			out, err := c.PutRelease(ctx, &wire.ReleaseRequest{Release: body, Operator: "platform"})
+			out, err := c.PutRelease(ctx, &wire.ReleaseRequest{Release: body, Operator: platformOperator})
 			reply = out
 			return out.GetRedirect(), err
 		})
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -15,6 +15,7 @@
 
 	"pearmoor/internal/control"
 	"pearmoor/internal/discovery"
+	"pearmoor/internal/evacuation"
 	"pearmoor/internal/forward"
 	"pearmoor/internal/link/peer"
 	"pearmoor/internal/link/wire"
@@ -282,7 +283,8 @@
 		if view.Tree != nil && view.ConfigVersion > version {
 			version = view.ConfigVersion
 			v.quarantine.Update(view.ConfigVersion, view.Tree)
-			if previous == nil || !view.Tree.EqualExcept(previous, settings.QuarantinePath) {
+			v.applyEvacuations(view)
+			if previous == nil || !view.Tree.EqualExcept(previous, settings.OperationalPaths()...) {
 				inUse = v.applyRelease(view)
 			}
 			previous = view.Tree
@@ -299,6 +301,16 @@
 	}
 }
 
+// applyEvacuations puts the evacuations of a view into use.
+func (v *VM) applyEvacuations(view *relay.View) {
+	agreed := evacuation.FromTree(view.Tree)
+	if v.engine.SetEvacuations(agreed) {
+		evacuated := agreed.Evacuated()
+		evacuatedDomains.Update(int64(len(evacuated)))
+		klog.Infof("entry: evacuated failure domains %v version=%d", evacuated, view.ConfigVersion)
+	}
+}
+
 // confirmation returns when the configuration in use was confirmed.
 func (v *VM) confirmation() policy.Confirmation { return policy.Confirmation(v.confirmedAt.Load()) }
 
--- a/internal/forward/board.go
+++ b/internal/forward/board.go
@@ -33,14 +33,15 @@
 	link *target.Link
 }
 
-// Link returns the link to a leaf. It creates the link with the connection limit from
-// limit if there is none yet.
-func (t *LeafTracker) Link(l *discovery.Leaf, limit func(*discovery.Leaf) int) *target.Link {
+// Link returns the link to a leaf. If there is none yet, it creates the link with the
+// connection limit from limit. The link calls check before it writes a request.
+func (t *LeafTracker) Link(l *discovery.Leaf, limit func(*discovery.Leaf) int, check func(*discovery.Leaf) error) *target.Link {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.state(l.RunID())
 	if s.link == nil {
 		s.link = target.NewLink(l.ID, l.Addr, limit(l))
+		s.link.SetSendCheck(func() error { return check(l) })
 	}
 	return s.link
 }
--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -196,6 +196,9 @@
 	if a.Reason != "" {
 		l = l.Str("reason", string(a.Reason)).Str("verdict", a.Verdict.String()).Err(a.Cause)
 	}
+	if evacuated := r.e.evacuations.Load(); len(evacuated.domains) > 0 {
+		l = l.Str("evacuated", evacuated.names())
+	}
 	l.Ms("list_age", r.e.cfg.Leaves.Age()).End()
 }
 
--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -136,7 +136,7 @@
 	remote := make(map[string][]assignment)
 	var direct []assignment
 	for _, i := range shards {
-		leaf := tracker.Choose(snap.ForService(r.shards[i].service), r.shards[i].tried, usual)
+		leaf := tracker.Choose(r.e.leavesFor(snap, r.shards[i].service), r.shards[i].tried, usual)
 		switch {
 		case leaf == nil:
 			r.launch(i, false)
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -52,6 +52,8 @@
 	finishing  chan struct{} // closed by FinishAll
 	finishOnce sync.Once
 	sendPool   *work.Pool[sendTask]
+
+	evacuations atomic.Pointer[evacuations]
 }
 
 // activeTable is the routing table in use with the statistics of its routes.
@@ -73,6 +75,7 @@
 func New(cfg Config) *Engine {
 	e := &Engine{cfg: cfg, finishing: make(chan struct{})}
 	e.sendPool = work.NewPool(e.perform)
+	e.evacuations.Store(noEvacuations)
 	return e
 }
 
--- a/internal/forward/handover.go
+++ b/internal/forward/handover.go
@@ -102,6 +102,7 @@
 		h.req = &wire.HandoverRequest{
 			Id: r.req.ID, Method: r.req.Method, Head: r.leafRequest.Head, Body: r.req.Body, Caller: r.req.Caller,
 			WaitUs: toMicros(r.req.Wait), SpentUs: toMicros(time.Since(r.req.Arrived) + interDomainDelay), Release: r.active.table.Number,
+			Evacuations: r.e.evacuations.Load().revision,
 		}
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), r.afterArrival(r.times.AnswerDeadline+streamGracePeriod))
@@ -348,11 +349,12 @@
 }
 
 // newHandedOverRun returns a run for a gather that another daemon hands over. It returns nil
-// to decline if this daemon shuts down or has another configuration, since the gather must be
-// executed according to the configuration that it was routed by.
+// to decline if this daemon shuts down, has another configuration, since the gather must be
+// executed according to the configuration that it was routed by, or does not know an
+// evacuation that the other daemon knows.
 func (e *Engine) newHandedOverRun(in *wire.HandoverRequest) *run {
 	active := e.active.Load()
-	if active == nil || active.table.Number != in.Release || e.isFinishing() {
+	if active == nil || active.table.Number != in.Release || e.evacuations.Load().revision < in.Evacuations || e.isFinishing() {
 		return nil
 	}
 	uri, host := parseHead(in.Head)
--- a/internal/forward/scatter.go
+++ b/internal/forward/scatter.go
@@ -87,7 +87,11 @@
 			sc.results <- result{shard: i, call: call, err: contract.Refuse(contract.ReasonNoLiveTarget, errUnknownLeaf)}
 			continue
 		}
-		link := sc.e.cfg.Tracker.Link(leaf, sc.active.connectionLimit)
+		if err := sc.e.checkSend(leaf); err != nil {
+			sc.results <- result{shard: i, call: call, err: contract.Refuse(contract.ReasonNoLiveTarget, err)}
+			continue
+		}
+		link := sc.e.cfg.Tracker.Link(leaf, sc.active.connectionLimit, sc.e.checkSend)
 		sc.e.sendPool.Run(sendTask{owner: sc, request: &sc.leafRequest, i: i, leaf: leaf, link: link, call: call})
 	}
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -24,7 +24,7 @@
 		}
 		return
 	}
-	leaves := r.e.cfg.Leaves.Snapshot().ForService(s.service)
+	leaves := r.e.leavesFor(r.e.cfg.Leaves.Snapshot(), s.service)
 	leaf := r.e.cfg.Tracker.Choose(leaves, s.tried, r.stats.pace.Median())
 	if leaf == nil {
 		if hedge {
@@ -49,7 +49,7 @@
 		}
 		return
 	}
-	link := r.e.cfg.Tracker.Link(leaf, r.active.connectionLimit)
+	link := r.e.cfg.Tracker.Link(leaf, r.active.connectionLimit, r.e.checkSend)
 	call := &target.Call{}
 	r.recordStart(i, pendingSend{call: call, leaf: leaf})
 	if hedge {
--- a/internal/link/target/exchange.go
+++ b/internal/link/target/exchange.go
@@ -153,6 +153,12 @@
 		l.put(c)
 		return nil, notRun(contract.ReasonDeadline, context.DeadlineExceeded)
 	}
+	if l.sendCheck != nil {
+		if err := l.sendCheck(); err != nil {
+			l.put(c)
+			return nil, notRun(contract.ReasonNoLiveTarget, err)
+		}
+	}
 	if !call.attach(c, req.Deadline) {
 		l.put(c)
 		return nil, notRun(contract.ReasonDeadline, errAbandoned)
--- a/internal/link/target/link.go
+++ b/internal/link/target/link.go
@@ -87,6 +87,8 @@
 	dialDone      chan struct{} // closed and replaced when a dial finishes
 	lastConnected time.Time     // when a dial last succeeded
 	lastRefused   time.Time     // when a dial was last refused
+
+	sendCheck func() error // nil: none
 }
 
 // grant is what a call that waits for a connection receives.
@@ -100,6 +102,10 @@
 	return &Link{id: id, addr: addr, maxConns: maxConns, inUse: make(map[*conn]struct{}), dialDone: make(chan struct{})}
 }
 
+// SetSendCheck sets a function that is called right before a request is written. If it returns
+// an error, the request is not sent. It must be set before the link is used.
+func (l *Link) SetSendCheck(check func() error) { l.sendCheck = check }
+
 // SetMaxConns changes how many connections may be open. Connections above the limit are closed
 // after their current exchange.
 func (l *Link) SetMaxConns(n int) {
--- a/internal/settings/effective.go
+++ b/internal/settings/effective.go
@@ -71,6 +71,7 @@
 	Release ReleaseSettings
 
 	Quarantine QuarantineSettings
+	Evacuation EvacuationSettings
 }
 
 // Tier holds the settings that may be set only at the root and apply to all daemons.
--- a/internal/settings/resolve.go
+++ b/internal/settings/resolve.go
@@ -45,6 +45,7 @@
 	e := *parent
 	e.Path, e.Leaves, e.Drained = displayPath(path), nil, nil
 	e.Route, e.Service, e.Release, e.Quarantine = sc.defaults.Route, sc.defaults.Service, sc.defaults.Release, sc.defaults.Quarantine
+	e.Evacuation = sc.defaults.Evacuation
 	e.Route.AnswerMargin = parent.Route.AnswerMargin
 	for i := range n.assignments {
 		a := &n.assignments[i]
--- a/internal/settings/tree.go
+++ b/internal/settings/tree.go
@@ -90,16 +90,16 @@
 // differences; it is not cryptographic.
 func (t *Tree) Digest() uint64 { return t.root.digest }
 
-// EqualExcept reports whether t and o are equal, ignoring the child of the root with the
-// given name and the versions of the values set at the root.
-func (t *Tree) EqualExcept(o *Tree, name string) bool {
+// EqualExcept reports whether t and o are equal, ignoring the children of the root with the
+// given names and the versions of the values set at the root.
+func (t *Tree) EqualExcept(o *Tree, names ...string) bool {
 	if !slices.EqualFunc(t.root.assignments, o.root.assignments, func(a, b assignment) bool { return a.name == b.name && a.text == b.text }) {
 		return false
 	}
 	otherDigests := func(n *node) []uint64 {
 		var out []uint64
 		for _, c := range n.children {
-			if c.name != name {
+			if !slices.Contains(names, c.name) {
 				out = append(out, c.digest)
 			}
 		}
