discovery: a leaf that becomes cold again is cold in every daemon's list

Cause: lists were compared without the warm-up, so a listing that differed in nothing else was taken for the one held: the leaf stayed warm in the reader's list and was never sent on. Change: ends of a warm-up that differ by more than a second, the lag of the list, are a change. A watcher of a new reader with the same leaves gets those that warm up, which the digest does not cover; an upstream whose older leaves a watcher refuses is paused instead of asked again. Test: TestLeafThatBecomesColdAgainIsColdEverywhere fails before at reader and watcher.

--- a/internal/discovery/latest_runs.go
+++ b/internal/discovery/latest_runs.go
@@ -58,7 +58,7 @@
 		l[leaf.ID] = latestRun{last.startMs, now}
 		withStart := *leaf
 		withStart.StartMs = last.startMs
-		if old, ok := current.byID[leaf.ID]; ok && old.equalState(&withStart) {
+		if old, ok := current.byID[leaf.ID]; ok && old.equalState(&withStart, now) {
 			return old
 		}
 		return &withStart
--- a/internal/discovery/leaf.go
+++ b/internal/discovery/leaf.go
@@ -18,11 +18,11 @@
 	ID       string
 	StartMs  int64 // start time in ms since 1970 by the clock of its VM; 0: not stated
 	Service  string
-	Addr     string // host:port
-	Domain   string // failure domain
-	Slots    int    // maximum number of concurrent requests; 0: unknown
-	Draining bool   // it is shutting down and takes no new work
-	WarmAt   vm.Instant
+	Addr     string     // host:port
+	Domain   string     // failure domain
+	Slots    int        // maximum number of concurrent requests; 0: unknown
+	Draining bool       // it is shutting down and takes no new work
+	WarmAt   vm.Instant // end of the warm-up; 0: it was warm when it was listed
 }
 
 // RunID identifies one run of a leaf. A leaf that restarts keeps its id but is another
@@ -51,10 +51,28 @@
 // WarmingUp reports whether the leaf is still slow after its start.
 func (l *Leaf) WarmingUp(now vm.Instant) bool { return now < l.WarmAt }
 
-// equalState reports whether l and other are equal except for the remaining warm-up time.
-func (l *Leaf) equalState(other *Leaf) bool {
+// warmUpTolerance is the largest difference between the ends of the same warm-up, as computed
+// from two listings. Each listing may be older than it says by the lag of the list.
+const warmUpTolerance = time.Second
+
+// equalState reports whether l and other are equal. Ends of a warm-up that differ by less than
+// warmUpTolerance count as equal.
+func (l *Leaf) equalState(other *Leaf, now vm.Instant) bool {
+	difference := l.warmUpLeft(now) - other.warmUpLeft(now)
 	return l.RunID() == other.RunID() && l.Service == other.Service && l.Addr == other.Addr &&
-		l.Domain == other.Domain && l.Slots == other.Slots && l.Draining == other.Draining
+		l.Domain == other.Domain && l.Slots == other.Slots && l.Draining == other.Draining &&
+		max(difference, -difference) <= warmUpTolerance
+}
+
+// warmUpLeft returns the remaining warm-up time.
+func (l *Leaf) warmUpLeft(now vm.Instant) time.Duration { return max(0, l.WarmAt.Sub(now)) }
+
+// warmAt returns the end of a warm-up with the given remaining time, 0 if there is none.
+func warmAt(now vm.Instant, left time.Duration) vm.Instant {
+	if left <= 0 {
+		return 0
+	}
+	return now.Add(left)
 }
 
 // ListedLeaf is a leaf as a Source lists it.
@@ -153,7 +171,7 @@
 	return &wire.LeafEntry{
 		Id: l.ID, Service: l.Service, Addr: l.Addr, Domain: l.Domain,
 		Slots: uint32(l.Slots), Draining: l.Draining, Born: l.StartMs,
-		ColdMs: uint32(max(0, l.WarmAt.Sub(now)).Milliseconds()),
+		ColdMs: uint32(l.warmUpLeft(now).Milliseconds()),
 	}
 }
 
@@ -161,6 +179,6 @@
 	return &Leaf{
 		ID: e.Id, Service: e.Service, Addr: e.Addr, Domain: e.Domain,
 		Slots: int(e.Slots), Draining: e.Draining, StartMs: e.Born,
-		WarmAt: now.Add(time.Duration(e.ColdMs) * time.Millisecond),
+		WarmAt: warmAt(now, time.Duration(e.ColdMs)*time.Millisecond),
 	}
 }
--- a/internal/discovery/leaf_cache.go
+++ b/internal/discovery/leaf_cache.go
@@ -116,9 +116,9 @@
 	for _, entry := range list {
 		l := &Leaf{
 			ID: entry.ID, StartMs: entry.StartMs, Service: entry.Service, Addr: entry.Addr, Domain: entry.Domain,
-			Slots: entry.Slots, Draining: entry.Draining, WarmAt: now.Add(entry.WarmIn),
+			Slots: entry.Slots, Draining: entry.Draining, WarmAt: warmAt(now, entry.WarmIn),
 		}
-		leaves = append(leaves, c.reuseUnchanged(l))
+		leaves = append(leaves, c.reuseUnchanged(l, now))
 	}
 	if c.readerRun == 0 || !c.readByThisDaemon() {
 		// The versions so far were another daemon's and can't be continued.
@@ -127,7 +127,7 @@
 	}
 	c.reported = newSnapshot(leaves)
 	next := c.runs.resolveAll(c.reported, c.current, now)
-	if changedIDs := diff(c.current, next); len(changedIDs) > 0 || !c.hasList {
+	if changedIDs := diff(c.current, next, now); len(changedIDs) > 0 || !c.hasList {
 		c.version++
 		c.appendChange(change{c.version - 1, c.version, changedIDs})
 		c.installLocked(next, "read")
@@ -200,10 +200,10 @@
 }
 
 // diff returns the ids of the leaves added, changed or removed between old and next.
-func diff(old, next *Snapshot) map[string]bool {
+func diff(old, next *Snapshot, now vm.Instant) map[string]bool {
 	ids := make(map[string]bool)
 	for _, l := range next.leaves {
-		if o, ok := old.byID[l.ID]; !ok || o != l && !o.equalState(l) {
+		if o, ok := old.byID[l.ID]; !ok || o != l && !o.equalState(l, now) {
 			ids[l.ID] = true
 		}
 	}
@@ -251,11 +251,15 @@
 	defer c.mu.Unlock()
 	out := &wire.LeavesReply{Run: c.readerRun, Version: c.version, AgeMs: uint32(c.ageLocked().Milliseconds()), Quiet: c.unresponsive}
 	out.Leaves = uint32(len(c.current.leaves))
-	if !c.hasList || req.CountOnly || req.Digest == c.current.digest {
+	if !c.hasList || req.CountOnly || req.Run == c.readerRun && req.Version == c.version && req.Digest == c.current.digest {
 		return out
 	}
 	now := c.clock()
 	ids, ok := c.changedSince(req)
+	if !ok && req.Digest == c.current.digest {
+		// The same leaves from another reading; the digest does not cover their warm-up.
+		ids, ok = c.warmingUp(now), true
+	}
 	if !ok {
 		out.Whole = true
 		for _, l := range c.current.leaves {
@@ -273,6 +277,17 @@
 	return out
 }
 
+// warmingUp returns the ids of the leaves that are warming up.
+func (c *LeafCache) warmingUp(now vm.Instant) map[string]bool {
+	ids := make(map[string]bool)
+	for _, l := range c.current.leaves {
+		if l.WarmingUp(now) {
+			ids[l.ID] = true
+		}
+	}
+	return ids
+}
+
 // changedSince returns the ids changed after the version in req, and false if that
 // version is no longer known.
 func (c *LeafCache) changedSince(req *wire.LeavesRequest) (map[string]bool, bool) {
@@ -290,10 +305,11 @@
 	return ids, true
 }
 
-// applyReply merges a reply into the cache, unless its reading is older than the cached one.
-func (c *LeafCache) applyReply(r *wire.LeavesReply) {
+// applyReply merges a reply into the cache and returns true, unless its reading is older than
+// the cached one.
+func (c *LeafCache) applyReply(r *wire.LeavesReply) bool {
 	if r.Run == 0 {
-		return
+		return false
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -301,7 +317,7 @@
 	// The reading is at least as old as it was when the reply was written.
 	readAt := now.Add(-time.Duration(r.AgeMs) * time.Millisecond)
 	if c.hasList && readAt < c.readAt-readingTolerance {
-		return
+		return false
 	}
 	readAt = max(readAt, c.readAt)
 	c.setUnresponsiveLocked(r.Quiet)
@@ -312,7 +328,7 @@
 		c.reported = newSnapshot(c.applyDelta(r, now))
 	}
 	next := c.runs.resolveAll(c.reported, c.current, now)
-	changedIDs := diff(c.current, next)
+	changedIDs := diff(c.current, next, now)
 	oldVersion := c.version
 	hasChanges := len(r.Entries)+len(r.Removed) > 0
 	if c.readerRun != r.Run || r.Whole || r.Version > oldVersion && !hasChanges {
@@ -327,19 +343,20 @@
 		c.installLocked(next, "received")
 	}
 	c.hasList = true
+	return true
 }
 
 func (c *LeafCache) decodeEntries(entries []*wire.LeafEntry, now vm.Instant) []*Leaf {
 	out := make([]*Leaf, 0, len(entries))
 	for _, e := range entries {
-		out = append(out, c.reuseUnchanged(fromWire(e, now)))
+		out = append(out, c.reuseUnchanged(fromWire(e, now), now))
 	}
 	return out
 }
 
 // reuseUnchanged returns the cached leaf if it equals l, otherwise l.
-func (c *LeafCache) reuseUnchanged(l *Leaf) *Leaf {
-	if old, ok := c.reported.byID[l.ID]; ok && old.equalState(l) {
+func (c *LeafCache) reuseUnchanged(l *Leaf, now vm.Instant) *Leaf {
+	if old, ok := c.reported.byID[l.ID]; ok && old.equalState(l, now) {
 		return old
 	}
 	return l
--- a/internal/discovery/leaf_cache_test.go
+++ b/internal/discovery/leaf_cache_test.go
@@ -213,3 +213,47 @@
 		t.Errorf("%d readings, want 1", src.calls)
 	}
 }
+
+// Guards against a leaf that becomes cold again and stays warm in the lists of the daemons, at
+// the reader, at a daemon that watches it, and at one that watches a new reader.
+func TestLeafThatBecomesColdAgainIsColdEverywhere(t *testing.T) {
+	now := vm.Instant(time.Hour)
+	clock := func() vm.Instant { return now }
+	reader, other, watcher := NewLeafCache(clock), NewLeafCache(clock), NewLeafCache(clock)
+	list := []ListedLeaf{newListed(1, false), newListed(2, false)}
+	read := func(c *LeafCache, warmIn time.Duration) {
+		now = now.Add(50 * time.Millisecond)
+		list[0].WarmIn = warmIn
+		c.ApplyReading(list, now)
+	}
+	check := func(what string, c *LeafCache, want bool) {
+		t.Helper()
+		if l, _ := c.Snapshot().Find("i-1"); l.WarmingUp(now) != want {
+			t.Errorf("%s: leaf is warming up %v, want %v", what, l.WarmingUp(now), want)
+		}
+	}
+	watch := func(from *LeafCache) { watcher.applyReply(from.newReply(watcher.newRequest(0))) }
+	read(reader, 0)
+	watch(reader)
+	read(reader, 3*time.Second)
+	watch(reader)
+	check("reader", reader, true)
+	check("watcher", watcher, true)
+	if reply := reader.newReply(watcher.newRequest(0)); len(reply.Entries) > 0 {
+		t.Errorf("%d leaves are sent again although nothing changed", len(reply.Entries))
+	}
+	now = now.Add(4 * time.Second)
+	check("watcher after the warm-up", watcher, false)
+	read(reader, 0)
+	watch(reader)
+	read(other, 3*time.Second)
+	watch(other)
+	check("watcher of a new reader", watcher, true)
+	version := reader.version
+	for range 5 {
+		read(reader, 0)
+	}
+	if reader.version != version {
+		t.Error("readings of warm leaves count as changes")
+	}
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -287,9 +287,11 @@
 	if err != nil {
 		return false, errors.Wrapf(err, "discovery: %s", addr)
 	}
-	s.cache.applyReply(reply)
+	applied := s.cache.applyReply(reply)
 	fresh = time.Duration(reply.AgeMs)*time.Millisecond < s.maxFreshAge()
-	return reply.Run != 0 && fresh, nil
+	// An upstream with older leaves would send them again at once.
+	outdated := !applied && len(reply.Entries)+len(reply.Removed) > 0
+	return reply.Run != 0 && fresh && !outdated, nil
 }
 
 // Server returns the server for the daemons that watch this one.
