forward, policy: what a cold leaf bears is shared by the daemons that send to it

While a leaf is cold, at most 8 daemons, chosen by its id, may send to it, each its whole part of the rate in any second. Shares are computed over the agreed memberships, the smaller one while a new one is settled, and used only under the lease, so that they never add up to more. A leaf counts as cold by the list, for 3 s after a connection to it failed and for 3 s after the evacuation of its domain. First sends, retries, hedges and parts asked for through other daemons count. A request that cannot reach its coverage is refused at once as not run, to come back after a random 0.1 to 0.6 s. Tests: shares sum to no more than the rate (rapid), sliding window, 50 requests at once with two allowed (fails without the bound), returning leaves, refusal at once, no lease.

--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -46,6 +46,7 @@
 	mux          atomic.Pointer[drpcmux.Mux]
 
 	rolesCache    rolesCache
+	coldSenders   coldSenders
 	prober        *prober
 	draining      atomic.Bool
 	releaseNumber atomic.Uint64 // number of the release in use on this VM
@@ -80,7 +81,7 @@
 	v.quarantine = quarantine.NewRegistry(vm.Monotonic, &quarantine.RemoteLeader{Conns: v.bulkConns, ControlAddrs: v.controlContacts})
 	v.engine = forward.New(forward.Config{
 		Clock: vm.Monotonic, Dialect: conf.Dialect, Leaves: v.leafCache, Tracker: forward.NewLeafTracker(vm.Monotonic, conf.Domain), Log: conf.Log, DaemonCount: v.senderCount, Confirmation: v.confirmation, ConfigApplyTime: conf.ConfigApplyTime,
-		Peers: newPeerDaemons(v), Quarantine: v.quarantine,
+		Peers: newPeerDaemons(v), Quarantine: v.quarantine, ColdShare: v.coldShare, HoldsShares: v.holdsShares,
 		Budgets: policy.NewBudgets(conf.Budget, vm.Monotonic, v.senderCount),
 	})
 	v.server = forward.NewServer(&forward.Handler{Engine: v.engine, Dialect: conf.Dialect, Log: conf.Log, Draining: v.draining.Load})
--- a/internal/forward/board.go
+++ b/internal/forward/board.go
@@ -30,7 +30,9 @@
 // leafState is the observed health of one leaf and the link to it.
 type leafState struct {
 	policy.LeafStats
-	link *target.Link
+	link      *target.Link
+	lostAt    vm.Instant // when no connection could be established last; 0: never
+	coldSends policy.ColdSends
 }
 
 // Link returns the link to a leaf. If there is none yet, it creates the link with the
@@ -127,7 +129,32 @@
 func (t *LeafTracker) MarkUnreachable(life discovery.RunID) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.state(life).Unreachable(t.clock(), t.rng)
+	s, now := t.state(life), t.clock()
+	s.lostAt = now
+	s.Unreachable(now, t.rng)
+}
+
+// lostWithin reports whether no connection to the leaf could be established at some time within
+// d before now.
+func (t *LeafTracker) lostWithin(life discovery.RunID, now vm.Instant, d time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.leaves[life]
+	return s != nil && s.lostAt != 0 && now.Sub(s.lostAt) < d
+}
+
+// coldSendAvailable reports whether the share allows a send to the leaf now.
+func (t *LeafTracker) coldSendAvailable(life discovery.RunID, share policy.ColdShare) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.state(life).coldSends.Available(share, t.clock())
+}
+
+// takeColdSend records a send to the leaf if the share allows it.
+func (t *LeafTracker) takeColdSend(life discovery.RunID, share policy.ColdShare) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.state(life).coldSends.Take(share, t.clock())
 }
 
 // MarkMisplaced records that another leaf answers at the leaf's address.
--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -147,6 +147,9 @@
 
 // retryAfter returns the Retry-After of a request that did not run.
 func (r *run) retryAfter() time.Duration {
+	if r.refusedRetryAfter > 0 {
+		return r.refusedRetryAfter
+	}
 	if r.lastReply == nil {
 		return policy.RetryAfter(0)
 	}
--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -117,7 +117,10 @@
 	for i := range all {
 		all[i] = (start + i) % len(all)
 	}
-	r.launchShards(all)
+	restricted := r.restrictions()
+	if !r.refuseUnservable(&restricted, r.e.cfg.Leaves.Snapshot()) {
+		r.launchShards(all)
+	}
 }
 
 // launchShards makes the first send for the given shards. Sends to leaves in another failure
@@ -132,11 +135,11 @@
 	}
 	tracker := r.e.cfg.Tracker
 	snap := r.e.cfg.Leaves.Snapshot()
-	usual := r.stats.pace.Median()
+	restricted := r.restrictions()
 	remote := make(map[string][]assignment)
 	var direct []assignment
 	for _, i := range shards {
-		leaf := tracker.Choose(r.e.leavesFor(snap, r.shards[i].service), r.shards[i].tried, usual)
+		leaf := r.choose(&restricted, restricted.leavesFor(snap, r.shards[i].service), r.shards[i].tried)
 		switch {
 		case leaf == nil:
 			r.launch(i, false)
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -40,6 +40,11 @@
 	ConfigApplyTime time.Duration
 	// Peers gives access to other daemons; nil if all sends are made directly.
 	Peers PeerDaemons
+	// ColdShare returns what this daemon may send to a leaf while the leaf is cold. rate is
+	// what the leaf bears then, in requests per second from all daemons. HoldsShares reports
+	// whether no other daemon uses the share of this one.
+	ColdShare   func(l *discovery.Leaf, rate float64) policy.ColdShare
+	HoldsShares func() bool
 	// Quarantine records the requests that crash leaves; nil if there is no quarantine.
 	Quarantine *quarantine.Registry
 }
--- a/internal/forward/evacuation.go
+++ b/internal/forward/evacuation.go
@@ -10,6 +10,7 @@
 
 	"pearmoor/internal/discovery"
 	"pearmoor/internal/evacuation"
+	"pearmoor/internal/vm"
 )
 
 var errEvacuated = errors.New("forward: the failure domain of the leaf is evacuated")
@@ -20,38 +21,31 @@
 type evacuations struct {
 	domains  map[string]bool // evacuated ones
 	revision uint64          // of the newest accepted order for any domain
+	// endedAt is when this daemon learned that the evacuation of a domain has ended.
+	endedAt map[string]vm.Instant
 }
 
 var noEvacuations = &evacuations{}
 
 // SetEvacuations puts the agreed evacuations into use and reports whether they have changed.
+// It must not be called concurrently.
 func (e *Engine) SetEvacuations(agreed evacuation.Domains) bool {
-	next := &evacuations{domains: make(map[string]bool)}
+	previous := e.evacuations.Load()
+	next := &evacuations{domains: make(map[string]bool), endedAt: make(map[string]vm.Instant)}
 	for name, state := range agreed {
 		next.revision = max(next.revision, state.Revision)
 		if state.Evacuated {
 			next.domains[name] = true
+		} else if previous.domains[name] {
+			next.endedAt[name] = e.cfg.Clock()
+		} else if at, ok := previous.endedAt[name]; ok {
+			next.endedAt[name] = at
 		}
 	}
-	previous := e.evacuations.Swap(next)
+	e.evacuations.Store(next)
 	return !maps.Equal(previous.domains, next.domains)
 }
 
-// leavesFor returns the leaves of a service that are not in an evacuated failure domain. The
-// caller must not modify the slice.
-func (e *Engine) leavesFor(snap *discovery.Snapshot, service string) []*discovery.Leaf {
-	leaves := snap.ForService(service)
-	evacuated := e.evacuations.Load().domains
-	if len(evacuated) == 0 {
-		return leaves
-	}
-	isEvacuated := func(l *discovery.Leaf) bool { return evacuated[l.Domain] }
-	if !slices.ContainsFunc(leaves, isEvacuated) {
-		return leaves
-	}
-	return slices.DeleteFunc(slices.Clone(leaves), isEvacuated)
-}
-
 // checkSend returns an error if nothing may be sent to the leaf now. It is called right before
 // a request is written, which may be long after its leaf was chosen.
 func (e *Engine) checkSend(l *discovery.Leaf) error {
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -46,6 +46,7 @@
 	quarantined        bool                     // the request was found to be quarantined during the run
 	hasHeldShards      bool                     // at least one shard may be held
 	cachedFingerprints *quarantine.Fingerprints // nil until first used
+	refusedRetryAfter  time.Duration            // set if too many shards have no leaf that may be sent to; 0: not
 	verdict            contract.Verdict
 	lastReply          *target.Reply
 	lastErr            *contract.Error
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -24,8 +24,9 @@
 		}
 		return
 	}
-	leaves := r.e.leavesFor(r.e.cfg.Leaves.Snapshot(), s.service)
-	leaf := r.e.cfg.Tracker.Choose(leaves, s.tried, r.stats.pace.Median())
+	restricted := r.restrictions()
+	leaves := restricted.leavesFor(r.e.cfg.Leaves.Snapshot(), s.service)
+	leaf := r.choose(&restricted, leaves, s.tried)
 	if leaf == nil {
 		if hedge {
 			return
--- a/internal/policy/progress.go
+++ b/internal/policy/progress.go
@@ -21,6 +21,10 @@
 	// defaultRetryAfter and maxRetryAfter set the Retry-After of a request that did not run.
 	defaultRetryAfter = 60 * time.Millisecond
 	maxRetryAfter     = time.Second
+
+	// ExcludedRetryAfter is the Retry-After of a request whose leaves are all in evacuated
+	// failure domains.
+	ExcludedRetryAfter = time.Second
 )
 
 // Progress is the state of a request. A request that is not a gather counts as one shard.
--- a/internal/route/release.go
+++ b/internal/route/release.go
@@ -47,7 +47,10 @@
 	Connections int    `json:"connections,omitempty"` // maximum that one leaf accepts from all daemons together; 0: unknown
 	Protocol    string `json:"protocol,omitempty"`
 	TLS         bool   `json:"tls,omitempty"`
-	Extra       string `json:"extra,omitempty"`
+	// WarmUpRate is the number of requests per second that one leaf bears while it warms up,
+	// from all daemons together; 0: not limited.
+	WarmUpRate float64 `json:"warm_up_rate,omitempty"`
+	Extra      string  `json:"extra,omitempty"`
 }
 
 // Limits bounds the size of a caller's headers and body, the time to send the
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -11,11 +11,13 @@
 
 // Table finds the route of a request by host and path. It is immutable.
 type Table struct {
-	Number   uint64
-	Limits   Limits
-	byHost   map[string][]*Entry // by normalized host; longest prefix first
-	services map[string]*Service
-	entries  []*Entry
+	Number      uint64
+	Limits      Limits
+	byHost      map[string][]*Entry // by normalized host; longest prefix first
+	services    map[string]*Service
+	gathered    map[string]bool // services that are shards of a route
+	entries     []*Entry
+	warmUpRates bool // at least one service limits what a leaf gets while it warms up
 }
 
 // Entry is a route in a Table. Its pointer identifies the route while the table is
@@ -31,15 +33,20 @@
 		Number: r.Number, Limits: r.Limits,
 		byHost:   make(map[string][]*Entry),
 		services: make(map[string]*Service, len(r.Services)),
+		gathered: make(map[string]bool),
 	}
 	for i := range r.Services {
 		t.services[r.Services[i].Name] = &r.Services[i]
+		t.warmUpRates = t.warmUpRates || r.Services[i].WarmUpRate > 0
 	}
 	var pacer work.Pacer
 	for i := range r.Routes {
 		pacer.Step()
 		e := &Entry{Route: r.Routes[i], picker: newWeightedPicker(r.Routes[i].Split)}
 		e.Shards = dedupe(e.Shards)
+		for _, shard := range e.Shards {
+			t.gathered[shard] = true
+		}
 		host := NormalizeHost(e.Host)
 		t.byHost[host] = append(t.byHost[host], e)
 		t.entries = append(t.entries, e)
@@ -81,6 +88,12 @@
 	return s, ok
 }
 
+// IsShard reports whether the named service is a shard of a route.
+func (t *Table) IsShard(name string) bool { return t.gathered[name] }
+
+// LimitsWarmUp reports whether any service limits what a leaf gets while it warms up.
+func (t *Table) LimitsWarmUp() bool { return t.warmUpRates }
+
 // PickService returns the service for the next request of a route without shards.
 func (e *Entry) PickService() string {
 	if e.picker == nil {
--- a/internal/route/tree.go
+++ b/internal/route/tree.go
@@ -85,7 +85,7 @@
 	settings.NameRoutePriority, settings.NameRouteTop, settings.NameRouteLeastCoverage, settings.NameRouteTimeout,
 	settings.NameRouteTargetLatency, settings.NameRouteExtra,
 	settings.NameServiceName, settings.NameServiceHealthPath, settings.NameServiceProtocol,
-	settings.NameServiceConnections, settings.NameServiceTLS, settings.NameServiceExtra,
+	settings.NameServiceConnections, settings.NameServiceTLS, settings.NameServiceWarmUpRate, settings.NameServiceExtra,
 	settings.NameHeaderLimit, settings.NameBodyLimit, settings.NameHeaderTimeout, settings.NameIdleTimeout,
 	settings.NameReleaseNumber, settings.NameReleaseRoutes, settings.NameReleaseServices, settings.NameReleaseExtra,
 }
@@ -172,6 +172,7 @@
 	n.setText(settings.NameServiceProtocol, escape(s.Protocol))
 	n.setUnlessDefault(settings.NameServiceConnections, strconv.Itoa(s.Connections))
 	n.setUnlessDefault(settings.NameServiceTLS, strconv.FormatBool(s.TLS))
+	n.setUnlessDefault(settings.NameServiceWarmUpRate, strconv.FormatFloat(s.WarmUpRate, 'f', -1, 64))
 	n.setText(settings.NameServiceExtra, s.Extra)
 	return n
 }
@@ -249,7 +250,7 @@
 
 func readService(e *settings.Effective, seg string) (Service, error) {
 	s := Service{
-		Connections: e.Service.Connections, TLS: e.LeafTLS, Extra: e.Service.UnknownFields,
+		Connections: e.Service.Connections, TLS: e.LeafTLS, WarmUpRate: e.Service.WarmUpRate, Extra: e.Service.UnknownFields,
 	}
 	var u unescaper
 	s.Name = u.text(cmp.Or(e.Service.Name, seg))
--- a/internal/settings/forwarding.go
+++ b/internal/settings/forwarding.go
@@ -30,7 +30,8 @@
 	HealthPath    string
 	Protocol      string
 	UnknownFields string
-	Connections   int // maximum connections that a leaf accepts from all daemons together; 0: not set
+	WarmUpRate    float64 // requests per second that a leaf bears while it warms up, from all daemons together; 0: not limited
+	Connections   int     // maximum connections that a leaf accepts from all daemons together; 0: not set
 }
 
 // CallerLimits bounds the size of a caller's requests, the time to send a request header
@@ -78,6 +79,7 @@
 	NameServiceHealthPath  = "service-health-path"
 	NameServiceProtocol    = "service-protocol"
 	NameServiceConnections = "service-connections"
+	NameServiceWarmUpRate  = "service-warm-up-rate"
 	NameServiceExtra       = "service-extra"
 	NameServiceTLS         = "leaf-tls"
 	NameHeaderLimit        = "caller-header-limit"
@@ -95,6 +97,7 @@
 	maxTimeout = "24h"
 	maxCount   = "1000000000"
 	maxSize    = "1048576GiB"
+	maxRate    = "1000000"
 )
 
 // textSetting returns a setting of kind Text that is not inherited.
@@ -156,6 +159,9 @@
 		textSetting(NameServiceHealthPath, "path", "Where a leaf of the service tells its health.", func(e *Effective) *string { return &e.Service.HealthPath }),
 		textSetting(NameServiceProtocol, "word", "The protocol that leaves of the service speak.", func(e *Effective) *string { return &e.Service.Protocol }),
 		countSetting(NameServiceConnections, "connections", "0", "The most connections a leaf of the service accepts, from all daemons together; 0 is not stated.", func(e *Effective) *int { return &e.Service.Connections }),
+		{Name: NameServiceWarmUpRate, Kind: Ratio, Unit: "requests per second", Min: "0", Max: maxRate, Default: "0",
+			Doc:    "The most requests per second that a leaf of the service bears while it warms up, from all daemons together; 0 is no limit.",
+			assign: func(e *Effective, _ *Tier, v *value) { e.Service.WarmUpRate = v.ratio }},
 		textSetting(NameServiceExtra, "JSON object", "Fields of the service that this release does not know. They are kept and have no effect.", func(e *Effective) *string { return &e.Service.UnknownFields }),
 	}
 }
