forward: a route with homes stays in its regions

Change: allowed-regions of a route is understood (a setting of the route, explained and read back as sent). No leaf of another region is sent to, no gather is handed over to a daemon elsewhere, and parts are asked for near the leaves only, so at home. Where no leaf at home is left, the request is refused at once as not run, to come back after a second.

--- a/internal/entryvm/cold.go
+++ b/internal/entryvm/cold.go
@@ -72,3 +72,21 @@
 
 // holdsShares reports whether no other daemon uses the shares of this one.
 func (v *VM) holdsShares() bool { return v.client.Current().HoldsLease(vm.Now()) }
+
+// regionOf returns the region of a failure domain, "" if it is unknown.
+func (v *VM) regionOf(domain string) string {
+	if region, ok := v.conf.DomainRegions[domain]; ok {
+		return region
+	}
+	if domain == v.conf.Domain {
+		return v.conf.Region
+	}
+	if ms := v.client.Current().Membership(); ms != nil {
+		for i := range ms.Members {
+			if ms.Members[i].Domain == domain {
+				return ms.Members[i].Region
+			}
+		}
+	}
+	return ""
+}
--- a/internal/entryvm/near.go
+++ b/internal/entryvm/near.go
@@ -52,7 +52,7 @@
 
 // HandoverAddr implements forward.PeerDaemons. It selects a daemon with sufficient CPU, in
 // this daemon's own domain if possible, and none if this daemon has sufficient CPU itself.
-func (d *peerDaemons) HandoverAddr(tried []string) string {
+func (d *peerDaemons) HandoverAddr(tried, regions []string) string {
 	ms := d.v.client.Current().Membership()
 	if ms == nil {
 		return ""
@@ -61,7 +61,9 @@
 	if slices.ContainsFunc(sufficient, d.v.isSelf) {
 		return ""
 	}
-	untried := func(m *vm.Member) bool { return !slices.Contains(tried, m.PeerAddr) }
+	untried := func(m *vm.Member) bool {
+		return !slices.Contains(tried, m.PeerAddr) && (len(regions) == 0 || slices.Contains(regions, m.Region))
+	}
 	if addr := d.pick(sufficient, func(m *vm.Member) bool { return m.Domain == d.v.conf.Domain && untried(m) }); addr != "" {
 		return addr
 	}
--- a/internal/forward/candidates.go
+++ b/internal/forward/candidates.go
@@ -17,15 +17,16 @@
 	e         *Engine
 	table     *route.Table
 	evacuated map[string]bool // failure domains
+	regions   []string        // that the route allows; empty: all
 }
 
 func (r *run) restrictions() restrictions {
-	return restrictions{e: r.e, table: r.active.table, evacuated: r.e.evacuations.Load().domains}
+	return restrictions{e: r.e, table: r.active.table, evacuated: r.e.evacuations.Load().domains, regions: r.entry.Regions}
 }
 
 // none reports whether no leaf is excluded.
 func (x *restrictions) none() bool {
-	return len(x.evacuated) == 0 && !x.table.LimitsWarmUp()
+	return len(x.evacuated) == 0 && len(x.regions) == 0 && !x.table.LimitsWarmUp()
 }
 
 // leavesFor returns the leaves of a service that a request may be sent to now. The caller must
@@ -37,7 +38,7 @@
 	}
 	rate := x.warmUpRate(service)
 	excluded := func(l *discovery.Leaf) bool {
-		return x.evacuated[l.Domain] || rate > 0 && !x.e.coldSendAvailable(l, rate)
+		return x.evacuated[l.Domain] || !x.regionAllowed(l) || rate > 0 && !x.e.coldSendAvailable(l, rate)
 	}
 	if !slices.ContainsFunc(leaves, excluded) {
 		return leaves
@@ -52,6 +53,10 @@
 	return 0
 }
 
+func (x *restrictions) regionAllowed(l *discovery.Leaf) bool {
+	return len(x.regions) == 0 || x.e.cfg.RegionOf != nil && slices.Contains(x.regions, x.e.cfg.RegionOf(l.Domain))
+}
+
 // choose returns the best leaf for a send of the shard, nil if there is none. If the leaf is
 // cold, the send is taken from this daemon's share.
 func (r *run) choose(x *restrictions, leaves []*discovery.Leaf, tried []*discovery.Leaf) *discovery.Leaf {
@@ -87,7 +92,7 @@
 		r.shards[i].hasLeaves = false
 	}
 	r.refusedRetryAfter = policy.ExcludedRetryAfter
-	isCold := func(l *discovery.Leaf) bool { return !x.evacuated[l.Domain] }
+	isCold := func(l *discovery.Leaf) bool { return !x.evacuated[l.Domain] && x.regionAllowed(l) }
 	if slices.ContainsFunc(snap.ForService(r.shards[without[0]].service), isCold) {
 		r.refusedRetryAfter = policy.ColdRetryAfter()
 	}
--- a/internal/forward/delegate_test.go
+++ b/internal/forward/delegate_test.go
@@ -36,7 +36,7 @@
 
 func (p *fakePeers) DelegateAddr(string) string { p.daemonCalls.Add(1); return p.addr }
 
-func (p *fakePeers) HandoverAddr(asked []string) string {
+func (p *fakePeers) HandoverAddr(asked, _ []string) string {
 	for _, addr := range p.handoverAddrs {
 		if !slices.Contains(asked, addr) {
 			return addr
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -40,6 +40,8 @@
 	ConfigApplyTime time.Duration
 	// Peers gives access to other daemons; nil if all sends are made directly.
 	Peers PeerDaemons
+	// RegionOf returns the region of a failure domain, "" if it is unknown.
+	RegionOf func(domain string) string
 	// ColdShare returns what this daemon may send to a leaf while the leaf is cold. rate is
 	// what the leaf bears then, in requests per second from all daemons. HoldsShares reports
 	// whether no other daemon uses the share of this one.
--- a/internal/forward/handover.go
+++ b/internal/forward/handover.go
@@ -94,7 +94,7 @@
 		asked = append(asked, o.addr)
 	}
 	r := h.run
-	addr := r.e.cfg.Peers.HandoverAddr(asked)
+	addr := r.e.cfg.Peers.HandoverAddr(asked, r.entry.Regions)
 	if addr == "" {
 		return false
 	}
--- a/internal/policy/progress.go
+++ b/internal/policy/progress.go
@@ -23,7 +23,7 @@
 	maxRetryAfter     = time.Second
 
 	// ExcludedRetryAfter is the Retry-After of a request whose leaves are all in evacuated
-	// failure domains.
+	// failure domains or in regions that its route does not allow.
 	ExcludedRetryAfter = time.Second
 )
 
--- a/internal/route/release.go
+++ b/internal/route/release.go
@@ -28,7 +28,9 @@
 	Shards        []string          `json:"shards,omitempty"`
 	Top           int               `json:"top,omitempty"`            // maximum number of records in a gathered answer
 	MinCoverage   float64           `json:"least_coverage,omitempty"` // minimum fraction of the shards in an answer, 0 to 1
-	Extra         string            `json:"extra,omitempty"`
+	// Regions are those whose leaves and daemons may receive a request. Empty: all.
+	Regions []string `json:"regions,omitempty"`
+	Extra   string   `json:"extra,omitempty"`
 
 	AnswerMargin time.Duration `json:"-"` // set in the settings tree by an operator; not part of a release
 }
--- a/internal/route/tree.go
+++ b/internal/route/tree.go
@@ -83,7 +83,7 @@
 	settings.NameRouteName, settings.NameRouteHost, settings.NameRoutePrefix, settings.NameRouteService,
 	settings.NameRouteSplit, settings.NameRouteShards, settings.NameRouteRepeatable, settings.NameRouteAttempts,
 	settings.NameRoutePriority, settings.NameRouteTop, settings.NameRouteLeastCoverage, settings.NameRouteTimeout,
-	settings.NameRouteTargetLatency, settings.NameRouteExtra,
+	settings.NameRouteTargetLatency, settings.NameRouteRegions, settings.NameRouteExtra,
 	settings.NameServiceName, settings.NameServiceHealthPath, settings.NameServiceProtocol,
 	settings.NameServiceConnections, settings.NameServiceTLS, settings.NameServiceWarmUpRate, settings.NameServiceExtra,
 	settings.NameHeaderLimit, settings.NameBodyLimit, settings.NameHeaderTimeout, settings.NameIdleTimeout,
@@ -161,6 +161,7 @@
 		n.setUnlessDefault(settings.NameRouteTop, strconv.Itoa(r.Top))
 		n.setUnlessDefault(settings.NameRouteLeastCoverage, strconv.FormatFloat(r.MinCoverage, 'f', -1, 64))
 	}
+	n.setText(settings.NameRouteRegions, joinNames(r.Regions))
 	n.setText(settings.NameRouteExtra, r.Extra)
 	return n
 }
@@ -272,6 +273,7 @@
 	r.Prefix = u.text(in.Prefix)
 	r.Service = u.text(in.Service)
 	r.Shards = u.names(in.Shards)
+	r.Regions = u.names(in.Regions)
 	r.Split = u.split(in.Split)
 	return r, u.err
 }
--- a/internal/settings/forwarding.go
+++ b/internal/settings/forwarding.go
@@ -11,6 +11,7 @@
 	Service       string
 	Split         string // service=weight,...
 	Shards        string // service,...
+	Regions       string // region,...
 	UnknownFields string // a JSON object with the fields that this release does not know
 	NotRepeatable bool
 	Attempts      int
@@ -74,6 +75,7 @@
 	NameRouteLeastCoverage = "route-least-coverage"
 	NameRouteTimeout       = "route-timeout"
 	NameRouteTargetLatency = "route-target-latency"
+	NameRouteRegions       = "route-regions"
 	NameRouteExtra         = "route-extra"
 	NameServiceName        = "service-name"
 	NameServiceHealthPath  = "service-health-path"
@@ -144,6 +146,7 @@
 		{Name: NameRouteLeastCoverage, Kind: Ratio, Unit: "0 to 1", Min: "0", Max: "1", Default: "0",
 			Doc:    "The least share of the shards that an answer made of parts holds.",
 			assign: func(e *Effective, _ *Tier, v *value) { e.Route.MinCoverage = v.ratio }},
+		textSetting(NameRouteRegions, "region,...", "The regions whose leaves and daemons may receive a request; all, where none is stated.", func(e *Effective) *string { return &e.Route.Regions }),
 		durationSetting(NameRouteTimeout, "0s", "The longest time a caller is kept waiting.", func(e *Effective) *time.Duration { return &e.Route.Timeout }),
 		durationSetting(NameRouteTargetLatency, "0s", "The time within which an answer is wanted.", func(e *Effective) *time.Duration { return &e.Route.TargetLatency }),
 		{Name: "answer-margin", Kind: Duration, Unit: "duration", Min: "0s", Max: "10s", Default: "14ms", Inherits: true,
--- a/internal/settings/reference_test.go
+++ b/internal/settings/reference_test.go
@@ -80,7 +80,7 @@
 		"release-service-order": "", "release-extra": "",
 		"quarantine-request": "", "quarantine-leaf-ends": "0", "quarantine-crashes": "0", "quarantine-attempts": "0", "quarantine-variants": "0",
 		"quarantine-blocked": "false", "quarantine-seen": "",
-		"service-warm-up-rate": "0", "evacuation-domain": "", "evacuated": "false", "evacuation-revision": "",
+		"route-regions": "", "service-warm-up-rate": "0", "evacuation-domain": "", "evacuated": "false", "evacuation-revision": "",
 	}
 	Convey("Each setting has the default it was released with", t, func() {
 		for _, s := range Schema() {
