soak: evacuations by operators who give up, open connections between daemons that go silent

Every second leaf is in a second failure domain. Evacuations of it start and end beside the other faults, with random VMs, some given up; no leaf there may be reached once one is in force, the last order after the faults must be acknowledged, and an acknowledged evacuation must outlive a kill of every VM.

--- a/soak/leaves_test.go
+++ b/soak/leaves_test.go
@@ -43,6 +43,7 @@
 	h       *harness
 	id      string
 	service string
+	domain  string
 	addr    string // address of the link, as shown in the list
 	link    *proxy
 	server  *http.Server
@@ -65,7 +66,8 @@
 		h.fail("link to a leaf: %v", err)
 		return nil
 	}
-	l := &leaf{h: h, id: fmt.Sprintf("i-%d", h.nextLeaf.Add(1)), service: service, addr: link.addr(), link: link}
+	number := h.nextLeaf.Add(1)
+	l := &leaf{h: h, id: fmt.Sprintf("i-%d", number), service: service, domain: domainOf(number), addr: link.addr(), link: link}
 	l.server = &http.Server{Handler: l, ConnState: l.countConnections}
 	go func() { _ = l.server.Serve(lis) }()
 	h.mu.Lock()
@@ -95,6 +97,10 @@
 		return
 	}
 	l.checkNoRequestsAfterDrain()
+	l.checkNoRequestsWhileEvacuated()
+	if l.domain == evacuationDomain {
+		l.h.evacuatedRequests.Add(1)
+	}
 	body, _ := io.ReadAll(r.Body)
 	switch m := leafMode(l.mode.Load()); m {
 	case resetsBeforeRun:
@@ -218,7 +224,7 @@
 	h.mu.Unlock()
 	rows := make([]standin.Leaf, len(leaves))
 	for i, l := range leaves {
-		rows[i] = standin.Leaf{ID: l.id, Service: l.service, Addr: l.addr, Domain: domain, Slots: 8, State: l.listState()}
+		rows[i] = standin.Leaf{ID: l.id, Service: l.service, Addr: l.addr, Domain: l.domain, Slots: 8, State: l.listState()}
 	}
 	text, err := standin.EncodePage(rows, "")
 	if err != nil {
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -37,7 +37,7 @@
 	closed atomic.Bool
 
 	mu    sync.Mutex
-	conns map[net.Conn]bool
+	conns map[net.Conn]bool // value: the connection has gone silent
 }
 
 // newProxy listens on addr and forwards to target.
@@ -92,6 +92,9 @@
 		n, err := src.Read(buf)
 		if n > 0 {
 			p.awaitOpen(answers)
+			if p.isSilent(src) {
+				continue
+			}
 			if linkState(p.state.Load()) == linkNarrow {
 				time.Sleep(time.Duration(n) * time.Second / proxyRate)
 			}
@@ -127,7 +130,7 @@
 func (p *proxy) track(c net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.conns[c] = true
+	p.conns[c] = false
 }
 
 func (p *proxy) closeConn(c net.Conn) {
@@ -137,6 +140,21 @@
 	delete(p.conns, c)
 }
 
+// silence makes the open connections drop all data from now on, without closing them.
+func (p *proxy) silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		p.conns[c] = true
+	}
+}
+
+func (p *proxy) isSilent(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.conns[c]
+}
+
 // reset closes all connections with a TCP reset.
 func (p *proxy) reset() {
 	p.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -102,18 +102,20 @@
 	time.Sleep(time.Second)
 	faultCtx, cancelFaults := context.WithCancel(ctx)
 	var faultLoops sync.WaitGroup
-	for i, loop := range []func(context.Context, *rand.Rand){h.alternateConfigurationSize, h.injectDiskFaults, h.resetRepeatedly, h.killControlVMs} {
+	for i, loop := range []func(context.Context, *rand.Rand){h.alternateConfigurationSize, h.injectDiskFaults, h.resetRepeatedly, h.killControlVMs, h.orderEvacuations, h.silenceLinks} {
 		faultLoops.Go(func() { loop(faultCtx, rand.New(rand.NewPCG(seed, uint64(2+i)))) })
 	}
 	h.injectFaults(*faultsFor)
 	cancelFaults()
 	faultLoops.Wait()
+	h.endEvacuation()
 	h.endFaults()
 	cancel()
 	wg.Wait()
 	h.checkLongConfiguration()
 	time.Sleep(settleTime + 100*time.Millisecond)
 	h.checkCrashingRequestsBlocked()
+	h.checkEvacuation()
 	h.checkRecovered()
 	h.report(t, seed)
 }
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -57,6 +57,9 @@
 	failures        []string
 	answersByStatus map[string]int // number of answers by HTTP status
 	operators       operatorState
+
+	evacuation        evacuationOrder
+	evacuatedRequests atomic.Int64 // received by leaves in evacuationDomain
 }
 
 func (h *harness) fail(format string, args ...any) {
