--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -150,6 +150,9 @@
 	if r.refusedRetryAfter > 0 {
 		return r.refusedRetryAfter
 	}
+	if !r.e.cfg.Leaves.HasList() {
+		return unlistedRetryAfter
+	}
 	if r.lastReply == nil {
 		return policy.RetryAfter(0)
 	}
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -164,6 +164,10 @@
 // needs to get the configuration after a restart of the whole system.
 const unconfirmedRetryAfter = 500 * time.Millisecond
 
+// unlistedRetryAfter is the Retry-After of requests that this daemon cannot serve because it has
+// no list of leaves yet. After a restart of the whole system the list follows the configuration.
+const unlistedRetryAfter = unconfirmedRetryAfter
+
 // unconfirmedAnswer is the answer to such a request.
 func unconfirmedAnswer() *Answer {
 	return &Answer{Status: http.StatusServiceUnavailable, RetryAfter: unconfirmedRetryAfter,
--- a/internal/forward/unsent_test.go
+++ b/internal/forward/unsent_test.go
@@ -3,13 +3,16 @@
 import (
 	"net"
 	"net/http"
+	"strconv"
 	"syscall"
 	"testing"
 	"time"
 
 	"pearmoor/internal/contract"
+	"pearmoor/internal/discovery"
 	"pearmoor/internal/link/target"
 	"pearmoor/internal/route"
+	"pearmoor/internal/vm"
 )
 
 // unreachableLeaf returns a leaf whose listen queue is full, so that a connect to it gets no
@@ -77,3 +80,16 @@
 		t.Errorf("err %v, %d requests reached the leaf", err, len(leaf.requests()))
 	}
 }
+
+// Guards against callers that are told to come back before the daemon can have a list of leaves:
+// after a restart of the whole system most of them have one more try.
+func TestDaemonWithoutLeafListTellsCallersToWait(t *testing.T) {
+	rt, leaves := remoteRoute(t, validPart)
+	f := newFixture(t, rt, leaves)
+	f.engine.cfg.Leaves = discovery.NewLeafCache(vm.Monotonic)
+	resp, text := f.do(t, http.MethodGet, "/a", "")
+	wait, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
+	if resp.StatusCode != http.StatusServiceUnavailable || err != nil || wait < unlistedRetryAfter.Seconds() {
+		t.Errorf("status %d, Retry-After %q, %q", resp.StatusCode, resp.Header.Get("Retry-After"), text)
+	}
+}
