entryvm: an order to evacuate a domain is refused only by a list that names all domains

Cause: the VM asked had just started and had no list of leaves; its settings name no domains. Change: only the settings name all domains. Without them every name is taken; with them a name is refused unless it is there, or a VM or a leaf of the domain is known. The check of the soak now starts leaves in the domain where it has none: it expects requests there.

--- a/internal/entryvm/evacuation.go
+++ b/internal/entryvm/evacuation.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"pearmoor/internal/contract"
+	"pearmoor/internal/discovery"
 	"pearmoor/internal/link/peer"
 	"pearmoor/internal/link/wire"
 	"pearmoor/internal/vm"
@@ -46,7 +47,7 @@
 // later: an operator may have given other orders through other VMs meanwhile.
 func (v *VM) Evacuate(ctx context.Context, domain string, evacuate bool) error {
 	start, view := time.Now(), v.client.Current()
-	if !v.knowsDomain(domain) {
+	if !v.mayNameDomain(domain) {
 		return contract.Faults{{Field: "failure domain", Value: domain, Why: "no failure domain has this name", Fix: "name one of the tier's failure domains"}}
 	}
 	if view.Tree == nil {
@@ -101,19 +102,18 @@
 	return nil, errors.CombineErrors(lastErr, ctx.Err())
 }
 
-// knowsDomain reports whether the settings of this VM, a VM of the tier or a leaf names the
-// failure domain.
-func (v *VM) knowsDomain(domain string) bool {
-	if _, ok := v.conf.DomainRegions[domain]; ok || domain == v.conf.Domain {
+// mayNameDomain reports whether a failure domain of the tier may have the name. Only the settings
+// name all of them: a VM that has just started knows no leaves, and a domain may have none.
+func (v *VM) mayNameDomain(name string) bool {
+	if len(v.conf.DomainRegions) == 0 || name == v.conf.Domain {
 		return true
 	}
-	if ms := v.client.Current().Membership(); ms != nil && slices.ContainsFunc(ms.Members, func(m vm.Member) bool { return m.Domain == domain }) {
+	if _, ok := v.conf.DomainRegions[name]; ok {
 		return true
 	}
-	for _, l := range v.leafCache.Snapshot().All() {
-		if l.Domain == domain {
-			return true
-		}
+	// A domain may be newer than the settings.
+	if ms := v.client.Current().Membership(); ms != nil && slices.ContainsFunc(ms.Members, func(m vm.Member) bool { return m.Domain == name }) {
+		return true
 	}
-	return false
+	return slices.ContainsFunc(v.leafCache.Snapshot().All(), func(l *discovery.Leaf) bool { return l.Domain == name })
 }
--- a/internal/entryvm/evacuation_test.go
+++ b/internal/entryvm/evacuation_test.go
@@ -142,8 +142,20 @@
 func TestEvacuationOfUnknownDomainIsInvalid(t *testing.T) {
 	t.Parallel()
 	tier := startCrashTier(t)
+	tier.vms[0].conf.DomainRegions = map[string]string{"hall-0": "valley", "hall-1": "valley"}
 	var faults contract.Faults
 	if err := tier.vms[0].Evacuate(t.Context(), "no-such-hall", true); !errors.As(err, &faults) {
 		t.Errorf("got %v, want a fault", err)
 	}
 }
+
+// Guards against a proper order that is refused for good by a VM that does not know all failure
+// domains: its settings name none, and no leaf of the domain is listed.
+func TestEvacuationOfDomainWithoutLeavesIsAcknowledged(t *testing.T) {
+	t.Parallel()
+	tier := startCrashTier(t)
+	tier.evacuate(tier.vms[0], "hall-without-leaves", true)
+	if err := tier.vms[1].Evacuate(t.Context(), "hall-without-leaves", false); err != nil && !errors.Is(err, errOutdatedOrder) {
+		t.Error(err)
+	}
+}
--- a/soak/evacuation_test.go
+++ b/soak/evacuation_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -119,6 +120,11 @@
 // checkEvacuation checks that an acknowledged evacuation outlives a kill of every VM, and that
 // its end is acknowledged and followed.
 func (h *harness) checkEvacuation() {
+	for _, s := range allServices() {
+		for !h.hasLeafIn(s, evacuationDomain) {
+			h.startLeaf(s)
+		}
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), evacuationAckTime)
 	defer cancel()
 	if !h.orderEvacuation(ctx, h.rng, true) {
@@ -147,6 +153,15 @@
 	}
 }
 
+// hasLeafIn reports whether a service has a leaf in the failure domain that is not leaving.
+func (h *harness) hasLeafIn(service, domain string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.ContainsFunc(h.leaves, func(l *leaf) bool {
+		return l.service == service && l.domain == domain && l.listState() == standin.Ready
+	})
+}
+
 // requestsInEvacuatedDomain sends queries to every VM and returns how many requests reach
 // evacuationDomain.
 func (h *harness) requestsInEvacuatedDomain() int64 {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -31,6 +31,7 @@
 	// immediately, so the close and the new connection reached the leaf at the same time when
 	// the link recovered.
 	203,
+	507, // A VM without a list of leaves refused a proper evacuation order for good.
 }
 
 // openFindings are seeds whose failures are not fixed yet, each with the fault found.
