--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -377,3 +377,24 @@
 		So(c.run("--timeout=1s", "set", "/desk", "--hedge-after=20ms", "--reason=x").code, ShouldEqual, ExitUnreachable)
 	})
 }
+
+// Guards against orders of the operator tool that a daemon's delayed order could undo, and
+// against an exported file that ends an evacuation.
+func TestEvacuateStoresTheRevision(t *testing.T) {
+	Convey("An evacuation is a change with its own version as revision", t, func() {
+		c := startControl(t)
+		c.mustRun("set", "/desk/a", "--leaves="+leafSetting, "--reason=first")
+		exported := filepath.Join(t.TempDir(), "tree.yaml")
+		So(os.WriteFile(exported, []byte(c.mustRun("export").out), 0o600), ShouldBeNil)
+		started := c.mustRun("evacuate", "start", "hall-0", "--reason=maintenance")
+		So(started.err, ShouldContainSubstring, "desk/a has no leaf outside")
+		var list evacuationList
+		c.mustRun("--output=json", "evacuate", "list").decode(t, &list)
+		So(list.Domains, ShouldResemble, []evacuationEntry{{Domain: "hall-0", Evacuated: true, Revision: 2}})
+		c.mustRun("apply", exported, "--base=2", "--reason=old file")
+		So(c.mustRun("evacuate", "list").out, ShouldContainSubstring, "evacuated")
+		c.mustRun("evacuate", "finish", "hall-0", "--reason=done")
+		c.mustRun("--output=json", "evacuate", "list").decode(t, &list)
+		So(list.Domains, ShouldResemble, []evacuationEntry{{Domain: "hall-0", Revision: 3}})
+	})
+}
--- a/internal/entryvm/reach_test.go
+++ b/internal/entryvm/reach_test.go
@@ -144,3 +144,39 @@
 		}
 	}
 }
+
+// listRemovalTime is the time after which no address list may name a VM that has ended.
+const listRemovalTime = 8 * time.Second
+
+// Guards against an address list that names a VM long after it has ended, at whichever VM the
+// caller asks; the leader, which reports such VMs, is among those that end.
+func TestNoAddressListNamesVMThatHasEnded(t *testing.T) {
+	t.Parallel()
+	tier := startCrashTier(t)
+	var leader *crashVM
+	eventually(t, "there is a leader", func() bool {
+		for _, v := range tier.vms {
+			if v.isLeader() {
+				leader = v
+			}
+		}
+		return leader != nil
+	})
+	leader.stop()
+	ended := time.Now()
+	for _, v := range tier.vms {
+		if v == leader {
+			continue
+		}
+		for {
+			addrs, _ := v.Addresses(crashHost, "valley", v.conf.Domain)
+			if len(addrs) > 0 && !slices.Contains(addrs, leader.conf.CallerAddr) {
+				break
+			}
+			if time.Since(ended) > listRemovalTime {
+				t.Fatalf("%s names %s, which ended %v ago: %v", v.conf.Name, leader.conf.Name, time.Since(ended), addrs)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
