--- a/internal/entryvm/evacuation.go
+++ b/internal/entryvm/evacuation.go
@@ -11,7 +11,6 @@
 
 	"pearmoor/internal/contract"
 	"pearmoor/internal/discovery"
-	"pearmoor/internal/link/peer"
 	"pearmoor/internal/link/wire"
 	"pearmoor/internal/vm"
 )
@@ -77,29 +76,13 @@
 	return &wire.EvacuationRequest{Domain: domain, Evacuate: evacuate, SeenVersion: seenVersion, Operator: platformOperator}
 }
 
-// sendEvacuation sends an order to the control VMs in turn, following redirects, until the
-// leader has answered or ctx ends.
-func (v *VM) sendEvacuation(ctx context.Context, req *wire.EvacuationRequest) (*wire.EvacuationReply, error) {
-	lastErr := errors.New("entry: no control VM is known")
-	for ctx.Err() == nil {
-		var reply *wire.EvacuationReply
-		answered := peer.TryEach(ctx, v.controlContacts(), func(addr string) (string, bool) {
-			redirect, err := v.callControl(ctx, addr, controlCallTimeout, func(ctx context.Context, c wire.DRPCControlClient) (string, error) {
-				out, err := c.Evacuate(ctx, req)
-				reply = out
-				return out.GetRedirect(), err
-			})
-			if err != nil {
-				lastErr = err
-			}
-			return redirect, err == nil && redirect == ""
-		})
-		if answered {
-			return reply, nil
-		}
-		vm.Sleep(ctx, retryDelay)
-	}
-	return nil, errors.CombineErrors(lastErr, ctx.Err())
+// sendEvacuation sends an order to the leader until it has answered or ctx ends.
+func (v *VM) sendEvacuation(ctx context.Context, req *wire.EvacuationRequest) (reply *wire.EvacuationReply, err error) {
+	_, err = v.callLeader(ctx, func(ctx context.Context, c wire.DRPCControlClient) (redirect string, err error) {
+		reply, err = c.Evacuate(ctx, req)
+		return reply.GetRedirect(), err
+	})
+	return reply, err
 }
 
 // mayNameDomain reports whether a failure domain of the tier may have the name. Only the settings
--- a/internal/entryvm/tier.go
+++ b/internal/entryvm/tier.go
@@ -218,28 +218,34 @@
 	}
 }
 
-// queryNewest calls the control VMs in turn, following redirects to the leader, until one
-// confirms which configuration is the newest. Only the leader can confirm it.
+// queryNewest asks the leader, which alone can confirm it, which configuration is the newest.
 func (v *VM) queryNewest(ctx context.Context) (leader string, newest *wire.NewestReply, err error) {
+	leader, err = v.callLeader(ctx, func(ctx context.Context, c wire.DRPCControlClient) (redirect string, err error) {
+		newest, err = c.Newest(ctx, &wire.NewestRequest{})
+		return newest.GetRedirect(), err
+	})
+	return leader, newest, err
+}
+
+// callLeader calls the control VMs in turn, following redirects, until the leader has answered
+// or ctx ends. It returns the leader's address.
+func (v *VM) callLeader(ctx context.Context, call func(context.Context, wire.DRPCControlClient) (redirect string, err error)) (leader string, err error) {
 	lastErr := errors.New("entry: no control VM is known")
 	for ctx.Err() == nil {
 		answered := peer.TryEach(ctx, v.controlContacts(), func(addr string) (string, bool) {
-			redirect, err := v.callControl(ctx, addr, controlCallTimeout, func(ctx context.Context, c wire.DRPCControlClient) (string, error) {
-				out, err := c.Newest(ctx, &wire.NewestRequest{})
-				leader, newest = addr, out
-				return out.GetRedirect(), err
-			})
+			redirect, err := v.callControl(ctx, addr, controlCallTimeout, call)
 			if err != nil {
 				lastErr = err
 			}
+			leader = addr
 			return redirect, err == nil && redirect == ""
 		})
 		if answered {
-			return leader, newest, nil
+			return leader, nil
 		}
 		vm.Sleep(ctx, retryDelay)
 	}
-	return "", nil, lastErr
+	return "", lastErr
 }
 
 // callControl makes one call to a control VM, within timeout.
--- a/internal/forward/candidates.go
+++ b/internal/forward/candidates.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -91,14 +92,23 @@
 	for _, i := range without {
 		r.shards[i].hasLeaves = false
 	}
-	r.refusedRetryAfter = policy.ExcludedRetryAfter
-	isCold := func(l *discovery.Leaf) bool { return !x.evacuated[l.Domain] && x.regionAllowed(l) }
-	if slices.ContainsFunc(snap.ForService(r.shards[without[0]].service), isCold) {
-		r.refusedRetryAfter = policy.ColdRetryAfter()
-	}
+	r.refusedRetryAfter = x.retryAfter(snap.ForService(r.shards[without[0]].service))
 	return true
 }
 
+// retryAfter returns the Retry-After of a request for a service whose leaves are all excluded, 0
+// if it has none.
+func (x *restrictions) retryAfter(leaves []*discovery.Leaf) time.Duration {
+	onlyCold := func(l *discovery.Leaf) bool { return !x.evacuated[l.Domain] && x.regionAllowed(l) }
+	switch {
+	case len(leaves) == 0:
+		return 0
+	case slices.ContainsFunc(leaves, onlyCold):
+		return policy.ColdRetryAfter()
+	}
+	return policy.ExcludedRetryAfter
+}
+
 // isCold reports whether a leaf is warming up, or may be without the list saying so yet.
 func (e *Engine) isCold(l *discovery.Leaf) bool {
 	now := e.cfg.Clock()
--- a/internal/forward/run.go
+++ b/internal/forward/run.go
@@ -46,7 +46,7 @@
 	quarantined        bool                     // the request was found to be quarantined during the run
 	hasHeldShards      bool                     // at least one shard may be held
 	cachedFingerprints *quarantine.Fingerprints // nil until first used
-	refusedRetryAfter  time.Duration            // set if too many shards have no leaf that may be sent to; 0: not
+	refusedRetryAfter  time.Duration            // Retry-After if too many shards have only excluded leaves; 0: the default
 	verdict            contract.Verdict
 	lastReply          *target.Reply
 	lastErr            *contract.Error
