--- a/bench/forward/leaf.go
+++ b/bench/forward/leaf.go
@@ -55,7 +55,6 @@
 	lis         net.Listener
 	server      *http.Server
 	workFactor  float64
-	started     time.Time
 	pauseOffset time.Duration // of the pauses, so that leaves do not pause together
 	slots       chan struct{}
 	waiting     atomic.Int32
@@ -65,10 +64,11 @@
 	openConns   atomic.Int32
 	fault       atomic.Int32
 	leaving     atomic.Bool
-	cold        bool
+	coldUntil   atomic.Int64 // end of the warm-up, ns since 1970
 
-	mu  sync.Mutex
-	rng *rand.Rand
+	mu        sync.Mutex
+	rng       *rand.Rand
+	coldSends []time.Time // within the last second
 }
 
 // startLeaf starts a leaf at addr, or on a free port if addr is empty. A cold leaf is
@@ -85,8 +85,11 @@
 	rng := rand.New(rand.NewPCG(p.seed, uint64(number)))
 	l := &leaf{
 		p: p, id: fmt.Sprintf("i-%d", number), service: service, domain: domains[int(number)%len(domains)], lis: lis, rng: rng,
-		workFactor: 1 + workFactorSpread*(2*rng.Float64()-1), started: time.Now(), pauseOffset: time.Duration(rng.Int64N(int64(pauseInterval))),
-		slots: make(chan struct{}, leafSlots), cold: cold,
+		workFactor: 1 + workFactorSpread*(2*rng.Float64()-1), pauseOffset: time.Duration(rng.Int64N(int64(pauseInterval))),
+		slots: make(chan struct{}, leafSlots),
+	}
+	if cold {
+		l.chill()
 	}
 	l.server = &http.Server{Handler: l, ConnState: l.connState}
 	go func() { _ = l.server.Serve(lis) }()
@@ -94,6 +97,29 @@
 	return l, nil
 }
 
+// chill makes the leaf cold for warmUpTime.
+func (l *leaf) chill() { l.coldUntil.Store(time.Now().Add(warmUpTime).UnixNano()) }
+
+// warmUpLeft returns how much longer the leaf is cold.
+func (l *leaf) warmUpLeft() time.Duration {
+	return max(0, time.Until(time.Unix(0, l.coldUntil.Load())))
+}
+
+// countColdSend returns how many requests the leaf received in the second before now while it
+// was cold, this one included; 0 if it is warm.
+func (l *leaf) countColdSend(now time.Time) int {
+	if l.warmUpLeft() == 0 {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for len(l.coldSends) > 0 && now.Sub(l.coldSends[0]) > time.Second {
+		l.coldSends = l.coldSends[1:]
+	}
+	l.coldSends = append(l.coldSends, now)
+	return len(l.coldSends)
+}
+
 func (l *leaf) connState(c net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateNew:
@@ -119,6 +145,7 @@
 	}
 	w.Header().Set(dialect.RequestID, id)
 	l.p.countSend(l.service, id)
+	l.p.evacuation.observe(l, time.Now())
 	mode := fault(l.fault.Load())
 	if mode == unresponsive {
 		<-r.Context().Done()
@@ -175,7 +202,7 @@
 	l.mu.Lock()
 	factor := math.Exp(workSigma*l.rng.NormFloat64()) * l.workFactor
 	l.mu.Unlock()
-	if l.cold && time.Since(l.started) < warmUpTime {
+	if l.warmUpLeft() > 0 {
 		factor *= warmUpFactor
 	}
 	if fault(l.fault.Load()) == slow {
@@ -230,12 +257,9 @@
 func (l *leaf) stop() { _ = l.server.Close() }
 
 func (l *leaf) listEntry() standin.Leaf {
-	state, warmInMS := standin.Ready, 0
+	state := standin.Ready
 	if l.leaving.Load() {
 		state = standin.Draining
 	}
-	if l.cold {
-		warmInMS = int(max(0, warmUpTime-time.Since(l.started)).Milliseconds())
-	}
-	return standin.Leaf{ID: l.id, Service: l.service, Addr: l.lis.Addr().String(), Domain: l.domain, Slots: leafSlots, State: state, WarmInMS: warmInMS}
+	return standin.Leaf{ID: l.id, Service: l.service, Addr: l.lis.Addr().String(), Domain: l.domain, Slots: leafSlots, State: state, WarmInMS: int(l.warmUpLeft().Milliseconds())}
 }
--- a/bench/forward/main.go
+++ b/bench/forward/main.go
@@ -40,7 +40,7 @@
 	app.Flag("rate", "Requests a second, with Poisson arrivals.").Default("80").Float64Var(&s.rate)
 	app.Flag("duration", "How long requests arrive.").Default("20s").DurationVar(&s.duration)
 	app.Flag("seed", "Of the leaves, callers and arrivals.").Default("1").Uint64Var(&s.seed)
-	app.Flag("faults", "script plays the faults of script.go, none leaves them out.").Default("script").EnumVar(&s.faults, "script", "none")
+	app.Flag("faults", "script plays the faults of script.go, evacuation evacuates a failure domain whose leaves return cold, none leaves them out.").Default("script").EnumVar(&s.faults, "script", "evacuation", "none")
 	app.Flag("out", "Folder for the report and its plots.").Default("out/forward").StringVar(&s.out)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
@@ -103,6 +103,9 @@
 	if r.tier, err = newTier(dir, bin, r.vms, r.platform.addr); err != nil {
 		return err
 	}
+	if r.faults == "evacuation" {
+		r.tier.warmUpRate = warmUpRate
+	}
 	for i := range r.shards {
 		r.tier.shards = append(r.tier.shards, fmt.Sprintf("shard-%d", i))
 	}
@@ -141,8 +144,8 @@
 	background.Go(func() { r.platform.recordUntil(done) })
 	loadCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	if r.faults == "script" {
-		background.Go(func() { r.runScript(loadCtx) })
+	if steps := scripts[r.faults]; len(steps) > 0 {
+		background.Go(func() { r.runScript(loadCtx, steps) })
 	}
 	before := r.tier.cpu()
 	var callers []*caller
--- a/bench/forward/main_test.go
+++ b/bench/forward/main_test.go
@@ -34,3 +34,26 @@
 		}
 	})
 }
+
+// Guards against requests that reach an evacuated failure domain, and against cold leaves that
+// get more than they bear, in a run with real processes.
+func TestRunWithEvacuation(t *testing.T) {
+	Convey("Given a built pearmoor-entry", t, func() {
+		dir := t.TempDir()
+		bin := filepath.Join(dir, "pearmoor-entry")
+		out, err := exec.Command("go", "build", "-o", bin, "../../cmd/pearmoor-entry").CombinedOutput()
+		So(string(out), ShouldBeEmpty)
+		So(err, ShouldBeNil)
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+		defer cancel()
+		r := &run{options: options{bin: bin, vms: 3, shards: 4, copies: 3, rate: 60, duration: 12 * time.Second, seed: 1, faults: "evacuation"}}
+		defer r.close()
+		So(r.start(ctx, dir), ShouldBeNil)
+		So(r.generateLoad(ctx), ShouldBeNil)
+		rep := r.report()
+		So(rep.WrongAnswers, ShouldBeEmpty)
+		So(rep.Evacuation.AckMS, ShouldBeGreaterThan, 0)
+		So(rep.Evacuation.LastRequestMS, ShouldBeLessThan, 5000) // within which an order must be in force
+		So(rep.Evacuation.MostColdRequests, ShouldBeLessThanOrEqualTo, int(warmUpRate*1.5+5))
+	})
+}
--- a/bench/forward/platform.go
+++ b/bench/forward/platform.go
@@ -40,6 +40,8 @@
 	extraSends int
 	firstSends int
 	series     map[*leaf]*load.LeafSeries
+
+	evacuation evacuationStats
 }
 
 func newSimulatedPlatform(seed uint64) (*simulatedPlatform, error) {
--- a/bench/forward/report.go
+++ b/bench/forward/report.go
@@ -32,14 +32,16 @@
 
 // report is the result of a run.
 type report struct {
-	Rows             []row    `json:"rows"`
-	ExtraShare       float64  `json:"extra_sends"` // retries and hedges for each first send
-	MaxOverSlots     float64  `json:"most_in_flight_over_slots"`
-	MeanMaxOverSlots float64  `json:"mean_most_in_flight_over_slots"`
-	ConnsOpened      int64    `json:"connections_opened"`
-	CPUMicrosPerSend float64  `json:"processor_us_per_send"`
-	Events           []event  `json:"events"`
-	WrongAnswers     []string `json:"wrong_answers"`
+	Rows             []row   `json:"rows"`
+	ExtraShare       float64 `json:"extra_sends"` // retries and hedges for each first send
+	MaxOverSlots     float64 `json:"most_in_flight_over_slots"`
+	MeanMaxOverSlots float64 `json:"mean_most_in_flight_over_slots"`
+	ConnsOpened      int64   `json:"connections_opened"`
+	CPUMicrosPerSend float64 `json:"processor_us_per_send"`
+	Events           []event `json:"events"`
+
+	Evacuation   *evacuationReport `json:"evacuation,omitempty"`
+	WrongAnswers []string          `json:"wrong_answers"`
 }
 
 func (r *run) report() *report {
@@ -72,6 +74,9 @@
 		}
 	}
 	out.MeanMaxOverSlots /= float64(max(windows, 1))
+	if r.faults == "evacuation" {
+		out.Evacuation = p.evacuation.report()
+	}
 	return out
 }
 
@@ -82,6 +87,10 @@
 		fmt.Fprintf(w, "%-8s %8d %6.1f%% %5.1f%% %7.2f%% %6.2f%% %5.1f%% %8.2f%% %8.1f %8.1f %8.1f\n",
 			x.Kind, x.Requests, 100*x.InTime, 100*x.Late, 100*x.Rejected, 100*x.Failed, 100*x.Retried, 100*x.Coverage, x.P50, x.P90, x.P99)
 	}
+	if x := r.Evacuation; x != nil {
+		fmt.Fprintf(w, "evacuation: acknowledged after %.0f ms, last request in the domain %.0f ms later, %d after %v; cold leaves got at most %d requests in a second, they bear %v\n",
+			x.AckMS, x.LastRequestMS, x.LateRequests, inForceTime, x.MostColdRequests, warmUpRate)
+	}
 	fmt.Fprintf(w, "leaves: %.1f%% extra sends; in flight over slots at most %.1f, mean of the windows %.2f; %d connections opened; %.0f us of the tier's processor a send\n",
 		100*r.ExtraShare, r.MaxOverSlots, r.MeanMaxOverSlots, r.ConnsOpened, r.CPUMicrosPerSend)
 	for _, e := range r.Events {
--- a/bench/forward/script.go
+++ b/bench/forward/script.go
@@ -28,10 +28,13 @@
 	{0.8, "five leaves answer twice for a tenth of the run", injectFault(repeatsAnswers, 5, 0.1)},
 }
 
-// runScript performs the steps of the script until ctx is cancelled.
-func (r *run) runScript(ctx context.Context) {
+// scripts maps the values of the flag --faults to steps.
+var scripts = map[string][]step{"script": script, "evacuation": evacuationScript}
+
+// runScript performs the steps until ctx is cancelled.
+func (r *run) runScript(ctx context.Context, steps []step) {
 	began := time.Now()
-	for _, s := range script {
+	for _, s := range steps {
 		select {
 		case <-time.After(time.Until(began.Add(time.Duration(s.fraction * float64(r.duration))))):
 		case <-ctx.Done():
--- a/bench/forward/tier.go
+++ b/bench/forward/tier.go
@@ -44,6 +44,7 @@
 	client        *http.Client
 	releaseNumber uint64
 	shards        []string
+	warmUpRate    float64 // what the services say that a cold leaf bears; 0: not stated
 }
 
 func newTier(dir, bin string, n int, listAddr string) (*entryTier, error) {
@@ -137,7 +138,7 @@
 		r.Routes = append(r.Routes, rt)
 	}
 	for _, s := range append([]string{singleService}, t.shards...) {
-		r.Services = append(r.Services, route.Service{Name: s, HealthPath: "/health", Connections: leafConns, Protocol: "h1"})
+		r.Services = append(r.Services, route.Service{Name: s, HealthPath: "/health", Connections: leafConns, Protocol: "h1", WarmUpRate: t.warmUpRate})
 	}
 	return r
 }
@@ -164,7 +165,12 @@
 }
 
 func (t *entryTier) postRelease(ctx context.Context, v *entryVM, text string) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+v.addr(v.spec.Ports.Operators)+standin.PutConfigurationPath, strings.NewReader(text))
+	return t.postOrder(ctx, v, standin.PutConfigurationPath, text)
+}
+
+// postOrder sends an operator's order to one VM and returns nil if it is acknowledged.
+func (t *entryTier) postOrder(ctx context.Context, v *entryVM, path, text string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+v.addr(v.spec.Ports.Operators)+path, strings.NewReader(text))
 	if err != nil {
 		return err
 	}
