--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -49,8 +49,8 @@
 	// with OpenScatter, empty if there is none.
 	DelegateAddr(domain string) string
 	// HandoverAddr returns the address of a daemon that a whole gather can be handed over to,
-	// other than those in asked, in one of the regions (empty: in any). It is empty if there is none or if this daemon is to run
-	// gathers itself.
+	// other than those in asked, in one of the regions (none stated: in any). It is empty if
+	// there is none or if this daemon is to run gathers itself.
 	HandoverAddr(asked, regions []string) string
 	// OpenHandover opens a handover call to the daemon at addr.
 	OpenHandover(ctx context.Context, addr string) (wire.DRPCGather_HandoverClient, error)
