forward: a send that the share of a cold leaf does not allow goes to another leaf

Found by reading. Cause: a cold leaf was offered for choice by the share alone, and the send then refused by the lease, or by another request that had just used the share; the shard was retried after 25 ms with the same leaf, though warm ones were there. With warm leaves that had failed once a VM without a lease refused every request. Change: the next best leaf is chosen at once. Test: TestColdLeafGetsNothingFromDaemonWithoutLease with warm leaves that have failed: five of five answered 503 before, 200 with all parts now.

--- a/internal/forward/candidates.go
+++ b/internal/forward/candidates.go
@@ -61,14 +61,17 @@
 // choose returns the best leaf for a send of the shard, nil if there is none. If the leaf is
 // cold, the send is taken from this daemon's share.
 func (r *run) choose(x *restrictions, leaves []*discovery.Leaf, tried []*discovery.Leaf) *discovery.Leaf {
-	leaf := r.e.cfg.Tracker.Choose(leaves, tried, r.stats.pace.Median())
-	if leaf == nil || !x.table.LimitsWarmUp() {
-		return leaf
-	}
-	if rate := x.warmUpRate(leaf.Service); rate > 0 && !r.e.takeColdSend(leaf, rate) {
-		return nil // another request has just used the share
+	for {
+		leaf := r.e.cfg.Tracker.Choose(leaves, tried, r.stats.pace.Median())
+		if leaf == nil || !x.table.LimitsWarmUp() {
+			return leaf
+		}
+		if rate := x.warmUpRate(leaf.Service); rate == 0 || r.e.takeColdSend(leaf, rate) {
+			return leaf
+		}
+		// Another request has just used the share, or the lease has run out.
+		tried = append(slices.Clip(tried), leaf)
 	}
-	return leaf
 }
 
 // refuseUnservable prepares the refusal of a request with more shards without a leaf than may
--- a/internal/forward/cold_test.go
+++ b/internal/forward/cold_test.go
@@ -129,14 +129,24 @@
 }
 
 // Guards against a daemon whose lease has run out and that sends on a share which another daemon
-// may have by now.
+// may have by now, and against one that then keeps choosing the cold leaf in place of a warm one
+// that has failed.
 func TestColdLeafGetsNothingFromDaemonWithoutLease(t *testing.T) {
 	rt, leaves := remoteRoute(t, validPart)
 	f := newFixture(t, rt, leaves)
 	f.setCold(isFirstCopy)
 	f.limitWarmUp(policy.ColdShare{Requests: 2, Window: time.Minute})
 	f.engine.cfg.HoldsShares = func() bool { return false }
-	f.doConcurrently(t, 5)
+	for _, l := range f.engine.cfg.Leaves.Snapshot().All() {
+		if !isFirstCopy(l.ID) {
+			f.tracker.End(l.RunID(), f.tracker.Begin(l.RunID()), policy.RequestResult{Outcome: policy.Failed})
+		}
+	}
+	for range 5 {
+		if resp, text := f.do(t, http.MethodGet, "/a", ""); resp.StatusCode != http.StatusOK || resp.Header.Get("Missing") != "0" {
+			t.Errorf("status %d, %s parts missing, %q: the warm leaves have all parts", resp.StatusCode, resp.Header.Get("Missing"), text)
+		}
+	}
 	if n := requestsAt(leaves, 0); n > 0 {
 		t.Errorf("%d requests reached cold leaves", n)
 	}
