forward: sends that repeat a request after a crash of leaves count in the budget

Found by reading the change again. Cause: shards held back after a leaf has ended are sent to together once another leaf has answered, through a daemon near the leaves; that way is for first sends and takes nothing from the budget. Three shards or more whose leaves ended got a second send each that no budget counted. One loop in place of two. Test: TestRepeatedSendsOfHeldShardsAreCounted, 2 requests for each of three shards before with a budget of none, 1 now.

--- a/internal/forward/suspicion.go
+++ b/internal/forward/suspicion.go
@@ -136,32 +136,21 @@
 		}
 		return
 	}
-	if !r.suspicion.Guarded() {
-		r.launchHeld()
-		return
-	}
+	var unsent []int
 	for i := range r.shards {
 		switch s := &r.shards[i]; {
 		case !s.held || s.done:
-		case r.maySend():
+		case !r.maySend():
+			r.hasHeldShards = true
+		case r.suspicion.Guarded() || s.totalSends > 0:
 			s.held = false
 			r.resend(i)
 		default:
-			r.hasHeldShards = true
-		}
-	}
-}
-
-// launchHeld makes the first send for every held shard.
-func (r *run) launchHeld() {
-	var held []int
-	for i := range r.shards {
-		if s := &r.shards[i]; s.held && !s.done {
 			s.held = false
-			held = append(held, i)
+			unsent = append(unsent, i)
 		}
 	}
-	r.launchShards(held)
+	r.launchShards(unsent)
 }
 
 // endProbe sends for the held shards although the probe of an unconfirmed request has not
--- a/internal/forward/suspicion_test.go
+++ b/internal/forward/suspicion_test.go
@@ -184,3 +184,31 @@
 		})
 	}
 }
+
+// Guards against sends that the budget does not count: shards whose leaves ended are sent to
+// again, together, once another leaf has answered.
+func TestRepeatedSendsOfHeldShardsAreCounted(t *testing.T) {
+	rt, leaves := remoteRoute(t, func(shard, k int) script {
+		return func(l *fakeLeaf, c net.Conn, req receivedRequest) bool {
+			if shard < minDelegatedShards {
+				return crash(l, c, req)
+			}
+			time.Sleep(100 * time.Millisecond)
+			return validPart(shard, k)(l, c, req)
+		}
+	})
+	rt.MaxAttempts, rt.TargetLatency, rt.Timeout = 2, 0, 2*time.Second
+	f := newTwoDaemonFixture(t, rt, leaves)
+	f.enableQuarantine()
+	f.engine.cfg.Budgets = policy.NewBudgets(policy.BudgetLimits{Window: 10 * time.Second}, vm.Monotonic, func() int { return 1 })
+	f.do(t, http.MethodGet, "/a", "")
+	for _, name := range rt.Shards[:minDelegatedShards] {
+		n := 0
+		for _, l := range leaves[name] {
+			n += len(l.requests())
+		}
+		if n != 1 {
+			t.Errorf("%s got %d requests, 1 allowed", name, n)
+		}
+	}
+}
