--- a/bench/forward/main_test.go
+++ b/bench/forward/main_test.go
@@ -11,15 +11,21 @@
 	. "github.com/smartystreets/goconvey/convey"
 )
 
+// buildEntry builds pearmoor-entry in dir and returns its path.
+func buildEntry(dir string) string {
+	bin := filepath.Join(dir, "pearmoor-entry")
+	out, err := exec.Command("go", "build", "-o", bin, "../../cmd/pearmoor-entry").CombinedOutput()
+	So(string(out), ShouldBeEmpty)
+	So(err, ShouldBeNil)
+	return bin
+}
+
 // A short run without injected faults must end without a wrong answer and must write the
 // report and all plots.
 func TestShortRun(t *testing.T) {
 	Convey("Given a built pearmoor-entry and an empty folder", t, func() {
 		dir := t.TempDir()
-		bin := filepath.Join(dir, "pearmoor-entry")
-		out, err := exec.Command("go", "build", "-o", bin, "../../cmd/pearmoor-entry").CombinedOutput()
-		So(string(out), ShouldBeEmpty)
-		So(err, ShouldBeNil)
+		bin := buildEntry(dir)
 		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 		defer cancel()
 		s := options{
@@ -40,10 +46,7 @@
 func TestRunWithEvacuation(t *testing.T) {
 	Convey("Given a built pearmoor-entry", t, func() {
 		dir := t.TempDir()
-		bin := filepath.Join(dir, "pearmoor-entry")
-		out, err := exec.Command("go", "build", "-o", bin, "../../cmd/pearmoor-entry").CombinedOutput()
-		So(string(out), ShouldBeEmpty)
-		So(err, ShouldBeNil)
+		bin := buildEntry(dir)
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
 		defer cancel()
 		r := &run{options: options{bin: bin, vms: 3, shards: 4, copies: 3, rate: 60, duration: 12 * time.Second, seed: 1, faults: "evacuation"}}
--- a/internal/cli/evacuate.go
+++ b/internal/cli/evacuate.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"slices"
@@ -86,12 +87,7 @@
 	for name, state := range evacuation.FromTree(tree) {
 		out.Domains = append(out.Domains, evacuationEntry{Domain: name, Evacuated: state.Evacuated, Revision: state.Revision})
 	}
-	slices.SortFunc(out.Domains, func(x, y evacuationEntry) int {
-		if x.Domain < y.Domain {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out.Domains, func(x, y evacuationEntry) int { return cmp.Compare(x.Domain, y.Domain) })
 	return a.print(out)
 }
 
--- a/internal/cli/file.go
+++ b/internal/cli/file.go
@@ -23,9 +23,11 @@
 		if err != nil {
 			return err
 		}
+		var edits []settings.Edit
 		for _, path := range settings.OperationalPaths() {
-			tree = tree.Replay(at, []settings.Edit{{Path: path, Op: settings.Remove}})
+			edits = append(edits, settings.Edit{Path: path, Op: settings.Remove})
 		}
+		tree = tree.Replay(at, edits)
 		_, err = a.out.Write(tree.ExportFileWithBase(at))
 		return errors.Wrap(err, "write the tree")
 	})
--- a/internal/entryvm/cold.go
+++ b/internal/entryvm/cold.go
@@ -17,13 +17,11 @@
 	next    int
 }
 
-// coldSendersOf are the daemons that send requests to leaves, with one membership and one
-// routing table.
+// coldSendersOf are the roles of the daemons with one membership and one routing table.
 type coldSendersOf struct {
 	membership *vm.Membership
 	table      *route.Table
-	gathers    []*vm.Member // those that run gathers
-	singles    []*vm.Member // those that run other requests
+	roles      roles
 }
 
 // in returns the daemons that send to the leaves of a service.
@@ -38,22 +36,22 @@
 	// Only what all daemons agree on may be used: not which daemons this one has heard from.
 	var serving []*vm.Member
 	for i := range ms.Members {
-		if m := &ms.Members[i]; m.Phase == vm.Serving && m.CallerAddr != "" {
+		if m := &ms.Members[i]; acceptsCallers(m) {
 			serving = append(serving, m)
 		}
 	}
-	required := requiredMillicores(table)
 	e := &c.entries[c.next]
 	c.next = (c.next + 1) % len(c.entries)
-	*e = coldSendersOf{ms, table, policy.SufficientCPU(serving, required), policy.Eligible(serving, required)}
+	*e = coldSendersOf{ms, table, computeRoles(serving, requiredMillicores(table))}
 	return e.of(service)
 }
 
+// of returns the daemons that run gathers for a shard, else those that callers are sent to.
 func (e *coldSendersOf) of(service string) []*vm.Member {
 	if e.table != nil && e.table.IsShard(service) {
-		return e.gathers
+		return e.roles.sufficientCPU
 	}
-	return e.singles
+	return e.roles.eligible
 }
 
 // coldShare returns what this daemon may send to a leaf while it is cold. While a new
--- a/internal/entryvm/steer.go
+++ b/internal/entryvm/steer.go
@@ -92,6 +92,9 @@
 	return out
 }
 
+// acceptsCallers reports whether a member serves callers, by what all daemons agree on.
+func acceptsCallers(m *vm.Member) bool { return m.Phase == vm.Serving && m.CallerAddr != "" }
+
 // servingMembers returns the members that serve callers and are not unresponsive.
 func (v *VM) servingMembers(ms *vm.Membership) []*vm.Member {
 	unresponsive := v.leafCache.Unresponsive()
@@ -99,7 +102,7 @@
 	for i := range ms.Members {
 		m := &ms.Members[i]
 		self := m.Name == v.conf.Name
-		if m.Phase != vm.Serving || m.CallerAddr == "" || self && v.draining.Load() || !self && unresponsive[m.Name] {
+		if !acceptsCallers(m) || self && v.draining.Load() || !self && unresponsive[m.Name] {
 			continue
 		}
 		all = append(all, m)
--- a/internal/forward/candidates.go
+++ b/internal/forward/candidates.go
@@ -39,7 +39,7 @@
 	}
 	rate := x.warmUpRate(service)
 	excluded := func(l *discovery.Leaf) bool {
-		return x.evacuated[l.Domain] || !x.regionAllowed(l) || rate > 0 && !x.e.coldSendAvailable(l, rate)
+		return x.bars(l) || rate > 0 && !x.e.coldSendAvailable(l, rate)
 	}
 	if !slices.ContainsFunc(leaves, excluded) {
 		return leaves
@@ -54,8 +54,13 @@
 	return 0
 }
 
-func (x *restrictions) regionAllowed(l *discovery.Leaf) bool {
-	return len(x.regions) == 0 || x.e.cfg.RegionOf != nil && slices.Contains(x.regions, x.e.cfg.RegionOf(l.Domain))
+// bars reports whether the leaf is in an evacuated failure domain or in a region that the route
+// does not allow.
+func (x *restrictions) bars(l *discovery.Leaf) bool {
+	if x.evacuated[l.Domain] {
+		return true
+	}
+	return len(x.regions) > 0 && (x.e.cfg.RegionOf == nil || !slices.Contains(x.regions, x.e.cfg.RegionOf(l.Domain)))
 }
 
 // choose returns the best leaf for a send of the shard, nil if there is none. If the leaf is
@@ -102,12 +107,11 @@
 // retryAfter returns the Retry-After of a request for a service whose leaves are all excluded, 0
 // if it has none.
 func (x *restrictions) retryAfter(leaves []*discovery.Leaf) time.Duration {
-	onlyCold := func(l *discovery.Leaf) bool { return !x.evacuated[l.Domain] && x.regionAllowed(l) }
 	switch {
 	case len(leaves) == 0:
 		return 0
-	case slices.ContainsFunc(leaves, onlyCold):
-		return policy.ColdRetryAfter()
+	case slices.ContainsFunc(leaves, func(l *discovery.Leaf) bool { return !x.bars(l) }):
+		return policy.ColdRetryAfter() // the others are excluded because they are cold
 	}
 	return policy.ExcludedRetryAfter
 }
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -164,16 +164,16 @@
 // needs to get the configuration after a restart of the whole system.
 const unconfirmedRetryAfter = 500 * time.Millisecond
 
-// unlistedRetryAfter is the Retry-After of requests that this daemon cannot serve because it has
-// no list of leaves yet. After a restart of the whole system the list follows the configuration.
-const unlistedRetryAfter = unconfirmedRetryAfter
-
 // unconfirmedAnswer is the answer to such a request.
 func unconfirmedAnswer() *Answer {
 	return &Answer{Status: http.StatusServiceUnavailable, RetryAfter: unconfirmedRetryAfter,
 		Verdict: contract.NotRun, Reason: contract.ReasonUnconfirmed}
 }
 
+// unlistedRetryAfter is the Retry-After of requests that this daemon cannot serve because it has
+// no list of leaves yet. After a restart of the whole system the list follows the configuration.
+const unlistedRetryAfter = unconfirmedRetryAfter
+
 // Forward answers one request. It returns when the answer is ready, the request has failed,
 // or ctx is cancelled because the caller has left.
 func (e *Engine) Forward(ctx context.Context, req *Request) *Answer {
@@ -245,6 +245,11 @@
 	return policy.ConnectionsPerDaemon(total, a.daemonCount())
 }
 
+// link returns the link to a leaf.
+func (e *Engine) link(a *activeTable, l *discovery.Leaf) *target.Link {
+	return e.cfg.Tracker.Link(l, a.connectionLimit, e.checkSend)
+}
+
 // MaintainLinks periodically adapts the links to the current leaves and number of daemons
 // until ctx is cancelled.
 func (e *Engine) MaintainLinks(ctx context.Context) {
--- a/internal/forward/scatter.go
+++ b/internal/forward/scatter.go
@@ -91,7 +91,7 @@
 			sc.results <- result{shard: i, call: call, err: contract.Refuse(contract.ReasonNoLiveTarget, err)}
 			continue
 		}
-		link := sc.e.cfg.Tracker.Link(leaf, sc.active.connectionLimit, sc.e.checkSend)
+		link := sc.e.link(sc.active, leaf)
 		sc.e.sendPool.Run(sendTask{owner: sc, request: &sc.leafRequest, i: i, leaf: leaf, link: link, call: call})
 	}
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -50,7 +50,7 @@
 		}
 		return
 	}
-	link := r.e.cfg.Tracker.Link(leaf, r.active.connectionLimit, r.e.checkSend)
+	link := r.e.link(r.active, leaf)
 	call := &target.Call{}
 	r.recordStart(i, pendingSend{call: call, leaf: leaf})
 	if hedge {
--- a/internal/settings/evacuation.go
+++ b/internal/settings/evacuation.go
@@ -1,5 +1,7 @@
 package settings
 
+import "slices"
+
 // EvacuationSettings holds the state of one failure domain, set at a node below
 // EvacuationsPath. Package evacuation interprets it.
 type EvacuationSettings struct {
@@ -31,7 +33,7 @@
 // IsOperationalPath reports whether the node at path holds state of the running tier instead
 // of configuration: exported files leave it out, and applying a file does not change it.
 func IsOperationalPath(path string) bool {
-	return IsWithin(path, QuarantinePath) || IsWithin(path, EvacuationsPath)
+	return slices.ContainsFunc(OperationalPaths(), func(base string) bool { return IsWithin(path, base) })
 }
 
 // OperationalPaths returns the paths of the nodes that hold state of the running tier.
