review: the stand-ins take the platform's names from platform/

Cause: TestPlatformNamesStayInThisFolder looks at every Go file; the stand-ins of the review, a module of their own, spelled the names out.

Added: the stand-ins as packages of the project behind the build tag review, which keeps them out of ./...; they use platform.Dialect, platform.EncodeRelease and platform/standin.

--- a/review/1/main.go
+++ b/review/1/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command 1 is the script of case 1: a control VM that the group has removed founds a second
 // group. See claim.txt.
 package main
@@ -13,7 +15,8 @@
 	"syscall"
 	"time"
 
-	"pearmoor.review/tier"
+	"pearmoor/internal/route"
+	"pearmoor/review/tier"
 )
 
 const (
@@ -51,17 +54,17 @@
 	return code
 }
 
-func route(name, prefix string) tier.Route {
-	return tier.Route{
-		Name: name, Host: host, PathPrefix: prefix, Type: "idempotent", TimeoutMS: 4000, TargetLatency: 400,
+func newRoute(name, prefix string) route.Route {
+	return route.Route{
+		Name: name, Host: host, Prefix: prefix, Repeatable: true, Timeout: 4 * time.Second, TargetLatency: 400 * time.Millisecond,
 		Priority: 2, Service: service, MaxAttempts: 2,
 	}
 }
 
-func configuration(version int, added ...string) []byte {
-	routes := []tier.Route{route("r-first", "/first/")}
+func configuration(version uint64, added ...string) []byte {
+	routes := []route.Route{newRoute("r-first", "/first/")}
 	for _, a := range added {
-		routes = append(routes, route("r-"+a, "/"+a+"/"))
+		routes = append(routes, newRoute("r-"+a, "/"+a+"/"))
 	}
 	return tier.Configuration(version, []string{service}, 49, routes)
 }
@@ -84,7 +87,7 @@
 	if err := t.WaitReady(20 * time.Second); err != nil {
 		return 2, err
 	}
-	time.Sleep(contact) // the core has been stable for contact-ms
+	time.Sleep(contact) // the core has been stable for contact
 	if _, err := t.Put(2, configuration(2, "second"), 10*time.Second, core[0], core[1]); err != nil {
 		return 2, err
 	}
@@ -144,9 +147,9 @@
 			broken = true
 		}
 	}
-	// CONFIG: read back at the end, for contact-ms and more, it is older than the newest
+	// CONFIG: read back at the end, for longer than contact, it is older than the newest
 	// acknowledged version.
-	newest := 0
+	newest := uint64(0)
 	for end := time.Now().Add(contact + time.Second); time.Now().Before(end); {
 		for _, vm := range t.VMs {
 			version, _ := t.Read(vm)
@@ -176,8 +179,8 @@
 		return 0
 	}
 	req.Host = host
-	req.Header.Set("Attempt-Id", id)
-	req.Header.Set("Deadline-Ms", "4000")
+	req.Header.Set(tier.Dialect.RequestID, id)
+	req.Header.Set(tier.Dialect.Deadline, "4000")
 	resp, err := (&http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}).Do(req)
 	if err != nil {
 		return 0
--- a/review/2/main.go
+++ b/review/2/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command 2 is the script of case 2: a late extra answer is taken for the refusal of a request
 // that runs. See claim.txt.
 package main
@@ -16,7 +18,8 @@
 	"sync/atomic"
 	"time"
 
-	"pearmoor.review/tier"
+	"pearmoor/internal/route"
+	"pearmoor/review/tier"
 )
 
 const (
@@ -27,7 +30,7 @@
 	slots, queue  = 2, 2
 	work          = 90 * time.Millisecond
 	deadline      = 4 * time.Second
-	aimMS         = 1000
+	aim           = time.Second
 	// The limits of the site file for garble with late extra answers: the share of the leafs,
 	// the share of their answers, and for how long at a time.
 	garbleShare, garbleX = 0.6, 0.03
@@ -75,12 +78,12 @@
 	var garbling atomic.Bool
 	var list []*tier.Leaf
 	var names []string
-	var routes []tier.Route
+	var routes []route.Route
 	for i := range services {
 		names = append(names, fmt.Sprintf("pay-%d", i))
-		routes = append(routes, tier.Route{
-			Name: "r-" + names[i], Host: host, PathPrefix: "/" + names[i] + "/", Type: "non_idempotent", TimeoutMS: int(deadline.Milliseconds()),
-			TargetLatency: aimMS, Priority: 2, Service: names[i], MaxAttempts: 2,
+		routes = append(routes, route.Route{
+			Name: "r-" + names[i], Host: host, Prefix: "/" + names[i] + "/", Timeout: deadline, TargetLatency: aim,
+			Priority: 2, Service: names[i], MaxAttempts: 2,
 		})
 	}
 	for i := range services * leafs {
@@ -203,7 +206,8 @@
 	}
 	body := fmt.Sprintf("amount of %s", id)
 	var b bytes.Buffer
-	fmt.Fprintf(&b, "POST /%s/%s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s", c.service, id, host, id, deadline.Milliseconds(), len(body), body)
+	fmt.Fprintf(&b, "POST /%s/%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s",
+		c.service, id, host, tier.Dialect.RequestID, id, tier.Dialect.Deadline, deadline.Milliseconds(), len(body), body)
 	_ = c.conn.SetDeadline(time.Now().Add(deadline + time.Second))
 	c.rec.Line("client: %s POST /%s/%s to %s", id, c.service, id, c.vm.Name)
 	if _, err := c.conn.Write(b.Bytes()); err != nil {
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
-# Builds the stand-ins and drivers of the cases that have a script, into review/bin. Needs the
-# Go tool only: the module has no dependencies.
+# Builds the stand-ins and drivers of the cases that have a script, into review/bin. They need
+# no module but those of the program; the build tag keeps them out of ./... .
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p bin
-GOFLAGS=-mod=mod GOWORK=off go build -o bin/ ./...
+go build -tags review -o bin/ ./...
--- a/review/tier/leaf.go
+++ b/review/tier/leaf.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package tier
 
 import (
@@ -12,10 +14,18 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"pearmoor/platform"
 )
 
+// Dialect has the names of the headers.
+var Dialect = platform.Dialect()
+
+// HealthPath is the path of the leafs' health checks.
+const HealthPath = "/health"
+
 // Leaf is a stand-in of a leaf: it takes one request at a time on a connection, works on Slots
-// requests at once, queues Queue more and refuses the rest with Not-Executed.
+// requests at once, queues Queue more and says of the rest that it has not run them.
 type Leaf struct {
 	ID, Service, Zone string
 	Slots, Queue      int
@@ -36,7 +46,7 @@
 	Answers, Extras atomic.Int64
 
 	mu   sync.Mutex
-	runs map[string]int // by Attempt-Id
+	runs map[string]int // by id
 }
 
 // StartLeaf starts a leaf and lists it.
@@ -57,7 +67,7 @@
 // Close stops the leaf.
 func (l *Leaf) Close() { _ = l.lis.Close() }
 
-// Runs returns how often the leaf ran each request, by Attempt-Id.
+// Runs returns how often the leaf ran each request, by id.
 func (l *Leaf) Runs() map[string]int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -126,9 +136,9 @@
 			return
 		}
 		l.Answers.Add(1)
-		if l.Extra != nil && req.Header.Get("Attempt-Id") != "" && l.Extra() {
+		if l.Extra != nil && req.Header.Get(Dialect.RequestID) != "" && l.Extra() {
 			l.Extras.Add(1)
-			l.rec.Line("leaf %s: a copy of the answer to %s will follow late", l.ID, req.Header.Get("Attempt-Id"))
+			l.rec.Line("leaf %s: a copy of the answer to %s will follow late", l.ID, req.Header.Get(Dialect.RequestID))
 			late = answer
 		}
 		<-peeked
@@ -137,19 +147,19 @@
 
 // handle returns the answer to a request, nil if the caller has left meanwhile.
 func (l *Leaf) handle(req *http.Request, body []byte, gone chan struct{}) []byte {
-	id := req.Header.Get("Attempt-Id")
-	if req.Method == http.MethodGet && req.URL.Path == "/health" {
+	id := req.Header.Get(Dialect.RequestID)
+	if req.Method == http.MethodGet && req.URL.Path == HealthPath {
 		return l.answer(200, id, "Instance-Id: "+l.ID+"\r\n", nil)
 	}
 	if id == "" {
-		return l.answer(400, id, "Not-Executed: no id\r\n", nil)
+		return l.answer(400, id, Dialect.NotRun+": no id\r\n", nil)
 	}
-	if want := req.Header.Get("Target-Instance"); want != "" && want != l.ID {
+	if want := req.Header.Get(Dialect.LeafID); want != "" && want != l.ID {
 		l.rec.Line("leaf %s: %s is for %s: 421", l.ID, id, want)
-		return l.answer(421, id, "Not-Executed: another leaf\r\n", nil)
+		return l.answer(421, id, Dialect.NotRun+": another leaf\r\n", nil)
 	}
 	var deadline <-chan time.Time
-	if ms, err := strconv.ParseFloat(req.Header.Get("Deadline-Ms"), 64); err == nil {
+	if ms, err := strconv.ParseFloat(req.Header.Get(Dialect.Deadline), 64); err == nil {
 		timer := time.NewTimer(time.Duration(ms * float64(time.Millisecond)))
 		defer timer.Stop()
 		deadline = timer.C
@@ -160,7 +170,7 @@
 		if l.waiting.Add(1) > int64(l.Queue) {
 			l.waiting.Add(-1)
 			l.rec.Line("leaf %s: %s refused, full", l.ID, id)
-			return l.answer(503, id, "Not-Executed: full\r\n", nil)
+			return l.answer(503, id, Dialect.NotRun+": full\r\n", nil)
 		}
 		select {
 		case l.slots <- struct{}{}:
@@ -168,7 +178,7 @@
 		case <-deadline:
 			l.waiting.Add(-1)
 			l.rec.Line("leaf %s: %s refused, its deadline passed in the queue", l.ID, id)
-			return l.answer(503, id, "Not-Executed: deadline\r\n", nil)
+			return l.answer(503, id, Dialect.NotRun+": deadline\r\n", nil)
 		case <-gone:
 			l.waiting.Add(-1)
 			return nil
@@ -186,12 +196,12 @@
 	select {
 	case <-work.C:
 	case <-deadline:
-		return l.answer(504, id, "Response-Stamp: "+stamp()+"\r\n", nil)
+		return l.answer(504, id, Dialect.Signature+": "+stamp()+"\r\n", nil)
 	case <-gone:
 		l.rec.Line("leaf %s: %s dropped, its connection closed", l.ID, id)
 		return nil
 	}
-	return l.answer(200, id, "Response-Stamp: "+stamp()+"\r\n", fmt.Appendf(nil, "%s did %s %x", l.ID, id, len(body)))
+	return l.answer(200, id, Dialect.Signature+": "+stamp()+"\r\n", fmt.Appendf(nil, "%s did %s %x", l.ID, id, len(body)))
 }
 
 func stamp() string { return fmt.Sprintf("%016x", rand.Uint64()) }
@@ -200,9 +210,9 @@
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
 	if id != "" {
-		fmt.Fprintf(&b, "Attempt-Id: %s\r\n", id)
+		fmt.Fprintf(&b, "%s: %s\r\n", Dialect.RequestID, id)
 	}
-	fmt.Fprintf(&b, "Server-Load: %d,%d,%d\r\n%sContent-Length: %d\r\n\r\n", l.running.Load(), max(0, l.waiting.Load()), l.Slots, extra, len(body))
+	fmt.Fprintf(&b, "%s: %d,%d,%d\r\n%sContent-Length: %d\r\n\r\n", Dialect.Load, l.running.Load(), max(0, l.waiting.Load()), l.Slots, extra, len(body))
 	b.Write(body)
 	return b.Bytes()
 }
--- a/review/tier/operator.go
+++ b/review/tier/operator.go
@@ -1,39 +1,30 @@
+//go:build review
+
 package tier
 
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"time"
-)
 
-// Route is a route of a configuration.
-type Route struct {
-	Name          string   `json:"name"`
-	Host          string   `json:"host"`
-	PathPrefix    string   `json:"path-prefix"`
-	Type          string   `json:"type"`
-	TimeoutMS     int      `json:"timeout-ms"`
-	TargetLatency int      `json:"target-latency-ms"`
-	Priority      int      `json:"priority"`
-	Service       string   `json:"service,omitempty"`
-	Gather        []string `json:"gather,omitempty"`
-	MaxAttempts   int      `json:"max-attempts"`
-}
+	"pearmoor/internal/route"
+	"pearmoor/platform"
+	"pearmoor/platform/standin"
+)
 
 // Configuration returns a configuration as the operator sends it.
-func Configuration(version int, services []string, maxConns int, routes []Route) []byte {
-	var list []any
+func Configuration(version uint64, services []string, maxConns int, routes []route.Route) []byte {
+	release := route.Release{
+		Number: version, Routes: routes,
+		Limits: route.Limits{HeaderBytes: 16384, BodyBytes: 262144, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
+	}
 	for _, s := range services {
-		list = append(list, map[string]any{"name": s, "health-path": "/health", "max-conns": maxConns, "protocol": "h1", "tls": false})
+		release.Services = append(release.Services, route.Service{Name: s, HealthPath: HealthPath, Connections: maxConns, Protocol: "h1"})
 	}
-	body, err := json.Marshal(map[string]any{
-		"version": version, "routes": routes, "services": list,
-		"limits": map[string]int{"max-header-bytes": 16384, "max-body-bytes": 262144, "header-timeout-ms": 3000, "idle-timeout-ms": 15000},
-	})
+	body, err := platform.EncodeRelease(&release)
 	if err != nil {
 		panic(err)
 	}
@@ -73,11 +64,11 @@
 
 // Put sends a configuration to the VMs, the first one first, until one acknowledges it. It
 // returns when that was, and an error if none does within limit or it is refused.
-func (t *Tier) Put(version int, body []byte, limit time.Duration, vms ...*VM) (time.Time, error) {
+func (t *Tier) Put(version uint64, body []byte, limit time.Duration, vms ...*VM) (time.Time, error) {
 	pause := 100 * time.Millisecond
 	for end := time.Now().Add(limit); time.Now().Before(end); {
 		for _, vm := range vms {
-			status, _, err := operatorCall(http.MethodPost, "http://"+vm.ControlAddr()+"/configuration/put", body)
+			status, _, err := operatorCall(http.MethodPost, "http://"+vm.ControlAddr()+standin.PutConfigurationPath, body)
 			if err != nil {
 				t.Record.Line("operator: version %d sent to %s: no response: %v", version, vm.Name, err)
 			} else {
@@ -98,8 +89,8 @@
 
 // Read reads the configuration at a VM. It returns the version, 0 where there was no clear
 // response, and the body.
-func (t *Tier) Read(vm *VM) (int, []byte) {
-	status, body, err := operatorCall(http.MethodGet, "http://"+vm.ControlAddr()+"/configuration/get", nil)
+func (t *Tier) Read(vm *VM) (uint64, []byte) {
+	status, body, err := operatorCall(http.MethodGet, "http://"+vm.ControlAddr()+standin.GetConfigurationPath, nil)
 	if err != nil {
 		t.Record.Line("operator: read at %s: no response: %v", vm.Name, err)
 		return 0, nil
@@ -108,13 +99,13 @@
 		t.Record.Line("operator: read at %s: %d", vm.Name, status)
 		return 0, nil
 	}
-	var in struct{ Version int }
-	if err := json.Unmarshal(body, &in); err != nil {
+	version, err := standin.ConfigurationVersion(body)
+	if err != nil {
 		t.Record.Line("operator: read at %s: 200, not readable: %v", vm.Name, err)
 		return 0, nil
 	}
-	t.Record.Line("operator: read at %s: 200, version %d", vm.Name, in.Version)
-	return in.Version, body
+	t.Record.Line("operator: read at %s: 200, version %d", vm.Name, version)
+	return version, body
 }
 
 // WaitReady waits until all VMs say that they are ready.
--- a/review/tier/platform.go
+++ b/review/tier/platform.go
@@ -1,10 +1,13 @@
+//go:build review
+
 package tier
 
 import (
-	"encoding/json"
 	"net"
 	"net/http"
 	"sync"
+
+	"pearmoor/platform/standin"
 )
 
 // Platform is a stand-in of the platform's list of leafs. Its list does not lag.
@@ -22,7 +25,7 @@
 	}
 	p := &Platform{lis: lis}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /instances", p.instances)
+	mux.HandleFunc("GET "+standin.ListPath, p.list)
 	p.server = &http.Server{Handler: mux}
 	go func() { _ = p.server.Serve(lis) }()
 	return p, nil
@@ -38,21 +41,20 @@
 	p.leafs = append(p.leafs, l)
 }
 
-func (p *Platform) instances(w http.ResponseWriter, r *http.Request) {
+func (p *Platform) list(w http.ResponseWriter, _ *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := []any{}
+	var out []standin.Leaf
 	for _, l := range p.leafs {
-		if z := r.URL.Query().Get("zone"); z != "" && z != l.Zone {
-			continue
-		}
-		list = append(list, map[string]any{
-			"id": l.ID, "service": l.Service, "address": l.Addr(), "zone": l.Zone, "version": "v1", "slots": l.Slots,
-			"state": "ready", "warmup-left-ms": 0,
-		})
+		out = append(out, standin.Leaf{ID: l.ID, Service: l.Service, Addr: l.Addr(), Domain: l.Zone, Slots: l.Slots, State: standin.Ready})
+	}
+	page, err := standin.EncodePage(out, "")
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]any{"instances": list, "next-token": nil})
+	_, _ = w.Write(page)
 }
 
 // Close stops the list and all leafs.
--- a/review/tier/record.go
+++ b/review/tier/record.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Package tier starts a small deployment of pearmoor-entry on loopback addresses, with
 // stand-ins for the platform, its leafs, its operator and its clients.
 package tier
--- a/review/tier/tier.go
+++ b/review/tier/tier.go
@@ -1,7 +1,8 @@
+//go:build review
+
 package tier
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -11,7 +12,9 @@
 	"strconv"
 	"sync"
 	"syscall"
-	"time"
+
+	"pearmoor/platform"
+	"pearmoor/platform/standin"
 )
 
 // The region of the deployment and its zones.
@@ -22,15 +25,12 @@
 // metricsPort is where the program serves its metrics without further settings.
 const metricsPort = "9464"
 
-// Ports are the ports of every VM.
-type Ports struct{ Edge, Readiness, Control, Directory, Peers string }
-
 // Tier is a deployment.
 type Tier struct {
 	Record   *Record
 	Platform *Platform
 	VMs      []*VM
-	ports    Ports
+	ports    standin.Ports
 	dir      string
 	program  string
 	root     string
@@ -80,7 +80,7 @@
 		}
 		base := 20000 + rand.IntN(8000)
 		port := func(i int) string { return strconv.Itoa(base + i) }
-		t.ports = Ports{port(0), port(1), port(2), port(3), port(4)}
+		t.ports = standin.Ports{Callers: port(0), Ready: port(1), Operators: port(2), Directory: port(3), Peers: port(4)}
 		if t.allFree([]string{port(0), port(1), port(2), port(3), port(4), metricsPort}) {
 			return nil
 		}
@@ -102,13 +102,13 @@
 }
 
 // ControlAddr returns the address at which the VM serves operators.
-func (v *VM) ControlAddr() string { return net.JoinHostPort(v.IP, v.tier.ports.Control) }
+func (v *VM) ControlAddr() string { return net.JoinHostPort(v.IP, v.tier.ports.Operators) }
 
 // EdgeAddr returns the address at which the VM serves clients.
-func (v *VM) EdgeAddr() string { return net.JoinHostPort(v.IP, v.tier.ports.Edge) }
+func (v *VM) EdgeAddr() string { return net.JoinHostPort(v.IP, v.tier.ports.Callers) }
 
 // ReadyAddr returns the address of the VM's readiness.
-func (v *VM) ReadyAddr() string { return net.JoinHostPort(v.IP, v.tier.ports.Readiness) }
+func (v *VM) ReadyAddr() string { return net.JoinHostPort(v.IP, v.tier.ports.Ready) }
 
 // WriteSettings writes the VM's settings file, as the platform's template renders it.
 func (v *VM) WriteSettings(seeds []*VM, bootstrap bool) error {
@@ -117,35 +117,15 @@
 	for _, s := range seeds {
 		seedAddrs = append(seedAddrs, s.ControlAddr())
 	}
-	zoneMap := make(map[string]string)
-	for _, z := range zones {
-		zoneMap[z] = Region
+	conf := standin.VM{
+		Name: v.Name, IP: v.IP, Domain: v.Zone, Region: Region, Ports: t.ports, Seeds: seedAddrs, FirstStart: bootstrap,
+		Cores: 0.4, Tolerated: 1, DrainMS: 3000, GraceS: 6, BudgetRatio: 0.2, BudgetBurst: 64, BudgetWindowS: 10,
+		ListAddr: t.Platform.Addr(), ListRate: 55,
 	}
-	dataDir, diskMB, share := "", 0, 0.4
 	if v.Disk {
-		dataDir, diskMB, share = filepath.Join(t.dir, v.Name, "data"), 64, 0.72
+		conf.DataDir, conf.DiskMB, conf.Cores = filepath.Join(t.dir, v.Name, "data"), 64, 0.72
 	}
-	peers, _ := strconv.Atoi(t.ports.Peers)
-	body, err := json.MarshalIndent(map[string]any{
-		"node": v.Name, "role": "entry", "machine-class": "edge", "serves": []string{"edge", "control", "directory"},
-		"ip": v.IP, "zone": v.Zone, "region": Region, "zones": zoneMap,
-		"listen": map[string]string{
-			"edge-addr": v.EdgeAddr(), "readiness": v.ReadyAddr(), "control": v.ControlAddr(),
-			"directory": net.JoinHostPort(v.IP, t.ports.Directory),
-		},
-		"internal-ports": []int{peers, peers + 15}, "seeds": seedAddrs, "bootstrap": bootstrap, "failure-counted": v.Disk,
-		"limits":   map[string]any{"cpu-share": share, "cores": 1, "memory-mb": 284, "fd-limit": 4100, "bandwidth-mbps": 1000.0, "disk-mb": diskMB},
-		"data-dir": dataDir, "discovery": "cloud", "ingress": "directory", "heartbeat-ms": 1200,
-		"policies":        []string{"base", "drain", "config", "cost", "retry", "recover", "scatter"},
-		"fault-tolerance": map[string]int{"machines": 1, "zones": 0, "regions": 0},
-		"bounds": map[string]any{
-			"seed-stale-s": 3, "addr-reuse-s": 2, "contact-ms": 4000, "ack-ms": 5000, "catch-up-s": 4, "drain-ms": 3000, "grace-s": 6,
-			"loss-slack-ms": 200, "config-apply-ms": 3000, "rollback-slack-ms": 250, "max-skew-ms": 12000, "retry-budget-ratio": 0.2,
-			"retry-window-s": 10, "retry-burst": 64, "recover-s": 12, "ttl_max_s": 5,
-		},
-		"config_mode": "highest",
-		"cloud":       map[string]any{"address": t.Platform.Addr(), "rate-per-s": 55.0, "duties": []string{}, "max-lag-ms": 800},
-	}, "", " ")
+	body, err := conf.EncodeSettings()
 	if err != nil {
 		return err
 	}
@@ -174,7 +154,7 @@
 	}
 	cmd := exec.Command(v.tier.program)
 	cmd.Dir, cmd.Stdout, cmd.Stderr = v.tier.root, log, log
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "PEARMOOR_NODE_FILE=" + v.settings}
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), platform.SettingsVariable + "=" + v.settings}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return err
@@ -251,6 +231,3 @@
 		fmt.Println("kept:", t.dir)
 	}
 }
-
-// Sleep waits and is here so that cases read as a list of steps.
-func Sleep(d time.Duration) { time.Sleep(d) }
