scatter: the fixture waits for the group before it waits for the leaves

Cause: waitIdle waited for the leaves' WaitGroup while the group's finished jobs still had sends in flight, each of which adds to it: a data race, or leaves that still run when the bubble ends. Group.Wait of the program is not at fault.

Change: the two waits are exchanged.

--- a/internal/query/scatter/fake_test.go
+++ b/internal/query/scatter/fake_test.go
@@ -181,8 +181,8 @@
 
 // waitIdle waits for the attempts that a finished job left in flight.
 func (r *fixture) waitIdle() {
-	r.leaves.active.Wait()
 	r.group.Wait()
+	r.leaves.active.Wait()
 	synctest.Wait()
 }
 
