--- a/internal/control/group_member.go
+++ b/internal/control/group_member.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
 	"k8s.io/klog/v2"
 
 	"pearmoor/internal/journal"
@@ -55,6 +56,11 @@
 	refusalTimeout = time.Second
 )
 
+var (
+	groupsFounded = metrics.GetOrRegisterCounter("control.group.founded", metrics.DefaultRegistry)
+	removals      = metrics.GetOrRegisterCounter("control.group.removals", metrics.DefaultRegistry)
+)
+
 // NewGroupMember returns a GroupMember. It does nothing until Run.
 func NewGroupMember(cfg GroupMemberConfig) *GroupMember {
 	cfg.Config = cfg.Config.withDefaults()
@@ -98,6 +104,7 @@
 	go func() { done <- node.Run(nodeCtx) }()
 	refused := m.waitUntilRefused(nodeCtx, node, done)
 	if refused {
+		removals.Inc(1)
 		klog.Warningf("control: the group has removed member %d; clearing the data folder and joining under a new id", cfg.ID)
 		cancel()
 	}
@@ -171,6 +178,7 @@
 	}
 	if cfg.Bootstrap {
 		cfg.ID = uint64(index + 1)
+		groupsFounded.Inc(1)
 		klog.Infof("control: founding the group as member %d of %v", cfg.ID, founders)
 		return &cfg, nil
 	}
--- a/internal/entryvm/tier.go
+++ b/internal/entryvm/tier.go
@@ -109,7 +109,7 @@
 	start := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, peer.CallTimeout(operatorTimeout, len(body)))
 	defer cancel()
-	reply, err := v.putToLeader(ctx, r.Number, body)
+	leader, reply, err := v.putToLeader(ctx, r.Number, body)
 	if err != nil {
 		releasesUnclear.Inc(1)
 		return err
@@ -118,7 +118,7 @@
 		return settings.FaultsFromWire(reply.Faults)
 	}
 	releasesAcked.Inc(1)
-	klog.Infof("operator: configuration acknowledged release=%d held=%d changed=%v bytes=%d took=%v", r.Number, reply.Held, reply.Changed, len(body), time.Since(start))
+	klog.Infof("operator: configuration acknowledged release=%d held=%d changed=%v bytes=%d took=%v leader=%s", r.Number, reply.Held, reply.Changed, len(body), time.Since(start), leader)
 	return nil
 }
 
@@ -126,14 +126,14 @@
 // this or a newer one. The transfer of a long release takes a second. Sent to an arbitrary
 // control VM it would cost that second at each VM that is not the leader, and again for
 // each retry after a lost acknowledgement.
-func (v *VM) putToLeader(ctx context.Context, number uint64, body []byte) (*wire.ReleaseReply, error) {
+func (v *VM) putToLeader(ctx context.Context, number uint64, body []byte) (leader string, reply *wire.ReleaseReply, err error) {
 	for {
 		leader, newest, err := v.queryNewest(ctx)
 		if err != nil {
-			return nil, err
+			return "", nil, err
 		}
 		if newest.Held != nil && number <= *newest.Held {
-			return &wire.ReleaseReply{Held: *newest.Held}, nil
+			return leader, &wire.ReleaseReply{Held: *newest.Held}, nil
 		}
 		var reply *wire.ReleaseReply
 		_, err = v.callControl(ctx, leader, peer.CallTimeout(controlCallTimeout, len(body)), func(ctx context.Context, c wire.DRPCControlClient) (string, error) {
@@ -142,10 +142,10 @@
 			return out.GetRedirect(), err
 		})
 		if err == nil && reply.Redirect == "" {
-			return reply, nil
+			return leader, reply, nil
 		}
 		if !vm.Sleep(ctx, retryDelay) {
-			return nil, errors.CombineErrors(err, ctx.Err())
+			return "", nil, errors.CombineErrors(err, ctx.Err())
 		}
 	}
 }
@@ -188,13 +188,13 @@
 	ctx, cancel := context.WithTimeout(ctx, operatorTimeout)
 	defer cancel()
 	start := time.Now()
-	_, newest, err := v.queryNewest(ctx)
+	leader, newest, err := v.queryNewest(ctx)
 	if err != nil {
 		return nil, err
 	}
 	leaderTime, hadVersion := time.Since(start), v.client.Current().ConfigVersion
 	view, err := v.waitForVersion(ctx, newest)
-	klog.Infof("operator: newest configuration version=%d told=%v had=%d reached=%v", newest.Version, leaderTime, hadVersion, time.Since(start)-leaderTime)
+	klog.Infof("operator: newest configuration version=%d leader=%s leader_time=%v had=%d reached=%v", newest.Version, leader, leaderTime, hadVersion, time.Since(start)-leaderTime)
 	if err != nil || view.Tree == nil {
 		return nil, err
 	}
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 	"storj.io/drpc"
@@ -95,9 +96,20 @@
 	if conf.DataDir != "" {
 		v.groupMember = v.newGroupMember()
 	}
+	_ = metrics.Register("entry.configuration.confirmed_ago_ms", metrics.NewFunctionalGauge(v.confirmationAge))
 	return v, v.registerServices(nil)
 }
 
+// confirmationAge returns how long ago a leader confirmed the configuration in use, in
+// milliseconds, or -1 if none has.
+func (v *VM) confirmationAge() int64 {
+	c := v.confirmation()
+	if !c.Exists() {
+		return -1
+	}
+	return c.Age(vm.Now()).Milliseconds()
+}
+
 func (v *VM) newGroupMember() *control.GroupMember {
 	return control.NewGroupMember(control.GroupMemberConfig{
 		Config: control.Config{
--- a/internal/forward/decide.go
+++ b/internal/forward/decide.go
@@ -224,6 +224,9 @@
 	if evacuated := r.e.evacuations.Load(); len(evacuated.domains) > 0 {
 		l = l.Str("evacuated", evacuated.names())
 	}
+	if confirmation := r.e.confirmation(); confirmation.Exists() {
+		l = l.Ms("confirmed_ago", confirmation.Age(r.e.now()))
+	}
 	l.Ms("list_age", r.e.cfg.Leaves.Age()).End()
 }
 
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -51,6 +51,9 @@
 	// arrived.
 	confirmationGap    = metrics.GetOrRegisterHistogram("relay.confirmation.gap_ms", nil, metrics.NewExpDecaySample(512, 0.015))
 	configVersionGauge = metrics.GetOrRegisterGauge("relay.config.version", nil)
+	// confirmerChangedCounter counts how often another leader or relay confirmed the
+	// configuration than before.
+	confirmerChangedCounter = metrics.GetOrRegisterCounter("relay.confirmer.changed", nil)
 )
 
 // outcome is the result of an exchange.
@@ -268,16 +271,23 @@
 		return
 	}
 	next := *c.view
-	next.ConfirmedAt = at
+	next.ConfirmedAt, next.ConfirmedBy = at, addr
+	previous := c.view.ConfirmedBy
 	c.view = &next
+	if previous != addr {
+		confirmerChangedCounter.Inc(1)
+	}
 	if before == 0 {
 		klog.Infof("relay: configuration confirmed by=%s config=%d after=%v from the start", addr, next.ConfigVersion, now.Sub(c.started))
 		return
 	}
 	gap := now.Sub(before)
 	confirmationGap.Update(gap.Milliseconds())
-	if gap >= confirmationGapLogged {
-		klog.Infof("relay: configuration confirmed again by=%s config=%d unconfirmed=%v", addr, next.ConfigVersion, gap)
+	switch {
+	case gap >= confirmationGapLogged:
+		klog.Infof("relay: configuration confirmed again by=%s before=%s config=%d unconfirmed=%v", addr, previous, next.ConfigVersion, gap)
+	case previous != addr:
+		klog.Infof("relay: configuration confirmed by=%s before=%s config=%d", addr, previous, next.ConfigVersion)
 	}
 }
 
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -19,6 +19,8 @@
 	// ConfirmedAt is the newest instant at which a leader is known to have had no newer
 	// configuration or membership than this view; 0 if no leader has confirmed this run.
 	ConfirmedAt vm.Instant
+	// ConfirmedBy is the peer address of the leader or relay that sent the confirmation.
+	ConfirmedBy string
 
 	cache *placementCache // shared by the views of one tree and membership; nil: no caching
 }
