control: a removed founder founds a second control group (failing test)

Cause: a VM that takes part in the first start of a tier and is removed from the group later in the life of its process founds a group again, from the seeds of that moment. Existing tests stop such a VM and start it anew without the first start.

--- a/internal/control/group_member_test.go
+++ b/internal/control/group_member_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -28,6 +29,7 @@
 	member     *GroupMember
 	pool       *peer.Pool
 	mux        atomic.Pointer[drpcmux.Mux]
+	founders   atomic.Pointer[[]string] // as this VM's settings name them
 	cancel     context.CancelFunc
 	background sync.WaitGroup
 }
@@ -73,13 +75,14 @@
 	addr := lis.Addr().String()
 	v := &memberVM{t: s.t, pool: peer.NewPool(nil)}
 	v.mux.Store(drpcmux.New())
+	v.founders.Store(&s.founders)
 	v.cfg = GroupMemberConfig{
 		Config: Config{
 			Name: "vm-" + addr, DataDir: s.dataDir(addr), PeerAddr: addr, Conns: v.pool, Tick: testTick, ReserveBytes: 1,
 			Maintenance: MaintenanceConfig{MinVoters: 3, RemoveSilentAfter: testRemoveSilentAfter},
 		},
 		FirstStart: found,
-		Founders:   func(context.Context) []string { return s.founders },
+		Founders:   func(context.Context) []string { return *v.founders.Load() },
 		Contacts:   func() []string { return s.founders },
 		OnNodeChange: func(n *Node) {
 			mux := drpcmux.New()
@@ -157,6 +160,22 @@
 	return wire.NewDRPCControlClient(conn)
 }
 
+// follower returns a VM that does not lead.
+func (s *memberTier) follower() *memberVM {
+	s.t.Helper()
+	var found *memberVM
+	eventually(s.t, "a VM follows", func() bool {
+		for _, v := range s.vms {
+			if n := v.member.Node(); n != nil && n.leadership.Load().leader != 0 && !n.IsLeader() {
+				found = v
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
 // readRelease returns the release of the newest settings tree and checks the tree's digest.
 func (s *memberTier) readRelease() *route.Release {
 	s.t.Helper()
@@ -356,6 +375,33 @@
 	tier.putRelease(testRelease(2, time.Second))
 }
 
+// Guards against a second control group: a founder that was cut off until the group had
+// removed it acknowledges changes that no other VM receives.
+func TestRemovedFounderFoundsNoSecondGroup(t *testing.T) {
+	t.Parallel()
+	tier := startTier(t, 4)
+	tier.putRelease(testRelease(1, time.Second))
+	cutOff := tier.follower()
+	others := slices.DeleteFunc(slices.Clone(tier.founders), func(a string) bool { return a == cutOff.cfg.PeerAddr })
+	cutOff.founders.Store(&[]string{cutOff.cfg.PeerAddr}) // the seeds were exchanged; of the new ones only this VM has a disk
+	cutOff.mux.Store(drpcmux.New())                       // no call reaches it
+	tier.waitForVoters(others...)
+	mux := drpcmux.New()
+	if err := cutOff.member.Node().Register(mux); err != nil {
+		t.Fatal(err)
+	}
+	cutOff.mux.Store(mux)
+	eventually(t, "the VM is a member again, under a new ID", func() bool {
+		n := cutOff.member.Node()
+		return n != nil && n.cfg.ID > 4 && !n.IsLeader()
+	})
+	tier.waitForVoters(tier.founders...)
+	tier.putRelease(testRelease(2, time.Second))
+	if r := tier.readRelease(); r.Number != 2 {
+		t.Errorf("release %d is read back after release 2 was acknowledged", r.Number)
+	}
+}
+
 // One of three founders is lost. It must not be removed from the group, since a group of
 // two voters could not tolerate the loss of a disk.
 func TestGroupKeepsMinVoters(t *testing.T) {
