--- a/soak/callers_test.go
+++ b/soak/callers_test.go
@@ -60,7 +60,7 @@
 func (c *caller) entryAddr() string {
 	if time.Since(c.fetched) > addressLifetime || len(c.addrs) == 0 {
 		client := &http.Client{Timeout: time.Second}
-		for _, i := range c.rng.Perm(vmCount) {
+		for _, i := range c.rng.Perm(len(c.h.vms)) {
 			v := c.h.vms[i]
 			status, body := doHTTP(client, http.MethodGet, "http://"+v.addr(c.h.ports.directory)+standin.LookupPath(hostname, region, v.domain), "")
 			if status != http.StatusOK {
--- a/soak/control_test.go
+++ b/soak/control_test.go
@@ -14,7 +14,7 @@
 func (h *harness) killControlVMs(ctx context.Context, rng *rand.Rand) {
 	for vm.Sleep(ctx, time.Duration(1000+rng.IntN(4000))*time.Millisecond) {
 		claimed := h.claimControlVMs()
-		if len(claimed) == diskVMs {
+		if len(claimed) == h.disks {
 			for _, v := range claimed {
 				v.kill()
 			}
@@ -31,7 +31,7 @@
 
 // claimControlVMs claims the VMs with a disk, up to the first that another fault has claimed.
 func (h *harness) claimControlVMs() (claimed []*vmProcess) {
-	for _, v := range h.vms[:diskVMs] {
+	for _, v := range h.vms[:h.disks] {
 		if !v.claim() {
 			break
 		}
--- a/soak/disks_test.go
+++ b/soak/disks_test.go
@@ -19,7 +19,7 @@
 		if n%len(faults) == 0 {
 			rng.Shuffle(len(faults), func(i, k int) { faults[i], faults[k] = faults[k], faults[i] })
 		}
-		v := h.vms[rng.IntN(diskVMs)]
+		v := h.vms[rng.IntN(h.disks)]
 		h.setDiskFault(v, faults[n%len(faults)])
 		vm.Sleep(ctx, time.Duration(300+rng.IntN(2500))*time.Millisecond)
 		h.setDiskFault(v, faultydisk.None)
@@ -39,7 +39,7 @@
 	for vm.Sleep(ctx, time.Duration(500+rng.IntN(3000))*time.Millisecond) {
 		for range 2 + rng.IntN(4) {
 			h.markDisturbed()
-			h.vms[rng.IntN(vmCount)].link.reset()
+			h.vms[rng.IntN(len(h.vms))].link.reset()
 			if l := h.randomLeaf(rng); l != nil {
 				l.link.reset()
 			}
--- a/soak/evacuation_test.go
+++ b/soak/evacuation_test.go
@@ -72,7 +72,7 @@
 	client := &http.Client{Timeout: time.Second}
 	defer client.CloseIdleConnections()
 	for ctx.Err() == nil {
-		v := h.vms[rng.IntN(vmCount)]
+		v := h.vms[rng.IntN(len(h.vms))]
 		status, body := doHTTP(client, http.MethodPost, "http://"+v.addr(h.ports.operators)+standin.EvacuationPath(evacuationDomain, evacuate), "")
 		switch {
 		case status == http.StatusOK:
@@ -110,7 +110,7 @@
 // cancelled. New connections work.
 func (h *harness) silenceLinks(ctx context.Context, rng *rand.Rand) {
 	for vm.Sleep(ctx, time.Duration(1000+rng.IntN(5000))*time.Millisecond) {
-		v := h.vms[rng.IntN(vmCount)]
+		v := h.vms[rng.IntN(len(h.vms))]
 		h.markDisturbed()
 		v.link.silence()
 		v.markDisrupted()
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -76,7 +76,7 @@
 	var pending []faultKind
 	for deadline := time.Now().Add(d); time.Now().Before(deadline); {
 		if len(pending) == 0 {
-			pending = faultKinds()
+			pending = h.kinds()
 			h.rng.Shuffle(len(pending), func(i, k int) { pending[i], pending[k] = pending[k], pending[i] })
 		}
 		if e := h.prepare(pending[0]); e != nil {
@@ -110,9 +110,9 @@
 	if !k.needsVM {
 		return e
 	}
-	candidates := vmCount
+	candidates := len(h.vms)
 	if k.needsDisk {
-		candidates = diskVMs
+		candidates = h.disks
 	}
 	v := h.vms[h.rng.IntN(candidates)]
 	if !v.claim() {
@@ -174,7 +174,7 @@
 // a SIGHUP.
 func reloadSettings(h *harness, e *faultEvent) {
 	rng := rand.New(rand.NewPCG(uint64(e.subseed), 1))
-	e.vm.writeSettings(rng.Perm(diskVMs))
+	e.vm.writeSettings(rng.Perm(h.disks))
 	if rng.IntN(2) == 0 {
 		e.vm.signal(syscall.SIGHUP)
 	}
--- a/soak/operator_test.go
+++ b/soak/operator_test.go
@@ -126,17 +126,23 @@
 func (h *harness) checkAddedRoutes(ctx context.Context, c *caller) {
 	defer c.client.CloseIdleConnections()
 	for ctx.Err() == nil {
-		v, id := h.vms[c.rng.IntN(vmCount)], c.newID()
+		v := h.vms[c.rng.IntN(len(h.vms))]
 		if n := h.operators.newestAcked(time.Now().Add(-applyDelay)); n > 0 {
-			resp, _, err := c.send(v.addr(h.ports.callers), http.MethodGet, addedPath(n)+id, "", id)
-			if err == nil && resp.StatusCode == http.StatusNotFound {
-				h.fail("%s denied a route of configuration %d, which was acknowledged more than %v before", v.name, n, applyDelay)
-			}
+			h.checkRouteNotDenied(c, v, n)
 		}
 		time.Sleep(addedRouteInterval)
 	}
 }
 
+// checkRouteNotDenied requests the route that configuration n added.
+func (h *harness) checkRouteNotDenied(c *caller, v *vmProcess, n int) {
+	id := c.newID()
+	resp, _, err := c.send(v.addr(h.ports.callers), http.MethodGet, addedPath(n)+id, "", id)
+	if err == nil && resp.StatusCode == http.StatusNotFound {
+		h.fail("%s denied a route of configuration %d, which was acknowledged more than %v before", v.name, n, applyDelay)
+	}
+}
+
 // pastConfiguration returns the number and text of a random configuration sent before.
 func (o *operatorState) pastConfiguration(rng *rand.Rand) (int, string) {
 	o.mu.Lock()
@@ -172,24 +178,36 @@
 // putConfiguration sends a configuration to random VMs until one acknowledges it or ctx is
 // cancelled.
 func (h *harness) putConfiguration(ctx context.Context, rng *rand.Rand, number int, text string) bool {
-	client := &http.Client{Timeout: 1500*time.Millisecond + time.Duration(len(text))*10*time.Microsecond}
+	client := operatorClient(text)
 	defer client.CloseIdleConnections()
 	for ctx.Err() == nil {
-		v := h.vms[rng.IntN(vmCount)]
-		status, body := doHTTP(client, http.MethodPost, "http://"+v.addr(h.ports.operators)+standin.PutConfigurationPath, text)
-		switch {
-		case status == http.StatusOK:
-			h.operators.recordAck(number)
-			return true
-		case status >= 400 && status < 500:
-			h.fail("configuration %d was rejected: %s", number, body)
-			return false
+		if acked, final := h.putConfigurationAt(client, h.vms[rng.IntN(len(h.vms))], number, text); final {
+			return acked
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
 	return false
 }
 
+// operatorClient returns a client with time for a configuration of this length.
+func operatorClient(text string) *http.Client {
+	return &http.Client{Timeout: 1500*time.Millisecond + time.Duration(len(text))*10*time.Microsecond}
+}
+
+// putConfigurationAt sends a configuration to one VM. final is false if it may be sent again.
+func (h *harness) putConfigurationAt(client *http.Client, v *vmProcess, number int, text string) (acked, final bool) {
+	status, body := doHTTP(client, http.MethodPost, "http://"+v.addr(h.ports.operators)+standin.PutConfigurationPath, text)
+	switch {
+	case status == http.StatusOK:
+		h.operators.recordAck(number)
+		return true, true
+	case status >= 400 && status < 500:
+		h.fail("configuration %d was rejected: %s", number, body)
+		return false, true
+	}
+	return false, false
+}
+
 // runOperators sends valid and invalid configurations and reads them back.
 func (h *harness) runOperators(ctx context.Context, wg *sync.WaitGroup) {
 	for i := range 2 {
@@ -219,7 +237,7 @@
 func (h *harness) putInvalid(rng *rand.Rand, text string) {
 	client := &http.Client{Timeout: time.Second}
 	defer client.CloseIdleConnections()
-	v := h.vms[rng.IntN(vmCount)]
+	v := h.vms[rng.IntN(len(h.vms))]
 	if status, _ := doHTTP(client, http.MethodPost, "http://"+v.addr(h.ports.operators)+standin.PutConfigurationPath, text[:len(text)/2]); status == http.StatusOK {
 		h.fail("%s acknowledged a truncated configuration", v.name)
 	}
@@ -231,7 +249,7 @@
 	want := h.operators.newestAcked(time.Now().Add(-applyDelay))
 	client := &http.Client{Timeout: 1500 * time.Millisecond}
 	defer client.CloseIdleConnections()
-	return h.checkReadBackAt(client, h.vms[rng.IntN(vmCount)], want)
+	return h.checkReadBackAt(client, h.vms[rng.IntN(len(h.vms))], want)
 }
 
 // checkReadBackAt reads the configuration at one VM, following redirects, and checks that
@@ -273,11 +291,11 @@
 // narrow. It must be acknowledged, come into force, and be readable at each VM within the
 // operator's time-out of 2 s.
 func (h *harness) checkLongConfiguration() {
-	for _, v := range h.vms[:diskVMs] {
+	for _, v := range h.vms[:h.disks] {
 		v.link.state.Store(int32(linkNarrow))
 	}
 	defer func() {
-		for _, v := range h.vms[:diskVMs] {
+		for _, v := range h.vms[:h.disks] {
 			v.link.state.Store(int32(linkOpen))
 		}
 	}()
--- a/soak/organisations_test.go
+++ b/soak/organisations_test.go
@@ -384,12 +384,12 @@
 		run(movingKey(i), func(c *caller) {
 			c.client.Timeout, c.deadline = patientTimeout+2*time.Second, patientTimeout
 			id := c.newID()
-			_, _, _ = c.send(o.h.vms[c.rng.IntN(vmCount)].addr(o.h.ports.callers), http.MethodPost, patientPath+id, "body of "+id, id)
+			_, _, _ = c.send(o.h.vms[c.rng.IntN(len(o.h.vms))].addr(o.h.ports.callers), http.MethodPost, patientPath+id, "body of "+id, id)
 			vm.Sleep(ctx, 50*time.Millisecond)
 		})
 	}
 	run(fixedKey(hastyOrg), func(c *caller) {
-		v := o.h.vms[c.rng.IntN(vmCount)]
+		v := o.h.vms[c.rng.IntN(len(o.h.vms))]
 		if status := get(c, v, "/search/"); status != http.StatusTooManyRequests && status != http.StatusServiceUnavailable {
 			vm.Sleep(ctx, 20*time.Millisecond)
 		}
@@ -401,7 +401,7 @@
 // keys were revoked meanwhile. Links that another fault may change are left alone.
 func (o *organisations) pauseBeyondLease(ctx context.Context, rng *rand.Rand) {
 	for vm.Sleep(ctx, time.Duration(200+rng.IntN(1000))*time.Millisecond) {
-		paused, d := o.h.vms[rng.IntN(vmCount)], revokeTime+time.Duration(500+rng.IntN(2000))*time.Millisecond
+		paused, d := o.h.vms[rng.IntN(len(o.h.vms))], revokeTime+time.Duration(500+rng.IntN(2000))*time.Millisecond
 		if !paused.claim() {
 			continue
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -80,7 +80,7 @@
 
 // runSoak starts a tier, injects faults, ends them and checks that the tier has recovered.
 func runSoak(t *testing.T, seed uint64) {
-	h := newHarness(t, seed)
+	h := newHarness(t, seed, usualSize)
 	defer h.close()
 	for _, s := range allServices() {
 		for range 2 {
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -23,8 +24,6 @@
 )
 
 const (
-	vmCount  = 5
-	diskVMs  = 3
 	domain   = "hall-1"
 	region   = "valley"
 	hostname = "soak.example"
@@ -32,8 +31,13 @@
 	peerNet  = "127.0.11." // where the daemons listen for peers, behind the proxy
 )
 
+// size is the number of VMs of a run. Those with a disk come first.
+type size struct{ vms, disks int }
+
+var usualSize = size{vms: 5, disks: 3}
+
 // ports are the ports that every VM listens on.
-type ports struct{ callers, ready, operators, directory, peers string }
+type ports struct{ callers, ready, operators, directory, peers, metrics string }
 
 // harness is the state of one soak run: the VMs, leaves, callers, operators and failures.
 type harness struct {
@@ -43,6 +47,8 @@
 	rng        *rand.Rand // for faults
 	ports      ports
 	vms        []*vmProcess
+	disks      int // how many of vms have a disk; they come first
+	kinds      func() []faultKind
 	listServer *http.Server
 	listAddr   string
 
@@ -53,6 +59,7 @@
 	leaves          []*leaf
 	runsByRequest   map[string][]string // services that ran a request, by request ID
 	sentRequests    map[string]string   // requests as sent, by request ID
+	seeds           []int               // of all settings files, as indexes of vms
 	lastDisturbance time.Time           // last time at which a process may have missed a change
 	failures        []string
 	answersByStatus map[string]int // number of answers by HTTP status
@@ -139,7 +146,7 @@
 // VM with a disk has been disrupted in the last 6 s or is claimed by another fault.
 func (h *harness) canLoseDisk() bool {
 	disrupted := 0
-	for _, v := range h.vms[:diskVMs] {
+	for _, v := range h.vms[:h.disks] {
 		if v.disruptedWithin(6*time.Second) || v.isClaimed() {
 			disrupted++
 		}
@@ -153,12 +160,12 @@
 	return v.claimed
 }
 
-func newHarness(t *testing.T, seed uint64) *harness {
+func newHarness(t *testing.T, seed uint64, of size) *harness {
 	h := &harness{
-		t: t, dir: t.TempDir(), rng: rand.New(rand.NewPCG(seed, 1)),
+		t: t, dir: t.TempDir(), rng: rand.New(rand.NewPCG(seed, 1)), disks: of.disks, kinds: faultKinds, seeds: []int{0, 1, 2},
 		runsByRequest: map[string][]string{}, sentRequests: map[string]string{}, answersByStatus: map[string]int{},
 	}
-	if hasOrganisations(seed) {
+	if hasOrganisations(seed) && of == usualSize {
 		h.organisations = newOrganisations(h, seed)
 		h.operators.organisations = h.organisations
 	}
@@ -166,11 +173,11 @@
 	if out, err := exec.Command("go", "build", "-tags", "faultydisk", "-o", h.binary, "../cmd/pearmoor-entry").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	free, err := freeport.Ports("127.0.0.1", 5)
+	free, err := freeport.Ports("127.0.0.1", 6)
 	if err != nil {
 		t.Fatal(err)
 	}
-	h.ports = ports{free[0], free[1], free[2], free[3], free[4]}
+	h.ports = ports{free[0], free[1], free[2], free[3], free[4], free[5]}
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -179,8 +186,8 @@
 	mux.HandleFunc(standin.ListPath, h.serveList)
 	h.listServer, h.listAddr = &http.Server{Handler: mux}, lis.Addr().String()
 	go func() { _ = h.listServer.Serve(lis) }()
-	for i := range vmCount {
-		v := &vmProcess{h: h, ip: fmt.Sprintf("%s%d", vmNet, i+1), name: fmt.Sprintf("vm-%d", i+1), domain: domain, disk: i < diskVMs, firstStart: true}
+	for i := range of.vms {
+		v := &vmProcess{h: h, ip: fmt.Sprintf("%s%d", vmNet, i+1), name: fmt.Sprintf("vm-%d", i+1), domain: domain, disk: i < of.disks, firstStart: true}
 		if h.organisations != nil {
 			v.domain = vmDomains[i]
 		}
@@ -193,6 +200,12 @@
 	return h
 }
 
+func (h *harness) currentSeeds() []int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.seeds)
+}
+
 func (v *vmProcess) addr(port string) string { return net.JoinHostPort(v.ip, port) }
 
 func (v *vmProcess) peerListenAddr() string {
@@ -240,13 +253,13 @@
 // start starts the process and appends its output to the log file of the VM.
 func (v *vmProcess) start() {
 	h := v.h
-	v.writeSettings([]int{0, 1, 2})
+	v.writeSettings(h.currentSeeds())
 	out, err := os.OpenFile(filepath.Join(h.dir, v.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		h.fail("log: %v", err)
 		return
 	}
-	cmd := exec.Command(h.binary, "--metrics-port=0", "--peers-listen="+v.peerListenAddr())
+	cmd := exec.Command(h.binary, "--metrics-port="+h.ports.metrics, "--peers-listen="+v.peerListenAddr())
 	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+v.settingsFile())
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
@@ -278,6 +291,9 @@
 	}
 }
 
+// reload makes the process read its settings again.
+func (v *vmProcess) reload() { v.signal(syscall.SIGHUP) }
+
 // kill sends SIGKILL and waits for the process to exit.
 func (v *vmProcess) kill() {
 	v.h.markDisturbed()
