--- a/Makefile
+++ b/Makefile
@@ -38,9 +38,10 @@
 days:
 	./scripts/days
 
-# Random faults on real processes; SEEDS="1 2 3".
+# Random faults on real processes; SEEDS="1 2 3", and CONTROL_SEEDS for the runs with four
+# control VMs.
 soak:
-	$(GO) test ./soak -count=1 -timeout 60m -run TestSoak -seeds="$(SEEDS)"
+	$(GO) test ./soak -count=1 -timeout 60m -run TestSoak -seeds="$(SEEDS)" -control-seeds="$(CONTROL_SEEDS)"
 
 lint:
 	./scripts/lint
--- a/soak/doc_test.go
+++ b/soak/doc_test.go
@@ -28,6 +28,12 @@
 // At the end, a long configuration is sent and read back while the links to all control VMs
 // are narrow.
 //
+// TestSoakFourControlVMs has seeds of its own. Its control group of four is large enough to remove
+// a silent VM. It exchanges the seeds, pauses control VMs or cuts them off from their peers until
+// they are removed, and replaces one control VM after another by a spare one, while processes are
+// killed, stopped, paused and signalled. At the end all VMs lose power. In every fourth seed a
+// control VM leaves before the group has removed the one that left before it.
+//
 // Not covered: clock steps, which can't be simulated from outside a process without privileges
 // on the machine, and writes lost in a power failure. internal/control and internal/journal
 // test these with simulated clocks and file systems.
@@ -40,6 +46,8 @@
 //   - a leaving leaf gets no new requests;
 //   - a configuration that is read is never older than one acknowledged before;
 //   - no VM, in whatever state, denies a route that was acknowledged more than 3 s before;
+//   - no two VMs lead for longer than an election may take, and no process is up for long without
+//     following the control group (with four control VMs);
 //   - a leaf's connections stay within its limit;
 //   - no leaf runs a request with a key that never existed, or that was revoked by a configuration
 //     that was acknowledged longer than the revocation time before the request was sent, or before
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -27,6 +27,8 @@
 	name      string
 	needsVM   bool                            // affects a VM, which is claimed for the duration
 	needsDisk bool                            // affects only a VM with a disk, and only while the group tolerates its loss
+	control   bool                            // affects only a VM with a disk
+	long      bool                            // the VM is absent until the group removes it; one at a time
 	needsLeaf bool                            // affects a healthy leaf
 	onceOnly  bool                            // affects only leaves that serve at-most-once requests
 	inject    func(h *harness, e *faultEvent) // injects the fault and returns when it is over
@@ -83,6 +85,9 @@
 			pending = pending[1:]
 			wg.Go(func() {
 				e.kind.inject(h, e)
+				if e.kind.long {
+					h.absence.Unlock()
+				}
 				if e.vm != nil {
 					e.vm.release()
 				}
@@ -111,7 +116,7 @@
 		return e
 	}
 	candidates := len(h.vms)
-	if k.needsDisk {
+	if k.needsDisk || k.control {
 		candidates = h.disks
 	}
 	v := h.vms[h.rng.IntN(candidates)]
@@ -122,6 +127,10 @@
 		v.release()
 		return nil
 	}
+	if k.long && !h.absence.TryLock() {
+		v.release()
+		return nil
+	}
 	e.vm = v
 	return e
 }
--- a/soak/founding_test.go
+++ b/soak/founding_test.go
@@ -4,9 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"os"
-	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -45,7 +42,7 @@
 
 	paused, others := h.vms[3], append(h.vms[:3:3], h.vms[4:]...)
 	inTurn := append(others, paused)
-	h.exchangeSeeds([]int{3, 4, 5})
+	h.exchangeSeeds([]int{3, 4, 5}, true)
 	time.Sleep(time.Second)
 	paused.signal(syscall.SIGSTOP)
 	for end := time.Now().Add(removalPause); time.Now().Before(end); {
@@ -79,10 +76,8 @@
 // awaitLog waits until the log of any VM contains the text. It returns false if ctx ends before.
 func (h *harness) awaitLog(ctx context.Context, text string) bool {
 	for ctx.Err() == nil {
-		for _, v := range h.vms {
-			if log, err := os.ReadFile(filepath.Join(h.dir, v.name+".log")); err == nil && strings.Contains(string(log), text) {
-				return true
-			}
+		if h.countLogLines(text) > 0 {
+			return true
 		}
 		time.Sleep(watchInterval)
 	}
--- a/soak/group_test.go
+++ b/soak/group_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"pearmoor/internal/vm"
@@ -21,6 +22,9 @@
 	// control group again.
 	followTime = 10 * time.Second
 
+	// handlerTime is the time after its start in which a process installs its signal handlers.
+	handlerTime = time.Second
+
 	leadsMetric     = "pearmoor_control_quorum_leads"
 	confirmedMetric = "pearmoor_entry_configuration_confirmed_ago_ms"
 )
@@ -119,15 +123,17 @@
 	}
 }
 
-// exchangeSeeds writes these seeds, as indexes of VMs, to the settings of all VMs and makes the
-// processes reload them.
-func (h *harness) exchangeSeeds(seeds []int) {
+// exchangeSeeds writes these seeds, as indexes of VMs, to the settings of all VMs. With signal it
+// also makes the processes reload them, except those that may not have installed the handler yet.
+func (h *harness) exchangeSeeds(seeds []int, signal bool) {
 	h.mu.Lock()
 	h.seeds = seeds
 	h.mu.Unlock()
 	for _, v := range h.vms {
 		v.writeSettings(seeds)
-		v.reload()
+		if signal && v.isUp() && !v.disruptedWithin(handlerTime) {
+			v.signal(syscall.SIGHUP)
+		}
 	}
 }
 
--- /dev/null
+++ b/soak/membership_test.go
@@ -0,0 +1,245 @@
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"pearmoor/internal/vm"
+)
+
+// defaultControlSeed is the seed of the short run in CI.
+const defaultControlSeed = "1"
+
+var controlSeeds = flag.String("control-seeds", defaultControlSeed, "seeds of TestSoakFourControlVMs, separated by spaces; "+defaultControlSeed+" if empty")
+
+const (
+	// successorTime is how long a successor is up before the VM that it replaces stops.
+	successorTime = 3 * time.Second
+	// departureTime is the time in which the group removes a VM that has left for good.
+	departureTime = 10 * time.Second
+)
+
+// replacements is the state of the planned replacement of control VMs.
+type replacements struct {
+	mu    sync.Mutex
+	spare *vmProcess // is not up, has an empty disk and stays claimed
+	done  int
+	quick bool // the next VM leaves before the group has removed the last one
+}
+
+// hasQuickReplacements reports whether control VMs of a seed leave shortly after one another.
+func hasQuickReplacements(seed uint64) bool { return seed%4 == 0 }
+
+// TestSoakFourControlVMs runs four control VMs, so that the group removes one that is silent.
+func TestSoakFourControlVMs(t *testing.T) {
+	list := *controlSeeds
+	if list == "" {
+		list = defaultControlSeed
+	}
+	for _, field := range strings.Fields(list) {
+		seed, err := strconv.ParseUint(field, 10, 64)
+		if err != nil {
+			t.Fatalf("seed %q is not a number", field)
+		}
+		t.Run(field, func(t *testing.T) { runControlVMs(t, seed) })
+	}
+}
+
+// runControlVMs starts four control VMs, a spare one and three VMs without a disk, disturbs the
+// membership of the control group, and checks that the tier recovers, also from a loss of power.
+func runControlVMs(t *testing.T, seed uint64) {
+	h := newHarness(t, seed, size{vms: 8, disks: 5})
+	defer h.close()
+	defer h.report(t, seed)
+	h.kinds = membershipFaults
+	h.replacement.spare, h.replacement.quick = h.vms[h.disks-1], hasQuickReplacements(seed)
+	h.replacement.spare.claim()
+	h.replacement.spare.firstStart = false
+	for _, s := range allServices() {
+		h.startLeaf(s)
+	}
+	for _, v := range h.vms {
+		if v != h.replacement.spare {
+			v.start()
+		}
+	}
+	number, text := h.operators.newConfiguration(h.rng)
+	first, cancelFirst := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancelFirst()
+	if !h.putConfiguration(first, h.rng, number, text) || !h.awaitLog(first, "promote of member 4") {
+		t.Fatal("the control group of four VMs did not start")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	h.runCallers(ctx, &wg)
+	h.runOperators(ctx, &wg)
+	for i := range addedRouteCallers {
+		wg.Go(func() { h.checkAddedRoutes(ctx, h.newCaller(seed, uint64(11+i))) })
+	}
+	wg.Go(func() { h.watchControlGroup(ctx) })
+	faultCtx, cancelFaults := context.WithCancel(ctx)
+	var replacing sync.WaitGroup
+	replacing.Go(func() { h.replaceControlVMs(faultCtx, rand.New(rand.NewPCG(seed, 2))) })
+	h.injectFaults(2 * *faultsFor)
+	cancelFaults()
+	replacing.Wait()
+	h.replacement.spare.start()
+	h.endFaults()
+	h.checkAllFollow(ctx)
+	cancel()
+	wg.Wait()
+	time.Sleep(settleTime + 100*time.Millisecond)
+	h.checkRecovered()
+	c := h.newCaller(seed, 10)
+	defer c.client.CloseIdleConnections()
+	h.checkAllInForce(c)
+	for _, v := range h.vms {
+		v.kill()
+	}
+	for _, v := range h.vms {
+		v.start()
+	}
+	h.checkAllFollow(context.Background())
+	h.checkAllInForce(c)
+	t.Logf("seed %d: %d removals, %d returned from one, %d foundings, %d planned replacements", seed, h.countLogLines("remove of member", ": done"),
+		h.countLogLines("the group has removed member"), h.countLogLines("founding the group"), h.replacement.done)
+}
+
+// countLogLines counts the lines with all of these texts in the logs of all VMs.
+func (h *harness) countLogLines(texts ...string) int {
+	n := 0
+	for _, v := range h.vms {
+		log, _ := os.ReadFile(filepath.Join(h.dir, v.name+".log"))
+		for line := range strings.Lines(string(log)) {
+			if !slices.ContainsFunc(texts, func(s string) bool { return !strings.Contains(line, s) }) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (h *harness) newCaller(seed, stream uint64) *caller {
+	return &caller{h: h, key: fixedKey(usualOrg), rng: rand.New(rand.NewPCG(seed, stream)), client: &http.Client{Transport: &http.Transport{}, Timeout: 4 * time.Second}}
+}
+
+// membershipFaults returns the faults of a run with four control VMs.
+func membershipFaults() []faultKind {
+	exchange := func(h *harness, e *faultEvent) { h.drawSeeds(rand.New(rand.NewPCG(uint64(e.subseed), 1))) }
+	pauseLong := func(h *harness, e *faultEvent) { h.pause(e.vm, removalPause+e.duration/2) }
+	cutOff := func(h *harness, e *faultEvent) {
+		e.duration = removalPause + e.duration/2
+		h.disturbVMLink(e, linkHeld)
+	}
+	return []faultKind{
+		{name: "seeds exchanged", inject: exchange},
+		{name: "seeds exchanged", inject: exchange},
+		{name: "control VM paused until removed", needsVM: true, control: true, long: true, inject: pauseLong},
+		{name: "control VM paused until removed", needsVM: true, control: true, long: true, inject: pauseLong},
+		{name: "control VM cut off until removed", needsVM: true, control: true, long: true, inject: cutOff},
+		{name: "kill", needsVM: true, inject: func(h *harness, e *faultEvent) { e.vm.kill(); time.Sleep(e.duration / 3); e.vm.start() }},
+		{name: "kill, back at once", needsVM: true, inject: func(h *harness, e *faultEvent) { e.vm.kill(); e.vm.start() }},
+		{name: "stop with a reload", needsVM: true, inject: func(h *harness, e *faultEvent) { e.vm.stopGracefully(true); e.vm.start() }},
+		{name: "reload", needsVM: true, inject: func(h *harness, e *faultEvent) {
+			if !e.vm.disruptedWithin(handlerTime) {
+				e.vm.signal(syscall.SIGHUP)
+			}
+		}},
+		{name: "pause", needsVM: true, inject: func(h *harness, e *faultEvent) { h.pause(e.vm, e.duration) }},
+	}
+}
+
+// drawSeeds exchanges the seeds: usually for one control VM and two VMs without a disk, sometimes
+// for any three VMs.
+func (h *harness) drawSeeds(rng *rand.Rand) {
+	h.replacement.mu.Lock()
+	defer h.replacement.mu.Unlock()
+	var control, others []int
+	for i, v := range h.vms {
+		switch {
+		case !v.isUp() || v == h.replacement.spare:
+		case v.disk:
+			control = append(control, i)
+		default:
+			others = append(others, i)
+		}
+	}
+	for _, list := range [][]int{control, others} {
+		rng.Shuffle(len(list), func(i, k int) { list[i], list[k] = list[k], list[i] })
+	}
+	all := append(slices.Clone(control), others...)
+	rng.Shuffle(len(all), func(i, k int) { all[i], all[k] = all[k], all[i] })
+	signal := rng.IntN(2) == 0
+	if rng.IntN(4) == 0 || len(control) == 0 || len(others) < 2 {
+		h.exchangeSeeds(all[:3], signal)
+		return
+	}
+	h.exchangeSeeds([]int{control[0], others[0], others[1]}, signal)
+}
+
+// replaceControlVMs replaces one control VM after another until ctx is cancelled. Each leaves for
+// good when its successor is up and, unless the replacements are quick, when the group has removed
+// the one before.
+func (h *harness) replaceControlVMs(ctx context.Context, rng *rand.Rand) {
+	for vm.Sleep(ctx, time.Duration(500+rng.IntN(2500))*time.Millisecond) {
+		leaver := h.vms[rng.IntN(h.disks)]
+		if !leaver.claim() {
+			continue
+		}
+		successor := h.replacement.spare
+		successor.start()
+		time.Sleep(successorTime)
+		h.replaceSeed(leaver, successor)
+		removed := h.countRemovals(leaver)
+		leaver.stopGracefully(false)
+		if err := os.RemoveAll(leaver.dataDir()); err != nil {
+			h.fail("disk of %s: %v", leaver.name, err)
+		}
+		h.replacement.mu.Lock()
+		h.replacement.spare = leaver // stays claimed
+		h.replacement.done++
+		h.replacement.mu.Unlock()
+		successor.release()
+		if !h.replacement.quick {
+			h.awaitRemoval(ctx, leaver, removed)
+		}
+	}
+}
+
+// replaceSeed exchanges the seeds if a VM that is to stop is among them.
+func (h *harness) replaceSeed(leaver, successor *vmProcess) {
+	seeds := h.currentSeeds()
+	at := slices.Index(seeds, slices.Index(h.vms, leaver))
+	if next := slices.Index(h.vms, successor); at >= 0 && !slices.Contains(seeds, next) {
+		seeds[at] = next
+		h.exchangeSeeds(seeds, true)
+	}
+}
+
+// awaitRemoval waits until the group has removed a VM that has left, more often than before.
+func (h *harness) awaitRemoval(ctx context.Context, leaver *vmProcess, before int) {
+	for deadline := time.Now().Add(departureTime); h.countRemovals(leaver) <= before && ctx.Err() == nil; {
+		if time.Now().After(deadline) && h.undisturbedFor() > departureTime {
+			h.fail("the group has not removed %s within %v of its departure", leaver.name, departureTime)
+			return
+		}
+		vm.Sleep(ctx, watchInterval)
+	}
+}
+
+// countRemovals returns how often leaders have removed the VM from the group.
+func (h *harness) countRemovals(v *vmProcess) int {
+	return h.countLogLines("remove of member", fmt.Sprintf(" at %s, ", v.addr(h.ports.peers)), ": done")
+}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -67,6 +67,9 @@
 
 	organisations *organisations // nil: the run has none
 
+	absence     sync.Mutex   // held while a long absence of a control VM is in progress
+	replacement replacements // of control VMs
+
 	evacuation        evacuationOrder
 	evacuatedRequests atomic.Int64 // received by leaves in evacuationDomain
 }
@@ -291,9 +294,6 @@
 	}
 }
 
-// reload makes the process read its settings again.
-func (v *vmProcess) reload() { v.signal(syscall.SIGHUP) }
-
 // kill sends SIGKILL and waits for the process to exit.
 func (v *vmProcess) kill() {
 	v.h.markDisturbed()
