--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -27,6 +27,8 @@
 	name      string
 	needsVM   bool                            // affects a VM, which is claimed for the duration
 	needsDisk bool                            // affects only a VM with a disk, and only while the group tolerates its loss
+	control   bool                            // affects only a VM with a disk
+	long      bool                            // the VM is absent until the group removes it; one at a time
 	needsLeaf bool                            // affects a healthy leaf
 	onceOnly  bool                            // affects only leaves that serve at-most-once requests
 	inject    func(h *harness, e *faultEvent) // injects the fault and returns when it is over
@@ -76,13 +78,16 @@
 	var pending []faultKind
 	for deadline := time.Now().Add(d); time.Now().Before(deadline); {
 		if len(pending) == 0 {
-			pending = faultKinds()
+			pending = h.kinds()
 			h.rng.Shuffle(len(pending), func(i, k int) { pending[i], pending[k] = pending[k], pending[i] })
 		}
 		if e := h.prepare(pending[0]); e != nil {
 			pending = pending[1:]
 			wg.Go(func() {
 				e.kind.inject(h, e)
+				if e.kind.long {
+					h.absence.Unlock()
+				}
 				if e.vm != nil {
 					e.vm.release()
 				}
@@ -110,9 +115,9 @@
 	if !k.needsVM {
 		return e
 	}
-	candidates := vmCount
-	if k.needsDisk {
-		candidates = diskVMs
+	candidates := len(h.vms)
+	if k.needsDisk || k.control {
+		candidates = h.disks
 	}
 	v := h.vms[h.rng.IntN(candidates)]
 	if !v.claim() {
@@ -122,6 +127,10 @@
 		v.release()
 		return nil
 	}
+	if k.long && !h.absence.TryLock() {
+		v.release()
+		return nil
+	}
 	e.vm = v
 	return e
 }
@@ -174,7 +183,7 @@
 // a SIGHUP.
 func reloadSettings(h *harness, e *faultEvent) {
 	rng := rand.New(rand.NewPCG(uint64(e.subseed), 1))
-	e.vm.writeSettings(rng.Perm(diskVMs))
+	e.vm.writeSettings(rng.Perm(h.disks))
 	if rng.IntN(2) == 0 {
 		e.vm.signal(syscall.SIGHUP)
 	}
