--- a/internal/entryvm/config.go
+++ b/internal/entryvm/config.go
@@ -5,6 +5,7 @@
 
 	"pearmoor/internal/decision"
 	"pearmoor/internal/discovery"
+	"pearmoor/internal/journal"
 	"pearmoor/internal/link/target"
 	"pearmoor/internal/policy"
 )
@@ -25,9 +26,10 @@
 	Seeds []string
 	// FirstStart is true when the whole tier starts for the first time.
 	FirstStart   bool
-	DataDir      string // empty: no disk, never a member of the control group
-	DiskBytes    uint64 // capacity of the disk
-	MaxLostDisks int    // number of disks that may fail at the same time
+	DataDir      string     // empty: no disk, never a member of the control group
+	FS           journal.FS // file system of DataDir; nil: that of the operating system
+	DiskBytes    uint64     // capacity of the disk
+	MaxLostDisks int        // number of disks that may fail at the same time
 
 	Budget          policy.BudgetLimits
 	LeafDrainTime   time.Duration // how long a leaf keeps serving after it has been marked for removal
--- a/internal/entryvm/fleet_test.go
+++ b/internal/entryvm/fleet_test.go
@@ -38,8 +38,13 @@
 	srv *http.Server
 }
 
-// crashSuffix is the suffix of paths that crash the leaves that run them.
-const crashSuffix = "fatal"
+const (
+	// crashSuffix is the suffix of paths that crash the leaves that run them.
+	crashSuffix = "fatal"
+	// slowSuffix is the suffix of paths that leaves take slowTime to answer.
+	slowSuffix = "slow"
+	slowTime   = 400 * time.Millisecond
+)
 
 func newFleet(t *testing.T) *fleet {
 	f := &fleet{t: t, thirdCrash: map[string]time.Time{}, crashes: map[string]int{}, lateAttempts: map[string]map[string]bool{}}
@@ -116,6 +121,9 @@
 		l.crash(id)
 		panic(http.ErrAbortHandler)
 	}
+	if strings.HasSuffix(r.URL.Path, slowSuffix) {
+		time.Sleep(slowTime)
+	}
 	time.Sleep(2 * time.Millisecond)
 	w.Header().Set(crashDialect.Signature, fmt.Sprintf("s%d", l.f.nextID.Add(1)))
 	_, _ = fmt.Fprintf(w, "%016d", l.f.nextID.Add(1))
--- a/internal/entryvm/quarantine_test.go
+++ b/internal/entryvm/quarantine_test.go
@@ -49,6 +49,8 @@
 	vms    []*crashVM
 	nextID atomic.Int64
 	host   string // of the VMs' peer addresses
+
+	configure func(*Config) // changes the configuration of each VM; nil: none
 }
 
 var lastHost atomic.Int64
@@ -63,12 +65,18 @@
 
 type crashVM struct {
 	*VM
-	callers string
-	stop    func()
+	callers   string
+	listeners Listeners
+	stop      func()
+	ended     chan struct{} // closed when Run has returned err
+	err       error
+	mayFail   bool // Run may return an error
 }
 
-func startCrashTier(t *testing.T) *crashTier {
-	tier := &crashTier{t: t, fleet: newFleet(t), host: ownHost()}
+func startCrashTier(t *testing.T) *crashTier { return startCrashTierWith(t, nil) }
+
+func startCrashTierWith(t *testing.T, configure func(*Config)) *crashTier {
+	tier := &crashTier{t: t, fleet: newFleet(t), host: ownHost(), configure: configure}
 	const disks, small = 3, 2
 	var peers []net.Listener
 	for range disks {
@@ -108,31 +116,37 @@
 
 func (c *crashTier) start(name string, index int, dataDir string, peers net.Listener) *crashVM {
 	callers := listen(c.t)
-	v, err := New(Config{
+	conf := Config{
 		Name: name, Domain: fmt.Sprintf("hall-%d", index%2), Region: "valley", Millicores: 500,
 		PeerAddr: peers.Addr().String(), CallerAddr: callers.Addr().String(),
 		Seeds: c.seeds, FirstStart: dataDir != "", DataDir: dataDir, DiskBytes: 64 << 20, MaxLostDisks: 1,
 		Budget:        policy.BudgetLimits{Ratio: 0.2, Burst: 600, Window: 10 * time.Second},
 		LeafDrainTime: time.Second, GracePeriod: 300 * time.Millisecond, ConfigApplyTime: configApplyTime, OrderResendTime: 5 * time.Second, MaxListLifetime: time.Second, ListPageRate: 1000,
 		Source: c.fleet, Dialect: crashDialect, Log: decision.New(io.Discard),
-	})
+	}
+	if c.configure != nil {
+		c.configure(&conf)
+	}
+	v, err := New(conf)
 	if err != nil {
 		c.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- v.Run(ctx, Listeners{Peers: peers, Callers: callers}) }()
+	out := &crashVM{VM: v, callers: "http://" + callers.Addr().String(), listeners: Listeners{Peers: peers, Callers: callers}, ended: make(chan struct{})}
+	go func() {
+		defer close(out.ended)
+		out.err = v.Run(ctx, out.listeners)
+	}()
 	var once sync.Once
-	stop := func() {
+	out.stop = func() {
 		once.Do(func() {
 			cancel()
-			if err := <-done; err != nil {
-				c.t.Errorf("%s: %v", name, err)
+			if <-out.ended; out.err != nil && !out.mayFail {
+				c.t.Errorf("%s: %v", name, out.err)
 			}
 		})
 	}
-	c.t.Cleanup(stop)
-	out := &crashVM{VM: v, callers: "http://" + callers.Addr().String(), stop: stop}
+	c.t.Cleanup(out.stop)
 	c.vms = append(c.vms, out)
 	return out
 }
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -62,6 +62,9 @@
 
 // New creates a VM. Nothing runs until Run.
 func New(conf Config) (*VM, error) {
+	if conf.FS == nil {
+		conf.FS = diskOf(conf.DataDir)
+	}
 	v := &VM{conf: conf, quotasNeeded: make(chan struct{})}
 	v.SetSeeds(conf.Seeds)
 	v.controlConns, v.bulkConns, v.gatherConns = peer.NewTrustedPool(), peer.NewTrustedPool(), peer.NewTrustedPool()
@@ -117,7 +120,7 @@
 			Tick: controlTick, ExclusiveRuns: true, ReserveBytes: max(v.conf.DiskBytes/diskReserveDivisor, 1), SnapshotEntries: 500,
 			MaxAuditBytes: int64(v.conf.DiskBytes / auditDivisor),
 			Maintenance:   control.MaintenanceConfig{MinVoters: 2*v.conf.MaxLostDisks + 1, RemoveSilentAfter: removeVoterAfter},
-			FS:            diskOf(v.conf.DataDir),
+			FS:            v.conf.FS,
 		},
 		FirstStart: v.conf.FirstStart, Founders: v.founders, Contacts: v.contacts,
 		OnNodeChange: func(n *control.Node) {
