control: a VM that its group has removed founds no other group

Cause: FirstStart, a fact of the start of the process, was asked again after each removal. The folder that the removal had cleared looked like a disk that was never used, so the VM founded a group from the seeds of that moment; with seeds of which it alone has a disk it led it at once. With unchanged seeds it founded in vain every two seconds and never joined.

Change: founding is allowed only until a node of the process has been removed.

Why it is enough for this path: only prepareConfig founds, and every removal goes through runNode. It is no proof for other ways to a second group; the identity of a group follows.

--- a/internal/control/group_member.go
+++ b/internal/control/group_member.go
@@ -26,6 +26,7 @@
 type GroupMember struct {
 	cfg  GroupMemberConfig
 	node atomic.Pointer[Node]
+	left bool // a node of this process was removed from its group; used by Run only
 }
 
 // GroupMemberConfig configures a GroupMember, which sets Config.ID, Config.Bootstrap and
@@ -33,7 +34,7 @@
 type GroupMemberConfig struct {
 	Config
 	// FirstStart is true when the whole tier starts for the first time. Only then a
-	// founder may found the group.
+	// founder may found the group, and only before this VM has been a member.
 	FirstStart bool
 	// Founders waits until the peer addresses of the group's founders are known and
 	// returns them. The result must be identical on every founder.
@@ -111,10 +112,11 @@
 	err = <-done
 	m.node.Store(nil)
 	m.cfg.OnNodeChange(nil)
-	if err == nil && refused {
-		err = m.clear()
+	if err != nil || !refused {
+		return err
 	}
-	return err
+	m.left = true
+	return m.clear()
 }
 
 // waitUntilRefused returns true when the group has rejected the node for refusalTimeout,
@@ -155,7 +157,7 @@
 	}
 	cfg := m.cfg.Config
 	var founders []string
-	if m.cfg.FirstStart && (id == nil || !m.hasLog()) {
+	if m.mayFound(id) {
 		founders = m.cfg.Founders(ctx)
 	}
 	index := slices.Index(founders, cfg.PeerAddr)
@@ -185,6 +187,13 @@
 	return m.join(ctx, cfg)
 }
 
+// mayFound reports whether this VM may take part in the founding of a group, given the
+// identity on its disk, which may be nil. A VM that a group has removed would otherwise
+// found another group, which acknowledges changes that the rest of the tier never receives.
+func (m *GroupMember) mayFound(id *wire.DiskIdentity) bool {
+	return m.cfg.FirstStart && !m.left && (id == nil || !m.hasLog())
+}
+
 // hasLog reports whether the data folder contains a log. If so, the group has already
 // been founded and the founders are not needed.
 func (m *GroupMember) hasLog() bool {
