control: a VM whose disk is full waits for room before it is a member

Cause: GroupMember.Run ended with ErrFull when the folder was opened, or when a removed member's node was closed.

Change: opening and clearing the folder are retried every second while the disk is full, with a warning and pearmoor_control_group_full_disk_waits; what a removed member could not write is given up.

--- a/internal/control/group_member.go
+++ b/internal/control/group_member.go
@@ -52,6 +52,8 @@
 	joinRetryInterval    = 200 * time.Millisecond
 	joinTimeout          = time.Second
 	refusalCheckInterval = 200 * time.Millisecond
+	// fullDiskRetryInterval is the pause after an attempt to use a disk that is full.
+	fullDiskRetryInterval = time.Second
 	// refusalTimeout is how long the group must reject this VM before it deletes its
 	// data. A single rejection may concern a message sent under an older membership.
 	refusalTimeout = time.Second
@@ -60,6 +62,7 @@
 var (
 	groupsFounded = metrics.GetOrRegisterCounter("control.group.founded", metrics.DefaultRegistry)
 	removals      = metrics.GetOrRegisterCounter("control.group.removals", metrics.DefaultRegistry)
+	fullDiskWaits = metrics.GetOrRegisterCounter("control.group.full_disk_waits", metrics.DefaultRegistry)
 )
 
 // NewGroupMember returns a GroupMember. It does nothing until Run.
@@ -92,8 +95,8 @@
 // runNode runs a node until ctx is done or the group has rejected the node for
 // refusalTimeout. In the latter case it clears the data folder.
 func (m *GroupMember) runNode(ctx context.Context, cfg Config) error {
-	node, err := Open(cfg)
-	if err != nil {
+	node, err := m.open(ctx, cfg)
+	if node == nil || err != nil {
 		return err
 	}
 	klog.Infof("control: member %d starts at version %d, commit %d", cfg.ID, node.state.Version(), node.leadership.Load().status.Commit)
@@ -112,11 +115,38 @@
 	err = <-done
 	m.node.Store(nil)
 	m.cfg.OnNodeChange(nil)
-	if err != nil || !refused {
+	if !refused || err != nil && !errors.Is(err, journal.ErrFull) {
 		return err
 	}
+	// What could not be written to a full disk is of no use to a VM that was removed.
 	m.left = true
-	return m.clear()
+	return m.untilRoom(ctx, m.clear)
+}
+
+// open opens the node's data folder, waiting for room on its disk. The result is nil if ctx
+// is done.
+func (m *GroupMember) open(ctx context.Context, cfg Config) (node *Node, err error) {
+	err = m.untilRoom(ctx, func() error {
+		node, err = Open(cfg)
+		return err
+	})
+	return node, err
+}
+
+// untilRoom calls f until it returns something other than journal.ErrFull or ctx is done. A
+// VM whose disk is full serves callers without a place in the group.
+func (m *GroupMember) untilRoom(ctx context.Context, f func() error) error {
+	for {
+		err := f()
+		if !errors.Is(err, journal.ErrFull) {
+			return err
+		}
+		fullDiskWaits.Inc(1)
+		klog.Warningf("control: the disk is full; this VM is no member of the group until there is room")
+		if !vm.Sleep(ctx, fullDiskRetryInterval) {
+			return nil
+		}
+	}
 }
 
 // waitUntilRefused returns true when the group has rejected the node for refusalTimeout,
--- a/internal/control/group_member_test.go
+++ b/internal/control/group_member_test.go
@@ -16,6 +16,7 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 
+	"pearmoor/internal/journal/faultydisk"
 	"pearmoor/internal/link/peer"
 	"pearmoor/internal/link/wire"
 	"pearmoor/internal/route"
@@ -52,6 +53,12 @@
 
 // startTier starts a tier whose n VMs found a control group.
 func startTier(t testing.TB, n int) *memberTier {
+	t.Helper()
+	return startTierWithDisks(t, n, faultydisk.None)
+}
+
+// startTierWithDisks is like startTier, with a fault of the first VM's disk from the start.
+func startTierWithDisks(t testing.TB, n int, first faultydisk.Fault) *memberTier {
 	t.Helper()
 	tier := &memberTier{t: t, dir: t.TempDir(), vms: make(map[string]*memberVM)}
 	var listeners []net.Listener
@@ -60,6 +67,9 @@
 		listeners = append(listeners, lis)
 		tier.founders = append(tier.founders, lis.Addr().String())
 	}
+	if err := faultydisk.Set(tier.dataDir(tier.founders[0]), first); err != nil {
+		t.Fatal(err)
+	}
 	for _, lis := range listeners {
 		tier.start(lis, true)
 	}
@@ -79,6 +89,7 @@
 	v.cfg = GroupMemberConfig{
 		Config: Config{
 			Name: "vm-" + addr, DataDir: s.dataDir(addr), PeerAddr: addr, Conns: v.pool, Tick: testTick, ReserveBytes: 1,
+			FS:          faultydisk.New(s.dataDir(addr)),
 			Maintenance: MaintenanceConfig{MinVoters: 3, RemoveSilentAfter: testRemoveSilentAfter},
 		},
 		FirstStart: found,
@@ -402,6 +413,22 @@
 	}
 }
 
+// Guards against a control VM that ends because its disk is full when it opens its data folder.
+func TestFullDiskAtFirstStartDelaysMembership(t *testing.T) {
+	t.Parallel()
+	tier := startTierWithDisks(t, 3, faultydisk.Full)
+	full := tier.founders[0]
+	time.Sleep(10 * testTick)
+	if tier.vms[full].member.Node() != nil {
+		t.Error("a VM is a member without a disk to write to")
+	}
+	if err := faultydisk.Set(tier.dataDir(full), faultydisk.None); err != nil {
+		t.Fatal(err)
+	}
+	tier.waitForVoters(tier.founders...)
+	tier.putRelease(testRelease(1, time.Second))
+}
+
 // One of three founders is lost. It must not be removed from the group, since a group of
 // two voters could not tolerate the loss of a disk.
 func TestGroupKeepsMinVoters(t *testing.T) {
