control: a new member asks for older audit records only once it knows the members

What operators see: the audit records from before a VM joined are given up for good on that VM ('are lost: no control VM holds them'), although others hold them.

A backfill that starts in between finds no other member, so that all others have answered.

TestBackfillWaitsUntilMembersAreKnown failed in 3 of 3 runs before.

Change: nothing is given up while this VM does not find itself among the members.

--- a/internal/control/backfill.go
+++ b/internal/control/backfill.go
@@ -78,8 +78,8 @@
 // only when every other member has answered that it lacks them.
 func (n *Node) fillTrailGap(ctx context.Context, from, to uint64) bool {
 	conf := n.leadership.Load().conf
-	if conf == nil {
-		return false
+	if findMember(conf, n.cfg.ID) == nil {
+		return false // the other members are not known yet
 	}
 	oldest, allAnswered := n.fetchOldestRecords(ctx, conf, from)
 	if len(oldest) > 0 && oldest[0].Version == from {
--- a/internal/control/group_test.go
+++ b/internal/control/group_test.go
@@ -200,6 +200,18 @@
 	})
 }
 
+// Guards against a new member that gives up older audit records before it knows whom to ask.
+func TestBackfillWaitsUntilMembersAreKnown(t *testing.T) {
+	t.Parallel()
+	c := startCluster(t, 1)
+	defer c.cancelAll()
+	v := c.addEmptyVM(2)
+	eventually(t, "its driver runs", func() bool { return v.node.leadership.Load().conf != nil })
+	if v.node.fillTrailGap(callCtx(t), 1, 10) || v.node.trail.Last() != 0 {
+		t.Errorf("records up to version %d are given up", v.node.trail.Last())
+	}
+}
+
 // A new member receives a snapshot with the newest audit records only. It must fetch the
 // older records from the other members; otherwise they would be lost once every original
 // control VM has been replaced.
