--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -39,6 +39,7 @@
 
 // statusResult is the output of the status command.
 type statusResult struct {
+	GroupID       string        `json:"group_id"` // identity of the control group
 	Term          uint64        `json:"term"`
 	CommitIndex   uint64        `json:"commit"`
 	ConfigVersion uint64        `json:"config_version"`
@@ -73,6 +74,7 @@
 	}
 	out := &statusResult{
 		listAll:       listAll,
+		GroupID:       vm.GroupID(reply.GetGroupId()).String(),
 		Term:          reply.GetTerm(),
 		CommitIndex:   reply.GetCommit(),
 		ConfigVersion: reply.GetConfigVersion(),
@@ -180,7 +182,7 @@
 	}
 	fmt.Fprintf(w, "configuration %d, %s\n", s.ConfigVersion, s.inForceText())
 	fmt.Fprintf(w, "membership epoch %d%s\n", s.SettledEpoch, s.pendingText())
-	fmt.Fprintf(w, "control group in term %d, %d entries agreed\n\n", s.Term, s.CommitIndex)
+	fmt.Fprintf(w, "control group %s in term %d, %d entries agreed\n\n", s.GroupID, s.Term, s.CommitIndex)
 	writeGroup(w, s.Group)
 	fmt.Fprintln(w)
 	s.writeDaemons(w)
--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -1,12 +1,17 @@
 package control
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
 	"pearmoor/internal/journal"
+	"pearmoor/internal/link/wire"
 	"pearmoor/internal/quorum"
 	"pearmoor/internal/vm"
 )
@@ -39,18 +44,21 @@
 	deliveredTicks int64
 	appliedIndex   uint64
 	appliedTerm    uint64
-	snapshotIndex  uint64 // index of the newest snapshot
-	announcedTerm  uint64 // last term in which this VM started to lead, see startLeading
+	snapshotIndex  uint64             // index of the newest snapshot
+	identity       *wire.DiskIdentity // as on the disk
+	identityTried  vm.Instant         // when writing identity was last tried
+	announcedTerm  uint64             // last term in which this VM started to lead, see startLeading
 	lastFlush      vm.Instant
 	// Time that the current turn has spent writing the journal and applying entries.
 	saveTime, applyTime time.Duration
 }
 
-func newDriver(n *Node, m *quorum.Machine, j *journal.Journal, index uint64) *driver {
+func newDriver(n *Node, m *quorum.Machine, j *journal.Journal, stored *journal.StoredState) *driver {
+	index := stored.Snapshot.GetIndex()
 	return &driver{
 		node: n, machine: m, journal: j, clock: n.cfg.Clock, tick: n.cfg.Tick,
 		inbox: make(chan *quorum.Message, messageQueueSize), calls: make(chan func(), callQueueSize),
-		waiters: make(map[uint64]waiter), appliedIndex: index, snapshotIndex: index,
+		waiters: make(map[uint64]waiter), appliedIndex: index, snapshotIndex: index, identity: stored.Identity,
 	}
 }
 
@@ -127,7 +135,11 @@
 }
 
 func (d *driver) step(msg *quorum.Message) {
-	if err := d.machine.Step(msg); err != nil {
+	err := d.machine.Step(msg)
+	var other *quorum.OtherGroupError
+	if errors.As(err, &other) {
+		d.node.groupGuard.Refuses(d.node.GroupID(), vm.GroupID(other.Group), "a message of the quorum", fmt.Sprintf("member %d", other.From))
+	} else if err != nil {
 		klog.V(1).Infof("control: dropped a message from a control VM: %v", err)
 	}
 }
@@ -153,6 +165,29 @@
 		return err
 	}
 	d.publishLeadership()
+	return d.saveGroup()
+}
+
+// saveGroup records the group's identity on the disk once it is committed, so that the disk
+// is known to be of this group also without its log.
+func (d *driver) saveGroup() error {
+	group := d.machine.Status().Group
+	if len(group) == 0 || bytes.Equal(group, d.identity.Group) || d.clock().Sub(d.identityTried) < diskFullRetryInterval {
+		return nil
+	}
+	d.identityTried = d.clock()
+	next := proto.CloneOf(d.identity)
+	next.Group = group
+	err := d.journal.WriteIdentity(next)
+	if errors.Is(err, journal.ErrFull) {
+		klog.Warningf("control: identity of the group not written: %v", err)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	d.identity = next
+	klog.Infof("control: member %d belongs to group=%s", next.Id, vm.GroupID(group))
 	return nil
 }
 
--- a/internal/control/evacuation.go
+++ b/internal/control/evacuation.go
@@ -20,6 +20,9 @@
 
 // Evacuate implements wire.DRPCControlServer. It returns after the order has been committed.
 func (s *operatorServer) Evacuate(ctx context.Context, req *wire.EvacuationRequest) (*wire.EvacuationReply, error) {
+	if err := s.checkGroup(req.Group, "an evacuation order", "a daemon"); err != nil {
+		return nil, err
+	}
 	redirect, err := s.leaderRedirect()
 	if err != nil || redirect != "" {
 		return &wire.EvacuationReply{Redirect: redirect}, err
--- a/internal/control/group_member.go
+++ b/internal/control/group_member.go
@@ -17,16 +17,24 @@
 	"pearmoor/internal/link/peer"
 	"pearmoor/internal/link/wire"
 	"pearmoor/internal/quorum/quorumpb"
+	"pearmoor/internal/relay"
 	"pearmoor/internal/vm"
 )
 
 // GroupMember keeps a VM a member of the control group without an operator. It founds the
 // group together with the other founders, joins an existing group if the data folder is
 // empty, and joins again with an empty data folder after the group has removed the VM.
+//
+// A disk takes part in at most one founding. Once it has belonged to a group, its identity
+// names that group, also after the group has removed the VM, and the VM joins no other one.
 type GroupMember struct {
-	cfg  GroupMemberConfig
-	node atomic.Pointer[Node]
-	left bool // a node of this process was removed from its group; used by Run only
+	cfg   GroupMemberConfig
+	guard *relay.GroupGuard
+	node  atomic.Pointer[Node]
+
+	// The following fields are used by Run only.
+	group vm.GroupID // the last group that this VM was a member of
+	left  bool       // a node of this process was removed from its group
 }
 
 // GroupMemberConfig configures a GroupMember, which sets Config.ID, Config.Bootstrap and
@@ -37,7 +45,8 @@
 	// founder may found the group, and only before this VM has been a member.
 	FirstStart bool
 	// Founders waits until the peer addresses of the group's founders are known and
-	// returns them. The result must be identical on every founder.
+	// returns them. The result must be identical on every founder. It is empty if a
+	// group exists already.
 	Founders func(ctx context.Context) []string
 	// Contacts returns peer addresses of VMs to ask for admission to the group, in
 	// order of preference.
@@ -68,7 +77,7 @@
 // NewGroupMember returns a GroupMember. It does nothing until Run.
 func NewGroupMember(cfg GroupMemberConfig) *GroupMember {
 	cfg.Config = cfg.Config.withDefaults()
-	return &GroupMember{cfg: cfg}
+	return &GroupMember{cfg: cfg, guard: relay.NewGroupGuard(cfg.Clock)}
 }
 
 // Node returns the running node, or nil if there is none.
@@ -99,7 +108,7 @@
 	if node == nil || err != nil {
 		return err
 	}
-	klog.Infof("control: member %d starts at version %d, commit %d", cfg.ID, node.state.Version(), node.leadership.Load().status.Commit)
+	klog.Infof("control: member %d starts at version %d, commit %d, group=%s", cfg.ID, node.state.Version(), node.leadership.Load().status.Commit, node.GroupID())
 	m.node.Store(node)
 	m.cfg.OnNodeChange(node)
 	nodeCtx, cancel := context.WithCancel(ctx)
@@ -109,7 +118,7 @@
 	refused := m.waitUntilRefused(nodeCtx, node, done)
 	if refused {
 		removals.Inc(1)
-		klog.Warningf("control: the group has removed member %d; clearing the data folder and joining under a new id", cfg.ID)
+		klog.Warningf("control: member %d was removed from group=%s; clearing the data folder and joining under a new id", cfg.ID, node.GroupID())
 		cancel()
 	}
 	err = <-done
@@ -120,6 +129,9 @@
 	}
 	// What could not be written to a full disk is of no use to a VM that was removed.
 	m.left = true
+	if group := node.GroupID(); group != "" {
+		m.group = group
+	}
 	return m.untilRoom(ctx, m.clear)
 }
 
@@ -185,6 +197,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if group := vm.GroupID(id.GetGroup()); group != "" {
+		m.group = group
+	}
 	cfg := m.cfg.Config
 	var founders []string
 	if m.mayFound(id) {
@@ -197,15 +212,14 @@
 			cfg.Voters[uint64(i+1)] = addr
 		}
 	}
-	if id != nil {
+	if id.GetId() != 0 {
 		cfg.ID = id.Id
 		cfg.Bootstrap = cfg.Bootstrap && id.Id == uint64(index+1)
 		return &cfg, nil
 	}
-	// Without an identity, this disk has never been used as a member, or a power
-	// failure has interrupted clear after it removed the log. Either way it
-	// holds no votes or entries that the group relies on.
-	if err := m.clear(); err != nil {
+	// Without a member ID, this disk has never been used as a member, or clear has
+	// removed the log. Either way it holds no votes or entries that the group relies on.
+	if err := m.untilRoom(ctx, m.clear); err != nil {
 		return nil, err
 	}
 	if cfg.Bootstrap {
@@ -221,7 +235,8 @@
 // identity on its disk, which may be nil. A VM that a group has removed would otherwise
 // found another group, which acknowledges changes that the rest of the tier never receives.
 func (m *GroupMember) mayFound(id *wire.DiskIdentity) bool {
-	return m.cfg.FirstStart && !m.left && (id == nil || !m.hasLog())
+	unused := id == nil || id.Id != 0 && len(id.Group) == 0 && !m.hasLog()
+	return m.cfg.FirstStart && unused && !m.left && m.group == ""
 }
 
 // hasLog reports whether the data folder contains a log. If so, the group has already
@@ -236,12 +251,12 @@
 func (m *GroupMember) join(ctx context.Context, cfg Config) (*Config, error) {
 	disk := rand.Uint64() | 1
 	for ctx.Err() == nil {
-		id := m.requestID(ctx, disk)
+		id, group := m.requestID(ctx, disk)
 		if id == 0 {
 			vm.Sleep(ctx, joinRetryInterval/2+rand.N(joinRetryInterval))
 			continue
 		}
-		identity := &wire.DiskIdentity{Disk: disk, Id: id, Name: cfg.Name}
+		identity := &wire.DiskIdentity{Disk: disk, Id: id, Name: cfg.Name, Group: group.Wire()}
 		if err := journal.WriteIdentity(cfg.FS, cfg.DataDir, identity); errors.Is(err, journal.ErrFull) {
 			klog.Warningf("control: the disk is full; the VM can't join the group yet")
 			vm.Sleep(ctx, joinTimeout)
@@ -250,15 +265,15 @@
 			return nil, err
 		}
 		cfg.ID = id
+		klog.Infof("control: admitted to group=%s as member %d", group, id)
 		return &cfg, nil
 	}
 	return nil, nil
 }
 
 // requestID asks the contacts in turn for admission, following redirects. It returns the
-// assigned member ID, or 0 if no contact granted admission.
-func (m *GroupMember) requestID(ctx context.Context, disk uint64) uint64 {
-	id := uint64(0)
+// assigned member ID and the group, or 0 if no contact granted admission.
+func (m *GroupMember) requestID(ctx context.Context, disk uint64) (id uint64, group vm.GroupID) {
 	contacts := slices.DeleteFunc(slices.Clone(m.cfg.Contacts()), func(a string) bool { return a == m.cfg.PeerAddr })
 	peer.TryEach(ctx, contacts, func(addr string) (string, bool) {
 		reply, err := m.requestJoin(ctx, addr, disk)
@@ -266,10 +281,13 @@
 			klog.V(1).Infof("control: join request to %s failed: %v", addr, err)
 			return "", false
 		}
-		id = reply.Id
+		if m.guard.Refuses(m.group, vm.GroupID(reply.Group), "an admission", addr) {
+			return "", false
+		}
+		id, group = reply.Id, vm.GroupID(reply.Group)
 		return reply.Redirect, id != 0
 	})
-	return id
+	return id, group
 }
 
 func (m *GroupMember) requestJoin(ctx context.Context, addr string, disk uint64) (*wire.JoinReply, error) {
@@ -280,12 +298,12 @@
 		return nil, err
 	}
 	defer func() { _ = conn.Close() }()
-	return wire.NewDRPCQuorumClient(conn).Join(ctx, &wire.JoinRequest{Name: m.cfg.Name, PeerAddr: m.cfg.PeerAddr, Disk: disk})
+	return wire.NewDRPCQuorumClient(conn).Join(ctx, &wire.JoinRequest{Name: m.cfg.Name, PeerAddr: m.cfg.PeerAddr, Disk: disk, Group: m.group.Wire()})
 }
 
-// clear removes all files from the data folder. The identity is removed last, so
-// that if clearing is interrupted, the rest of the log still belongs to the ID it was
-// written under.
+// clear removes all files from the data folder. Last, the identity is removed or, if this
+// VM has belonged to a group, replaced by one without a member ID: if clearing is
+// interrupted, the rest of the log still belongs to the ID it was written under.
 func (m *GroupMember) clear() error {
 	fs, dir := m.cfg.FS, m.cfg.DataDir
 	if err := fs.MkdirAll(dir); err != nil {
@@ -295,28 +313,29 @@
 	if err != nil {
 		return errors.Wrap(err, "control: data folder")
 	}
-	slices.SortStableFunc(names, func(a, b string) int {
-		return removalRank(a) - removalRank(b)
-	})
-	for i, name := range names {
-		if removalRank(name) == 1 && i > 0 {
-			if err := fs.SyncDir(dir); err != nil {
-				return errors.Wrap(err, "control: data folder")
-			}
+	hasIdentity := false
+	for _, name := range names {
+		if name == journal.IdentityFile {
+			hasIdentity = true
+			continue
 		}
 		if err := fs.Remove(filepath.Join(dir, name)); err != nil {
 			return errors.Wrap(err, fmt.Sprintf("control: remove %s", name))
 		}
 	}
-	return errors.Wrap(fs.SyncDir(dir), "control: data folder")
-}
-
-// removalRank orders files for removal: the identity after all others.
-func removalRank(name string) int {
-	if name == journal.IdentityFile {
-		return 1
+	if err := fs.SyncDir(dir); err != nil {
+		return errors.Wrap(err, "control: data folder")
 	}
-	return 0
+	switch {
+	case m.group != "":
+		return journal.WriteIdentity(fs, dir, &wire.DiskIdentity{Name: m.cfg.Name, Group: m.group.Wire()})
+	case !hasIdentity:
+		return nil
+	}
+	if err := fs.Remove(filepath.Join(dir, journal.IdentityFile)); err != nil {
+		return errors.Wrap(err, "control: remove the identity")
+	}
+	return errors.Wrap(fs.SyncDir(dir), "control: data folder")
 }
 
 // IsLeader reports whether this VM leads and no other VM can have been elected by now.
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -89,6 +89,9 @@
 // activeUntil, so RPC handlers on other goroutines stop relying on the leadership.
 func (l *leadership) confirmed(now vm.Instant) bool { return l.isLeader && now < l.activeUntil }
 
+// group returns the identity of the control group, or the zero value if none is committed.
+func (l *leadership) group() vm.GroupID { return vm.GroupID(l.status.Group) }
+
 // redirectAddr returns the leader's address if another VM leads, else "".
 func (l *leadership) redirectAddr() string {
 	if l.isLeader {
--- a/internal/control/maintenance.go
+++ b/internal/control/maintenance.go
@@ -33,6 +33,9 @@
 // group as a learner, under a member ID that was never used. A repeated request from the
 // same disk returns the same ID, so a retry after a lost reply adds no second member.
 func (s *quorumServer) Join(ctx context.Context, req *wire.JoinRequest) (*wire.JoinReply, error) {
+	if err := s.checkGroup(req.Group, "a request to join", req.PeerAddr); err != nil {
+		return nil, err
+	}
 	op := operatorServer{s.Node}
 	redirect, err := op.leaderRedirect()
 	if err != nil || redirect != "" {
@@ -41,7 +44,7 @@
 	conf := s.leadership.Load().conf
 	for _, m := range conf.GetMembers() {
 		if m.Disk == req.Disk {
-			return &wire.JoinReply{Id: m.Id, Control: s.leadership.Load().controlAddrs()}, nil
+			return &wire.JoinReply{Id: m.Id, Control: s.leadership.Load().controlAddrs(), Group: s.GroupID().Wire()}, nil
 		}
 	}
 	m := &quorum.Member{Id: conf.GetMaxId() + 1, Disk: req.Disk, Name: req.Name, PeerAddr: req.PeerAddr}
@@ -50,7 +53,7 @@
 		return &wire.JoinReply{}, nil
 	}
 	klog.Infof("control: %s at %s joins as member %d", req.Name, req.PeerAddr, m.Id)
-	return &wire.JoinReply{Id: m.Id, Control: s.leadership.Load().controlAddrs()}, nil
+	return &wire.JoinReply{Id: m.Id, Control: s.leadership.Load().controlAddrs(), Group: s.GroupID().Wire()}, nil
 }
 
 // groupMaintainer holds the state of the leader's group maintenance between two checks.
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -17,6 +17,7 @@
 	"pearmoor/internal/link/wire"
 	"pearmoor/internal/quorum"
 	"pearmoor/internal/relay"
+	"pearmoor/internal/vm"
 )
 
 // Node is the running instance of a control VM.
@@ -41,6 +42,7 @@
 	// releaseSem is a semaphore that is held while a release is merged into the tree.
 	releaseSem   chan struct{}
 	crashReports *crashReportQueue
+	groupGuard   *relay.GroupGuard
 	lastAheadLog atomic.Int64  // vm.Instant of the last log line about a daemon that is ahead of this group
 	stopped      chan struct{} // closed when Run ends
 }
@@ -68,7 +70,9 @@
 	if err := initDataDir(&cfg, j, stored); err != nil {
 		return nil, err
 	}
-	machine, err := quorum.New(quorum.DefaultConfig(cfg.ID, rand.Uint64()), quorum.StoredState{
+	machineConfig := quorum.DefaultConfig(cfg.ID, rand.Uint64())
+	machineConfig.Group, machineConfig.NewGroup = stored.Identity.Group, vm.NewGroupID().Wire()
+	machine, err := quorum.New(machineConfig, quorum.StoredState{
 		HardState: stored.HardState, Snapshot: stored.Snapshot, Entries: stored.Entries,
 	})
 	if err != nil {
@@ -88,11 +92,12 @@
 		leaderLoopWake: make(chan struct{}, 1), state: st, stopped: make(chan struct{}),
 		releaseSem:   make(chan struct{}, 1),
 		crashReports: newCrashReportQueue(cfg.Clock),
+		groupGuard:   relay.NewGroupGuard(cfg.Clock),
 	}
-	n.leadership.Store(&leadership{})
+	n.leadership.Store(&leadership{status: machine.Status()})
 	n.leaseTerms.Store(&presence.LeaseRequirements{Lease: st.Tree().Tier().DaemonLease})
-	n.transport = newTransport(&n.cfg)
-	n.driver = newDriver(n, machine, j, stored.Snapshot.GetIndex())
+	n.transport = newTransport(&n.cfg, n.GroupID)
+	n.driver = newDriver(n, machine, j, stored)
 	n.appendInForceRecords()
 	n.publishState(0)
 	return n, nil
--- a/internal/control/quarantine.go
+++ b/internal/control/quarantine.go
@@ -67,6 +67,9 @@
 // Report implements wire.DRPCQuarantineServer. It returns after the change that results
 // from the reports has been accepted. A resent report counts for the same attempt.
 func (s quarantineServer) Report(ctx context.Context, req *wire.CrashReports) (*wire.CrashReportsReply, error) {
+	if err := s.checkGroup(req.Group, "reports of crashes", "a daemon"); err != nil {
+		return nil, err
+	}
 	redirect, err := s.leaderRedirect()
 	if err != nil || redirect != "" {
 		return &wire.CrashReportsReply{Redirect: redirect}, err
@@ -168,6 +171,9 @@
 // Trial implements wire.DRPCQuarantineServer. It grants or releases the right to run a
 // quarantined request once, to find out whether it still crashes leaves.
 func (s quarantineServer) Trial(_ context.Context, req *wire.TrialRequest) (*wire.TrialReply, error) {
+	if err := s.checkGroup(req.Group, "a trial of a request", "a daemon"); err != nil {
+		return nil, err
+	}
 	redirect, err := s.leaderRedirect()
 	if err != nil || redirect != "" {
 		return &wire.TrialReply{Redirect: redirect}, err
--- a/internal/control/read.go
+++ b/internal/control/read.go
@@ -175,6 +175,7 @@
 	out := &wire.StatusReply{
 		Redirect: l.redirectAddr(), Term: l.term, Commit: l.status.Commit,
 		ConfigVersion: v.version, SettledEpoch: v.settled.Epoch, Group: s.groupStatus(),
+		GroupId: l.group().Wire(),
 	}
 	if v.pending != nil {
 		out.PendingEpoch = v.pending.Epoch
--- a/internal/control/release.go
+++ b/internal/control/release.go
@@ -24,6 +24,9 @@
 // release in the settings tree becomes a change of the tree. Any other release, including
 // a resend, changes nothing, and the reply contains the number of the current release.
 func (s *operatorServer) PutRelease(ctx context.Context, req *wire.ReleaseRequest) (*wire.ReleaseReply, error) {
+	if err := s.checkGroup(req.Group, "a release", "a daemon"); err != nil {
+		return nil, err
+	}
 	redirect, err := s.leaderRedirect()
 	if err != nil || redirect != "" {
 		return &wire.ReleaseReply{Redirect: redirect}, err
@@ -106,7 +109,10 @@
 // The tree itself is not part of the reply: daemons receive it through Sync, compressed and
 // as deltas, while sending a large tree with each read over a slow link would exceed the
 // time limit of the call.
-func (s *operatorServer) Newest(context.Context, *wire.NewestRequest) (*wire.NewestReply, error) {
+func (s *operatorServer) Newest(_ context.Context, req *wire.NewestRequest) (*wire.NewestReply, error) {
+	if err := s.checkGroup(req.Group, "a question for the newest configuration", "a daemon"); err != nil {
+		return nil, err
+	}
 	redirect, err := s.leaderRedirect()
 	if err != nil || redirect != "" {
 		return &wire.NewestReply{Redirect: redirect}, err
@@ -115,7 +121,7 @@
 	if err != nil {
 		return nil, err
 	}
-	out := &wire.NewestReply{Version: version, Digest: tree.Digest()}
+	out := &wire.NewestReply{Version: version, Digest: tree.Digest(), Group: s.GroupID().Wire()}
 	if held, ok := route.ReleaseNumber(tree); ok {
 		out.Held = &held
 	}
--- a/internal/control/sync.go
+++ b/internal/control/sync.go
@@ -43,8 +43,11 @@
 // not wait for.
 func (s *spreadServer) Sync(ctx context.Context, req *wire.SyncRequest) (*wire.SyncReply, error) {
 	lead := s.leadership.Load()
+	if s.groupGuard.Refuses(lead.group(), vm.GroupID(req.Group), "a sync", relay.SenderName(req)) {
+		return &wire.SyncReply{Group: lead.group().Wire()}, nil
+	}
 	if !lead.confirmed(s.cfg.Clock()) {
-		reply := &wire.SyncReply{Redirect: lead.redirectAddr()}
+		reply := &wire.SyncReply{Redirect: lead.redirectAddr(), Group: lead.group().Wire()}
 		if reply.Redirect == "" && req.HaveConfig == 0 {
 			s.fillCommitted(ctx, req, reply)
 		}
@@ -53,7 +56,7 @@
 	st, _ := s.history.State()
 	if callerAhead(req, &st) {
 		s.logCallerAhead(req, &st)
-		return &wire.SyncReply{}, nil
+		return &wire.SyncReply{Group: lead.group().Wire()}, nil
 	}
 	heartbeats, unknownDigests := s.expander.Expand(req, st.Settled, st.Pending)
 	if err := checkSender(ctx, req, heartbeats); err != nil {
@@ -70,7 +73,7 @@
 		// Hold the call until there is news for the caller or this VM stops leading.
 		s.waitForState(ctx, syncWait(req, maxSyncWait), s.leadership.Load().steppedDown, func(st *relay.State) bool { return st.NewerThan(req) })
 	}
-	reply := &wire.SyncReply{Refused: refused, Resend: unknownDigests, Control: lead.controlAddrs()}
+	reply := &wire.SyncReply{Refused: refused, Resend: unknownDigests, Control: lead.controlAddrs(), Group: lead.group().Wire()}
 	s.history.FillReply(req, reply)
 	current := s.leadership.Load()
 	if current.term == lead.term && current.confirmed(s.cfg.Clock()) {
@@ -132,12 +135,8 @@
 	if now.Sub(last) < aheadLogInterval || !s.lastAheadLog.CompareAndSwap(int64(last), int64(now)) {
 		return
 	}
-	name := "a daemon"
-	if len(req.Heartbeats) > 0 {
-		name = req.Heartbeats[0].GetVm().GetName()
-	}
 	klog.Errorf("control: %s has version %d and epoch %d, but this group has only %d and %d, so it was founded again; restore the old group's disks, or restart all daemons",
-		name, req.HaveConfig, req.HaveSettled, st.ConfigVersion, st.Settled.Epoch)
+		relay.SenderName(req), req.HaveConfig, req.HaveSettled, st.ConfigVersion, st.Settled.Epoch)
 }
 
 // syncWait returns how long the caller asks to be held, but at most limit.
--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -12,6 +12,7 @@
 	"pearmoor/internal/link/wire"
 	"pearmoor/internal/quorum"
 	"pearmoor/internal/quorum/quorumpb"
+	"pearmoor/internal/vm"
 )
 
 const (
@@ -24,7 +25,8 @@
 // transport sends the machine's messages to the other members. It never blocks the driver:
 // messages to an unresponsive member are dropped, which the machine tolerates.
 type transport struct {
-	cfg *Config
+	cfg   *Config
+	group func() vm.GroupID
 
 	mu    sync.Mutex
 	ctx   context.Context // nil before run
@@ -34,8 +36,8 @@
 	names map[uint64]string
 }
 
-func newTransport(cfg *Config) *transport {
-	t := &transport{cfg: cfg, links: make(map[uint64]*peerLink), addrs: make(map[uint64]string), names: make(map[uint64]string)}
+func newTransport(cfg *Config, group func() vm.GroupID) *transport {
+	t := &transport{cfg: cfg, group: group, links: make(map[uint64]*peerLink), addrs: make(map[uint64]string), names: make(map[uint64]string)}
 	for id, addr := range cfg.Voters {
 		t.addrs[id] = addr
 	}
@@ -109,7 +111,7 @@
 	if !ok {
 		return nil
 	}
-	l := &peerLink{cfg: t.cfg, id: id, addr: addr, bulk: newSendQueue(), urgent: newSendQueue()}
+	l := &peerLink{cfg: t.cfg, group: t.group, id: id, addr: addr, bulk: newSendQueue(), urgent: newSendQueue()}
 	t.links[id] = l
 	if t.ctx != nil && t.ctx.Err() == nil {
 		t.startLink(l)
@@ -127,6 +129,7 @@
 // predecessor it has not received, and both would have to be sent again.
 type peerLink struct {
 	cfg    *Config
+	group  func() vm.GroupID
 	id     uint64
 	bulk   sendQueue // entries and snapshots
 	urgent sendQueue // all other messages: heartbeats, votes, replies
@@ -216,7 +219,7 @@
 func (l *peerLink) nextBatch(q *sendQueue) *wire.QuorumMessage {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	batch := &wire.QuorumMessage{From: l.cfg.ID, FromAddr: l.cfg.PeerAddr, FromName: l.cfg.Name}
+	batch := &wire.QuorumMessage{From: l.cfg.ID, FromAddr: l.cfg.PeerAddr, FromName: l.cfg.Name, Group: l.group().Wire()}
 	size, n := 0, 0
 	for _, m := range q.messages {
 		if size >= maxBatchBytes {
--- a/internal/control/transport_test.go
+++ b/internal/control/transport_test.go
@@ -14,6 +14,7 @@
 	"pearmoor/internal/link/wire"
 	"pearmoor/internal/quorum"
 	"pearmoor/internal/quorum/quorumpb"
+	"pearmoor/internal/vm"
 )
 
 // deliveryRecorder records the sizes of delivered messages.
@@ -64,7 +65,7 @@
 	if err := wire.DRPCRegisterQuorum(mux, recorder); err != nil {
 		t.Fatal(err)
 	}
-	tr := newTransport(&Config{ID: 1, PeerAddr: "127.0.0.1:1", Conns: slowConns{mux, rate}, Voters: map[uint64]string{2: "127.0.0.1:2"}})
+	tr := newTransport(&Config{ID: 1, PeerAddr: "127.0.0.1:1", Conns: slowConns{mux, rate}, Voters: map[uint64]string{2: "127.0.0.1:2"}}, func() vm.GroupID { return "" })
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { tr.run(ctx); close(done) }()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -174,6 +174,7 @@
 	d.quarantine = quarantine.NewRegistry(vm.Now, &quarantine.RemoteLeader{
 		Conns:        d.queryConns,
 		ControlAddrs: func() []string { return append(d.client.ControlVMs(), d.controlAddrs()...) },
+		Group:        func() vm.GroupID { return d.client.Current().Group },
 	})
 	d.engine = query.New(query.Config{
 		Self: d.self, Source: d.client, Gates: d.gates, Sender: d.sender,
--- a/internal/entryvm/contacts.go
+++ b/internal/entryvm/contacts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -81,7 +82,8 @@
 
 // Exchange implements wire.DRPCContactsServer.
 func (s contactsServer) Exchange(_ context.Context, req *wire.ContactsRequest) (*wire.ContactsReply, error) {
-	if req.Member {
+	group := s.group()
+	if req.Member && !s.guard.Refuses(group, vm.GroupID(req.Group), "addresses of a control group", strings.Join(req.Control, ",")) {
 		s.addContacts(req.Control)
 	}
 	known, _ := s.controlGroup()
@@ -90,7 +92,7 @@
 			known = append(known, a)
 		}
 	}
-	return &wire.ContactsReply{Control: known, Disk: s.conf.DataDir != ""}, nil
+	return &wire.ContactsReply{Control: known, Disk: s.conf.DataDir != "", Group: group.Wire()}, nil
 }
 
 func (v *VM) addContacts(addrs []string) {
@@ -133,6 +135,7 @@
 		case err != nil:
 		case member:
 			announced.Store(addr, vm.Monotonic())
+		case v.guard.Refuses(v.group(), vm.GroupID(reply.Group), "addresses of a control group", addr):
 		default:
 			v.addContacts(reply.Control)
 		}
@@ -154,12 +157,13 @@
 		return nil, err
 	}
 	defer func() { _ = conn.Close() }()
-	return wire.NewDRPCContactsClient(conn).Exchange(ctx, &wire.ContactsRequest{Control: group, Member: member})
+	return wire.NewDRPCContactsClient(conn).Exchange(ctx, &wire.ContactsRequest{Control: group, Member: member, Group: v.group().Wire()})
 }
 
 // founders returns the seeds that have a disk, in the same order on every daemon. It waits
 // until every seed has answered: VMs with different sets of founders would create separate
-// control groups.
+// control groups. If a seed follows a group there are no founders, since this VM is late or
+// has lost its disk, and has to join that group.
 func (v *VM) founders(ctx context.Context) []string {
 	seeds := slices.Compact(slices.Sorted(slices.Values(*v.seeds.Load())))
 	hasDisk := map[string]bool{v.conf.PeerAddr: v.conf.DataDir != ""}
@@ -167,7 +171,12 @@
 		var out []string
 		for _, addr := range seeds {
 			if _, known := hasDisk[addr]; !known {
-				if reply, err := v.exchange(ctx, addr, nil, false); err == nil {
+				reply, err := v.exchange(ctx, addr, nil, false)
+				if err == nil && len(reply.Group) > 0 {
+					klog.Infof("entry: founding no control group, seed %s follows group=%s", addr, vm.GroupID(reply.Group))
+					return nil
+				}
+				if err == nil {
 					hasDisk[addr] = reply.Disk
 				}
 			}
--- a/internal/entryvm/contacts_test.go
+++ b/internal/entryvm/contacts_test.go
@@ -7,8 +7,12 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmux"
 
 	"pearmoor/internal/link/peer"
+	"pearmoor/internal/link/wire"
+	"pearmoor/internal/vm"
 )
 
 func TestLearnedContactsListsLatestFirst(t *testing.T) {
@@ -35,11 +39,11 @@
 	return lis
 }
 
-func serve(t *testing.T, v *VM, lis net.Listener) {
+func serve(t *testing.T, h drpc.Handler, lis net.Listener) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- peer.ServeTrusted(ctx, lis, v) }()
+	go func() { done <- peer.ServeTrusted(ctx, lis, h) }()
 	t.Cleanup(func() {
 		cancel()
 		if err := <-done; err != nil {
@@ -78,3 +82,37 @@
 		})
 	})
 }
+
+// groupFollower is a daemon with a disk that follows a control group.
+type groupFollower struct{ group vm.GroupID }
+
+// Exchange implements wire.DRPCContactsServer.
+func (f groupFollower) Exchange(context.Context, *wire.ContactsRequest) (*wire.ContactsReply, error) {
+	return &wire.ContactsReply{Disk: true, Group: f.group.Wire()}, nil
+}
+
+// Reach implements wire.DRPCContactsServer.
+func (groupFollower) Reach(context.Context, *wire.ReachRequest) (*wire.ReachReply, error) {
+	return &wire.ReachReply{}, nil
+}
+
+// Guards against a second control group: a VM that is started again with the settings of the
+// first start, on an empty disk, founds a group beside the tier's.
+func TestFoundersIsEmptyWhereASeedFollowsAGroup(t *testing.T) {
+	Convey("Given two seeds with a disk, of which one follows a control group", t, func() {
+		first, second := listen(t), listen(t)
+		seeds := []string{first.Addr().String(), second.Addr().String()}
+		v := testVM(t, "first", seeds[0], t.TempDir(), seeds...)
+		serve(t, v, first)
+		mux := drpcmux.New()
+		So(wire.DRPCRegisterContacts(mux, groupFollower{vm.NewGroupID()}), ShouldBeNil)
+		serve(t, mux, second)
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		Reset(cancel)
+
+		Convey("founders returns none", func() {
+			So(v.founders(ctx), ShouldBeEmpty)
+			So(ctx.Err(), ShouldBeNil)
+		})
+	})
+}
--- a/internal/entryvm/evacuation.go
+++ b/internal/entryvm/evacuation.go
@@ -12,6 +12,7 @@
 	"pearmoor/internal/contract"
 	"pearmoor/internal/discovery"
 	"pearmoor/internal/link/wire"
+	"pearmoor/internal/relay"
 	"pearmoor/internal/vm"
 )
 
@@ -57,7 +58,7 @@
 	if !vm.Sleep(ctx, orderSettleTime) {
 		return errors.Wrap(ctx.Err(), "entry: the operator has left")
 	}
-	reply, err := v.sendEvacuation(ctx, newEvacuationRequest(domain, evacuate, view.ConfigVersion))
+	reply, err := v.sendEvacuation(ctx, newEvacuationRequest(domain, evacuate, view))
 	switch {
 	case err != nil:
 		evacuationsUnclear.Inc(1)
@@ -72,8 +73,8 @@
 	return nil
 }
 
-func newEvacuationRequest(domain string, evacuate bool, seenVersion uint64) *wire.EvacuationRequest {
-	return &wire.EvacuationRequest{Domain: domain, Evacuate: evacuate, SeenVersion: seenVersion, Operator: platformOperator}
+func newEvacuationRequest(domain string, evacuate bool, view *relay.View) *wire.EvacuationRequest {
+	return &wire.EvacuationRequest{Domain: domain, Evacuate: evacuate, SeenVersion: view.ConfigVersion, Operator: platformOperator, Group: view.Group.Wire()}
 }
 
 // sendEvacuation sends an order to the leader until it has answered or ctx ends.
--- a/internal/entryvm/evacuation_test.go
+++ b/internal/entryvm/evacuation_test.go
@@ -118,7 +118,7 @@
 	t.Parallel()
 	tier := startCrashTier(t)
 	late, other := tier.vms[len(tier.vms)-1], tier.vms[0]
-	seen := late.client.Current().ConfigVersion
+	seen := late.client.Current()
 	tier.evacuate(other, "hall-0", true)
 	tier.evacuate(other, "hall-0", false)
 	reply, err := late.sendEvacuation(t.Context(), newEvacuationRequest("hall-0", true, seen))
--- a/internal/entryvm/tier.go
+++ b/internal/entryvm/tier.go
@@ -137,7 +137,7 @@
 		}
 		var reply *wire.ReleaseReply
 		_, err = v.callControl(ctx, leader, peer.CallTimeout(controlCallTimeout, len(body)), func(ctx context.Context, c wire.DRPCControlClient) (string, error) {
-			out, err := c.PutRelease(ctx, &wire.ReleaseRequest{Release: body, Operator: platformOperator})
+			out, err := c.PutRelease(ctx, &wire.ReleaseRequest{Release: body, Operator: platformOperator, Group: v.group().Wire()})
 			reply = out
 			return out.GetRedirect(), err
 		})
@@ -218,10 +218,15 @@
 	}
 }
 
+var errOtherGroup = errors.New("entry: the leader belongs to another control group than this VM follows")
+
 // queryNewest asks the leader, which alone can confirm it, which configuration is the newest.
 func (v *VM) queryNewest(ctx context.Context) (leader string, newest *wire.NewestReply, err error) {
 	leader, err = v.callLeader(ctx, func(ctx context.Context, c wire.DRPCControlClient) (redirect string, err error) {
-		newest, err = c.Newest(ctx, &wire.NewestRequest{})
+		newest, err = c.Newest(ctx, &wire.NewestRequest{Group: v.group().Wire()})
+		if err == nil && v.guard.Refuses(v.group(), vm.GroupID(newest.GetGroup()), "the newest configuration", "a control VM") {
+			return "", errOtherGroup
+		}
 		return newest.GetRedirect(), err
 	})
 	return leader, newest, err
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -34,6 +34,7 @@
 	conf    Config
 	seeds   atomic.Pointer[[]string]
 	learned learnedContacts
+	guard   *relay.GroupGuard
 
 	controlConns *peer.Pool // heartbeats and the messages of the control group
 	bulkConns    *peer.Pool // calls that may be large or slow
@@ -65,7 +66,7 @@
 	if conf.FS == nil {
 		conf.FS = diskOf(conf.DataDir)
 	}
-	v := &VM{conf: conf, quotasNeeded: make(chan struct{})}
+	v := &VM{conf: conf, quotasNeeded: make(chan struct{}), guard: relay.NewGroupGuard(vm.Monotonic)}
 	v.SetSeeds(conf.Seeds)
 	v.controlConns, v.bulkConns, v.gatherConns = peer.NewTrustedPool(), peer.NewTrustedPool(), peer.NewTrustedPool()
 	self := vm.Identity{
@@ -85,7 +86,7 @@
 		ReadInterval: time.Duration(listReadFraction * float64(conf.LeafDrainTime)),
 		FallbackAge:  time.Duration(fallbackFraction * float64(conf.LeafDrainTime)),
 	}, v.leafCache)
-	v.quarantine = quarantine.NewRegistry(vm.Monotonic, &quarantine.RemoteLeader{Conns: v.bulkConns, ControlAddrs: v.controlContacts})
+	v.quarantine = quarantine.NewRegistry(vm.Monotonic, &quarantine.RemoteLeader{Conns: v.bulkConns, ControlAddrs: v.controlContacts, Group: v.group})
 	v.quotas = quota.New(quota.Config{
 		Self: v.client.Self, View: v.client.Current, Organisation: v.organisation, Conns: v.gatherConns, Limits: conf.Quota,
 	})
@@ -207,6 +208,18 @@
 	return v.groupMember.Node()
 }
 
+// group returns the control group that this VM follows, or the zero value while none is
+// known.
+func (v *VM) group() vm.GroupID {
+	if group := v.client.Current().Group; group != "" {
+		return group
+	}
+	if n := v.controlNode(); n != nil {
+		return n.GroupID()
+	}
+	return ""
+}
+
 // isLeader reports whether this VM leads the control group. The leader reads the leaf list
 // for all daemons.
 func (v *VM) isLeader() bool {
--- a/internal/quarantine/remote.go
+++ b/internal/quarantine/remote.go
@@ -9,6 +9,7 @@
 
 	"pearmoor/internal/link/peer"
 	"pearmoor/internal/link/wire"
+	"pearmoor/internal/vm"
 )
 
 // callTimeout bounds one call to a control VM.
@@ -22,11 +23,13 @@
 	}
 	// ControlAddrs returns the addresses of the control VMs to ask, best first.
 	ControlAddrs func() []string
+	// Group returns the control group that this daemon follows.
+	Group func() vm.GroupID
 }
 
 // Report implements Leader.
 func (l *RemoteLeader) Report(ctx context.Context, reports []*Report) error {
-	req := &wire.CrashReports{Reports: make([]*wire.CrashReport, len(reports))}
+	req := &wire.CrashReports{Reports: make([]*wire.CrashReport, len(reports)), Group: l.Group().Wire()}
 	for i, r := range reports {
 		req.Reports[i] = &wire.CrashReport{
 			Fingerprints: r.Fingerprints.ToWire(), Requests: r.Descriptions[:], LeafEnds: uint32(r.LeafExits), Survived: r.Answered,
@@ -43,7 +46,7 @@
 func (l *RemoteLeader) Try(ctx context.Context, f Fingerprint) (Grant, error) {
 	grant := Denied
 	err := l.callLeader(ctx, func(ctx context.Context, c wire.DRPCQuarantineClient) (string, error) {
-		out, err := c.Trial(ctx, &wire.TrialRequest{Fingerprint: f[:]})
+		out, err := c.Trial(ctx, &wire.TrialRequest{Fingerprint: f[:], Group: l.Group().Wire()})
 		grant = Grant(min(out.GetGrant(), uint32(Granted)))
 		return out.GetRedirect(), err
 	})
@@ -53,7 +56,7 @@
 // Release implements Leader.
 func (l *RemoteLeader) Release(ctx context.Context, f Fingerprint) error {
 	return l.callLeader(ctx, func(ctx context.Context, c wire.DRPCQuarantineClient) (string, error) {
-		out, err := c.Trial(ctx, &wire.TrialRequest{Fingerprint: f[:], Release: true})
+		out, err := c.Trial(ctx, &wire.TrialRequest{Fingerprint: f[:], Release: true, Group: l.Group().Wire()})
 		return out.GetRedirect(), err
 	})
 }
--- a/internal/quorum/cluster_test.go
+++ b/internal/quorum/cluster_test.go
@@ -53,6 +53,7 @@
 	deliverBeforeSyncRate              float64 // probability that messages are delivered before a sync is complete
 	crashRate                          float64 // probability of a crash while a Ready is processed
 	deliveringBeforeSync               bool
+	withoutIdentity                    bool // machines start as those of a release without group identities
 
 	leaders            map[uint64]uint64     // term -> disk
 	entries            map[entryID]string    // content and term of the predecessor
@@ -89,6 +90,16 @@
 	return c
 }
 
+// newClusterWithoutIdentity returns a cluster whose members know no group identities.
+func newClusterWithoutIdentity(t fataler, seed uint64, n int) *cluster {
+	c := newCluster(t, seed, n)
+	c.withoutIdentity = true
+	for _, h := range c.sortedHosts() {
+		c.start(h)
+	}
+	return c
+}
+
 // addHost starts a VM on a new disk.
 func (c *cluster) addHost(id uint64, bootSnapshot *Snapshot) *host {
 	c.lastDisk++
@@ -102,6 +113,9 @@
 func (c *cluster) start(h *host) {
 	cfg := DefaultConfig(h.id, c.rng.Uint64())
 	cfg.MaxAppendBytes, cfg.MaxInflight = 120, 3
+	if !c.withoutIdentity {
+		cfg.NewGroup = fmt.Appendf(nil, "group of %d", h.disk)
+	}
 	m, err := New(cfg, h.persisted)
 	if err != nil {
 		c.t.Fatalf("start of %d: %v", h.id, err)
--- a/internal/quorum/config.go
+++ b/internal/quorum/config.go
@@ -24,6 +24,13 @@
 	MaxUncommittedBytes int // proposals above this limit fail with ErrBusy
 
 	Seed uint64 // of the random election timeouts; must differ between VMs
+
+	// Group is the identity of the group that the disk belongs to, or empty if the disk
+	// does not record one.
+	Group []byte
+	// NewGroup is the identity that this member proposes if it is elected in a group that
+	// has none. It must be random.
+	NewGroup []byte
 }
 
 // DefaultConfig returns the production settings, which assume a tick of 100 ms.
--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -1,6 +1,10 @@
 package quorum
 
-import "pearmoor/internal/quorum/quorumpb"
+import (
+	"google.golang.org/protobuf/proto"
+
+	"pearmoor/internal/quorum/quorumpb"
+)
 
 // startPreVote asks the voters whether they would grant a vote, without entering a
 // new term. A member that rejoins after a partition therefore can't depose a
@@ -136,7 +140,8 @@
 
 // becomeLeader appends an entry of the new term: once it is committed, so are all
 // entries before it. In a new group this entry binds the disk of each member, which
-// the votes reported.
+// the votes reported, and names the group. A group founded by a release without
+// identities is named by its first leader that has them.
 func (m *Machine) becomeLeader() {
 	votes := m.votes
 	m.votes = nil
@@ -147,9 +152,17 @@
 	for _, e := range m.log.slice(m.log.commit+1, m.log.lastIndex(), maxInt) {
 		m.uncommitted += commandSize(e)
 	}
-	if allDisksBound(m.conf()) {
+	next := m.conf()
+	if !allDisksBound(next) {
+		next = bindDisks(next, votes)
+	}
+	if len(next.Group) == 0 && len(m.cfg.NewGroup) > 0 {
+		next = proto.CloneOf(next)
+		next.Group = m.cfg.NewGroup
+	}
+	if next == m.conf() {
 		m.appendEntry(quorumpb.EntryKind_EMPTY, nil)
 		return
 	}
-	m.appendConf(bindDisks(m.conf(), votes))
+	m.appendConf(next)
 }
--- a/internal/quorum/errors.go
+++ b/internal/quorum/errors.go
@@ -24,6 +24,18 @@
 	return fmt.Sprintf("quorum: not the leader; leader is %d (0: none known)", e.Leader)
 }
 
+// OtherGroupError is returned by Step for a message of another group, which was not
+// processed.
+type OtherGroupError struct {
+	From  uint64
+	Group []byte // identity of the other group
+}
+
+// Error implements error.
+func (e *OtherGroupError) Error() string {
+	return fmt.Sprintf("quorum: refused a message from member %d of another group, %x", e.From, e.Group)
+}
+
 // MessageRefusedError is returned by Step for a message that was not processed.
 type MessageRefusedError struct {
 	From   uint64
--- a/internal/quorum/machine.go
+++ b/internal/quorum/machine.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"bytes"
 	"math/rand/v2"
 
 	"github.com/cockroachdb/errors"
@@ -71,6 +72,9 @@
 		return nil, err
 	}
 	proto.Merge(&m.savedHardState, &m.hardState)
+	if g := m.committedConf().GetGroup(); len(g) > 0 && len(cfg.Group) > 0 && !bytes.Equal(g, cfg.Group) {
+		return nil, errors.Newf("quorum: the log is of group %x, but the disk belongs to group %x", g, cfg.Group)
+	}
 	// A restart loses the time of the last message from the leader. A vote right
 	// after it could elect a second leader during the lease of the first, so the
 	// restart counts as a message from the leader. A new disk has granted no lease.
@@ -123,6 +127,21 @@
 
 func (m *Machine) committedConf() *Conf { return m.confs.at(m.log.commit) }
 
+// group returns the identity of the group, or nil if none is known. An uncommitted
+// identity does not count: another leader may replace it.
+func (m *Machine) group() []byte {
+	if g := m.committedConf().GetGroup(); len(g) > 0 {
+		return g
+	}
+	return m.cfg.Group
+}
+
+// excludes reports whether a group other than the machine's own is named.
+func (m *Machine) excludes(group []byte) bool {
+	own := m.group()
+	return len(own) > 0 && len(group) > 0 && !bytes.Equal(own, group)
+}
+
 // Tick advances the clock of the machine by one tick. After a pause the driver must
 // deliver all missed ticks before it calls any other method.
 func (m *Machine) Tick() {
@@ -185,7 +204,7 @@
 		ID: m.cfg.ID, Term: m.hardState.Term, Leader: m.leader, Role: m.role,
 		Commit: m.log.commit, Applied: m.log.applied, LastIndex: m.log.lastIndex(), FirstIndex: m.log.firstIndex,
 		Conf: m.conf(), ConfCommitted: m.confs.latest().index <= m.log.commit,
-		Refusal: m.lastRefusal.reason,
+		Refusal: m.lastRefusal.reason, Group: m.group(),
 	}
 	for _, member := range s.Conf.GetMembers() {
 		p := m.peers[member.Id]
--- a/internal/quorum/message.go
+++ b/internal/quorum/message.go
@@ -55,6 +55,7 @@
 	if isLeaderMessage(msg) {
 		msg.Round, msg.SentTick = m.round, uint64(m.tick)
 	}
+	msg.Group = m.group()
 	m.outbox = append(m.outbox, msg)
 }
 
--- a/internal/quorum/step.go
+++ b/internal/quorum/step.go
@@ -34,7 +34,14 @@
 // and entries that it acknowledged: under the old id it could help to elect a second
 // leader in a term, or a leader without all committed entries. Ids are never reused,
 // so a removed member stays refused.
+//
+// Messages of another group are dropped without a reply: member ids, terms and indexes of
+// two groups can't be compared, and a notice of refusal would make the sender give up its
+// disk.
 func (m *Machine) checkSenderAndRecipient(msg *Message) error {
+	if m.excludes(msg.Group) || m.excludes(msg.GetSnapshot().GetConf().GetGroup()) {
+		return &OtherGroupError{From: msg.From, Group: msg.Group}
+	}
 	if msg.To != m.cfg.ID || msg.ToDisk != 0 && msg.ToDisk != m.hardState.Disk {
 		return &MessageRefusedError{msg.From, "it is addressed to another member or to a replaced disk"}
 	}
--- a/internal/quorum/types.go
+++ b/internal/quorum/types.go
@@ -76,6 +76,7 @@
 	ConfCommitted                          bool             // whether Conf is committed
 	Peers                                  []PeerStatus     // on the leader only, sorted by id
 	Refusal                                quorumpb.Refusal // reason why another member refuses this VM, if any
+	Group                                  []byte           // identity of the group; empty if none is committed
 }
 
 // PeerStatus is the leader's view of another member.
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -59,6 +59,7 @@
 	cfg        Config
 	history    *History
 	children   *children
+	groupGuard *GroupGuard
 	pushSignal chan struct{} // signals that a heartbeat must be sent immediately
 	newAddrs   chan struct{} // signals that there are new addresses to contact
 
@@ -86,6 +87,7 @@
 		cfg:         cfg,
 		history:     NewHistory(),
 		children:    newChildren(),
+		groupGuard:  NewGroupGuard(cfg.Clock),
 		pushSignal:  make(chan struct{}, 1),
 		newAddrs:    make(chan struct{}, 1),
 		view:        &View{},
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -145,7 +145,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	v := c.view
-	req := &wire.SyncRequest{WaitMs: uint32(hold.Milliseconds()), HaveInForce: v.InForce, Unpacks: true}
+	req := &wire.SyncRequest{WaitMs: uint32(hold.Milliseconds()), HaveInForce: v.InForce, Unpacks: true, Group: v.Group.Wire()}
 	if !c.requestFullState {
 		req.HaveConfig, req.HaveDigest = v.ConfigVersion, v.ConfigDigest
 		req.HaveSettled, req.HavePending = epochOf(v.Settled), epochOf(v.Pending)
@@ -212,6 +212,10 @@
 func (c *Client) handleReply(addr string, sent vm.Instant, req *wire.SyncRequest, r *wire.SyncReply, push bool) (out outcome, granted bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.groupGuard.Refuses(c.view.Group, vm.GroupID(r.GetGroup()), "a reply to a sync", addr) {
+		c.backOff(addr, c.cfg.Clock(), "it belongs to another control group")
+		return leaseNotRenewed, false
+	}
 	before := c.view
 	retry := c.applyState(req, r)
 	partlyUnknown := r.GetResend() && len(req.GetSteady()) > 0
@@ -233,6 +237,7 @@
 	// ones were unknown, so it grants none.
 	granted = r.GetGranted() && covers(c.view, r) && !partlyUnknown
 	if granted {
+		c.follow(vm.GroupID(r.GetGroup()))
 		c.confirmView(addr, now, sent.Add(-time.Duration(r.GetAgeMs())*time.Millisecond))
 		c.extendLease(sent, r)
 	}
@@ -263,6 +268,17 @@
 	return leaseRenewed, granted
 }
 
+// follow records the control group of the view when it becomes known. The caller holds mu.
+func (c *Client) follow(group vm.GroupID) {
+	if c.view.Group != "" || group == "" {
+		return
+	}
+	next := *c.view
+	next.Group = group
+	c.view = &next
+	klog.Infof("relay: following control group=%s config=%d", group, next.ConfigVersion)
+}
+
 // confirmView records that the view was the newest at the given instant: when the request
 // was sent, minus the age of the grant. The caller holds mu.
 func (c *Client) confirmView(addr string, now, at vm.Instant) {
@@ -335,6 +351,8 @@
 		return retry
 	}
 	c.view = next
+	c.follow(vm.GroupID(r.GetGroup()))
+	next = c.view
 	c.checkSuperseded(next)
 	c.upstreams.updateRelays(next.Membership(), c.cfg.MaxDirect, c.cfg.Fanout)
 	configVersionGauge.Update(int64(next.ConfigVersion))
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -39,9 +39,12 @@
 	c := s.client
 	arrived := c.cfg.Clock()
 	v := c.Current()
+	if c.groupGuard.Refuses(v.Group, vm.GroupID(req.GetGroup()), "a sync", SenderName(req)) {
+		return &wire.SyncReply{Group: v.Group.Wire()}, nil
+	}
 	hbs, unknown := s.expander.Expand(req, v.Settled, v.Pending)
 	if unknown {
-		return &wire.SyncReply{Resend: true}, nil
+		return &wire.SyncReply{Resend: true, Group: v.Group.Wire()}, nil
 	}
 	own := SenderHeartbeat(req, hbs)
 	if own == nil {
@@ -71,9 +74,18 @@
 	// sent with it, or the child would use shares that it no longer has.
 	s.fillGrants(reply, hbs, arrived)
 	c.history.FillReply(req, reply)
+	reply.Group = c.Current().Group.Wire()
 	return reply, nil
 }
 
+// SenderName returns the name of the daemon that sent req, for the log.
+func SenderName(req *wire.SyncRequest) string {
+	if hbs := req.GetHeartbeats(); len(hbs) > 0 {
+		return hbs[0].GetVm().GetName()
+	}
+	return "a daemon"
+}
+
 // waitForNews waits until there is something to reply: newer state, a grant for a
 // sender whose grant has expired or is about to, the loss of this relay's own
 // upstream, or the end of the requested hold time.
--- a/internal/relay/view.go
+++ b/internal/relay/view.go
@@ -6,8 +6,12 @@
 )
 
 // View is a daemon's local copy of the agreed state. A View is immutable; a newer one
-// replaces it and never has a lower ConfigVersion, InForce or epoch.
+// replaces it, is of the same control group, and never has a lower ConfigVersion, InForce
+// or epoch.
 type View struct {
+	// Group is the control group whose state this is. Once it is known it stays the same
+	// for the life of the process: versions and epochs of two groups can't be compared.
+	Group         vm.GroupID
 	ConfigVersion uint64
 	ConfigDigest  uint64
 	Tree          *settings.Tree
