control: the log of a random schedule stays out of the standard error

Cause: klog copies errors to the standard error although the test collects the log, and writes each line to the file of every lower severity.

Change: the test sets klog's flags for its run.

--- a/internal/control/one_group_test.go
+++ b/internal/control/one_group_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"io"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -283,12 +284,34 @@
 	return errors.Newf("no release is acknowledged %v after the last fault", recovery)
 }
 
+// captureLogs writes the log to w in place of the standard error until the test ends.
+func captureLogs(t *testing.T, w io.Writer) {
+	var flags flag.FlagSet
+	klog.InitFlags(&flags)
+	set := func(values map[string]string) {
+		for name, value := range values {
+			if err := flags.Set(name, value); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	previous := make(map[string]string)
+	flags.VisitAll(func(f *flag.Flag) { previous[f.Name] = f.Value.String() })
+	wanted := map[string]string{"logtostderr": "false", "stderrthreshold": "FATAL", "one_output": "true"}
+	set(wanted)
+	klog.SetOutput(w)
+	t.Cleanup(func() {
+		for name := range wanted {
+			wanted[name] = previous[name]
+		}
+		set(wanted)
+	})
+}
+
 // Two groups in one tier acknowledge changes of which the other one never hears.
 func TestAcknowledgedReleasesStayInOneGroup(t *testing.T) {
 	var logs bytes.Buffer
-	klog.LogToStderr(false)
-	klog.SetOutput(&logs)
-	defer klog.LogToStderr(true)
+	captureLogs(t, &logs)
 	var acked, removed, lost int
 	for seed := *firstSchedule; seed < *firstSchedule+uint64(*schedules); seed++ {
 		logs.Reset()
