--- a/internal/control/one_group_test.go
+++ b/internal/control/one_group_test.go
@@ -6,8 +6,6 @@
 	"encoding/json"
 	"flag"
 	"fmt"
-	"io"
-	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -235,9 +233,10 @@
 		s.actIsolate, s.actIsolate, s.actIsolate, s.actKill, s.actKill, s.actKillAll, s.actLoseDisk, s.actLoseDisk,
 		s.actExchangeSeeds, s.actExchangeSeeds, s.actNetwork, func() {},
 	}
-	if s.chance(0.7) {
-		s.pause(5 * time.Second)
+	if s.chance(0.5) {
+		s.actNetwork()
 	}
+	s.pause(s.between(50*time.Millisecond, 6*time.Second))
 	for range scheduleSteps {
 		acts[s.rng.IntN(len(acts))]()
 		s.pause(s.between(50*time.Millisecond, 2500*time.Millisecond))
@@ -284,8 +283,10 @@
 	return errors.Newf("no release is acknowledged %v after the last fault", recovery)
 }
 
-// captureLogs writes the log to w in place of the standard error until the test ends.
-func captureLogs(t *testing.T, w io.Writer) {
+// captureLogs collects the log in place of writing it to the standard error until the test
+// ends. A test that has failed prints it.
+func captureLogs(t *testing.T) *bytes.Buffer {
+	logs := &bytes.Buffer{}
 	var flags flag.FlagSet
 	klog.InitFlags(&flags)
 	set := func(values map[string]string) {
@@ -299,19 +300,23 @@
 	flags.VisitAll(func(f *flag.Flag) { previous[f.Name] = f.Value.String() })
 	wanted := map[string]string{"logtostderr": "false", "stderrthreshold": "FATAL", "one_output": "true"}
 	set(wanted)
-	klog.SetOutput(w)
+	klog.SetOutput(logs)
 	t.Cleanup(func() {
+		klog.Flush()
+		if t.Failed() {
+			t.Logf("%s", logs)
+		}
 		for name := range wanted {
 			wanted[name] = previous[name]
 		}
 		set(wanted)
 	})
+	return logs
 }
 
 // Two groups in one tier acknowledge changes of which the other one never hears.
 func TestAcknowledgedReleasesStayInOneGroup(t *testing.T) {
-	var logs bytes.Buffer
-	captureLogs(t, &logs)
+	logs := captureLogs(t)
 	var acked, removed, lost int
 	for seed := *firstSchedule; seed < *firstSchedule+uint64(*schedules); seed++ {
 		logs.Reset()
@@ -330,7 +335,7 @@
 		removed += bytes.Count(logs.Bytes(), []byte("was removed from group"))
 		lost += bytes.Count(s.trace.Bytes(), []byte(" lose disk "))
 		if err != nil {
-			t.Errorf("seed %d: %v\n%s", seed, err, slices.Concat(s.trace.Bytes(), logs.Bytes()))
+			t.Errorf("seed %d: %v\n%s%s", seed, err, s.trace.Bytes(), logs.Bytes())
 		}
 	}
 	t.Logf("%d schedules: %d releases acknowledged, %d members removed, %d disks lost", *schedules, acked, removed, lost)
--- a/internal/control/other_group_test.go
+++ b/internal/control/other_group_test.go
@@ -39,8 +39,7 @@
 // runTwoGroups founds two groups, of which the second has more releases, and calls f.
 func runTwoGroups(t *testing.T, f func(t *testing.T, w *twoGroups)) {
 	t.Helper()
-	var logs bytes.Buffer
-	captureLogs(t, &logs)
+	captureLogs(t)
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		w := &twoGroups{simulation: newSimulation(1), t: t, ctx: ctx}
@@ -70,9 +69,6 @@
 		time.Sleep(simSettleTime)
 		f(t, w)
 	})
-	if t.Failed() {
-		t.Logf("%s", logs.Bytes())
-	}
 }
 
 // leaderOf returns the node that leads a group.
@@ -359,7 +355,7 @@
 		w.addVM(addr, w.founders[1])
 		group := w.nodes[0].GroupID()
 		identity := &wire.DiskIdentity{Name: "vm-" + addr, Group: group.Wire()}
-		if err := journal.WriteIdentity(w.vms[addr].fs, "/data", identity); err != nil {
+		if err := journal.WriteIdentity(w.vms[addr].fs, simDataDir, identity); err != nil {
 			t.Fatal(err)
 		}
 		before := stateOf(w.nodes[1])
--- a/internal/control/simulation_test.go
+++ b/internal/control/simulation_test.go
@@ -262,7 +262,7 @@
 
 	mu    sync.Mutex
 	table rpcTable
-	known []string // addresses of control VMs that this process has learned
+	node  *Node // the latest, which may have ended
 }
 
 func (p *simProcess) handle(ctx context.Context, rpc string, in any) (drpc.Message, error) {
@@ -292,6 +292,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.table = table
+	if n != nil {
+		p.node = n
+	}
 }
 
 // simContacts answers exchanges of contacts as a VM with a disk does.
@@ -339,14 +342,16 @@
 	return simConn{simConns: simConns{network: p.sim.network, from: p.addr}, to: addr}
 }
 
-// contacts returns the addresses that the process knows of, the latest first.
+// contacts returns the addresses that the process has learned from its last node, and the
+// seeds.
 func (p *simProcess) contacts() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if n := p.member.Node(); n != nil {
-		p.known = n.GroupAddrs()
+	var known []string
+	if p.node != nil {
+		known = p.node.GroupAddrs()
 	}
-	return slices.Concat(p.known, p.sim.seedsOf(p.addr))
+	return slices.Concat(known, p.sim.seedsOf(p.addr))
 }
 
 // simulation is a tier of VMs with disks.
@@ -395,7 +400,10 @@
 	s.vms[addr] = &simVM{addr: addr, seeds: seeds, fs: newMemFS(), firstStart: true}
 }
 
-const simRemoveSilentAfter = 3 * time.Second
+const (
+	simRemoveSilentAfter = 3 * time.Second
+	simDataDir           = "/data"
+)
 
 func (s *simulation) startVM(addr string) {
 	v := s.vms[addr]
@@ -403,7 +411,7 @@
 	p.ctx, p.cancel = context.WithCancel(context.Background())
 	p.member = NewGroupMember(GroupMemberConfig{
 		Config: Config{
-			Name: "vm-" + addr, DataDir: "/data", PeerAddr: addr, FS: v.fs, Clock: s.clock,
+			Name: "vm-" + addr, DataDir: simDataDir, PeerAddr: addr, FS: v.fs, Clock: s.clock,
 			Conns: simConns{network: s.network, from: addr}, SnapshotEntries: 10,
 			Maintenance: MaintenanceConfig{MinVoters: 3, RemoveSilentAfter: simRemoveSilentAfter},
 		},
@@ -430,7 +438,7 @@
 		return
 	}
 	v.fs = v.fs.fork()
-	id, _ := journal.ReadIdentity(v.fs, "/data")
+	id, _ := journal.ReadIdentity(v.fs, simDataDir)
 	v.used = v.used || id != nil
 	s.network.mu.Lock()
 	delete(s.network.servers, addr)
@@ -486,4 +494,5 @@
 	time.Sleep(2 * simCallTimeout)
 }
 
+// simAddr returns the address of the i-th VM.
 func simAddr(i int) string { return fmt.Sprintf("vm-%d:1", i) }
