control: an operator can add a member of another group

Operators would see: a learner that never catches up, and the group's reserve of member IDs and places used up. Cause: Hello names the group of the VM, but fetchMember does not compare it.

Change: a test only, in virtual time; the fault is not mended here.

Measured: TestMemberOfAnotherGroupIsNotAdded fails on: the second group has the VM as a learner.

--- a/internal/control/other_group_test.go
+++ b/internal/control/other_group_test.go
@@ -375,3 +375,29 @@
 		}
 	})
 }
+
+// An operator who adds a VM of another group would change the group by a member that refuses
+// its messages.
+func TestMemberOfAnotherGroupIsNotAdded(t *testing.T) {
+	runTwoGroups(t, func(t *testing.T, w *twoGroups) {
+		const addr = "fourth:1"
+		w.addVM(addr, w.founders[0])
+		w.vms[addr].firstStart = false
+		w.startVM(addr)
+		time.Sleep(simSettleTime)
+		if n := w.vms[addr].process.member.Node(); n == nil || n.GroupID() != w.nodes[0].GroupID() || n.cfg.ID != 4 {
+			t.Fatalf("the VM has not joined the first group: %v", n)
+		}
+		second := w.leaderOf(1)
+		before := stateOf(second)
+		ctx, cancel := context.WithTimeout(w.ctx, simSettleTime)
+		defer cancel()
+		reply, err := (&operatorServer{second}).Group(ctx, &wire.GroupRequest{Op: wire.GroupOp_GROUP_ADD, PeerAddr: addr})
+		if err == nil && (reply.Done || !strings.Contains(reply.Error, "group")) {
+			t.Errorf("the second group answers %v", reply)
+		}
+		if after := stateOf(second); before.conf != after.conf {
+			t.Errorf("the members %s became %s", before.conf, after.conf)
+		}
+	})
+}
