control: comments of the tests of group identities; founders of the simulation wait

Cause: comments were longer than one line, and a VM that is no seed did not wait for the answers of the seeds as entryvm's does.

Change: one line each; the founders call of the simulation ends only when every seed has answered.

--- a/internal/control/founding_test.go
+++ b/internal/control/founding_test.go
@@ -27,8 +27,7 @@
 	return follower
 }
 
-// A founder that was cut off before it learned the identity of its group, and was removed,
-// would found a second group when it is started with the settings of the first start.
+// The VM is started again with the settings of the first start.
 func TestFounderRemovedBeforeItKnewItsGroupFoundsNoOther(t *testing.T) {
 	runSimulation(t, func(t *testing.T, s *simulation) {
 		var all []string
--- a/internal/control/other_group_test.go
+++ b/internal/control/other_group_test.go
@@ -142,8 +142,7 @@
 	return out
 }
 
-// A daemon that calls a VM of another group with the same member IDs would change or learn
-// the state of that group.
+// A daemon that reaches another group would change or learn that group's state.
 func TestGroupRefusesCallsForAnotherGroup(t *testing.T) {
 	runTwoGroups(t, func(t *testing.T, w *twoGroups) {
 		first, second := w.nodes[0], w.nodes[1]
@@ -229,8 +228,7 @@
 	})
 }
 
-// The VMs of two groups exchange addresses, so that each group's messages arrive at members
-// of the other one with the same IDs.
+// Each group's messages arrive at members of the other one that have the same IDs.
 func TestGroupsStayApartAfterExchangeOfAddresses(t *testing.T) {
 	runTwoGroups(t, func(t *testing.T, w *twoGroups) {
 		groups := [2]vm.GroupID{w.nodes[0].GroupID(), w.nodes[1].GroupID()}
@@ -295,8 +293,7 @@
 	return c
 }
 
-// A daemon that is cut off from its group and meets another one, or a relay that follows
-// another one, would handle requests as the other group's configuration says.
+// A daemon that meets another group would handle requests as that group's configuration says.
 func TestDaemonKeepsToItsGroup(t *testing.T) {
 	runTwoGroups(t, func(t *testing.T, w *twoGroups) {
 		d := w.startDaemon("daemon:1", w.founders[0])
@@ -376,8 +373,7 @@
 	})
 }
 
-// An operator who adds a VM of another group would change the group by a member that refuses
-// its messages.
+// The group would have a member that refuses all its messages.
 func TestMemberOfAnotherGroupIsNotAdded(t *testing.T) {
 	runTwoGroups(t, func(t *testing.T, w *twoGroups) {
 		const addr = "fourth:1"
--- a/internal/control/simulation_test.go
+++ b/internal/control/simulation_test.go
@@ -317,7 +317,7 @@
 func (p *simProcess) founders(ctx context.Context) []string {
 	seeds := p.sim.seedsOf(p.addr)
 	answered := map[string]bool{p.addr: true}
-	for ctx.Err() == nil && len(answered) <= len(seeds) {
+	for ctx.Err() == nil {
 		for _, addr := range seeds {
 			if answered[addr] {
 				continue
--- a/internal/control/upgrade_test.go
+++ b/internal/control/upgrade_test.go
@@ -78,8 +78,7 @@
 	return id
 }
 
-// The group of a release without identities loses its data, or its VMs disagree on the
-// identity, when they are restarted with this one.
+// VMs restarted one after another would lose the group's data or name it differently.
 func TestUpgradeGivesGroupOneIdentity(t *testing.T) {
 	for _, count := range []int{3, 4} {
 		t.Run(fmt.Sprint(count), func(t *testing.T) {
@@ -253,8 +252,7 @@
 	}
 }
 
-// A VM that is told that it is the first start although its disk has a group would found a
-// second one, or clear the disk.
+// The VM would found a second group or clear its disk.
 func TestFirstStartOnDiskWithGroupKeepsIt(t *testing.T) {
 	err := startOnDisk(t, func(*memFS) {}, func(t *testing.T, s *simulation, addr string, before *memFS) {
 		group := s.leader().GroupID()
@@ -269,7 +267,7 @@
 	}
 }
 
-// A disk that names a group and has lost its log would found a second group at a first start.
+// The VM would found a second group.
 func TestFirstStartWithoutLogJoinsTheGroupOfTheDisk(t *testing.T) {
 	var group vm.GroupID
 	err := startOnDisk(t, func(fs *memFS) {
--- a/internal/entryvm/other_group_test.go
+++ b/internal/entryvm/other_group_test.go
@@ -9,8 +9,7 @@
 	"pearmoor/internal/vm"
 )
 
-// A VM whose disk names a group and whose seeds are of another one would serve callers with
-// the other group's configuration, and announce it as its own.
+// The VM would serve callers with another group's configuration and announce it as its own.
 func TestDaemonFollowsNoGroupButThatOfItsDisk(t *testing.T) {
 	t.Parallel()
 	founderLis, memberLis, disklessLis := listen(t), listen(t), listen(t)
