control: a disk takes part in at most one founding, whatever became of its group

Callers would see: releases acknowledged in two groups. Cause: a founder that was cut off before it learned its group's identity, and was removed, cleared its identity file with the rest, so that its disk counted as unused. Started again with the settings of the first start and seeds of which it alone has a disk, it founded a group of one.

Change: the identity of a used disk is never removed, only its member ID.

--- a/internal/control/group_member.go
+++ b/internal/control/group_member.go
@@ -301,9 +301,10 @@
 	return wire.NewDRPCQuorumClient(conn).Join(ctx, &wire.JoinRequest{Name: m.cfg.Name, PeerAddr: m.cfg.PeerAddr, Disk: disk, Group: m.group.Wire()})
 }
 
-// clear removes all files from the data folder. Last, the identity is removed or, if this
-// VM has belonged to a group, replaced by one without a member ID: if clearing is
-// interrupted, the rest of the log still belongs to the ID it was written under.
+// clear removes all files from the data folder. Last, the identity of a disk that was used
+// is replaced by one without a member ID: if clearing is interrupted, the rest of the log
+// still belongs to the ID it was written under. The identity that remains keeps the disk
+// from another founding, also if its VM was removed before it knew its group.
 func (m *GroupMember) clear() error {
 	fs, dir := m.cfg.FS, m.cfg.DataDir
 	if err := fs.MkdirAll(dir); err != nil {
@@ -313,29 +314,20 @@
 	if err != nil {
 		return errors.Wrap(err, "control: data folder")
 	}
-	hasIdentity := false
+	used := m.group != ""
 	for _, name := range names {
 		if name == journal.IdentityFile {
-			hasIdentity = true
+			used = true
 			continue
 		}
 		if err := fs.Remove(filepath.Join(dir, name)); err != nil {
 			return errors.Wrap(err, fmt.Sprintf("control: remove %s", name))
 		}
 	}
-	if err := fs.SyncDir(dir); err != nil {
+	if err := fs.SyncDir(dir); err != nil || !used {
 		return errors.Wrap(err, "control: data folder")
 	}
-	switch {
-	case m.group != "":
-		return journal.WriteIdentity(fs, dir, &wire.DiskIdentity{Name: m.cfg.Name, Group: m.group.Wire()})
-	case !hasIdentity:
-		return nil
-	}
-	if err := fs.Remove(filepath.Join(dir, journal.IdentityFile)); err != nil {
-		return errors.Wrap(err, "control: remove the identity")
-	}
-	return errors.Wrap(fs.SyncDir(dir), "control: data folder")
+	return journal.WriteIdentity(fs, dir, &wire.DiskIdentity{Name: m.cfg.Name, Group: m.group.Wire()})
 }
 
 // IsLeader reports whether this VM leads and no other VM can have been elected by now.
