control: a member of another group can't be added

Operators would see: a learner that never catches up and takes one of the group's places for good. Cause: fetchMember did not compare the group that the VM names in Hello.

Change: the request is refused with an error that names both groups.

--- a/internal/control/group.go
+++ b/internal/control/group.go
@@ -9,6 +9,7 @@
 	"pearmoor/internal/link/peer"
 	"pearmoor/internal/link/wire"
 	"pearmoor/internal/quorum"
+	"pearmoor/internal/vm"
 )
 
 const (
@@ -85,6 +86,9 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "control: peer_addr=%s does not answer as a control VM", req.PeerAddr)
 	}
+	if n.groupGuard.Refuses(n.GroupID(), vm.GroupID(hello.Group), "a new member", req.PeerAddr) {
+		return nil, errors.Newf("control: the VM at %s belongs to group %s, this is group %s; start it on an empty folder", req.PeerAddr, vm.GroupID(hello.Group), n.GroupID())
+	}
 	if req.Id != 0 && req.Id != hello.Id {
 		return nil, errors.Newf("control: id=%d, but the VM at %s calls itself %d; use its id", req.Id, req.PeerAddr, hello.Id)
 	}
