entryvm: a VM whose disk belongs to a group follows no other one

Callers would see: a VM that handles requests as another group's configuration says, and announces that group with its own addresses. Cause: the relay client kept to the first group that it met; the identity of the disk reached only the member of the control group.

Change: the client is bound to the group of the disk when the process starts, and to that of the log when the member does.

--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -18,6 +18,7 @@
 	"pearmoor/internal/discovery"
 	"pearmoor/internal/evacuation"
 	"pearmoor/internal/forward"
+	"pearmoor/internal/journal"
 	"pearmoor/internal/link/peer"
 	"pearmoor/internal/link/wire"
 	"pearmoor/internal/policy"
@@ -66,6 +67,13 @@
 	if conf.FS == nil {
 		conf.FS = diskOf(conf.DataDir)
 	}
+	var disk *wire.DiskIdentity
+	if conf.DataDir != "" {
+		var err error
+		if disk, err = journal.ReadIdentity(conf.FS, conf.DataDir); err != nil {
+			return nil, err
+		}
+	}
 	v := &VM{conf: conf, quotasNeeded: make(chan struct{}), guard: relay.NewGroupGuard(vm.Monotonic)}
 	v.SetSeeds(conf.Seeds)
 	v.controlConns, v.bulkConns, v.gatherConns = peer.NewTrustedPool(), peer.NewTrustedPool(), peer.NewTrustedPool()
@@ -76,7 +84,7 @@
 	}
 	v.client = relay.NewClient(relay.Config{
 		Self: self, Control: v.contacts(), Conns: v.controlConns, Clock: vm.Now, ExclusiveRuns: true, EagerStart: true,
-		Interval: heartbeatInterval,
+		Interval: heartbeatInterval, Group: vm.GroupID(disk.GetGroup()),
 	})
 	v.prober = newProber(v)
 	v.leafCache = discovery.NewLeafCache(vm.Monotonic)
@@ -129,6 +137,7 @@
 				klog.Errorf("entry: registering the control services failed: %v", err)
 			}
 			if n != nil {
+				v.client.Follow(n.GroupID())
 				v.client.SetSeeds(v.contacts())
 			}
 		},
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -90,7 +90,7 @@
 		groupGuard:  NewGroupGuard(cfg.Clock),
 		pushSignal:  make(chan struct{}, 1),
 		newAddrs:    make(chan struct{}, 1),
-		view:        &View{},
+		view:        &View{Group: cfg.Group},
 		viewChanged: make(chan struct{}),
 		upstreams:   newUpstreams(cfg.Self, cfg.Control),
 	}
@@ -111,6 +111,15 @@
 	}
 }
 
+// Follow binds this daemon to a control group, unless it follows one already.
+func (c *Client) Follow(group vm.GroupID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.groupGuard.Refuses(c.view.Group, group, "the group of its own disk", c.cfg.Self.Name) {
+		c.follow(group)
+	}
+}
+
 // signal puts a token into a channel of capacity 1, unless it already holds one.
 func signal(ch chan struct{}) {
 	select {
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -23,13 +23,17 @@
 
 // Config configures a Client.
 type Config struct {
-	Self      vm.Identity
-	Control   []string      // peer addresses of control VMs; one that works is enough
-	Conns     Conns         // connections to control VMs and relays
-	Clock     vm.Clock      // nil: vm.Now
-	Interval  time.Duration // longest time between two heartbeats; 0: DefaultInterval
-	MaxDirect int           // most members that all sync with the leader; 0: DefaultMaxDirect
-	Fanout    int           // daemons per relay when there are more members; 0: DefaultFanout
+	Self     vm.Identity
+	Control  []string      // peer addresses of control VMs; one that works is enough
+	Conns    Conns         // connections to control VMs and relays
+	Clock    vm.Clock      // nil: vm.Now
+	Interval time.Duration // longest time between two heartbeats; 0: DefaultInterval
+	// Group is the control group that this daemon belongs to, for example by the identity of
+	// its disk; empty: the first one that it meets.
+	Group vm.GroupID
+
+	MaxDirect int // most members that all sync with the leader; 0: DefaultMaxDirect
+	Fanout    int // daemons per relay when there are more members; 0: DefaultFanout
 	// EagerStart makes a daemon without state contact several addresses in parallel,
 	// and soon after its start. In a restart of all VMs each of 300 daemons makes two
 	// to three calls more to the leader than a daemon that contacts the addresses one
