entryvm, daemon: a process of which a part fails ends as a whole

Cause: VM.Run waited on an errgroup. When one part returned an error, the group's context ended all parts but the callers' server, which ends only in drain; drain was not called, so Run never returned, the error was not logged, and the server answered with the configuration that it had. pearmoord did end, but without leaving the membership: it stayed ready until then, and other daemons listed it until its lease had run out. The side servers of pearmoor-entry (readiness, operators, directory) ended with a log line only.

Change: work.Parts runs the parts. It logs and counts (process.parts.failed) the first failure at once and leaves the other parts running, so that the drain can report its phase and finish the work in hand; a part that returns too early has failed too.

--- a/cmd/pearmoor-entry/main.go
+++ b/cmd/pearmoor-entry/main.go
@@ -161,7 +161,7 @@
 		{"readiness", settings.ReadinessAddr, platform.ReadinessHandler(v)},
 		{"operators", settings.OperatorAddr, platform.OperatorHandler(v, settings.OperatorAddr)},
 		{"directory", settings.DirectoryAddr, platform.DirectoryHandler(v)},
-		{"metrics", metricsAddr(host, opts.metricsPort), entryvm.MetricsHandler()},
+		{metricsServer, metricsAddr(host, opts.metricsPort), entryvm.MetricsHandler()},
 	}
 	for _, s := range sideServers {
 		if s.addr == "" {
@@ -171,7 +171,7 @@
 		if err != nil {
 			return out, nil, err
 		}
-		go serveSideServer(s.name, l, s.handler)
+		go serveSideServer(s.name, l, s.handler, v)
 	}
 	return out, closeAll, nil
 }
@@ -188,13 +188,21 @@
 	sideIdleTimeout       = 30 * time.Second
 )
 
-func serveSideServer(name string, l net.Listener, h http.Handler) {
+// metricsServer is the name of the only side server that a VM can do without.
+const metricsServer = "metrics"
+
+func serveSideServer(name string, l net.Listener, h http.Handler, v *entryvm.VM) {
 	s := &http.Server{
 		Handler: h, ReadHeaderTimeout: sideReadHeaderTimeout, IdleTimeout: sideIdleTimeout,
 		ErrorLog: decision.NewServerLog(name),
 	}
-	if err := s.Serve(l); err != nil && !errors.Is(err, net.ErrClosed) {
+	err := s.Serve(l)
+	switch {
+	case errors.Is(err, net.ErrClosed): // closed after Run
+	case name == metricsServer:
 		klog.Errorf("entry: stopped serving %s: %v", name, err)
+	default:
+		v.Fail(name, err)
 	}
 }
 
--- a/cmd/pearmoor-entry/main_test.go
+++ b/cmd/pearmoor-entry/main_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
+	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -11,7 +14,11 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"pearmoor/internal/entryvm"
 	"pearmoor/internal/freeport"
+	"pearmoor/internal/journal"
 	"pearmoor/platform"
 )
 
@@ -132,3 +139,60 @@
 		t.Errorf("exit code %d, want %d", code, exitUsage)
 	}
 }
+
+// Guards against a process that serves on after its control member has failed.
+func TestProcessEndsWhenItsControlMemberFails(t *testing.T) {
+	dir := t.TempDir()
+	if err := os.MkdirAll(filepath.Join(dir, "data"), 0o700); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(dir, "data", journal.IdentityFile), []byte("damaged"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	const grace = 2 * time.Second
+	cmd, lines := start(t, writeSettings(t, dir, grace.Seconds()))
+	awaitLine(t, lines, `part failed, the process stops part=\"control member\"`)
+	failed := time.Now()
+	awaitLine(t, lines, `"part":"entry","what":"stopped: control member`)
+	_ = cmd.Wait()
+	if code := cmd.ProcessState.ExitCode(); code != exitFailure {
+		t.Errorf("exit code %d, want %d", code, exitFailure)
+	}
+	if took := time.Since(failed); took > grace {
+		t.Errorf("the process ended after %v, more than its grace period of %v", took, grace)
+	}
+}
+
+// Guards against a process that serves on without its readiness, operators' or directory server.
+func TestProcessEndsWhenASideServerFails(t *testing.T) {
+	for name, fails := range map[string]bool{"readiness": true, "operators": true, "directory": true, metricsServer: false} {
+		t.Run(name, func(t *testing.T) {
+			peers, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			v, err := entryvm.New(entryvm.Config{Name: "vm", PeerAddr: peers.Addr().String(), Source: platform.NewLeafList(func() string { return "127.0.0.1:9" }), Dialect: platform.Dialect(), ListPageRate: 1})
+			if err != nil {
+				t.Fatal(err)
+			}
+			stop, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			ended := make(chan error, 1)
+			go func() { ended <- v.Run(stop, entryvm.Listeners{Peers: peers}) }()
+			serveSideServer(name, failingListener{peers}, http.NotFoundHandler(), v)
+			if !fails {
+				cancel()
+			}
+			if err := <-ended; errors.Is(err, errAccept) != fails {
+				t.Errorf("Run returned %v", err)
+			}
+		})
+	}
+}
+
+var errAccept = errors.New("accept failed")
+
+type failingListener struct{ net.Listener }
+
+func (failingListener) Accept() (net.Conn, error) { return nil, errAccept }
+func (failingListener) Close() error              { return nil }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 	"storj.io/drpc/drpcmux"
 
@@ -23,6 +22,7 @@
 	"pearmoor/internal/query"
 	"pearmoor/internal/relay"
 	"pearmoor/internal/vm"
+	"pearmoor/internal/work"
 )
 
 // Daemon is one pearmoord process.
@@ -215,8 +215,9 @@
 	return wire.DRPCRegisterHome(mux, d.engine.Home())
 }
 
-// Run serves until shutdown is done, then drains; when abort is done, it stops without
-// waiting further. It returns nil after a planned stop.
+// Run serves until shutdown is done or a part of the daemon fails, then drains; when abort is
+// done, it stops without waiting further. It returns nil after a planned stop, and otherwise the
+// error of the part.
 func (d *Daemon) Run(shutdown, abort context.Context) error {
 	mux := drpcmux.New()
 	if err := d.register(mux); err != nil {
@@ -224,55 +225,59 @@
 	}
 	// The peer, operator and control servers run until the drain has ended: a draining
 	// daemon still renews its lease and answers other daemons.
-	baseCtx, cancelBase := context.WithCancel(context.WithoutCancel(shutdown))
-	defer cancelBase()
-	g, ctx := errgroup.WithContext(baseCtx)
-	d.startServers(g, ctx, mux)
+	ctx, cancel := context.WithCancel(context.WithoutCancel(shutdown))
+	defer cancel()
+	parts := work.NewParts("daemon")
+	d.startServers(parts, ctx, mux)
 	callerCtx, stopCallers := context.WithCancel(ctx)
 	defer stopCallers()
-	d.startEntry(g, ctx, callerCtx)
+	d.startEntry(parts, ctx, callerCtx)
 	if err := d.conf.writeReadyFile(d.listeners); err != nil {
 		return err
 	}
 	d.lifecycle.set(phaseServing)
 	klog.Infof("daemon: %s serves; callers %s, peers %s, operators %s",
 		d.self.Name, d.self.CallerAddr, d.self.PeerAddr, d.listeners.operator.Addr())
-	g.Go(func() error {
-		defer cancelBase()
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-shutdown.Done():
-		}
-		d.drain(abort, stopCallers)
-		return nil
-	})
-	err := g.Wait()
+	waitCtx, limits := context.WithoutCancel(shutdown), plannedDrain
+	select {
+	case <-shutdown.Done():
+	case <-parts.Failed():
+		limits = failureDrain
+		var cancelWait context.CancelFunc
+		waitCtx, cancelWait = context.WithTimeout(waitCtx, limits.total()+failureStopTimeout)
+		defer cancelWait()
+	}
+	parts.Stop()
+	d.drain(abort, limits, stopCallers)
+	cancel()
+	err := parts.Wait(waitCtx)
 	d.close()
 	klog.Infof("daemon: %s has stopped", d.self.Name)
 	return err
 }
 
-func (d *Daemon) startServers(g *errgroup.Group, ctx context.Context, mux *drpcmux.Mux) {
-	g.Go(func() error { return peer.Serve(ctx, d.listeners.peer, mux, d.serverTLS()) })
+func (d *Daemon) startServers(parts *work.Parts, ctx context.Context, mux *drpcmux.Mux) {
+	parts.Go("peers", func() error { return peer.Serve(ctx, d.listeners.peer, mux, d.serverTLS()) })
 	operator := newOperatorServer(d.ready, func() any { return d.status() })
-	g.Go(func() error { return operator.serve(ctx, d.listeners.operator) })
+	parts.Go("operators", func() error { return operator.serve(ctx, d.listeners.operator) })
 	if d.control != nil {
-		g.Go(func() error { return d.control.Run(ctx) })
+		parts.Go("control VM", func() error { return d.control.Run(ctx) })
 	}
 }
 
-func (d *Daemon) startEntry(g *errgroup.Group, ctx, callerCtx context.Context) {
+func (d *Daemon) startEntry(parts *work.Parts, ctx, callerCtx context.Context) {
 	if d.entry == nil {
 		return
 	}
 	d.client.SetPhase(vm.Serving)
-	g.Go(func() error { return ignoreAfterCancel(ctx, d.client.Run(ctx)) })
-	g.Go(func() error { return ignoreAfterCancel(ctx, d.prober.Run(ctx)) })
-	g.Go(func() error { d.shares.run(ctx); return nil })
-	g.Go(func() error { d.quarantine.Run(ctx); return nil })
-	g.Go(func() error { d.gates.WatchStalls(ctx); return nil })
-	g.Go(func() error { return d.entry.Serve(callerCtx, d.listeners.caller, d.callerTLS()) })
+	parts.Go("relay client", func() error { return ignoreAfterCancel(ctx, d.client.Run(ctx)) })
+	parts.Go("prober", func() error { return ignoreAfterCancel(ctx, d.prober.Run(ctx)) })
+	for name, run := range map[string]func(context.Context){
+		"shares": d.shares.run, "quarantine": d.quarantine.Run, "stalls": d.gates.WatchStalls,
+	} {
+		parts.Go(name, func() error { run(ctx); return nil })
+	}
+	parts.Go("callers", func() error { return d.entry.Serve(callerCtx, d.listeners.caller, d.callerTLS()) })
 }
 
 // ignoreAfterCancel returns err, or nil if ctx is done: an error after cancellation is
--- a/internal/entryvm/parts_test.go
+++ b/internal/entryvm/parts_test.go
@@ -76,11 +76,14 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			tier := startCrashTierWith(t, func(conf *Config) {
-				conf.GracePeriod, conf.FS = partGracePeriod, &failingDisk{}
+				conf.FS = &failingDisk{}
+				if conf.Name == c.vm {
+					conf.GracePeriod = partGracePeriod
+				}
 			})
 			v := tier.vms[slices.IndexFunc(tier.vms, func(v *crashVM) bool { return v.conf.Name == c.vm })]
 			v.mayFail = true
-			defer tier.shutdownRuns(v.conf.Name)
+			defer v.shutdownServer()
 			answered := make(chan int, 1)
 			go func() {
 				status, _ := tier.ask(v, singlePath+slowSuffix)
@@ -119,16 +122,12 @@
 	return ok && m.SameIncarnation(v.client.Self())
 }
 
-// shutdownRuns closes the callers' servers of every run of a VM, so that Run returns even where it
-// should have returned before.
-func (c *crashTier) shutdownRuns(name string) {
+// shutdownServer closes the callers' server, so that Run returns even where it should have
+// returned before.
+func (v *crashVM) shutdownServer() {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	for _, v := range c.vms {
-		if v.conf.Name == name {
-			_ = v.server.Shutdown(ctx)
-		}
-	}
+	_ = v.server.Shutdown(ctx)
 }
 
 func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -9,7 +9,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
-	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
@@ -27,11 +26,13 @@
 	"pearmoor/internal/route"
 	"pearmoor/internal/settings"
 	"pearmoor/internal/vm"
+	"pearmoor/internal/work"
 )
 
 // VM is the process of one entry VM.
 type VM struct {
 	conf    Config
+	parts   *work.Parts
 	seeds   atomic.Pointer[[]string]
 	learned learnedContacts
 
@@ -65,7 +66,7 @@
 	if conf.FS == nil {
 		conf.FS = diskOf(conf.DataDir)
 	}
-	v := &VM{conf: conf, quotasNeeded: make(chan struct{})}
+	v := &VM{conf: conf, parts: work.NewParts("entry"), quotasNeeded: make(chan struct{})}
 	v.SetSeeds(conf.Seeds)
 	v.controlConns, v.bulkConns, v.gatherConns = peer.NewTrustedPool(), peer.NewTrustedPool(), peer.NewTrustedPool()
 	self := vm.Identity{
@@ -253,43 +254,53 @@
 	Peers   net.Listener
 }
 
-// Run serves until stop ends, then shuts down gracefully within the grace period.
+// Fail stops the VM because a part of its process has failed that Run does not run.
+func (v *VM) Fail(part string, err error) { v.parts.Fail(part, err) }
+
+// Run serves until stop ends or a part of the VM fails, then shuts down gracefully within the
+// grace period. It returns the error of the part. The process must then exit.
 func (v *VM) Run(stop context.Context, lis Listeners) error {
-	runCtx, cancel := context.WithCancel(context.WithoutCancel(stop))
+	ctx, cancel := context.WithCancel(context.WithoutCancel(stop))
 	defer cancel()
-	g, ctx := errgroup.WithContext(runCtx)
-	g.Go(func() error { return peer.ServeTrusted(ctx, lis.Peers, v) })
-	if v.groupMember != nil {
-		g.Go(func() error { return v.groupMember.Run(ctx) })
-	}
 	v.client.SetPhase(vm.Serving)
-	g.Go(func() error { return ignoreIfDone(ctx, v.client.Run(ctx)) })
-	g.Go(func() error { v.leafSyncer.Run(ctx); return nil })
-	g.Go(func() error { v.engine.MaintainLinks(ctx); return nil })
-	g.Go(func() error { v.applyConfigs(ctx); return nil })
-	g.Go(func() error { v.exchangeContacts(ctx); return nil })
-	g.Go(func() error { v.quarantine.Run(ctx); return nil })
-	g.Go(func() error { v.prober.run(ctx); return nil })
-	g.Go(func() error { v.runQuotas(ctx); return nil })
-	if lis.Callers != nil {
-		g.Go(func() error { return v.server.Serve(ctx, lis.Callers) })
+	v.startParts(ctx, lis)
+	waitCtx := context.WithoutCancel(stop)
+	select {
+	case <-stop.Done():
+	case <-v.parts.Failed():
+		// No supervisor waits for this stop, so nothing else would end it.
+		var cancelWait context.CancelFunc
+		waitCtx, cancelWait = context.WithTimeout(waitCtx, v.conf.GracePeriod)
+		defer cancelWait()
 	}
-	g.Go(func() error {
-		defer cancel()
-		select {
-		case <-ctx.Done():
-		case <-stop.Done():
-			v.drain()
-		}
-		return nil
-	})
-	err := g.Wait()
+	v.parts.Stop()
+	v.drain()
+	cancel()
+	err := v.parts.Wait(waitCtx)
 	_ = v.controlConns.Close()
 	_ = v.bulkConns.Close()
 	_ = v.gatherConns.Close()
 	return err
 }
 
+// startParts starts the parts of the VM. All but the callers' server end with ctx.
+func (v *VM) startParts(ctx context.Context, lis Listeners) {
+	v.parts.Go("peers", func() error { return peer.ServeTrusted(ctx, lis.Peers, v) })
+	if v.groupMember != nil {
+		v.parts.Go("control member", func() error { return v.groupMember.Run(ctx) })
+	}
+	v.parts.Go("relay client", func() error { return ignoreIfDone(ctx, v.client.Run(ctx)) })
+	for name, run := range map[string]func(context.Context){
+		"leaf list": v.leafSyncer.Run, "leaf links": v.engine.MaintainLinks, "configurations": v.applyConfigs,
+		"contacts": v.exchangeContacts, "quarantine": v.quarantine.Run, "prober": v.prober.run, "quotas": v.runQuotas,
+	} {
+		v.parts.Go(name, func() error { run(ctx); return nil })
+	}
+	if lis.Callers != nil {
+		v.parts.Go("callers", func() error { return v.server.Serve(ctx, lis.Callers) })
+	}
+}
+
 // ignoreIfDone returns nil in place of err if ctx has ended.
 func ignoreIfDone(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
