--- a/soak/founding_test.go
+++ b/soak/founding_test.go
@@ -85,17 +85,19 @@
 }
 
 // checkAllFollow checks that each process follows the control group within followTime.
-func (h *harness) checkAllFollow(ctx context.Context) {
+func (h *harness) checkAllFollow(ctx context.Context) bool {
 	client := &http.Client{Timeout: watchTimeout}
 	defer client.CloseIdleConnections()
-	deadline := time.Now().Add(followTime)
+	deadline, all := time.Now().Add(followTime), true
 	for _, v := range h.vms {
 		for !follows(h.metrics(client, v)) {
 			if time.Now().After(deadline) || ctx.Err() != nil {
 				h.fail("%s does not follow the control group %v after the last disruption", v.name, followTime)
+				all = false
 				break
 			}
 			time.Sleep(watchInterval)
 		}
 	}
+	return all
 }
--- a/soak/membership_test.go
+++ b/soak/membership_test.go
@@ -24,17 +24,14 @@
 
 var controlSeeds = flag.String("control-seeds", defaultControlSeed, "seeds of TestSoakFourControlVMs, separated by spaces; "+defaultControlSeed+" if empty")
 
-const (
-	// successorTime is how long a successor is up before the VM that it replaces stops.
-	successorTime = 3 * time.Second
-	// departureTime is the time in which the group removes a VM that has left for good.
-	departureTime = 10 * time.Second
-)
+// stepTime is the time without disruptions in which the group promotes a VM that has joined and
+// removes one that has left for good.
+const stepTime = 10 * time.Second
 
 // replacements is the state of the planned replacement of control VMs.
 type replacements struct {
 	mu    sync.Mutex
-	spare *vmProcess // is not up, has an empty disk and stays claimed
+	spare *vmProcess // is not up, has an empty disk and stays claimed; nil: none
 	done  int
 	quick bool // the next VM leaves before the group has removed the last one
 }
@@ -63,6 +60,7 @@
 	h := newHarness(t, seed, size{vms: 8, disks: 5})
 	defer h.close()
 	defer h.report(t, seed)
+	defer h.logSteps(t, seed)
 	h.kinds = membershipFaults
 	h.replacement.spare, h.replacement.quick = h.vms[h.disks-1], hasQuickReplacements(seed)
 	h.replacement.spare.claim()
@@ -95,11 +93,16 @@
 	h.injectFaults(2 * *faultsFor)
 	cancelFaults()
 	replacing.Wait()
-	h.replacement.spare.start()
+	if spare := h.replacement.spare; spare != nil {
+		spare.start()
+	}
 	h.endFaults()
-	h.checkAllFollow(ctx)
+	following := h.checkAllFollow(ctx)
 	cancel()
 	wg.Wait()
+	if !following {
+		return
+	}
 	time.Sleep(settleTime + 100*time.Millisecond)
 	h.checkRecovered()
 	c := h.newCaller(seed, 10)
@@ -111,9 +114,14 @@
 	for _, v := range h.vms {
 		v.start()
 	}
-	h.checkAllFollow(context.Background())
-	h.checkAllInForce(c)
-	t.Logf("seed %d: %d removals, %d returned from one, %d foundings, %d planned replacements", seed, h.countLogLines("remove of member", ": done"),
+	if h.checkAllFollow(context.Background()) {
+		h.checkAllInForce(c)
+	}
+}
+
+// logSteps logs how the membership of the control group has changed in the run.
+func (h *harness) logSteps(t *testing.T, seed uint64) {
+	t.Logf("seed %d: %d removals, %d VMs returned from one, %d foundings, %d planned replacements", seed, h.countLogLines("remove of member", ": done"),
 		h.countLogLines("the group has removed member"), h.countLogLines("founding the group"), h.replacement.done)
 }
 
@@ -190,34 +198,50 @@
 }
 
 // replaceControlVMs replaces one control VM after another until ctx is cancelled. Each leaves for
-// good when its successor is up and, unless the replacements are quick, when the group has removed
+// good when its successor votes and, unless the replacements are quick, when the group has removed
 // the one before.
 func (h *harness) replaceControlVMs(ctx context.Context, rng *rand.Rand) {
-	for vm.Sleep(ctx, time.Duration(500+rng.IntN(2500))*time.Millisecond) {
+	for vm.Sleep(ctx, h.replacementPause(rng)) {
 		leaver := h.vms[rng.IntN(h.disks)]
 		if !leaver.claim() {
 			continue
 		}
-		successor := h.replacement.spare
+		successor, votes := h.replacement.spare, h.countSteps("promote", h.replacement.spare)
 		successor.start()
-		time.Sleep(successorTime)
+		if !h.awaitStep(ctx, "promote", successor, votes) {
+			h.setSpare(nil)
+			successor.release()
+			leaver.release()
+			return
+		}
 		h.replaceSeed(leaver, successor)
-		removed := h.countRemovals(leaver)
+		removals := h.countSteps("remove", leaver)
 		leaver.stopGracefully(false)
 		if err := os.RemoveAll(leaver.dataDir()); err != nil {
 			h.fail("disk of %s: %v", leaver.name, err)
 		}
-		h.replacement.mu.Lock()
-		h.replacement.spare = leaver // stays claimed
+		h.setSpare(leaver) // stays claimed
 		h.replacement.done++
-		h.replacement.mu.Unlock()
 		successor.release()
 		if !h.replacement.quick {
-			h.awaitRemoval(ctx, leaver, removed)
+			h.awaitStep(ctx, "remove", leaver, removals)
 		}
 	}
 }
 
+func (h *harness) replacementPause(rng *rand.Rand) time.Duration {
+	if h.replacement.quick {
+		return time.Duration(200+rng.IntN(800)) * time.Millisecond
+	}
+	return time.Duration(500+rng.IntN(2500)) * time.Millisecond
+}
+
+func (h *harness) setSpare(v *vmProcess) {
+	h.replacement.mu.Lock()
+	defer h.replacement.mu.Unlock()
+	h.replacement.spare = v
+}
+
 // replaceSeed exchanges the seeds if a VM that is to stop is among them.
 func (h *harness) replaceSeed(leaver, successor *vmProcess) {
 	seeds := h.currentSeeds()
@@ -228,18 +252,22 @@
 	}
 }
 
-// awaitRemoval waits until the group has removed a VM that has left, more often than before.
-func (h *harness) awaitRemoval(ctx context.Context, leaver *vmProcess, before int) {
-	for deadline := time.Now().Add(departureTime); h.countRemovals(leaver) <= before && ctx.Err() == nil; {
-		if time.Now().After(deadline) && h.undisturbedFor() > departureTime {
-			h.fail("the group has not removed %s within %v of its departure", leaver.name, departureTime)
-			return
+// awaitStep waits until the group has promoted or removed a VM more often than before. It returns
+// false if ctx ends first, or after stepTime without disruptions.
+func (h *harness) awaitStep(ctx context.Context, step string, v *vmProcess, before int) bool {
+	for start := time.Now(); h.countSteps(step, v) <= before; {
+		if time.Since(start) > stepTime && h.undisturbedFor() > stepTime {
+			h.fail("the group did not %s %s within %v", step, v.name, stepTime)
+			return false
+		}
+		if !vm.Sleep(ctx, watchInterval) {
+			return false
 		}
-		vm.Sleep(ctx, watchInterval)
 	}
+	return true
 }
 
-// countRemovals returns how often leaders have removed the VM from the group.
-func (h *harness) countRemovals(v *vmProcess) int {
-	return h.countLogLines("remove of member", fmt.Sprintf(" at %s, ", v.addr(h.ports.peers)), ": done")
+// countSteps returns how often leaders have promoted or removed the VM.
+func (h *harness) countSteps(step string, v *vmProcess) int {
+	return h.countLogLines(step+" of member", fmt.Sprintf(" at %s, ", v.addr(h.ports.peers)), ": done")
 }
