entryvm: a damaged identity is reported by the member of the group

Cause: New read the identity of the disk and returned its error before the part that reports a damaged folder had started.

Change: New only binds the client where the identity can be read; the process ends with the member's error, as TestProcessEndsWhenItsControlMemberFails asks.

--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -70,10 +70,7 @@
 	}
 	var disk *wire.DiskIdentity
 	if conf.DataDir != "" {
-		var err error
-		if disk, err = journal.ReadIdentity(conf.FS, conf.DataDir); err != nil {
-			return nil, err
-		}
+		disk, _ = journal.ReadIdentity(conf.FS, conf.DataDir) // the member of the group reports a damaged one
 	}
 	v := &VM{conf: conf, parts: work.NewParts("entry"), quotasNeeded: make(chan struct{}), guard: relay.NewGroupGuard(vm.Monotonic)}
 	v.SetSeeds(conf.Seeds)
