--- a/internal/control/disk_test.go
+++ b/internal/control/disk_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"errors"
+	"fmt"
+	"path/filepath"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -19,6 +23,10 @@
 	full     atomic.Bool // writes fail with ENOSPC
 	lowSpace atomic.Bool // Free reports little free space
 	failSync atomic.Bool // syncs fail with EIO
+	// noRoomForSnapshots makes writes of snapshots, which are larger than those of the log, fail
+	// with ENOSPC.
+	noRoomForSnapshots atomic.Bool
+	snapshotsRefused   atomic.Int64
 }
 
 func (d *faultyDisk) Free(dir string) (uint64, error) {
@@ -29,6 +37,10 @@
 }
 
 func (d *faultyDisk) Create(path string) (journal.File, error) {
+	if d.noRoomForSnapshots.Load() && isSnapshot(filepath.Base(path)) {
+		d.snapshotsRefused.Add(1)
+		return nil, unix.ENOSPC
+	}
 	f, err := d.OS.Create(path)
 	return &faultyFile{f, d}, err
 }
@@ -122,3 +134,44 @@
 		})
 	})
 }
+
+func isSnapshot(name string) bool { return strings.HasPrefix(name, "snapshot-") }
+
+// Guards against a control VM that ends because the disk had no room for a snapshot.
+func TestSnapshotIsWrittenOnceThereIsRoom(t *testing.T) {
+	t.Parallel()
+	disk := &faultyDisk{}
+	v := startVM(t, Config{ID: 1, Name: "ctl-1", DataDir: t.TempDir(), Bootstrap: true, FS: disk, SnapshotEntries: 10}, listen(t, "127.0.0.1:0"))
+	eventually(t, "it leads", v.isLeader)
+	names, err := disk.ReadDir(v.cfg.DataDir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	disk.noRoomForSnapshots.Store(true)
+	const changes = 30
+	for i := range uint64(changes) {
+		reply, err := tryChange(t, v, changeRequest(fmt.Sprint("c", i), i, "daemon-lease", fmt.Sprintf("%ds", 10+i)))
+		if err != nil || reply.Version != i+1 {
+			t.Fatalf("change %d: reply %v, error %v, the control VM ended with %v", i, reply, err, v.err)
+		}
+	}
+	refused := disk.snapshotsRefused.Load()
+	eventually(t, "the same snapshot is tried again", func() bool {
+		select {
+		case <-v.runDone:
+			t.Fatalf("the control VM ended with %v", v.err)
+		default:
+		}
+		return disk.snapshotsRefused.Load() >= refused+2
+	})
+	disk.noRoomForSnapshots.Store(false)
+	eventually(t, "a new snapshot is on disk", func() bool {
+		now, err := disk.ReadDir(v.cfg.DataDir)
+		return err == nil && slices.ContainsFunc(now, func(name string) bool { return isSnapshot(name) && !slices.Contains(names, name) })
+	})
+	v = v.restart()
+	eventually(t, "it leads again", v.isLeader)
+	if got := v.node.stateView().version; got != changes {
+		t.Errorf("version %d after the restart, want %d", got, changes)
+	}
+}
--- a/internal/control/ready.go
+++ b/internal/control/ready.go
@@ -179,14 +179,15 @@
 	if err != nil {
 		return err
 	}
-	keep := d.node.cfg.SnapshotEntries / 2 // entries kept for members that lag slightly behind
-	snap, err := d.machine.Compact(d.appliedIndex, data, keep)
+	snap, err := d.machine.Snapshot(d.appliedIndex, data)
 	if err != nil {
 		return err
 	}
 	if err := d.journal.SaveSnapshot(snap); err != nil {
 		return err
 	}
+	keep := d.node.cfg.SnapshotEntries / 2 // entries kept for members that lag slightly behind
+	d.machine.Compact(snap, keep)
 	d.snapshotIndex = snap.Index
 	if snap.Index <= keep {
 		return nil
--- a/internal/quorum/cluster_test.go
+++ b/internal/quorum/cluster_test.go
@@ -293,10 +293,11 @@
 }
 
 func (c *cluster) compact(h *host, keep uint64) {
-	s, err := h.m.Compact(h.state.applied, h.state.encode(), keep)
+	s, err := h.m.Snapshot(h.state.applied, h.state.encode())
 	if err != nil {
 		return // nothing was applied since the last snapshot
 	}
+	h.m.Compact(s, keep)
 	h.persisted.Snapshot = s
 	h.persisted.Entries = slices.DeleteFunc(slices.Clone(h.persisted.Entries), func(e *Entry) bool { return e.Index <= s.Index })
 }
--- a/internal/quorum/snapshot.go
+++ b/internal/quorum/snapshot.go
@@ -12,11 +12,10 @@
 	data              []byte
 }
 
-// Compact makes a snapshot at index from data, the application's state after that
-// entry, and drops the log before it except for the last keep entries up to index,
-// which slow followers may need. index must be applied. The driver stores the
-// returned snapshot and may then drop the journal below it.
-func (m *Machine) Compact(index uint64, data []byte, keep uint64) (*Snapshot, error) {
+// Snapshot returns a snapshot at index with data, the application's state after that entry.
+// index must be applied. The machine does not change: the driver stores the snapshot, and then
+// calls Compact.
+func (m *Machine) Snapshot(index uint64, data []byte) (*Snapshot, error) {
 	if index > m.log.applied || index <= m.snapshot.Index {
 		return nil, errors.Newf("quorum: can't compact at %d; use an index above %d, the last snapshot's, and up to %d, the applied one",
 			index, m.snapshot.Index, m.log.applied)
@@ -25,12 +24,18 @@
 	if !ok {
 		return nil, errors.Newf("quorum: can't compact at %d; the log begins at %d", index, m.log.firstIndex)
 	}
-	m.snapshot = &Snapshot{Index: index, Term: term, Conf: m.confs.at(index), Data: data}
-	m.confs = m.confs.compactTo(index)
-	if index > keep {
-		m.log.compact(index - keep + 1)
+	return &Snapshot{Index: index, Term: term, Conf: m.confs.at(index), Data: data}, nil
+}
+
+// Compact replaces the machine's snapshot with one from Snapshot that has been stored since, and
+// drops the log before it except for the last keep entries up to its index, which slow followers
+// may need. The driver may then drop the journal below it.
+func (m *Machine) Compact(snap *Snapshot, keep uint64) {
+	m.snapshot = snap
+	m.confs = m.confs.compactTo(snap.Index)
+	if snap.Index > keep {
+		m.log.compact(snap.Index - keep + 1)
 	}
-	return m.snapshot, nil
 }
 
 // sendSnapshotChunk sends the next chunk of the member's snapshot. A transfer in
