--- a/internal/control/disk_test.go
+++ b/internal/control/disk_test.go
@@ -175,3 +175,35 @@
 		t.Errorf("version %d after the restart, want %d", got, changes)
 	}
 }
+
+// Guards against a process that ends with an error because the disk is full when its control VM
+// stops, as after its removal from the group.
+func TestControlVMStopsOnAFullDisk(t *testing.T) {
+	t.Parallel()
+	for name, interrupted := range map[string]bool{"audit trail not flushed": false, "entry not written": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			disk := &faultyDisk{}
+			v := startVM(t, Config{ID: 1, Name: "ctl-1", DataDir: t.TempDir(), Bootstrap: true, FS: disk}, listen(t, "127.0.0.1:0"))
+			eventually(t, "it leads", v.isLeader)
+			dialVM(t, v).change("a", 0, "daemon-lease", "10s")
+			eventually(t, "the change is in force", func() bool { return v.node.stateView().inForce == 1 })
+			disk.full.Store(true)
+			if interrupted {
+				_, _ = tryChange(t, v, changeRequest("b", 1, "daemon-lease", "11s"))
+				eventually(t, "it waits for room", v.node.diskFull.Load)
+			}
+			v.stop()
+			if v.err != nil {
+				t.Errorf("the control VM ended with %v", v.err)
+			}
+			disk.full.Store(false)
+			v = v.restart()
+			eventually(t, "it leads again", v.isLeader)
+			eventually(t, "the audit trail has the change", func() bool {
+				records, err := v.node.records(1, 1)
+				return err == nil && len(records) == 1 && records[0].ChangeId == "a"
+			})
+		})
+	}
+}
