control: a control VM that stops on a full disk stops without an error

Cause: Node.Run returned ErrFull of the last write or of the audit trail's flush.

Change: a stopping VM tolerates it with a warning. What it had no room for was not acknowledged, or is in the log.

--- a/internal/control/group_member.go
+++ b/internal/control/group_member.go
@@ -124,10 +124,9 @@
 	err = <-done
 	m.node.Store(nil)
 	m.cfg.OnNodeChange(nil)
-	if !refused || err != nil && !errors.Is(err, journal.ErrFull) {
+	if !refused || err != nil {
 		return err
 	}
-	// What could not be written to a full disk is of no use to a VM that was removed.
 	m.left = true
 	if group := node.GroupID(); group != "" {
 		m.group = group
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -140,17 +140,27 @@
 	wg.Go(func() { n.runLeaderLoop(runCtx) })
 	wg.Go(func() { n.runBackfill(runCtx) })
 	wg.Go(func() { n.runMaintenance(runCtx) })
-	err := n.driver.run(ctx)
+	err := tolerateFull(n.driver.run(ctx))
 	cancel()
 	wg.Wait()
-	err = errors.CombineErrors(err, n.trail.Close())
-	err = errors.CombineErrors(err, n.driver.journal.Close())
+	err = errors.CombineErrors(err, tolerateFull(n.trail.Close()))
+	err = errors.CombineErrors(err, tolerateFull(n.driver.journal.Close()))
 	if err != nil {
 		klog.Errorf("control: stopped: %v", err)
 	}
 	return err
 }
 
+// tolerateFull returns nil in place of journal.ErrFull. What a stopping VM had no room for was
+// not acknowledged, or is in the log and written by the next run.
+func tolerateFull(err error) error {
+	if !errors.Is(err, journal.ErrFull) {
+		return err
+	}
+	klog.Warningf("control: stopped on a full disk: %v", err)
+	return nil
+}
+
 // Register registers the control VM's RPC services with mux.
 func (n *Node) Register(mux drpc.Mux) error {
 	if err := wire.DRPCRegisterControl(mux, &operatorServer{n}); err != nil {
