--- a/internal/control/group_member_test.go
+++ b/internal/control/group_member_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -15,6 +16,7 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 
+	"pearmoor/internal/journal/faultydisk"
 	"pearmoor/internal/link/peer"
 	"pearmoor/internal/link/wire"
 	"pearmoor/internal/route"
@@ -28,6 +30,7 @@
 	member     *GroupMember
 	pool       *peer.Pool
 	mux        atomic.Pointer[drpcmux.Mux]
+	founders   atomic.Pointer[[]string] // as this VM's settings name them
 	cancel     context.CancelFunc
 	background sync.WaitGroup
 }
@@ -50,6 +53,12 @@
 
 // startTier starts a tier whose n VMs found a control group.
 func startTier(t testing.TB, n int) *memberTier {
+	t.Helper()
+	return startTierWithDisks(t, n, faultydisk.None)
+}
+
+// startTierWithDisks is like startTier, with a fault of the first VM's disk from the start.
+func startTierWithDisks(t testing.TB, n int, first faultydisk.Fault) *memberTier {
 	t.Helper()
 	tier := &memberTier{t: t, dir: t.TempDir(), vms: make(map[string]*memberVM)}
 	var listeners []net.Listener
@@ -58,6 +67,9 @@
 		listeners = append(listeners, lis)
 		tier.founders = append(tier.founders, lis.Addr().String())
 	}
+	if err := faultydisk.Set(tier.dataDir(tier.founders[0]), first); err != nil {
+		t.Fatal(err)
+	}
 	for _, lis := range listeners {
 		tier.start(lis, true)
 	}
@@ -73,13 +85,15 @@
 	addr := lis.Addr().String()
 	v := &memberVM{t: s.t, pool: peer.NewPool(nil)}
 	v.mux.Store(drpcmux.New())
+	v.founders.Store(&s.founders)
 	v.cfg = GroupMemberConfig{
 		Config: Config{
 			Name: "vm-" + addr, DataDir: s.dataDir(addr), PeerAddr: addr, Conns: v.pool, Tick: testTick, ReserveBytes: 1,
+			FS:          faultydisk.New(s.dataDir(addr)),
 			Maintenance: MaintenanceConfig{MinVoters: 3, RemoveSilentAfter: testRemoveSilentAfter},
 		},
 		FirstStart: found,
-		Founders:   func(context.Context) []string { return s.founders },
+		Founders:   func(context.Context) []string { return *v.founders.Load() },
 		Contacts:   func() []string { return s.founders },
 		OnNodeChange: func(n *Node) {
 			mux := drpcmux.New()
@@ -157,6 +171,22 @@
 	return wire.NewDRPCControlClient(conn)
 }
 
+// follower returns a VM that does not lead.
+func (s *memberTier) follower() *memberVM {
+	s.t.Helper()
+	var found *memberVM
+	eventually(s.t, "a VM follows", func() bool {
+		for _, v := range s.vms {
+			if n := v.member.Node(); n != nil && n.leadership.Load().leader != 0 && !n.IsLeader() {
+				found = v
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
 // readRelease returns the release of the newest settings tree and checks the tree's digest.
 func (s *memberTier) readRelease() *route.Release {
 	s.t.Helper()
@@ -356,6 +386,49 @@
 	tier.putRelease(testRelease(2, time.Second))
 }
 
+// Guards against a second control group: a founder that was cut off until the group had
+// removed it acknowledges changes that no other VM receives.
+func TestRemovedFounderFoundsNoSecondGroup(t *testing.T) {
+	t.Parallel()
+	tier := startTier(t, 4)
+	tier.putRelease(testRelease(1, time.Second))
+	cutOff := tier.follower()
+	others := slices.DeleteFunc(slices.Clone(tier.founders), func(a string) bool { return a == cutOff.cfg.PeerAddr })
+	cutOff.founders.Store(&[]string{cutOff.cfg.PeerAddr}) // the seeds were exchanged; of the new ones only this VM has a disk
+	cutOff.mux.Store(drpcmux.New())                       // no call reaches it
+	tier.waitForVoters(others...)
+	mux := drpcmux.New()
+	if err := cutOff.member.Node().Register(mux); err != nil {
+		t.Fatal(err)
+	}
+	cutOff.mux.Store(mux)
+	eventually(t, "the VM is a member again, under a new ID", func() bool {
+		n := cutOff.member.Node()
+		return n != nil && n.cfg.ID > 4 && !n.IsLeader()
+	})
+	tier.waitForVoters(tier.founders...)
+	tier.putRelease(testRelease(2, time.Second))
+	if r := tier.readRelease(); r.Number != 2 {
+		t.Errorf("release %d is read back after release 2 was acknowledged", r.Number)
+	}
+}
+
+// Guards against a control VM that ends because its disk is full when it opens its data folder.
+func TestFullDiskAtFirstStartDelaysMembership(t *testing.T) {
+	t.Parallel()
+	tier := startTierWithDisks(t, 3, faultydisk.Full)
+	full := tier.founders[0]
+	time.Sleep(10 * testTick)
+	if tier.vms[full].member.Node() != nil {
+		t.Error("a VM is a member without a disk to write to")
+	}
+	if err := faultydisk.Set(tier.dataDir(full), faultydisk.None); err != nil {
+		t.Fatal(err)
+	}
+	tier.waitForVoters(tier.founders...)
+	tier.putRelease(testRelease(1, time.Second))
+}
+
 // One of three founders is lost. It must not be removed from the group, since a group of
 // two voters could not tolerate the loss of a disk.
 func TestGroupKeepsMinVoters(t *testing.T) {
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -34,6 +34,7 @@
 	conf    Config
 	seeds   atomic.Pointer[[]string]
 	learned learnedContacts
+	guard   *relay.GroupGuard
 
 	controlConns *peer.Pool // heartbeats and the messages of the control group
 	bulkConns    *peer.Pool // calls that may be large or slow
@@ -62,7 +63,10 @@
 
 // New creates a VM. Nothing runs until Run.
 func New(conf Config) (*VM, error) {
-	v := &VM{conf: conf, quotasNeeded: make(chan struct{})}
+	if conf.FS == nil {
+		conf.FS = diskOf(conf.DataDir)
+	}
+	v := &VM{conf: conf, quotasNeeded: make(chan struct{}), guard: relay.NewGroupGuard(vm.Monotonic)}
 	v.SetSeeds(conf.Seeds)
 	v.controlConns, v.bulkConns, v.gatherConns = peer.NewTrustedPool(), peer.NewTrustedPool(), peer.NewTrustedPool()
 	self := vm.Identity{
@@ -82,7 +86,7 @@
 		ReadInterval: time.Duration(listReadFraction * float64(conf.LeafDrainTime)),
 		FallbackAge:  time.Duration(fallbackFraction * float64(conf.LeafDrainTime)),
 	}, v.leafCache)
-	v.quarantine = quarantine.NewRegistry(vm.Monotonic, &quarantine.RemoteLeader{Conns: v.bulkConns, ControlAddrs: v.controlContacts})
+	v.quarantine = quarantine.NewRegistry(vm.Monotonic, &quarantine.RemoteLeader{Conns: v.bulkConns, ControlAddrs: v.controlContacts, Group: v.group})
 	v.quotas = quota.New(quota.Config{
 		Self: v.client.Self, View: v.client.Current, Organisation: v.organisation, Conns: v.gatherConns, Limits: conf.Quota,
 	})
@@ -117,7 +121,7 @@
 			Tick: controlTick, ExclusiveRuns: true, ReserveBytes: max(v.conf.DiskBytes/diskReserveDivisor, 1), SnapshotEntries: 500,
 			MaxAuditBytes: int64(v.conf.DiskBytes / auditDivisor),
 			Maintenance:   control.MaintenanceConfig{MinVoters: 2*v.conf.MaxLostDisks + 1, RemoveSilentAfter: removeVoterAfter},
-			FS:            diskOf(v.conf.DataDir),
+			FS:            v.conf.FS,
 		},
 		FirstStart: v.conf.FirstStart, Founders: v.founders, Contacts: v.contacts,
 		OnNodeChange: func(n *control.Node) {
@@ -204,6 +208,18 @@
 	return v.groupMember.Node()
 }
 
+// group returns the control group that this VM follows, or the zero value while none is
+// known.
+func (v *VM) group() vm.GroupID {
+	if group := v.client.Current().Group; group != "" {
+		return group
+	}
+	if n := v.controlNode(); n != nil {
+		return n.GroupID()
+	}
+	return ""
+}
+
 // isLeader reports whether this VM leads the control group. The leader reads the leaf list
 // for all daemons.
 func (v *VM) isLeader() bool {
