entryvm: a VM of which a part has failed ends before its grace period does

Seen in TestVMEndsWhenAPartFails under the race detector, 1 of 20 runs: a call that the peers' server held kept Run waiting to the end of the grace period, where the bound ended it, 3.0 s after the failure. The bound is now at 0.95 of the grace period (stopFraction).

--- a/internal/entryvm/drain.go
+++ b/internal/entryvm/drain.go
@@ -17,6 +17,9 @@
 	// finishFraction is the fraction of the grace period after which the requests in
 	// flight are cut off. The rest is for transferring leadership.
 	finishFraction = 0.9
+	// stopFraction is the fraction of the grace period after which a VM of which a part has
+	// failed ends, even if others still run.
+	stopFraction = 0.95
 	// finalAnswerTime is reserved for sending final answers to the requests that are still
 	// in flight. They include requests that were received just before the daemon stopped
 	// accepting and that no leaf answers; without it their callers would see a closed
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -270,7 +270,7 @@
 	case <-v.parts.Failed():
 		// No supervisor waits for this stop, so nothing else would end it.
 		var cancelWait context.CancelFunc
-		waitCtx, cancelWait = context.WithTimeout(waitCtx, v.conf.GracePeriod)
+		waitCtx, cancelWait = context.WithTimeout(waitCtx, time.Duration(stopFraction*float64(v.conf.GracePeriod)))
 		defer cancelWait()
 	}
 	v.parts.Stop()
