daemon: pearmoord follows only the group of its disk

Callers would see: a daemon with a lease that serves by the settings of another group than its control VM belongs to (found by review). Cause: only entryvm bound the relay client to the group of the disk.

Change: the same for pearmoord; the comment on the drain after a failure says what it does.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -159,6 +159,7 @@
 		Conns:     d.controlConns,
 		Clock:     vm.Now,
 		Interval:  d.conf.SyncInterval,
+		Group:     d.diskGroup(),
 		MaxDirect: d.conf.RelayThreshold,
 		Fanout:    d.conf.RelayFanout,
 	})
@@ -216,6 +217,14 @@
 	return wire.DRPCRegisterHome(mux, d.engine.Home())
 }
 
+// diskGroup returns the control group of this VM's disk, or the zero value if it is not known.
+func (d *Daemon) diskGroup() vm.GroupID {
+	if d.control == nil {
+		return ""
+	}
+	return d.control.GroupID()
+}
+
 // Run serves until shutdown is done or a part of the daemon fails, then drains; when abort is
 // done, it stops without waiting further. It returns nil after a planned stop, and otherwise the
 // error of the part.
--- a/internal/daemon/drain.go
+++ b/internal/daemon/drain.go
@@ -32,8 +32,8 @@
 
 var (
 	plannedDrain = drainLimits{delist: delistTimeout, lists: math.MaxInt64, finish: math.MaxInt64}
-	// failureDrain does not wait for address lists to expire: a daemon without one of its parts
-	// takes no new requests, and callers go to the next address.
+	// failureDrain does not wait for address lists to expire: callers of a daemon without one of
+	// its parts go to the next address.
 	failureDrain = drainLimits{delist: 2 * time.Second, lists: 0, finish: 10 * time.Second}
 )
 
