control: no group is founded on the disk of another one

Cause: only GroupMember asked whether the disk was used.

Change: Open refuses to found there, with an error that names the group; a leader without an identity in its log proposes that of its disk; the identity of a disk is never replaced by another one.

--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -175,6 +175,9 @@
 	if len(group) == 0 || bytes.Equal(group, d.identity.Group) || d.clock().Sub(d.identityTried) < diskFullRetryInterval {
 		return nil
 	}
+	if len(d.identity.Group) > 0 {
+		return errors.Newf("control: the group is %s, the disk belongs to group %s", vm.GroupID(group), vm.GroupID(d.identity.Group))
+	}
 	d.identityTried = d.clock()
 	next := proto.CloneOf(d.identity)
 	next.Group = group
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -119,6 +119,9 @@
 	if st.HardState != nil {
 		return nil
 	}
+	if group := vm.GroupID(st.Identity.Group); cfg.Bootstrap && group != "" {
+		return errors.Newf("control: data folder %s belongs to group %s and can't found another; start without --bootstrap to join, or on an empty folder", cfg.DataDir, group)
+	}
 	if cfg.Bootstrap {
 		var err error
 		if st.Snapshot, err = cfg.bootstrapSnapshot(); err != nil {
--- a/internal/quorum/election.go
+++ b/internal/quorum/election.go
@@ -158,7 +158,10 @@
 	}
 	if len(next.Group) == 0 && len(m.cfg.NewGroup) > 0 {
 		next = proto.CloneOf(next)
-		next.Group = m.cfg.NewGroup
+		next.Group = m.group()
+		if len(next.Group) == 0 {
+			next.Group = m.cfg.NewGroup
+		}
 	}
 	if next == m.conf() {
 		m.appendEntry(quorumpb.EntryKind_EMPTY, nil)
