control: a VM joins no group but the one that its daemon follows

Callers would see: a VM that stays on an old configuration while its control member, on an unused disk, is of another group (found by review). Cause: the member knew the group of the disk only.

Change: while the disk names no group, the member asks for admission as of the group that the daemon follows, and accepts no other.

--- a/internal/control/group_member.go
+++ b/internal/control/group_member.go
@@ -51,6 +51,9 @@
 	// Contacts returns peer addresses of VMs to ask for admission to the group, in
 	// order of preference.
 	Contacts func() []string
+	// Followed returns the control group whose state this VM's daemon uses, or the zero
+	// value while none is known. A VM with an unused disk joins no other one. It may be nil.
+	Followed func() vm.GroupID
 	// OnNodeChange is called with each new node, and with nil after the node has
 	// stopped. It is responsible for registering the node's RPC services and for
 	// removing them.
@@ -270,6 +273,15 @@
 	return nil, nil
 }
 
+// expectedGroup returns the only group that this VM may join, or the zero value if it may
+// join any.
+func (m *GroupMember) expectedGroup() vm.GroupID {
+	if m.group == "" && m.cfg.Followed != nil {
+		return m.cfg.Followed()
+	}
+	return m.group
+}
+
 // requestID asks the contacts in turn for admission, following redirects. It returns the
 // assigned member ID and the group, or 0 if no contact granted admission.
 func (m *GroupMember) requestID(ctx context.Context, disk uint64) (id uint64, group vm.GroupID) {
@@ -280,7 +292,7 @@
 			klog.V(1).Infof("control: join request to %s failed: %v", addr, err)
 			return "", false
 		}
-		if m.guard.Refuses(m.group, vm.GroupID(reply.Group), "an admission", addr) {
+		if m.guard.Refuses(m.expectedGroup(), vm.GroupID(reply.Group), "an admission", addr) {
 			return "", false
 		}
 		id, group = reply.Id, vm.GroupID(reply.Group)
@@ -297,7 +309,7 @@
 		return nil, err
 	}
 	defer func() { _ = conn.Close() }()
-	return wire.NewDRPCQuorumClient(conn).Join(ctx, &wire.JoinRequest{Name: m.cfg.Name, PeerAddr: m.cfg.PeerAddr, Disk: disk, Group: m.group.Wire()})
+	return wire.NewDRPCQuorumClient(conn).Join(ctx, &wire.JoinRequest{Name: m.cfg.Name, PeerAddr: m.cfg.PeerAddr, Disk: disk, Group: m.expectedGroup().Wire()})
 }
 
 // clear removes all files from the data folder. Last, the identity of a disk that was used
--- a/internal/control/group_member_test.go
+++ b/internal/control/group_member_test.go
@@ -21,6 +21,7 @@
 	"pearmoor/internal/link/wire"
 	"pearmoor/internal/route"
 	"pearmoor/internal/settings"
+	"pearmoor/internal/vm"
 )
 
 // memberVM is a VM with a GroupMember that serves on a loopback port.
@@ -31,6 +32,7 @@
 	pool       *peer.Pool
 	mux        atomic.Pointer[drpcmux.Mux]
 	founders   atomic.Pointer[[]string] // as this VM's settings name them
+	followed   atomic.Pointer[vm.GroupID]
 	cancel     context.CancelFunc
 	background sync.WaitGroup
 }
@@ -81,11 +83,23 @@
 }
 
 func (s *memberTier) start(lis net.Listener, found bool) *memberVM {
+	s.t.Helper()
+	return s.startWith(lis, found, "")
+}
+
+// startFollowing starts a VM on an empty disk whose daemon follows a group.
+func (s *memberTier) startFollowing(group vm.GroupID) *memberVM {
+	s.t.Helper()
+	return s.startWith(listen(s.t, "127.0.0.1:0"), false, group)
+}
+
+func (s *memberTier) startWith(lis net.Listener, found bool, followed vm.GroupID) *memberVM {
 	s.t.Helper()
 	addr := lis.Addr().String()
 	v := &memberVM{t: s.t, pool: peer.NewPool(nil)}
 	v.mux.Store(drpcmux.New())
 	v.founders.Store(&s.founders)
+	v.followed.Store(&followed)
 	v.cfg = GroupMemberConfig{
 		Config: Config{
 			Name: "vm-" + addr, DataDir: s.dataDir(addr), PeerAddr: addr, Conns: v.pool, Tick: testTick, ReserveBytes: 1,
@@ -95,6 +109,7 @@
 		FirstStart: found,
 		Founders:   func(context.Context) []string { return *v.founders.Load() },
 		Contacts:   func() []string { return s.founders },
+		Followed:   func() vm.GroupID { return *v.followed.Load() },
 		OnNodeChange: func(n *Node) {
 			mux := drpcmux.New()
 			if n != nil {
@@ -413,6 +428,21 @@
 	}
 }
 
+// Guards against a VM whose control member is of another group than its daemon follows.
+func TestVMJoinsNoGroupButTheOneItFollows(t *testing.T) {
+	t.Parallel()
+	tier := startTier(t, 3)
+	tier.putRelease(testRelease(1, time.Second))
+	other := vm.NewGroupID()
+	v := tier.startFollowing(other)
+	time.Sleep(20 * testTick)
+	if n := v.member.Node(); n != nil {
+		t.Errorf("a VM that follows group=%s is member %d of group=%s", other, n.cfg.ID, n.GroupID())
+	}
+	v.followed.Store(new(vm.GroupID))
+	tier.waitForVoters(append(slices.Clone(tier.founders), v.cfg.PeerAddr)...)
+}
+
 // Guards against a control VM that ends because its disk is full when it opens its data folder.
 func TestFullDiskAtFirstStartDelaysMembership(t *testing.T) {
 	t.Parallel()
--- a/internal/entryvm/parts_test.go
+++ b/internal/entryvm/parts_test.go
@@ -88,7 +88,7 @@
 // elect another leader when its control member failed.
 func TestVMIsUnlistedWhenItsLeadingControlMemberFails(t *testing.T) {
 	t.Parallel()
-	partFailure{"leader", func(v *crashVM) bool { return v.isLeader() }, partGracePeriod * 9 / 10, failDisk, isSyncError}.check(t)
+	partFailure{"leader", func(v *crashVM) bool { return v.isLeader() }, partGracePeriod / 2, failDisk, isSyncError}.check(t)
 }
 
 func (c partFailure) check(t *testing.T) {
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -130,6 +130,7 @@
 			FS:            v.conf.FS,
 		},
 		FirstStart: v.conf.FirstStart, Founders: v.founders, Contacts: v.contacts,
+		Followed: func() vm.GroupID { return v.client.Current().Group },
 		OnNodeChange: func(n *control.Node) {
 			if err := v.registerServices(n); err != nil {
 				klog.Errorf("entry: registering the control services failed: %v", err)
