entryvm: a release names the group whose newest it was compared with

Operators would see: an acknowledgement by a group other than the one that was asked for the newest, from a VM that follows none yet (found by review).

Change: such a VM puts the group of the answer into the release.

--- a/internal/entryvm/other_group_test.go
+++ b/internal/entryvm/other_group_test.go
@@ -1,9 +1,12 @@
 package entryvm
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"storj.io/drpc/drpcmux"
+
 	"pearmoor/internal/journal"
 	"pearmoor/internal/link/wire"
 	"pearmoor/internal/vm"
@@ -34,3 +37,40 @@
 		}
 	}
 }
+
+// controlLeader is a leader of a group that records the group named by a release.
+type controlLeader struct {
+	wire.DRPCControlUnimplementedServer
+	group    vm.GroupID
+	received chan vm.GroupID
+}
+
+// Newest implements wire.DRPCControlServer.
+func (c *controlLeader) Newest(context.Context, *wire.NewestRequest) (*wire.NewestReply, error) {
+	return &wire.NewestReply{Group: c.group.Wire()}, nil
+}
+
+// PutRelease implements wire.DRPCControlServer.
+func (c *controlLeader) PutRelease(_ context.Context, req *wire.ReleaseRequest) (*wire.ReleaseReply, error) {
+	c.received <- vm.GroupID(req.Group)
+	return &wire.ReleaseReply{Held: 1, Changed: true}, nil
+}
+
+// Guards against a release that is compared with one group's newest and accepted by another's leader.
+func TestReleaseNamesTheGroupOfTheNewest(t *testing.T) {
+	t.Parallel()
+	lis := listen(t)
+	leader := &controlLeader{group: vm.NewGroupID(), received: make(chan vm.GroupID, 1)}
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterControl(mux, leader); err != nil {
+		t.Fatal(err)
+	}
+	serve(t, mux, lis)
+	v := testVM(t, "entry", "127.0.0.1:1", "", lis.Addr().String())
+	if _, _, err := v.putToLeader(t.Context(), 1, nil); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-leader.received; got != leader.group {
+		t.Errorf("the release names group=%s, the leader is of group=%s", got, leader.group)
+	}
+}
--- a/internal/entryvm/tier.go
+++ b/internal/entryvm/tier.go
@@ -132,12 +132,16 @@
 		if err != nil {
 			return "", nil, err
 		}
+		group := v.group().Wire()
+		if group == nil {
+			group = newest.Group
+		}
 		if newest.Held != nil && number <= *newest.Held {
 			return leader, &wire.ReleaseReply{Held: *newest.Held}, nil
 		}
 		var reply *wire.ReleaseReply
 		_, err = v.callControl(ctx, leader, peer.CallTimeout(controlCallTimeout, len(body)), func(ctx context.Context, c wire.DRPCControlClient) (string, error) {
-			out, err := c.PutRelease(ctx, &wire.ReleaseRequest{Release: body, Operator: platformOperator, Group: v.group().Wire()})
+			out, err := c.PutRelease(ctx, &wire.ReleaseRequest{Release: body, Operator: platformOperator, Group: group})
 			reply = out
 			return out.GetRedirect(), err
 		})
