entryvm: founders asks a seed again until all have answered

Operators would see: a VM that waits for a lost seed for good, although another seed has founded the tier's group meanwhile (found by review). Cause: a seed that had answered once was not asked again.

--- a/internal/entryvm/contacts.go
+++ b/internal/entryvm/contacts.go
@@ -170,7 +170,7 @@
 	for ctx.Err() == nil {
 		var out []string
 		for _, addr := range seeds {
-			if _, known := hasDisk[addr]; !known {
+			if addr != v.conf.PeerAddr {
 				reply, err := v.exchange(ctx, addr, nil, false)
 				if err == nil && len(reply.Group) > 0 {
 					klog.Infof("entry: founding no control group, seed %s follows group=%s", addr, vm.GroupID(reply.Group))
--- a/internal/entryvm/contacts_test.go
+++ b/internal/entryvm/contacts_test.go
@@ -83,11 +83,17 @@
 	})
 }
 
-// groupFollower is a daemon with a disk that follows a control group.
-type groupFollower struct{ group vm.GroupID }
+// groupFollower is a daemon with a disk that follows a control group from a time on.
+type groupFollower struct {
+	group vm.GroupID
+	since time.Time
+}
 
 // Exchange implements wire.DRPCContactsServer.
 func (f groupFollower) Exchange(context.Context, *wire.ContactsRequest) (*wire.ContactsReply, error) {
+	if time.Now().Before(f.since) {
+		return &wire.ContactsReply{Disk: true}, nil
+	}
 	return &wire.ContactsReply{Disk: true, Group: f.group.Wire()}, nil
 }
 
@@ -105,7 +111,7 @@
 		v := testVM(t, "first", seeds[0], t.TempDir(), seeds...)
 		serve(t, v, first)
 		mux := drpcmux.New()
-		So(wire.DRPCRegisterContacts(mux, groupFollower{vm.NewGroupID()}), ShouldBeNil)
+		So(wire.DRPCRegisterContacts(mux, groupFollower{group: vm.NewGroupID()}), ShouldBeNil)
 		serve(t, mux, second)
 		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 		Reset(cancel)
@@ -116,3 +122,23 @@
 		})
 	})
 }
+
+// Guards against a VM that waits for a lost seed although the tier has founded its group.
+func TestFoundersAsksASeedAgain(t *testing.T) {
+	t.Parallel()
+	self, first, lost := listen(t), listen(t), listen(t)
+	seeds := []string{first.Addr().String(), lost.Addr().String()}
+	_ = lost.Close()
+	v := testVM(t, "self", self.Addr().String(), t.TempDir(), seeds...)
+	serve(t, v, self)
+	mux := drpcmux.New()
+	if err := wire.DRPCRegisterContacts(mux, groupFollower{vm.NewGroupID(), time.Now().Add(300 * time.Millisecond)}); err != nil {
+		t.Fatal(err)
+	}
+	serve(t, mux, first)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	if founders := v.founders(ctx); len(founders) > 0 || ctx.Err() != nil {
+		t.Errorf("founders %v, %v", founders, ctx.Err())
+	}
+}
