--- a/soak/doc_test.go
+++ b/soak/doc_test.go
@@ -46,7 +46,7 @@
 //   - a leaving leaf gets no new requests;
 //   - a configuration that is read is never older than one acknowledged before;
 //   - no VM, in whatever state, denies a route that was acknowledged more than 3 s before;
-//   - no two VMs lead for longer than an election may take, and no process is up for long without
+//   - no two VMs in touch lead for longer than an election may take, and no process is up for long without
 //     following the control group (with four control VMs);
 //   - a leaf's connections stay within its limit;
 //   - no leaf runs a request with a key that never existed, or that was revoked by a configuration
