--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -130,6 +130,7 @@
 			FS:            v.conf.FS,
 		},
 		FirstStart: v.conf.FirstStart, Founders: v.founders, Contacts: v.contacts,
+		Followed: func() vm.GroupID { return v.client.Current().Group },
 		OnNodeChange: func(n *control.Node) {
 			if err := v.registerServices(n); err != nil {
 				klog.Errorf("entry: registering the control services failed: %v", err)
@@ -289,7 +290,7 @@
 	case <-v.parts.Failed():
 		// No supervisor waits for this stop, so nothing else would end it.
 		var cancelWait context.CancelFunc
-		waitCtx, cancelWait = context.WithTimeout(waitCtx, v.conf.GracePeriod)
+		waitCtx, cancelWait = context.WithTimeout(waitCtx, time.Duration(stopFraction*float64(v.conf.GracePeriod)))
 		defer cancelWait()
 	}
 	v.parts.Stop()
