control: the identity of the group comes from the published leadership

Cause: every turn of the driver built the machine's status twice, once for publishLeadership and once more for saveGroup right after it, only to compare the group's identity.

Change: saveGroup reads the identity that was just published. What it writes, and when, is the same.

Measured: tests of internal/control pass.

--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"time"
@@ -171,16 +170,16 @@
 // saveGroup records the group's identity on the disk once it is committed, so that the disk
 // is known to be of this group also without its log.
 func (d *driver) saveGroup() error {
-	group := d.machine.Status().Group
-	if len(group) == 0 || bytes.Equal(group, d.identity.Group) || d.clock().Sub(d.identityTried) < diskFullRetryInterval {
+	group, recorded := d.node.GroupID(), vm.GroupID(d.identity.Group)
+	if group == "" || group == recorded || d.clock().Sub(d.identityTried) < diskFullRetryInterval {
 		return nil
 	}
-	if len(d.identity.Group) > 0 {
-		return errors.Newf("control: the group is %s, the disk belongs to group %s", vm.GroupID(group), vm.GroupID(d.identity.Group))
+	if recorded != "" {
+		return errors.Newf("control: the group is %s, the disk belongs to group %s", group, recorded)
 	}
 	d.identityTried = d.clock()
 	next := proto.CloneOf(d.identity)
-	next.Group = group
+	next.Group = group.Wire()
 	err := d.journal.WriteIdentity(next)
 	if errors.Is(err, journal.ErrFull) {
 		klog.Warningf("control: identity of the group not written: %v", err)
@@ -190,7 +189,7 @@
 		return err
 	}
 	d.identity = next
-	klog.Infof("control: member %d belongs to group=%s", next.Id, vm.GroupID(group))
+	klog.Infof("control: member %d belongs to group=%s", next.Id, group)
 	return nil
 }
 
