soak: the list of seeds is read in one place

Cause: TestSoakFourControlVMs repeated the loop of TestSoak that reads the seeds of its flag.

Change: runSeeds serves both, with the same defaults and errors.

--- a/soak/membership_test.go
+++ b/soak/membership_test.go
@@ -9,7 +9,6 @@
 	"os"
 	"path/filepath"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -56,17 +55,7 @@
 
 // TestSoakFourControlVMs runs four control VMs, so that the group removes one that is silent.
 func TestSoakFourControlVMs(t *testing.T) {
-	list := *controlSeeds
-	if list == "" {
-		list = defaultControlSeed
-	}
-	for _, field := range strings.Fields(list) {
-		seed, err := strconv.ParseUint(field, 10, 64)
-		if err != nil {
-			t.Fatalf("seed %q is not a number", field)
-		}
-		t.Run(field, func(t *testing.T) { runControlVMs(t, seed) })
-	}
+	runSeeds(t, *controlSeeds, defaultControlSeed, runControlVMs)
 }
 
 // runControlVMs starts four control VMs, a spare one and three VMs without a disk, disturbs the
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -58,8 +58,10 @@
 	os.Exit(m.Run())
 }
 
-func TestSoak(t *testing.T) {
-	list := *seeds
+func TestSoak(t *testing.T) { runSeeds(t, *seeds, defaultSeed, runSoak) }
+
+// runSeeds runs a subtest for each seed of a list, or for the default one if the list is empty.
+func runSeeds(t *testing.T, list, defaultSeed string, run func(*testing.T, uint64)) {
 	if list == "" {
 		list = defaultSeed
 	}
@@ -68,7 +70,7 @@
 		if err != nil {
 			t.Fatalf("seed %q is not a number", field)
 		}
-		t.Run(field, func(t *testing.T) { runSoak(t, seed) })
+		t.Run(field, func(t *testing.T) { run(t, seed) })
 	}
 }
 
