--- /dev/null
+++ b/review/stage/long_body.go
@@ -0,0 +1,119 @@
+//go:build reviewstage
+
+package main
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+const (
+	longBodyShards   = 4
+	longBodyRequests = 40
+	// Both lengths are within max-body-bytes, which is 262,144.
+	longBodyBytes  = 200_000
+	shortBodyBytes = 20_000
+	pieceBytes     = 8_000
+	queryHost      = "pupu76.example"
+	queryPrefix    = "/bapu561/"
+	queryWait      = 2 * time.Second
+)
+
+// piecesReader hides the length of a body, so that it is sent in chunks.
+type piecesReader struct{ r io.Reader }
+
+func (p piecesReader) Read(b []byte) (int, error) { return p.r.Read(b[:min(len(b), pieceBytes)]) }
+
+// playLongBody sends requests with a body in chunks on a route over four shards. With trouble the
+// bodies are long. Every leaf that runs a request must have got the body that its client sent.
+func playLongBody(s *stage) (bool, error) {
+	var shards []string
+	var services []any
+	for i := range longBodyShards {
+		name := fmt.Sprintf("shard%d", i+1)
+		shards, services = append(shards, name), append(services, service(name))
+		for z := range 2 {
+			if _, err := s.startLeaf(name, zone(z), answerRecords); err != nil {
+				return false, err
+			}
+		}
+	}
+	if err := s.startMachines(); err != nil {
+		return false, err
+	}
+	conf := map[string]any{
+		"version": 7, "services": services, "limits": limits(),
+		"routes": []any{map[string]any{
+			"name": "r-search", "host": queryHost, "path-prefix": queryPrefix, "type": "idempotent", "timeout-ms": queryWait.Milliseconds(),
+			"target-latency-ms": 500, "priority": 1, "gather": shards, "max-attempts": 2, "top-k": 5, "min-coverage": 0.75,
+		}},
+	}
+	if err := s.put(conf, 20*time.Second); err != nil {
+		return false, err
+	}
+	if err := s.awaitReady(20 * time.Second); err != nil {
+		return false, err
+	}
+	time.Sleep(4 * time.Second) // the list and the configuration are known everywhere
+	length := shortBodyBytes
+	if s.trouble {
+		length = longBodyBytes
+	}
+	sent := map[string][32]byte{}
+	answers := map[int]int{}
+	client := &http.Client{Timeout: queryWait}
+	for k := range longBodyRequests {
+		id, body := newID(), make([]byte, length)
+		for i := range body {
+			body[i] = byte('a' + rand.N(26))
+		}
+		sent[id] = sha256.Sum256(body)
+		status, err := s.sendChunked(client, k%machineCount, id, body)
+		s.note("client: request %s with a body of %d bytes in chunks to machine %d: status %d, %v", id, length, k%machineCount+1, status, err)
+		answers[status]++
+	}
+	time.Sleep(queryWait)
+	ran, changed := 0, 0
+	for _, a := range s.allArrivals() {
+		if a.err != nil {
+			continue
+		}
+		ran++
+		want, known := sent[a.id]
+		if !known || a.sum != want || a.method != http.MethodPost {
+			changed++
+			s.note("UNASKED: leaf %s of %s ran request %s with a body of %d bytes that is not the one its client sent", a.leaf, a.service, a.id, a.length)
+		}
+	}
+	s.note("%d requests; answers by status %v; leaves ran %d, of which %d with another body than was sent", longBodyRequests, answers, ran, changed)
+	if ran == 0 {
+		return changed > 0, fmt.Errorf("no leaf ran a request")
+	}
+	return changed > 0, nil
+}
+
+// sendChunked sends a request with a body in chunks and reads the whole answer. The status is 0
+// if there was none.
+func (s *stage) sendChunked(client *http.Client, machine int, id string, body []byte) (int, error) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+s.addr(machine, s.ports.edge)+queryPrefix+"2f", piecesReader{bytes.NewReader(body)})
+	if err != nil {
+		return 0, err
+	}
+	req.Host = queryHost
+	req.ContentLength = -1
+	req.Header.Set("Attempt-Id", id)
+	req.Header.Set("Deadline-Ms", strconv.FormatInt(queryWait.Milliseconds(), 10))
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
+}
