Review case 5: a long answer to a late request is cut when a machine stops

Cause: a stopping machine takes requests until 3.6 s after SIGTERM, and the copy of an answer above 64 KiB ends with the process 5.4 to 6 s after it.

--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -129,7 +129,9 @@
 	for _, m := range machines {
 		m.kill()
 	}
-	_ = os.RemoveAll(s.dir)
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(s.dir)
+	}
 	_ = s.record.Close()
 }
 
@@ -231,6 +233,15 @@
 	}
 }
 
+// killAfterGrace kills the process if it still runs, as the platform does after grace-s.
+func (m *machine) killAfterGrace() {
+	select {
+	case <-m.done:
+	default:
+		m.signal(syscall.SIGKILL)
+	}
+}
+
 func (m *machine) kill() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
