--- a/review/stage/first_start.go
+++ b/review/stage/first_start.go
@@ -101,7 +101,7 @@
 	client := &http.Client{Timeout: time.Second}
 	last := ""
 	for end := time.Now().Add(readLimit); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-		for i := range machineCount {
+		for i := range s.size() {
 			resp, err := client.Get("http://" + s.addr(i, s.ports.control) + "/configuration/get")
 			if err != nil {
 				last = err.Error()
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -26,6 +26,7 @@
 var cases = map[string]func(s *stage) (broken bool, err error){
 	"long-body":   playLongBody,
 	"late-drain":  playLateDrain,
+	"first-ack":   playFirstAck,
 	"first-start": playFirstStart,
 }
 
--- a/review/stage/stage.go
+++ b/review/stage/stage.go
@@ -25,10 +25,14 @@
 // pages, with the platform's list and leaves beside them.
 type stage struct {
 	trouble bool
-	net     string // the first three bytes of all addresses
-	ports   ports
-	dir     string // temporary folder
-	begin   time.Time
+	disks   []bool // of each machine; nil: machineCount machines with a disk
+	seeds   []int  // the machines that the seeds name; nil: the first three
+	// tolerated is how many machines with a disk may be lost at the same time.
+	tolerated int
+	net       string // the first three bytes of all addresses
+	ports     ports
+	dir       string // temporary folder
+	begin     time.Time
 
 	mu       sync.Mutex
 	record   *os.File
@@ -38,14 +42,18 @@
 	draining map[string]bool // ids of leaves that the list shows as draining
 	list     string          // address of the platform's list
 	bounds   map[string]any
+	ackedBy  int // the machine that has acknowledged the newest configuration
 }
 
 const (
-	machineCount = 3
+	machineCount = 3 // of most cases, each with a disk and a zone of its own
+	zoneCount    = 3
+	maxMachines  = 8
 	region       = "valley"
 )
 
-func zone(i int) string { return fmt.Sprintf("hall-%d", i+1) }
+// zone returns the zone of a machine.
+func zone(i int) string { return fmt.Sprintf("hall-%d", i%zoneCount+1) }
 
 // newStage picks free loopback addresses and opens the record.
 func newStage(recordPath string, trouble bool) (*stage, error) {
@@ -58,7 +66,7 @@
 		return nil, err
 	}
 	s := &stage{
-		trouble: trouble, record: record, dir: dir, begin: time.Now(), draining: map[string]bool{},
+		trouble: trouble, tolerated: 1, record: record, dir: dir, begin: time.Now(), draining: map[string]bool{},
 		net: fmt.Sprintf("127.%d.%d.", 20+rand.N(200), 1+rand.N(250)),
 		bounds: map[string]any{
 			"seed-stale-s": 3, "addr-reuse-s": 2, "contact-ms": 4000, "ack-ms": 5000, "catch-up-s": 4, "drain-ms": 3000,
@@ -91,7 +99,7 @@
 }
 
 func (s *stage) isFree(port int) bool {
-	for i := range machineCount {
+	for i := range maxMachines {
 		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", s.ip(i), port))
 		if err != nil {
 			return false
@@ -146,10 +154,18 @@
 	done chan struct{}
 }
 
+// size returns the number of machines.
+func (s *stage) size() int {
+	if s.disks == nil {
+		return machineCount
+	}
+	return len(s.disks)
+}
+
 // startMachines starts the system for the first time.
 func (s *stage) startMachines() error {
-	for i := range machineCount {
-		m := &machine{stage: s, index: i, disk: true}
+	for i := range s.size() {
+		m := &machine{stage: s, index: i, disk: s.disks == nil || s.disks[i]}
 		s.mu.Lock()
 		s.machines = append(s.machines, m)
 		s.mu.Unlock()
@@ -164,23 +180,33 @@
 func (m *machine) settings(first bool) []byte {
 	s := m.stage
 	zones := map[string]string{}
-	var seeds []string
-	for i := range machineCount {
+	for i := range zoneCount {
 		zones[zone(i)] = region
+	}
+	named := s.seeds
+	if named == nil {
+		named = []int{0, 1, 2}
+	}
+	var seeds []string
+	for _, i := range named {
 		seeds = append(seeds, s.addr(i, s.ports.control))
 	}
+	limits := map[string]any{"cpu-share": 0.72, "cores": 1, "memory-mb": 284, "fd-limit": 4100, "bandwidth-mbps": 1000.0}
+	dataDir := ""
+	if m.disk {
+		limits["disk-mb"], dataDir = 64, filepath.Join(s.dir, fmt.Sprint("data-", m.index))
+	}
 	text, _ := json.Marshal(map[string]any{
-		"node": fmt.Sprintf("edge-%s-1", zone(m.index)), "role": "entry", "machine-class": "edge",
+		"node": fmt.Sprintf("edge-%s-%d", zone(m.index), m.index/zoneCount+1), "role": "entry", "machine-class": "edge",
 		"serves": []string{"edge", "control", "directory"}, "ip": s.ip(m.index), "zone": zone(m.index), "region": region, "zones": zones,
 		"listen": map[string]string{
 			"edge-addr": s.addr(m.index, s.ports.edge), "readiness": s.addr(m.index, s.ports.readiness),
 			"control": s.addr(m.index, s.ports.control), "directory": s.addr(m.index, s.ports.directory),
 		},
-		"internal-ports": []int{s.ports.internal, s.ports.internal}, "seeds": seeds, "bootstrap": first, "failure-counted": true,
-		"limits":   map[string]any{"cpu-share": 0.72, "cores": 1, "memory-mb": 284, "fd-limit": 4100, "bandwidth-mbps": 1000.0, "disk-mb": 64},
-		"data-dir": filepath.Join(s.dir, fmt.Sprint("data-", m.index)), "discovery": "cloud", "ingress": "directory", "heartbeat-ms": 1200,
+		"internal-ports": []int{s.ports.internal, s.ports.internal}, "seeds": seeds, "bootstrap": first, "failure-counted": m.disk,
+		"limits": limits, "data-dir": dataDir, "discovery": "cloud", "ingress": "directory", "heartbeat-ms": 1200,
 		"policies":        []string{"base", "drain", "config", "cost", "retry", "recover", "scatter"},
-		"fault-tolerance": map[string]int{"machines": 1, "zones": 0, "regions": 0},
+		"fault-tolerance": map[string]int{"machines": s.tolerated, "zones": 0, "regions": 0},
 		"bounds":          s.bounds, "config_mode": "highest",
 		"cloud": map[string]any{"address": s.list, "rate-per-s": 55.0, "duties": []string{}, "max-lag-ms": 800},
 	})
@@ -191,8 +217,10 @@
 func (m *machine) start(first bool) error {
 	s := m.stage
 	path := filepath.Join(s.dir, fmt.Sprintf("settings-%d.json", m.index))
-	if err := os.MkdirAll(filepath.Join(s.dir, fmt.Sprint("data-", m.index)), 0o755); err != nil {
-		return err
+	if m.disk {
+		if err := os.MkdirAll(filepath.Join(s.dir, fmt.Sprint("data-", m.index)), 0o755); err != nil {
+			return err
+		}
 	}
 	if err := os.WriteFile(path, m.settings(first), 0o644); err != nil {
 		return err
@@ -295,7 +323,7 @@
 	client := &http.Client{Timeout: time.Second}
 	last := ""
 	for end := time.Now().Add(limit); time.Now().Before(end); {
-		for i := range machineCount {
+		for i := range s.size() {
 			resp, err := client.Post("http://"+s.addr(i, s.ports.control)+"/configuration/put", "application/json", bytes.NewReader(text))
 			if err != nil {
 				last = err.Error()
@@ -304,6 +332,7 @@
 			body, _ := io.ReadAll(resp.Body)
 			_ = resp.Body.Close()
 			if resp.StatusCode == http.StatusOK {
+				s.ackedBy = i
 				s.note("configuration %v acknowledged by machine %d", conf["version"], i+1)
 				return nil
 			}
@@ -319,7 +348,7 @@
 	client := &http.Client{Timeout: time.Second}
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		ready := 0
-		for i := range machineCount {
+		for i := range s.size() {
 			if resp, err := client.Get("http://" + s.addr(i, s.ports.readiness) + "/ready"); err == nil {
 				_ = resp.Body.Close()
 				if resp.StatusCode == http.StatusOK {
@@ -327,7 +356,7 @@
 				}
 			}
 		}
-		if ready == machineCount {
+		if ready == s.size() {
 			return nil
 		}
 	}
