--- a/review/stage/long_body.go
+++ b/review/stage/long_body.go
@@ -10,11 +10,13 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"time"
 )
 
 const (
-	longBodyShards   = 4
+	longBodyShards   = 12
 	longBodyRequests = 40
 	// Both lengths are within max-body-bytes, which is 262,144.
 	longBodyBytes  = 200_000
@@ -23,6 +25,11 @@
 	queryHost      = "pupu76.example"
 	queryPrefix    = "/bapu561/"
 	queryWait      = 2 * time.Second
+	// The second part sends bodies of these lengths, with a trailer after the last chunk.
+	longTrailedBytes  = 66_000
+	shortTrailedBytes = 20_000
+	trailedClients    = 8
+	trailedTime       = 25 * time.Second
 )
 
 // piecesReader hides the length of a body, so that it is sent in chunks.
@@ -93,9 +100,64 @@
 	}
 	s.note("%d requests; answers by status %v; leaves ran %d, of which %d with another body than was sent", longBodyRequests, answers, ran, changed)
 	if ran == 0 {
-		return changed > 0, fmt.Errorf("no leaf ran a request")
+		return false, fmt.Errorf("no leaf ran a request")
 	}
-	return changed > 0, nil
+	ended := s.sendTrailed()
+	return changed > 0 || ended > 0, nil
+}
+
+// sendTrailed sends requests whose bodies in chunks have a trailer, from several clients, until
+// a process has ended by itself or the time is over. It returns how many processes have ended.
+func (s *stage) sendTrailed() int {
+	length := shortTrailedBytes
+	if s.trouble {
+		length = longTrailedBytes
+	}
+	var wg sync.WaitGroup
+	var answered atomic.Int64
+	end := time.Now().Add(trailedTime)
+	for w := range trailedClients {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			client := &http.Client{Timeout: queryWait, Transport: &http.Transport{}}
+			for time.Now().Before(end) && s.endedProcesses() == 0 {
+				req, err := http.NewRequest(http.MethodPost, "http://"+s.addr(w%machineCount, s.ports.edge)+queryPrefix+"2f", piecesReader{bytes.NewReader(make([]byte, length))})
+				if err != nil {
+					return
+				}
+				req.Host, req.ContentLength = queryHost, -1
+				req.Trailer = http.Header{"X-Sum": {"1"}, "X-Part": {"2"}, "X-Count": {"3"}}
+				req.Header.Set("Attempt-Id", newID())
+				req.Header.Set("Deadline-Ms", strconv.FormatInt(queryWait.Milliseconds(), 10))
+				resp, err := client.Do(req)
+				if err != nil {
+					time.Sleep(20 * time.Millisecond)
+					continue
+				}
+				_, _ = io.Copy(io.Discard, resp.Body)
+				_ = resp.Body.Close()
+				answered.Add(1)
+			}
+		}()
+	}
+	wg.Wait()
+	ended := s.endedProcesses()
+	s.note("%d clients sent bodies of %d bytes in chunks with a trailer: %d answers, %d processes ended by themselves", trailedClients, length, answered.Load(), ended)
+	return ended
+}
+
+// endedProcesses returns how many machines have no process any more.
+func (s *stage) endedProcesses() int {
+	n := 0
+	for _, m := range s.machines {
+		select {
+		case <-m.done:
+			n++
+		default:
+		}
+	}
+	return n
 }
 
 // sendChunked sends a request with a body in chunks and reads the whole answer. The status is 0
