--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -24,10 +24,9 @@
 
 // cases maps the name of each case to what plays it and reports whether the rule was broken.
 var cases = map[string]func(s *stage) (broken bool, err error){
-	"long-body":   playLongBody,
-	"late-drain":  playLateDrain,
-	"first-ack":   playFirstAck,
-	"first-start": playFirstStart,
+	"long-body":  playLongBody,
+	"late-drain": playLateDrain,
+	"first-ack":  playFirstAck,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
