target: a trailer is read only after the body that it follows

The head sent to a leaf took the names of the trailer from the map that net/http fills in when some goroutine reaches the end of the body: the send of another shard, or the server itself, which reads what an answered request has left of its body.

The names are copied while the request is parsed; the values are read by the goroutine that has read the end of the body.

--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -207,7 +208,7 @@
 	}
 	req.Stream = &target.Stream{
 		Reader: &limitedReader{source: r.Body, remaining: limit - n}, Length: r.ContentLength,
-		Trailer: func() http.Header { return r.Trailer },
+		TrailerNames: slices.Sorted(maps.Keys(r.Trailer)), Trailer: func() http.Header { return r.Trailer },
 	}
 	return nil
 }
--- a/internal/forward/keys.go
+++ b/internal/forward/keys.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"slices"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -165,6 +166,8 @@
 	if req.Stream == nil || req.Stream.Trailer == nil {
 		return
 	}
+	key, organisation := http.CanonicalHeaderKey(dialect.Key), http.CanonicalHeaderKey(dialect.Organisation)
+	req.Stream.TrailerNames = slices.DeleteFunc(req.Stream.TrailerNames, func(name string) bool { return name == key || name == organisation })
 	trailer := req.Stream.Trailer
 	req.Stream.Trailer = func() http.Header {
 		out := trailer().Clone()
--- a/internal/link/target/exchange.go
+++ b/internal/link/target/exchange.go
@@ -98,8 +98,8 @@
 	switch {
 	case req.Stream != nil && req.Stream.Length < 0:
 		buf.WriteString("Transfer-Encoding: chunked\r\n")
-		if keys := trailerKeys(req.Stream); keys != "" {
-			buf.WriteString("Trailer: " + keys + "\r\n")
+		if names := req.Stream.TrailerNames; len(names) > 0 {
+			buf.WriteString("Trailer: " + strings.Join(names, ", ") + "\r\n")
 		}
 		buf.WriteString("\r\n")
 	case req.Stream != nil:
@@ -114,17 +114,6 @@
 	return c.Write(buf.Bytes())
 }
 
-func trailerKeys(s *Stream) string {
-	if s.Trailer == nil {
-		return ""
-	}
-	var keys []string
-	for k := range s.Trailer() {
-		keys = append(keys, k)
-	}
-	return strings.Join(keys, ", ")
-}
-
 func methodHasBody(method string) bool {
 	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
 }
--- a/internal/link/target/request.go
+++ b/internal/link/target/request.go
@@ -50,5 +50,8 @@
 type Stream struct {
 	Reader  io.Reader
 	Length  int64 // of the whole body; negative: unknown, sent chunked
-	Trailer func() http.Header
+	// TrailerNames are the names announced before the body. Trailer returns the trailer and is
+	// called only after Reader has returned io.EOF: net/http writes to the map until then.
+	TrailerNames []string
+	Trailer      func() http.Header
 }
