target: the body of a request has one reader; a gather reads it before it sends

A body above 64 KiB is a stream, and each first send of a gather copied from the same one. That hedges and retries keep off streams was a condition in each place that sends.

A stream now has one reader: a send takes it right before its first byte and gives it back if nothing was written; every other send fails as not run. A gather reads its body whole, within the limit of the configuration, before it sends. Bodies with a trailer are complete bodies too. Long bodies are written beside the reading of the reply, since a leaf may answer early.

--- a/internal/forward/delegate.go
+++ b/internal/forward/delegate.go
@@ -127,7 +127,7 @@
 // domain are delegated to a daemon there, which returns only the greatest records of all parts
 // instead of every part with its headers.
 func (r *run) launchShards(shards []int) {
-	if len(shards) < minDelegatedShards || r.e.cfg.Peers == nil || r.leafRequest.Stream != nil || r.suspicion.Guarded() {
+	if len(shards) < minDelegatedShards || r.e.cfg.Peers == nil || r.hasLongBody() || r.suspicion.Guarded() {
 		for _, i := range shards {
 			r.launch(i, false)
 		}
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -154,7 +154,7 @@
 	Caller     string      // the caller's address without the port
 	Header     http.Header // without hop-by-hop headers
 	Body       []byte
-	Stream     *target.Stream // the rest of a long body; nil if Body is complete
+	Stream     *target.Stream // the rest of a long body, or of one with a trailer; nil if Body is complete
 	Arrived    time.Time
 	Wait       time.Duration // how long the caller waits, from Arrived; 0 if not stated
 	HandedOver bool          // the request was handed over by another daemon
@@ -217,9 +217,12 @@
 	if refused := r.takeQuota(ctx); refused != nil {
 		return refused
 	}
-	answer, handed := r.handOver(ctx)
-	if !handed {
-		answer = r.checkAndExecute(ctx)
+	answer := r.readWholeBody()
+	if answer == nil {
+		var handed bool
+		if answer, handed = r.handOver(ctx); !handed {
+			answer = r.checkAndExecute(ctx)
+		}
 	}
 	r.returnQuota()
 	return answer
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -1,9 +1,7 @@
 package forward
 
 import (
-	"bytes"
 	"io"
-	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -11,7 +9,6 @@
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 
 	"pearmoor/internal/contract"
@@ -21,9 +18,6 @@
 )
 
 const (
-	// bufferedBodyBytes is the longest body that is read completely before it is forwarded.
-	// Only a request with such a body can be sent to a second leaf.
-	bufferedBodyBytes = 64 << 10
 	// defaultBodyLimit and defaultHeaderLimit apply until a configuration is installed.
 	defaultBodyLimit   = 1 << 20
 	defaultHeaderLimit = 64 << 10
@@ -182,58 +176,6 @@
 	return max(time.Duration(ms*float64(time.Millisecond)), time.Microsecond), nil
 }
 
-// readBody reads a short body completely. Of a longer body it reads the beginning and sets
-// req.Stream for the rest.
-func readBody(r *http.Request, req *Request, limit int64) *badRequest {
-	if r.ContentLength > limit {
-		return bodyTooLong(limit)
-	}
-	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
-		return nil
-	}
-	var buf bytes.Buffer
-	if n := r.ContentLength; n > 0 {
-		buf.Grow(int(min(n, bufferedBodyBytes)) + bytes.MinRead)
-	}
-	n, err := io.Copy(&buf, io.LimitReader(r.Body, bufferedBodyBytes+1))
-	if err != nil {
-		return newBadRequest(http.StatusBadRequest, "body", "", "it broke off: "+err.Error(), "send it whole")
-	}
-	req.Body = buf.Bytes()
-	if n <= bufferedBodyBytes && len(r.Trailer) == 0 {
-		if n > limit {
-			return bodyTooLong(limit)
-		}
-		return nil
-	}
-	req.Stream = &target.Stream{
-		Reader: &limitedReader{source: r.Body, remaining: limit - n}, Length: r.ContentLength,
-		TrailerNames: slices.Sorted(maps.Keys(r.Trailer)), Trailer: func() http.Header { return r.Trailer },
-	}
-	return nil
-}
-
-func bodyTooLong(limit int64) *badRequest {
-	return newBadRequest(http.StatusRequestEntityTooLarge, "body", "", "it is longer than "+strconv.FormatInt(limit, 10)+" bytes", "send less")
-}
-
-var errBodyTooLong = errors.New("forward: the body is longer than the limit")
-
-// limitedReader fails once more than remaining bytes have been read. The leaf then receives a
-// truncated body instead of a complete request that exceeds the limit.
-type limitedReader struct {
-	source    io.Reader
-	remaining int64
-}
-
-func (r *limitedReader) Read(p []byte) (int, error) {
-	n, err := r.source.Read(p)
-	if r.remaining -= int64(n); r.remaining < 0 {
-		return 0, errBodyTooLong
-	}
-	return n, err
-}
-
 // writeAnswer writes an answer to the caller.
 //
 // If the request was handed over, it closes the connection, so that callers keep connections
--- a/internal/forward/handover.go
+++ b/internal/forward/handover.go
@@ -68,7 +68,7 @@
 // is false if this daemon has to answer: no daemon has accepted, or the one that has does not
 // allow the caller's API key any more and has not run the gather.
 func (r *run) handOver(ctx context.Context) (a *Answer, handed bool) {
-	if r.e.cfg.Peers == nil || r.req.HandedOver || r.leafRequest.Stream != nil || !r.entry.IsGather() {
+	if r.e.cfg.Peers == nil || r.req.HandedOver || r.hasLongBody() || !r.entry.IsGather() {
 		return nil, false
 	}
 	h := &handover{run: r, events: make(chan offerEvent, maxOffers), done: make(chan struct{})}
--- a/internal/forward/keys.go
+++ b/internal/forward/keys.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"net/http"
-	"slices"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -163,17 +162,8 @@
 	}
 	req.Header.Del(dialect.Key)
 	req.Header.Del(dialect.Organisation)
-	if req.Stream == nil || req.Stream.Trailer == nil {
-		return
-	}
-	key, organisation := http.CanonicalHeaderKey(dialect.Key), http.CanonicalHeaderKey(dialect.Organisation)
-	req.Stream.TrailerNames = slices.DeleteFunc(req.Stream.TrailerNames, func(name string) bool { return name == key || name == organisation })
-	trailer := req.Stream.Trailer
-	req.Stream.Trailer = func() http.Header {
-		out := trailer().Clone()
-		out.Del(dialect.Key)
-		out.Del(dialect.Organisation)
-		return out
+	if req.Stream != nil {
+		req.Stream.HideTrailers(dialect.Key, dialect.Organisation)
 	}
 }
 
--- a/internal/forward/keys_test.go
+++ b/internal/forward/keys_test.go
@@ -196,12 +196,12 @@
 
 // Guards against a key that reaches a leaf in a trailer.
 func TestTrailersLoseKeyAndOrganisation(t *testing.T) {
-	req := &Request{Stream: &target.Stream{Trailer: func() http.Header {
+	req := &Request{Stream: target.NewStream(strings.NewReader(""), -1, []string{"Api-Key", "Org", "Sum"}, func() http.Header {
 		return http.Header{"Api-Key": {acmeKey}, "Org": {"forged"}, "Sum": {"1"}}
-	}}}
+	})}
 	stripKey(testDialect, req)
-	if got := req.Stream.Trailer(); len(got) != 1 || got.Get("Sum") != "1" {
-		t.Errorf("trailers %v", got)
+	if _, got, err := req.Stream.ReadAll(nil); err != nil || len(got) != 1 || got.Get("Sum") != "1" {
+		t.Errorf("trailers %v, %v", got, err)
 	}
 }
 
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"pearmoor/internal/contract"
 	"pearmoor/internal/discovery"
 	"pearmoor/internal/link/peer"
@@ -398,8 +400,8 @@
 	switch {
 	case len(s.pending) > 0:
 		return
-	case r.leafRequest.Stream != nil && (!notRun || res.err == nil):
-		s.stopSending() // part of the streamed body has been consumed
+	case r.leafRequest.Stream != nil && (!notRun || res.err == nil || errors.Is(res.err.Cause, target.ErrStreamTaken)):
+		s.stopSending() // the streamed body has been consumed, in part at least
 		return
 	case isStaleConn(res.err) && !res.err.LeafExited() && r.entry.Repeatable:
 		// The leaf is healthy and only dropped an idle connection.
--- a/internal/forward/suspicion.go
+++ b/internal/forward/suspicion.go
@@ -29,7 +29,7 @@
 func (r *Request) quarantineRequest() *quarantine.Request {
 	q := &quarantine.Request{Method: r.Method, Host: r.Host, URI: r.URI, Caller: r.Caller, Body: r.Body, Length: int64(len(r.Body))}
 	if r.Stream != nil {
-		q.Length = r.Stream.Length
+		q.Length = r.Stream.Length()
 	}
 	return q
 }
--- a/internal/link/target/exchange.go
+++ b/internal/link/target/exchange.go
@@ -5,8 +5,10 @@
 	"cmp"
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httputil"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -96,15 +98,17 @@
 	buf.WriteString(l.id)
 	buf.WriteString("\r\n")
 	switch {
-	case req.Stream != nil && req.Stream.Length < 0:
+	case req.isChunked():
 		buf.WriteString("Transfer-Encoding: chunked\r\n")
-		if names := req.Stream.TrailerNames; len(names) > 0 {
+		if names := req.trailerNames(); len(names) > 0 {
 			buf.WriteString("Trailer: " + strings.Join(names, ", ") + "\r\n")
 		}
 		buf.WriteString("\r\n")
 	case req.Stream != nil:
-		buf.WriteString("Content-Length: " + strconv.FormatInt(req.Stream.Length, 10) + "\r\n\r\n")
+		buf.WriteString("Content-Length: " + strconv.FormatInt(req.Stream.length, 10) + "\r\n\r\n")
 		buf.Write(req.Body)
+	case len(req.Body) > maxBodyWithHead:
+		buf.WriteString("Content-Length: " + strconv.Itoa(len(req.Body)) + "\r\n\r\n")
 	case len(req.Body) > 0 || methodHasBody(req.Method):
 		buf.WriteString("Content-Length: " + strconv.Itoa(len(req.Body)) + "\r\n\r\n")
 		buf.Write(req.Body)
@@ -121,6 +125,11 @@
 // exchange writes the request on c and reads the reply. It returns c to the pool or closes it,
 // except for a reply with Rest, which does so when it has been read or closed.
 func (l *Link) exchange(call *Call, c *conn, req *Request, remaining time.Duration) (*Reply, *contract.Error) {
+	if req.Stream != nil && !req.Stream.take() {
+		call.detach()
+		l.put(c)
+		return nil, notRun(contract.ReasonInternal, ErrStreamTaken)
+	}
 	reused := c.reused
 	c.carried = append(c.carried, hashID(req.ID))
 	c.carriedHEAD = c.carriedHEAD || req.Method == http.MethodHead
@@ -129,13 +138,22 @@
 		cause := call.detach()
 		l.closeConn(c, cause)
 		if n == 0 {
+			if req.Stream != nil {
+				req.Stream.giveBack()
+			}
 			return nil, notRun(contract.ReasonTargetFailed, markStaleIf(reused, err))
 		}
 		return nil, mayHaveRun(contract.ReasonTargetFailed, l.markLeafEnded(cause, markStaleIf(reused, err)))
 	}
 	sent := make(chan bool, 1) // whether the whole body was written
-	if req.Stream != nil {
-		go func() { sent <- writeStream(c, req) }()
+	if req.writesBodyApart() {
+		go func() {
+			whole := writeBody(c, req)
+			if whole {
+				call.markWritten()
+			}
+			sent <- whole
+		}()
 	} else {
 		sent <- true
 		call.markWritten()
@@ -216,12 +234,37 @@
 	}
 }
 
-// writeStream writes the body from req.Stream and reports whether all of it was written. With
-// chunked encoding it writes req.Body first.
-func writeStream(c *conn, req *Request) bool {
-	s := req.Stream
-	if s.Length >= 0 {
-		_, err := io.Copy(c, s.Reader)
+// maxBodyWithHead is the length in bytes up to which a complete body is written with the head.
+const maxBodyWithHead = 64 << 10
+
+// writesBodyApart reports whether the body is written while the reply is read: a leaf may answer
+// before it has read a long body.
+func (r *Request) writesBodyApart() bool {
+	return r.Stream != nil || len(r.Trailer) > 0 || len(r.Body) > maxBodyWithHead
+}
+
+// isChunked reports whether the body is sent in chunks.
+func (r *Request) isChunked() bool {
+	return r.Stream != nil && r.Stream.length < 0 || len(r.Trailer) > 0
+}
+
+// trailerNames returns the names that are announced before the body.
+func (r *Request) trailerNames() []string {
+	if r.Stream != nil {
+		return r.Stream.trailerNames
+	}
+	return slices.Sorted(maps.Keys(r.Trailer))
+}
+
+// writeBody writes the part of the body that was not written with the head, and reports whether
+// all of it was written.
+func writeBody(c *conn, req *Request) bool {
+	if !req.isChunked() {
+		if req.Stream != nil {
+			_, err := io.Copy(c, req.Stream.reader)
+			return err == nil
+		}
+		_, err := c.Write(req.Body)
 		return err == nil
 	}
 	w := httputil.NewChunkedWriter(c)
@@ -230,16 +273,18 @@
 			return false
 		}
 	}
-	if _, err := io.Copy(w, s.Reader); err != nil {
-		return false // the missing last chunk tells the leaf that the body is truncated
+	trailer := req.Trailer
+	if s := req.Stream; s != nil {
+		if _, err := io.Copy(w, s.reader); err != nil {
+			return false // the missing last chunk tells the leaf that the body is truncated
+		}
+		trailer = s.finalTrailer()
 	}
 	if w.Close() != nil {
 		return false
 	}
 	var end bytes.Buffer
-	if s.Trailer != nil {
-		_ = s.Trailer().Write(&end)
-	}
+	_ = trailer.Write(&end) // writes to a bytes.Buffer do not fail
 	end.WriteString("\r\n")
 	_, err := c.Write(end.Bytes())
 	return err == nil
--- a/internal/link/target/request.go
+++ b/internal/link/target/request.go
@@ -1,7 +1,6 @@
 package target
 
 import (
-	"io"
 	"net/http"
 	"time"
 
@@ -16,9 +15,11 @@
 	// Head is the request line and the headers that are the same for every leaf. Each line
 	// ends in CRLF; the empty line that ends the header section is not included.
 	Head []byte
-	// Body is the complete body, or its beginning if Stream is set.
-	Body   []byte
-	Stream *Stream
+	// Body is the complete body, or its beginning if Stream is set. It may be shared by sends.
+	Body []byte
+	// Trailer is the trailer of a complete body; it is then sent in chunks.
+	Trailer http.Header
+	Stream  *Stream
 	// Deadline is when the sender stops waiting. The remaining time is sent to the leaf.
 	Deadline time.Time
 	// ConnWait is how long the request may wait for a connection while as many as allowed
@@ -45,13 +46,3 @@
 
 // defaultRestLimit is the RestLimit, in bytes, of a request that states none.
 const defaultRestLimit = 64 << 20
-
-// Stream is the remainder of a request body that is sent while it is being read.
-type Stream struct {
-	Reader  io.Reader
-	Length  int64 // of the whole body; negative: unknown, sent chunked
-	// TrailerNames are the names announced before the body. Trailer returns the trailer and is
-	// called only after Reader has returned io.EOF: net/http writes to the map until then.
-	TrailerNames []string
-	Trailer      func() http.Header
-}
--- a/internal/link/target/trailer_test.go
+++ b/internal/link/target/trailer_test.go
@@ -42,10 +42,10 @@
 	_, err := link.Do(&Call{}, &Request{
 		Dialect: testDialect, Method: http.MethodPost, ID: "a", Head: []byte("POST / HTTP/1.1\r\nHost: h\r\nRequest-Id: a\r\n"),
 		Deadline: time.Now().Add(5 * time.Second), BodyLimit: 1000,
-		Stream: &Stream{Reader: body, Length: -1, TrailerNames: []string{"X-Sum"}, Trailer: func() http.Header {
+		Stream: NewStream(body, -1, []string{"X-Sum"}, func() http.Header {
 			early = early || !body.ended.Load()
 			return http.Header{"X-Sum": {"1"}}
-		}},
+		}),
 	})
 	if err != nil {
 		t.Fatal(err)
