forward: a stopping VM refuses late requests that may outlast it

The VM took every request until 0.6 of its grace period, whatever time the request had, and what has begun to be answered at 0.9 can't get a final answer any more.

policy.Shutdown has the schedule of a stop. After 0.45 of the grace period a request is sent to leaves only if the longest time until its answer has been sent ends before the final answers; others are refused as not run, 503, to come back after 10 ms. Handovers from other VMs are declined by the same rule.

--- a/internal/entryvm/fleet_test.go
+++ b/internal/entryvm/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -24,6 +25,7 @@
 	leaves       []*fleetLeaf
 	thirdCrash   map[string]time.Time       // by path: time of the third crash
 	crashes      map[string]int             // by path
+	runs         map[string]int             // of paths with halvesSuffix, by request id
 	lateAttempts map[string]map[string]bool // by path: attempts that reached leaves more than detectionTime after that
 }
 
@@ -44,10 +46,15 @@
 	// slowSuffix is the suffix of paths that leaves take slowTime to answer.
 	slowSuffix = "slow"
 	slowTime   = 400 * time.Millisecond
+	// halvesSuffix is the suffix of paths to which leaves send a long answer, the second half
+	// halvesTime after the first.
+	halvesSuffix = "halves"
+	halvesTime   = 1500 * time.Millisecond
+	halfBytes    = 80_000
 )
 
 func newFleet(t *testing.T) *fleet {
-	f := &fleet{t: t, thirdCrash: map[string]time.Time{}, crashes: map[string]int{}, lateAttempts: map[string]map[string]bool{}}
+	f := &fleet{t: t, thirdCrash: map[string]time.Time{}, crashes: map[string]int{}, runs: map[string]int{}, lateAttempts: map[string]map[string]bool{}}
 	for s := range crashShards {
 		for d := range 2 {
 			f.add(shardName(s), fmt.Sprintf("hall-%d", d))
@@ -124,11 +131,41 @@
 	if strings.HasSuffix(r.URL.Path, slowSuffix) {
 		time.Sleep(slowTime)
 	}
+	if strings.HasSuffix(r.URL.Path, halvesSuffix) {
+		l.serveHalves(w, r)
+		return
+	}
 	time.Sleep(2 * time.Millisecond)
 	w.Header().Set(crashDialect.Signature, fmt.Sprintf("s%d", l.f.nextID.Add(1)))
 	_, _ = fmt.Fprintf(w, "%016d", l.f.nextID.Add(1))
 }
 
+func (l *fleetLeaf) serveHalves(w http.ResponseWriter, r *http.Request) {
+	l.f.recordRun(r)
+	half := make([]byte, halfBytes)
+	w.Header().Set(crashDialect.Signature, fmt.Sprintf("s%d", l.f.nextID.Add(1)))
+	w.Header().Set("Content-Length", strconv.Itoa(2*halfBytes))
+	_, _ = w.Write(half)
+	_ = http.NewResponseController(w).Flush()
+	select {
+	case <-time.After(halvesTime):
+		_, _ = w.Write(half)
+	case <-r.Context().Done():
+	}
+}
+
+func (f *fleet) recordRun(r *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.runs[r.Header.Get(crashDialect.RequestID)]++
+}
+
+func (f *fleet) runsOf(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.runs[id]
+}
+
 // recordAttempt counts an attempt that reaches a leaf more than detectionTime after the
 // third crash.
 func (f *fleet) recordAttempt(r *http.Request) {
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -290,7 +290,7 @@
 	case <-v.parts.Failed():
 		// No supervisor waits for this stop, so nothing else would end it.
 		var cancelWait context.CancelFunc
-		waitCtx, cancelWait = context.WithTimeout(waitCtx, time.Duration(stopFraction*float64(v.conf.GracePeriod)))
+		waitCtx, cancelWait = context.WithTimeout(waitCtx, v.shutdown().ExitAt())
 		defer cancelWait()
 	}
 	v.parts.Stop()
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -65,6 +65,7 @@
 	active     atomic.Pointer[activeTable]
 	finishing  chan struct{} // closed by FinishAll
 	finishOnce sync.Once
+	shutdown   atomic.Pointer[shutdown] // nil until BeginShutdown
 	sendPool   *work.Pool[sendTask]
 	now        vm.Clock // includes the time during which the VM is suspended
 	room       *room
@@ -98,16 +99,6 @@
 	return e
 }
 
-// FinishAll makes every request in progress, and every later one, return its final answer
-// immediately. It is called before the process exits: an answer tells the caller whether the
-// request may have run, a broken connection does not.
-//
-// It also ends the exchanges that go on although their replies are no longer needed.
-func (e *Engine) FinishAll() {
-	e.finishOnce.Do(func() { close(e.finishing) })
-	e.cfg.Tracker.EndAbandoned()
-}
-
 // Install makes t the table for requests that arrive from now on; version is the version of
 // the settings tree that t was made from. A table that is not newer than the installed one is
 // ignored.
@@ -214,6 +205,9 @@
 		return refused
 	}
 	r := e.newRun(active, entry, req)
+	if refused := r.checkShutdown(); refused != nil {
+		return refused
+	}
 	if refused := r.takeQuota(ctx); refused != nil {
 		return refused
 	}
--- a/internal/forward/handover.go
+++ b/internal/forward/handover.go
@@ -357,9 +357,9 @@
 }
 
 // newHandedOverRun returns a run for a gather that another daemon hands over. It returns nil
-// to decline if this daemon shuts down, has another configuration, since the gather must be
-// executed according to the configuration that it was routed by, does not know an evacuation
-// that the other daemon knows, or does not allow the caller's API key.
+// to decline if this daemon shuts down and may end before the answer, has another configuration,
+// since the gather must be executed according to the configuration that it was routed by, does not
+// know an evacuation that the other daemon knows, or does not allow the caller's API key.
 func (e *Engine) newHandedOverRun(in *wire.HandoverRequest) *run {
 	active, confirmation := e.confirmedTable()
 	if active == nil || active.table.Number != in.Release || e.evacuations.Load().revision < in.Evacuations || e.isFinishing() {
@@ -374,18 +374,13 @@
 	if refusal != nil {
 		return nil
 	}
-	return e.newRun(active, entry, &Request{
+	r := e.newRun(active, entry, &Request{
 		ID: in.Id, Method: in.Method, URI: uri, Path: pathOf(uri), Host: host, Caller: in.Caller, Body: in.Body,
 		Arrived: time.Now().Add(-time.Duration(in.SpentUs) * time.Microsecond), Wait: time.Duration(in.WaitUs) * time.Microsecond,
 		Head: in.Head, HandedOver: true, identity: id,
 	})
-}
-
-func (e *Engine) isFinishing() bool {
-	select {
-	case <-e.finishing:
-		return true
-	default:
-		return false
+	if r.checkShutdown() != nil {
+		return nil
 	}
+	return r
 }
--- a/internal/link/target/call.go
+++ b/internal/link/target/call.go
@@ -150,7 +150,7 @@
 		return false
 	}
 	c.link, c.conn, c.req, c.attached, c.startedAt = l, cn, req, true, time.Now()
-	_ = cn.SetDeadline(req.Deadline.Add(replyGrace))
+	_ = cn.SetDeadline(req.Deadline.Add(ReplyGrace))
 	return true
 }
 
--- a/internal/link/target/deadline_test.go
+++ b/internal/link/target/deadline_test.go
@@ -15,7 +15,7 @@
 		if _, err := l.Do(&Call{}, newRequest(50*time.Millisecond)); err != nil {
 			t.Fatal(err)
 		}
-		time.Sleep(50*time.Millisecond + replyGrace + 20*time.Millisecond)
+		time.Sleep(50*time.Millisecond + ReplyGrace + 20*time.Millisecond)
 	}
 	if n := conns(); n != 1 {
 		t.Errorf("%d connections for three requests in turn, want 1", n)
--- a/internal/link/target/exchange.go
+++ b/internal/link/target/exchange.go
@@ -24,9 +24,9 @@
 // request cannot be told from one that ran.
 const maxIdleNonIdempotent = time.Second
 
-// replyGrace is how long after the deadline a reply is still read. A leaf reports that the
+// ReplyGrace is how long after the deadline a reply is still read. A leaf reports that the
 // deadline was exceeded at about that time, and reading its reply keeps the connection usable.
-const replyGrace = 60 * time.Millisecond
+const ReplyGrace = 60 * time.Millisecond
 
 // ErrStaleConn marks a failure on a reused connection before any byte of a reply arrived: most
 // likely the leaf had closed the connection while it was idle.
