forward: an answer that breaks off ends with a reset

Beside it, an answer above 64 KiB that its leaf breaks off ended with an ordinary close. The connection is reset, and the end is logged and counted, which it was not.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -149,6 +149,19 @@
 	return n, err
 }
 
+// breakOff prepares the connection to be closed in the middle of an answer, of which sent bytes were
+// passed on. It is reset: where an answer has no length, its end would look like any other.
+func (c *callerConn) breakOff(sent int64, cause error) {
+	if c == nil {
+		return
+	}
+	_ = c.SetLinger(0) // fails only if the connection is closed
+	c.mu.Lock()
+	id := c.requestID
+	c.mu.Unlock()
+	c.log.Line("caller", "answer broke off").Str("id", id).Str("from", c.RemoteAddr().String()).Int("sent", sent).Err(cause).End()
+}
+
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
 	c.logUnanswered()
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -31,6 +31,7 @@
 	refusedRequests  = metrics.GetOrRegisterCounter("forward.refused", metrics.DefaultRegistry)
 	handlerPanics    = metrics.GetOrRegisterCounter("forward.panics", metrics.DefaultRegistry)
 	callersLeft      = metrics.GetOrRegisterCounter("forward.callers_left", metrics.DefaultRegistry)
+	brokenAnswers    = metrics.GetOrRegisterCounter("forward.broken_off", metrics.DefaultRegistry)
 	badRequests      = metrics.GetOrRegisterCounter("forward.bad_requests", metrics.DefaultRegistry)
 	latency          = metrics.GetOrRegisterHistogram("forward.latency_us", metrics.DefaultRegistry, metrics.NewExpDecaySample(512, 0.015))
 )
@@ -58,7 +59,7 @@
 		h.Log.Line("caller", "bad request").Str("id", r.Header.Get(h.Dialect.RequestID)).
 			Str("from", r.RemoteAddr).Int("status", int64(fault.status)).Str("field", fault.Field).Str("why", fault.Why).End()
 		if fault.exceedsLimit() && !h.Engine.mayDeny() {
-			h.writeAnswer(w, unconfirmedAnswer())
+			h.writeAnswer(w, callerConnFrom(r.Context()), unconfirmedAnswer())
 			return
 		}
 		http.Error(w, fault.String(), fault.status)
@@ -71,7 +72,7 @@
 		callersLeft.Inc(1)
 		panic(http.ErrAbortHandler)
 	}
-	h.writeAnswer(w, a)
+	h.writeAnswer(w, conn, a)
 	latency.Update(time.Since(arrived).Microseconds())
 }
 
@@ -180,7 +181,7 @@
 //
 // If the request was handed over, it closes the connection, so that callers keep connections
 // to daemons that answer requests themselves.
-func (h *Handler) writeAnswer(w http.ResponseWriter, a *Answer) {
+func (h *Handler) writeAnswer(w http.ResponseWriter, conn *callerConn, a *Answer) {
 	if a.HandedOver {
 		w.Header().Set("Connection", "close")
 	}
@@ -190,7 +191,7 @@
 		h.writeMerged(w, a)
 	case a.Header != nil:
 		answeredRequests.Inc(1)
-		h.writeLeafReply(w, a)
+		h.writeLeafReply(w, conn, a)
 	default:
 		h.writeError(w, a)
 	}
@@ -211,7 +212,7 @@
 var notRunStatuses = []int{http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest}
 
 // writeLeafReply writes the reply of a leaf as the answer.
-func (h *Handler) writeLeafReply(w http.ResponseWriter, a *Answer) {
+func (h *Handler) writeLeafReply(w http.ResponseWriter, conn *callerConn, a *Answer) {
 	header := w.Header()
 	connection := header.Get("Connection")
 	StripHopByHop(a.Header)
@@ -242,8 +243,9 @@
 	if _, err := w.Write(a.Body); err != nil {
 		return
 	}
-	if _, err := io.Copy(w, a.Rest); err != nil {
-		// A truncated answer must not look complete.
+	if n, err := io.Copy(w, a.Rest); err != nil {
+		brokenAnswers.Inc(1)
+		conn.breakOff(int64(len(a.Body))+n, err)
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/internal/forward/leaf_test.go
+++ b/internal/forward/leaf_test.go
@@ -180,7 +180,9 @@
 		Budgets: policy.NewBudgets(policy.BudgetLimits{Ratio: 100, Burst: 100, Window: 10 * time.Second}, vm.Monotonic, one),
 	})
 	e.Install(route.NewTable(rel), 1)
-	srv := httptest.NewServer(&Handler{Engine: e, Dialect: testDialect, Draining: func() bool { return false }})
+	srv := httptest.NewUnstartedServer(&Handler{Engine: e, Dialect: testDialect, Draining: func() bool { return false }})
+	srv.Listener, srv.Config.ConnContext = callerListener{Listener: srv.Listener}, withCallerConn
+	srv.Start()
 	t.Cleanup(srv.Close)
 	return &fixture{url: srv.URL, tracker: tracker, engine: e}
 }
