soak: crowds of clients outside the limits

Clients that we don't control made a process run out of memory. Fourteen tests play such clients against one VM of a small tier of real processes, whose settings give it 64 MB (400 descriptors in one of them): the process must live, its peak memory and descriptors stay within the settings, and an ordinary request be answered beside the crowd and after it. No times and no shares are checked. They run one at a time, after the other tests.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo development)
 LDFLAGS = -ldflags "-X main.version=$(VERSION)"
 
-.PHONY: build run test race days soak lint model fuzz bench generate clean
+.PHONY: build run test crowd race days soak lint model fuzz bench generate clean
 
 build:
 	@mkdir -p bin
@@ -14,9 +14,15 @@
 run: build
 	./scripts/run $(TREE)
 
-# Tests named in KNOWN-RED.txt are passed over and printed.
+# Tests named in KNOWN-RED.txt are passed over and printed. Those of crowds measure memory, so
+# they run apart from the others.
 test:
-	./scripts/test ./...
+	SKIP='^TestCrowd' ./scripts/test ./...
+	$(MAKE) crowd
+
+# Crowds of clients outside the limits against real processes, one at a time.
+crowd:
+	./scripts/test ./soak -run '^TestCrowd' -count=1
 
 # The tests under the race detector, but for those that run whole tiers of processes,
 # and one that moves 440,000 edits, which takes 7 s without the detector and 60 s with
--- a/soak/leaves_test.go
+++ b/soak/leaves_test.go
@@ -35,6 +35,7 @@
 	// the faults of existing seeds.
 	repeatsRefusals // refuses most requests, and sends copies of refusals in front of later answers
 	neverEnds       // sends headers until the connection is closed
+	answersLong     // sends answers of longAnswerBytes
 )
 
 // maxLeafConns is the limit on open connections to a leaf, from all daemons together.
@@ -171,6 +172,9 @@
 	rw.Header().Set(dialect.RequestID, id)
 	rw.Header().Set(dialect.Signature, signature)
 	rw.Header().Set(dialect.Load, "1,0,8")
+	if m == answersLong {
+		text = strings.Repeat("x", longAnswerBytes)
+	}
 	_, _ = io.WriteString(rw, text)
 }
 
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -71,6 +71,8 @@
 
 	organisations *organisations // nil: the run has none
 
+	memoryMB, descriptors int // limits of the VMs; 0: none
+
 	absence     sync.Mutex   // held while a long absence of a control VM is in progress
 	replacement replacements // of control VMs
 
@@ -253,7 +255,7 @@
 			Callers: h.ports.callers, Ready: h.ports.ready, Operators: h.ports.operators,
 			Directory: h.ports.directory, Peers: h.ports.peers,
 		},
-		FirstStart: v.firstStart, DiskMB: 64, Cores: 1, Tolerated: 1, DrainMS: 3000, GraceS: 3,
+		FirstStart: v.firstStart, DiskMB: 64, MemoryMB: h.memoryMB, Descriptors: h.descriptors, Cores: 1, Tolerated: 1, DrainMS: 3000, GraceS: 3,
 		BudgetRatio: 0.2, BudgetBurst: 62, BudgetWindowS: 10, ListAddr: h.listAddr, ListRate: 50,
 	}
 	if h.organisations != nil {
