intake: what all clients together make a process keep is bounded

Clients that we don't control made processes run out of memory: heads over the limit or without end, legal heads of very many short lines, connections without number, answers that nobody reads. Heads were parsed whole, up to 1 MiB and at some 30 times their size, before the configured limit was looked at, and no limit held for all clients together.

internal/intake wraps the connections of all HTTP ports of a VM. The bytes of a head are counted as they come, with the memory of their lines, against the configured limit and against one sum for the process, made of the machine's memory (policy.IntakeLimits). The less of it is free, the less one client may hold, and a request that doesn't fit displaces a waiting client that holds more than twice as much. Connections are limited by the descriptors; the one that has waited longest for its client makes room. None whose request is being run is closed. A head over the limit is answered 431, or 503 where this VM may not deny; what doesn't fit gets 503, not run.

--- a/cmd/pearmoor-entry/main.go
+++ b/cmd/pearmoor-entry/main.go
@@ -21,6 +21,8 @@
 	"pearmoor/internal/contract"
 	"pearmoor/internal/decision"
 	"pearmoor/internal/entryvm"
+	"pearmoor/internal/intake"
+	"pearmoor/internal/policy"
 	"pearmoor/platform"
 )
 
@@ -74,6 +76,9 @@
 		logFaults(err)
 		return exitUsage
 	}
+	if limit := policy.GoHeapLimit(settings.VM.MemoryBytes); limit > 0 {
+		debug.SetMemoryLimit(limit)
+	}
 	klog.Infof("entry: start version=%s vm=%s domain=%s disk=%q first_start=%v seeds=%v", version, settings.VM.Name, settings.VM.Domain, settings.VM.DataDir, settings.VM.FirstStart, settings.VM.Seeds)
 	if err := serve(opts, settings, decisionLog); err != nil {
 		klog.Errorf("entry: stopped: %v", err)
@@ -159,7 +164,7 @@
 		handler    http.Handler
 	}{
 		{"readiness", settings.ReadinessAddr, platform.ReadinessHandler(v)},
-		{"operators", settings.OperatorAddr, platform.OperatorHandler(v, settings.OperatorAddr)},
+		{operatorsServer, settings.OperatorAddr, platform.OperatorHandler(v, settings.OperatorAddr)},
 		{"directory", settings.DirectoryAddr, platform.DirectoryHandler(v)},
 		{metricsServer, metricsAddr(host, opts.metricsPort), entryvm.MetricsHandler()},
 	}
@@ -186,17 +191,30 @@
 const (
 	sideReadHeaderTimeout = 5 * time.Second
 	sideIdleTimeout       = 30 * time.Second
+	sideReadTimeout       = time.Minute // of a whole request
+	sideHeaderBytes       = 16 << 10
+	// configurationCost is the memory, in bytes, of each byte of a configuration that an operator
+	// sends, with what it is decoded to.
+	configurationCost = 4
 )
 
-// metricsServer is the name of the only side server that a VM can do without.
-const metricsServer = "metrics"
+const (
+	operatorsServer = "operators"
+	// metricsServer is the name of the only side server that a VM can do without.
+	metricsServer = "metrics"
+)
 
 func serveSideServer(name string, l net.Listener, h http.Handler, v *entryvm.VM) {
 	s := &http.Server{
-		Handler: h, ReadHeaderTimeout: sideReadHeaderTimeout, IdleTimeout: sideIdleTimeout,
-		ErrorLog: decision.NewServerLog(name),
+		Handler: h, ReadHeaderTimeout: sideReadHeaderTimeout, ReadTimeout: sideReadTimeout, IdleTimeout: sideIdleTimeout,
+		MaxHeaderBytes: sideHeaderBytes,
+		ErrorLog:       decision.NewServerLog(name),
+	}
+	port := intake.Port{Name: name, Share: policy.CallerShare, HeadBytes: func() int { return sideHeaderBytes }}
+	if name == operatorsServer {
+		port.Share = policy.OperatorShare
 	}
-	err := s.Serve(l)
+	err := v.Intake().Serve(s, l, port, configurationCost)
 	switch {
 	case errors.Is(err, net.ErrClosed): // closed after Run
 	case name == metricsServer:
--- a/internal/entryvm/config.go
+++ b/internal/entryvm/config.go
@@ -20,6 +20,8 @@
 	// DomainRegions maps the failure domains of the tier to their regions, as far as known.
 	DomainRegions map[string]string
 	Millicores    uint32 // CPU of the VM, in thousandths of a core
+	MemoryBytes   int64  // memory of the VM; 0: not known
+	Descriptors   int    // limit on open files of the process; 0: not known
 
 	// Seeds are the peer addresses of some daemons of the tier. They are the only other
 	// daemons known at startup.
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -17,6 +17,7 @@
 	"pearmoor/internal/discovery"
 	"pearmoor/internal/evacuation"
 	"pearmoor/internal/forward"
+	"pearmoor/internal/intake"
 	"pearmoor/internal/journal"
 	"pearmoor/internal/link/peer"
 	"pearmoor/internal/link/wire"
@@ -50,6 +51,7 @@
 	quotas       *quota.Quotas
 	quotasNeeded chan struct{} // closed when a configuration with organisations is in use
 	server       *forward.Server
+	intake       *intake.Intake
 	mux          atomic.Pointer[drpcmux.Mux]
 
 	rolesCache    rolesCache
@@ -102,7 +104,8 @@
 		RevokeTime: conf.RevokeTime, Quotas: v.quotas, Millicores: conf.Millicores,
 		Budgets: policy.NewBudgets(conf.Budget, vm.Monotonic, v.senderCount),
 	})
-	v.server = forward.NewServer(&forward.Handler{Engine: v.engine, Dialect: conf.Dialect, Log: conf.Log, Draining: v.draining.Load})
+	v.intake = intake.New(policy.NewIntakeLimits(conf.MemoryBytes, conf.Descriptors), conf.Log)
+	v.server = forward.NewServer(&forward.Handler{Engine: v.engine, Dialect: conf.Dialect, Log: conf.Log, Draining: v.draining.Load}, v.intake)
 	if conf.DataDir != "" {
 		v.groupMember = v.newGroupMember()
 	}
@@ -274,6 +277,9 @@
 	Peers   net.Listener
 }
 
+// Intake returns the intake of the process, which all servers for clients share.
+func (v *VM) Intake() *intake.Intake { return v.intake }
+
 // Fail stops the VM because a part of its process has failed that Run does not run.
 func (v *VM) Fail(part string, err error) { v.parts.Fail(part, err) }
 
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -11,6 +12,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"pearmoor/internal/decision"
+	"pearmoor/internal/intake"
 )
 
 // bufferedReadTimeout bounds a read of bytes that are already in the receive buffer.
@@ -24,7 +26,7 @@
 // callerConn is a connection from a caller. It records the current request and the first
 // I/O error, so that a connection closed without an answer can be logged with its cause.
 type callerConn struct {
-	*net.TCPConn
+	*intake.Conn
 	log *decision.Log
 
 	mu           sync.Mutex
@@ -38,7 +40,7 @@
 	expired   bool      // idle for too long; the next read ends the connection unless data has arrived
 }
 
-// callerListener wraps accepted TCP connections in callerConn.
+// callerListener wraps the connections of an intake in callerConn.
 type callerListener struct {
 	net.Listener
 	log *decision.Log
@@ -50,11 +52,11 @@
 	if err != nil {
 		return nil, err
 	}
-	tcp, ok := c.(*net.TCPConn)
+	conn, ok := c.(*intake.Conn)
 	if !ok {
 		return c, nil
 	}
-	return &callerConn{TCPConn: tcp, log: l.log}, nil
+	return &callerConn{Conn: conn, log: l.log}, nil
 }
 
 type callerConnKey struct{}
@@ -72,7 +74,7 @@
 
 // Read implements net.Conn.
 func (c *callerConn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
+	n, err := c.Conn.Read(p)
 	if c.clearExpired() {
 		switch {
 		case n > 0 && err == nil:
@@ -103,7 +105,7 @@
 	if err := c.TCPConn.SetReadDeadline(time.Now().Add(bufferedReadTimeout)); err != nil {
 		return 0, err
 	}
-	n, err := c.TCPConn.Read(p)
+	n, err := c.Conn.Read(p)
 	if err != nil {
 		return n, err
 	}
@@ -136,7 +138,7 @@
 
 // Write implements net.Conn.
 func (c *callerConn) Write(p []byte) (int, error) {
-	n, err := c.TCPConn.Write(p)
+	n, err := c.Conn.Write(p)
 	c.mu.Lock()
 	c.written += n
 	id, written := c.requestID, c.written
@@ -165,7 +167,20 @@
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
 	c.logUnanswered()
-	return c.TCPConn.Close()
+	return c.Conn.Close()
+}
+
+// ReadFrom implements io.ReaderFrom, so that net/http copies an answer by Write.
+func (c *callerConn) ReadFrom(r io.Reader) (int64, error) {
+	return io.Copy(struct{ io.Writer }{c}, r)
+}
+
+// Intake returns the connection as its intake has it.
+func (c *callerConn) Intake() *intake.Conn {
+	if c == nil {
+		return nil
+	}
+	return c.Conn
 }
 
 // recordFailure stores the first I/O error and reports whether err is the first one.
--- a/internal/forward/conn_test.go
+++ b/internal/forward/conn_test.go
@@ -18,6 +18,8 @@
 	"github.com/cockroachdb/errors"
 
 	"pearmoor/internal/decision"
+	"pearmoor/internal/intake"
+	"pearmoor/internal/policy"
 	"pearmoor/internal/vm"
 )
 
@@ -64,7 +66,7 @@
 // address.
 func serveCallers(t *testing.T, f *fixture, log *decision.Log) (*Server, string) {
 	t.Helper()
-	s := NewServer(&Handler{Engine: f.engine, Dialect: testDialect, Log: log, Draining: func() bool { return false }})
+	s := NewServer(&Handler{Engine: f.engine, Dialect: testDialect, Log: log, Draining: func() bool { return false }}, intake.New(policy.NewIntakeLimits(0, 0), log))
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/forward/leaf_test.go
+++ b/internal/forward/leaf_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"pearmoor/internal/discovery"
+	"pearmoor/internal/intake"
 	"pearmoor/internal/policy"
 	"pearmoor/internal/route"
 	"pearmoor/internal/vm"
@@ -181,7 +182,10 @@
 	})
 	e.Install(route.NewTable(rel), 1)
 	srv := httptest.NewUnstartedServer(&Handler{Engine: e, Dialect: testDialect, Draining: func() bool { return false }})
-	srv.Listener, srv.Config.ConnContext = callerListener{Listener: srv.Listener}, withCallerConn
+	in := intake.New(policy.NewIntakeLimits(0, 0), nil)
+	port := intake.Port{Share: policy.CallerShare, HeadBytes: func() int { return defaultHeaderLimit }}
+	srv.Listener, srv.Config.ConnContext = callerListener{Listener: in.Listen(srv.Listener, port)}, withCallerConn
+	srv.Config.ConnState = intake.ConnState
 	srv.Start()
 	t.Cleanup(srv.Close)
 	return &fixture{url: srv.URL, tracker: tracker, engine: e}
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -9,6 +9,8 @@
 	"github.com/cockroachdb/errors"
 
 	"pearmoor/internal/decision"
+	"pearmoor/internal/intake"
+	"pearmoor/internal/policy"
 )
 
 const (
@@ -28,17 +30,19 @@
 	http    *http.Server
 	idle    *idleConns
 	handler *Handler
+	intake  *intake.Intake
 }
 
-// NewServer returns a server that answers requests with handler.
-func NewServer(handler *Handler) *Server {
-	s := &Server{idle: &idleConns{conns: make(map[*callerConn]struct{})}, handler: handler}
+// NewServer returns a server that answers requests with handler and keeps within the limits of in.
+func NewServer(handler *Handler, in *intake.Intake) *Server {
+	s := &Server{idle: &idleConns{conns: make(map[*callerConn]struct{})}, handler: handler, intake: in}
 	s.http = &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: 1 << 20,
 		ErrorLog:    decision.NewServerLog("caller"),
 		ConnContext: withCallerConn,
 		ConnState: func(c net.Conn, st http.ConnState) {
 			s.idle.update(c, st == http.StateIdle)
+			intake.ConnState(c, st)
 		},
 	}
 	return s
@@ -48,7 +52,11 @@
 // connections.
 func (s *Server) Serve(ctx context.Context, lis net.Listener) error {
 	go s.idle.run(ctx, s.idleTimeout)
-	err := s.http.Serve(callerListener{lis, s.handler.Log})
+	accepted := s.intake.Listen(lis, intake.Port{
+		Name: "callers", Share: policy.CallerShare, BodyTimeout: s.idleTimeout, MayDeny: s.handler.Engine.mayDeny,
+		HeadBytes: func() int { return s.handler.limits().HeaderBytes },
+	})
+	err := s.http.Serve(callerListener{accepted, s.handler.Log})
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
