forward: bodies count against what clients may make a process keep

Clients that send the beginning of a legal body and never the rest filled the memory of a process: 60,000 bytes each, in buffers of twice that, without a limit for all. Such a connection was kept for good besides, and its request got no answer: after the handler net/http waits for the rest of the body, and a refusal before the head of the answer is sent waits for it too.

A body that is read completely is counted as it comes (internal/intake), and refused as not run, 503, where it doesn't fit. While it is read the connection waits for its client, so that another may displace it; a client that sends nothing of it for the idle timeout gets 408. Once there is an answer, the rest of a body is awaited for a second.

--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -5,15 +5,59 @@
 	"io"
 	"maps"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
+	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"pearmoor/internal/contract"
+	"pearmoor/internal/intake"
 	"pearmoor/internal/link/target"
 )
 
+// bodyCost is the memory, in bytes, of each byte of a body that is read completely: it is kept in a
+// buffer that grows, and once more for a send.
+const bodyCost = 3
+
+// unreadBodyTimeout bounds the time for which the rest of a body is read after the answer.
+const unreadBodyTimeout = time.Second
+
+// requestBody is the body of a request.
+type requestBody struct {
+	io.ReadCloser
+	ended atomic.Bool // its end has been read
+}
+
+// Read implements io.Reader.
+func (b *requestBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		b.ended.Store(true)
+	}
+	return n, err
+}
+
+// trackBody replaces the body of r by a requestBody. It returns nil if there is no body.
+func trackBody(r *http.Request) *requestBody {
+	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+		return nil
+	}
+	b := &requestBody{ReadCloser: r.Body}
+	r.Body = b
+	return b
+}
+
+// limitRest bounds the time for which net/http waits for the rest of a body before it takes the
+// next request.
+func (b *requestBody) limitRest(w http.ResponseWriter) {
+	if b != nil && !b.ended.Load() {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout)) // fails if the connection is closed
+	}
+}
+
 // bufferedBodyBytes is the longest body that is read before the route of its request is known.
 // A longer one is streamed to the leaf, or read completely if it goes to several leaves.
 const bufferedBodyBytes = 64 << 10
@@ -29,11 +73,12 @@
 	}
 	var buf bytes.Buffer
 	if n := r.ContentLength; n > 0 {
-		buf.Grow(int(min(n, bufferedBodyBytes)) + bytes.MinRead)
+		buf.Grow(int(min(n, firstBodyBytes)) + bytes.MinRead)
 	}
-	n, err := io.Copy(&buf, io.LimitReader(r.Body, bufferedBodyBytes+1))
+	held := callerConnFrom(r.Context()).Intake().Body(r.Body, bodyCost)
+	n, err := io.Copy(&buf, io.LimitReader(held, bufferedBodyBytes+1))
 	if err != nil {
-		return newBadRequest(http.StatusBadRequest, "body", "", "it broke off: "+err.Error(), "send it whole")
+		return newBadRequest(bodyErrorStatus(err), "body", "", "it broke off: "+err.Error(), "send it whole")
 	}
 	req.Body = buf.Bytes()
 	if n <= bufferedBodyBytes && len(r.Trailer) == 0 {
@@ -43,10 +88,35 @@
 		return nil
 	}
 	rest := &limitedReader{source: r.Body, remaining: limit - n}
+	req.held = func(rest io.Reader) io.Reader { return callerConnFrom(r.Context()).Intake().Body(rest, bodyCost) }
 	req.Stream = target.NewStream(rest, r.ContentLength, slices.Sorted(maps.Keys(r.Trailer)), func() http.Header { return r.Trailer })
 	return nil
 }
 
+// firstBodyBytes is what is allocated for a body before any of it has come.
+const firstBodyBytes = 4 << 10
+
+// bodyErrorStatus returns the status of a request whose body can't be read. It has not run.
+func bodyErrorStatus(err error) int {
+	switch {
+	case errors.Is(err, errBodyTooLong):
+		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, intake.ErrNoRoom):
+		return http.StatusServiceUnavailable
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return http.StatusRequestTimeout
+	}
+	return http.StatusBadRequest
+}
+
+// noRoomRetryAfter is the Retry-After of a request whose body doesn't fit beside what other clients
+// hold.
+const noRoomRetryAfter = 500 * time.Millisecond
+
+func noRoomAnswer() *Answer {
+	return &Answer{Status: http.StatusServiceUnavailable, RetryAfter: noRoomRetryAfter, Verdict: contract.NotRun, Reason: contract.ReasonOverload}
+}
+
 func bodyTooLong(limit int64) *badRequest {
 	return newBadRequest(http.StatusRequestEntityTooLarge, "body", "", "it is longer than "+strconv.FormatInt(limit, 10)+" bytes", "send less")
 }
@@ -74,7 +144,7 @@
 	if r.req.Stream == nil || !r.entry.IsGather() {
 		return nil
 	}
-	body, trailer, err := r.req.Stream.ReadAll(r.req.Body)
+	body, trailer, err := r.req.Stream.ReadAll(r.req.Body, r.req.held)
 	if err != nil {
 		return r.badBodyAnswer(err)
 	}
@@ -84,12 +154,12 @@
 }
 
 func (r *run) badBodyAnswer(err error) *Answer {
-	a := &Answer{Status: http.StatusBadRequest, Verdict: contract.NotRun, Reason: contract.ReasonInvalidRequest, Cause: err}
-	if errors.Is(err, errBodyTooLong) {
-		a.Status = http.StatusRequestEntityTooLarge
-		if !r.e.mayDeny() {
-			a = unconfirmedAnswer()
-		}
+	a := &Answer{Status: bodyErrorStatus(err), Verdict: contract.NotRun, Reason: contract.ReasonInvalidRequest, Cause: err}
+	switch {
+	case a.Status == http.StatusServiceUnavailable:
+		a = noRoomAnswer()
+	case a.Status == http.StatusRequestEntityTooLarge && !r.e.mayDeny():
+		a = unconfirmedAnswer()
 	}
 	badRequests.Inc(1)
 	r.e.cfg.Log.Line("caller", "bad request").Str("id", r.req.ID).Str("from", r.req.Caller).
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"runtime/debug"
 	"sync"
@@ -152,6 +153,8 @@
 	Head       []byte        // request head as sent to leaves; nil if it is to be rendered from the fields above
 
 	identity identity // set by the key check
+	// held returns a reader of the rest of the body that counts what is kept of it.
+	held func(rest io.Reader) io.Reader
 }
 
 // Answer is the answer to a caller. A nil Answer means that the caller has left.
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -53,25 +53,33 @@
 	if h.Draining() {
 		w.Header().Set("Connection", "close")
 	}
+	conn := callerConnFrom(r.Context())
+	defer conn.Intake().HandlerDone()
+	body := trackBody(r)
 	req, fault := h.parseRequest(r, arrived)
 	if fault != nil {
+		body.limitRest(w)
 		badRequests.Inc(1)
 		h.Log.Line("caller", "bad request").Str("id", r.Header.Get(h.Dialect.RequestID)).
 			Str("from", r.RemoteAddr).Int("status", int64(fault.status)).Str("field", fault.Field).Str("why", fault.Why).End()
-		if fault.exceedsLimit() && !h.Engine.mayDeny() {
-			h.writeAnswer(w, callerConnFrom(r.Context()), unconfirmedAnswer())
+		switch {
+		case fault.status == http.StatusServiceUnavailable:
+			h.writeAnswer(w, conn, noRoomAnswer())
+			return
+		case fault.exceedsLimit() && !h.Engine.mayDeny():
+			h.writeAnswer(w, conn, unconfirmedAnswer())
 			return
 		}
 		http.Error(w, fault.String(), fault.status)
 		return
 	}
-	conn := callerConnFrom(r.Context())
 	conn.beginRequest(req.ID, arrived)
 	a := h.Engine.recoverPanic(req.ID, func() *Answer { return h.Engine.Forward(r.Context(), req) })
 	if a == nil {
 		callersLeft.Inc(1)
 		panic(http.ErrAbortHandler)
 	}
+	body.limitRest(w)
 	h.writeAnswer(w, conn, a)
 	latency.Update(time.Since(arrived).Microseconds())
 }
--- a/internal/forward/keys_test.go
+++ b/internal/forward/keys_test.go
@@ -200,7 +200,7 @@
 		return http.Header{"Api-Key": {acmeKey}, "Org": {"forged"}, "Sum": {"1"}}
 	})}
 	stripKey(testDialect, req)
-	if _, got, err := req.Stream.ReadAll(nil); err != nil || len(got) != 1 || got.Get("Sum") != "1" {
+	if _, got, err := req.Stream.ReadAll(nil, func(r io.Reader) io.Reader { return r }); err != nil || len(got) != 1 || got.Get("Sum") != "1" {
 		t.Errorf("trailers %v, %v", got, err)
 	}
 }
--- a/internal/link/target/stream.go
+++ b/internal/link/target/stream.go
@@ -43,16 +43,14 @@
 	s.trailerNames = slices.DeleteFunc(s.trailerNames, func(name string) bool { return slices.Contains(s.hidden, name) })
 }
 
-// ReadAll reads the stream. It returns the whole body, which begins with start, and its trailer.
-func (s *Stream) ReadAll(start []byte) (body []byte, trailer http.Header, err error) {
+// ReadAll reads the stream through wrap. It returns the whole body, which begins with start, and its
+// trailer.
+func (s *Stream) ReadAll(start []byte, wrap func(io.Reader) io.Reader) (body []byte, trailer http.Header, err error) {
 	if !s.take() {
 		return nil, nil, ErrStreamTaken
 	}
 	buf := bytes.NewBuffer(start)
-	if s.length > int64(len(start)) {
-		buf.Grow(int(s.length) - len(start) + bytes.MinRead)
-	}
-	if _, err := buf.ReadFrom(s.reader); err != nil {
+	if _, err := buf.ReadFrom(wrap(s.reader)); err != nil {
 		return nil, nil, err
 	}
 	return buf.Bytes(), s.finalTrailer(), nil
--- a/internal/link/target/stream_test.go
+++ b/internal/link/target/stream_test.go
@@ -49,13 +49,15 @@
 		if sent != 1 || len(arrived) != 1 || !bytes.Equal(<-arrived, body) {
 			t.Errorf("length %d: %d sends of one body, or it arrived changed", length, sent)
 		}
-		if _, _, err := stream.ReadAll(nil); !errors.Is(err, ErrStreamTaken) {
+		if _, _, err := stream.ReadAll(nil, unchanged); !errors.Is(err, ErrStreamTaken) {
 			t.Errorf("the body was read once more: %v", err)
 		}
 		link.Close()
 	}
 }
 
+func unchanged(r io.Reader) io.Reader { return r }
+
 // Guards against a body that is lost to the next send because nothing of the first was written.
 func TestUnwrittenSendLeavesTheStream(t *testing.T) {
 	s := NewStream(bytes.NewReader([]byte("rest")), -1, nil, nil)
@@ -63,7 +65,7 @@
 		t.Fatal("a stream has one reader")
 	}
 	s.giveBack()
-	if body, _, err := s.ReadAll([]byte("start ")); err != nil || string(body) != "start rest" {
+	if body, _, err := s.ReadAll([]byte("start "), unchanged); err != nil || string(body) != "start rest" {
 		t.Errorf("body %q, %v", body, err)
 	}
 }
