intake: a refused head is not read on

net/http reads once more after an error in the middle of a header line, so that a connection whose head was refused stayed open, with what it held, until its client closed it. The error of a refusal is now returned by every later read.

Found by TestHeadOverTheLimitIsRefusedEarly, which failed 3 of 3 before. Tests of the package, 60 runs with the race detector: passed.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -46,6 +46,7 @@
 	port   *Port
 
 	headBytes int   // read of the current head
+	refusal   error // why no more is read; nil: more is
 	lastRead  int64 // memory of what was read last, which may be a part of the next head
 
 	// Guarded by Intake.mu.
@@ -57,6 +58,9 @@
 
 // Read implements net.Conn. The bytes of a head are held until its request ends.
 func (c *Conn) Read(p []byte) (int, error) {
+	if c.refusal != nil {
+		return 0, c.refusal // net/http reads on after an error in a line
+	}
 	n, err := c.TCPConn.Read(p)
 	if n == 0 {
 		return n, err
@@ -71,7 +75,8 @@
 		fault = errHeadTooLong
 	}
 	if fault != nil {
-		return 0, c.refuseHead(fault)
+		c.refusal = c.refuseHead(fault)
+		return 0, c.refusal
 	}
 	return n, err
 }
