--- a/cmd/pearmoord/main.go
+++ b/cmd/pearmoord/main.go
@@ -91,6 +91,8 @@
 	stringFlag(app, &c.Domain, "domain", "This VM's failure domain.")
 	stringFlag(app, &c.Region, "region", "This VM's region.")
 	stringFlag(app, &c.ReadyFile, "ready-file", "Write the bound addresses here as JSON once the daemon serves.")
+	app.Flag("memory-mb", "Memory of this VM in MiB, a share of which clients may use; 0: 256.").Envar(envVar("memory-mb")).Default("0").Int64Var(&c.MemoryMB)
+	app.Flag("max-descriptors", "Limit on open files of this process, half of which clients may use; 0: 4096.").Envar(envVar("max-descriptors")).Default("0").IntVar(&c.MaxDescriptors)
 	app.Flag("operator-listen", "host:port of metrics, health and readiness.").Envar(envVar("operator-listen")).Default("127.0.0.1:7402").StringVar(&c.OperatorListen)
 }
 
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -34,6 +34,8 @@
 	CallerKey        string
 	PeerListen       string // host:port that other daemons connect to
 	PeerAddr         string // host:port advertised to other daemons; empty: derived from PeerListen
+	MemoryMB         int64  // memory of the VM in MiB, from which the share of clients is taken; 0: not known
+	MaxDescriptors   int    // limit on open files of the process; 0: not known
 	OperatorListen   string // host:port for metrics, health, readiness, status and profiles
 	ReadyFile        string // written with the bound addresses once serving
 	PlaintextPeers   bool   // no TLS between daemons; loopback only
@@ -235,6 +237,9 @@
 	return id, addr, ""
 }
 
+// maxMemoryMB is more than any VM has, and can be converted to bytes.
+const maxMemoryMB = 1 << 30
+
 func (c *Config) rangeFaults() (faults contract.Faults) {
 	if c.PlatformInterval < minPlatformInterval || c.PlatformInterval > maxPlatformInterval {
 		faults = append(faults, fault("--platform-every", c.PlatformInterval.String(), "is out of range", "choose 200ms to 1h"))
@@ -245,6 +250,12 @@
 	if c.RelayThreshold < 1 || c.RelayThreshold > maxRelayThreshold {
 		faults = append(faults, fault("--relay-above", strconv.Itoa(c.RelayThreshold), "is out of range", "choose 1 to 4096"))
 	}
+	if c.MemoryMB < 0 || c.MemoryMB > maxMemoryMB {
+		faults = append(faults, fault("--memory-mb", strconv.FormatInt(c.MemoryMB, 10), "is out of range", "give the memory in MiB, or 0"))
+	}
+	if c.MaxDescriptors < 0 {
+		faults = append(faults, fault("--max-descriptors", strconv.Itoa(c.MaxDescriptors), "is below 0", "give the limit, or 0"))
+	}
 	if c.RelayFanout < minFanout || c.RelayFanout > maxFanout {
 		faults = append(faults, fault("--relay-fanout", strconv.Itoa(c.RelayFanout), "is out of range", "choose 2 to 1024"))
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,9 +15,11 @@
 	"pearmoor/internal/control"
 	"pearmoor/internal/directory"
 	"pearmoor/internal/entry"
+	"pearmoor/internal/intake"
 	"pearmoor/internal/link/leaf"
 	"pearmoor/internal/link/peer"
 	"pearmoor/internal/link/wire"
+	"pearmoor/internal/policy"
 	"pearmoor/internal/quarantine"
 	"pearmoor/internal/query"
 	"pearmoor/internal/relay"
@@ -43,6 +45,7 @@
 	engine     *query.Engine
 	quarantine *quarantine.Registry
 	entry      *entry.Server
+	intake     *intake.Intake
 	sender     *leaf.Sender
 	prober     *leaf.Prober
 	shares     *shareManager
@@ -66,6 +69,7 @@
 
 func (d *Daemon) assemble() error {
 	c := &d.conf
+	d.intake = intake.New(policy.NewIntakeLimits(c.MemoryMB<<20, c.MaxDescriptors), nil)
 	d.self = vm.Identity{
 		Name:        c.Name,
 		Incarnation: vm.NewIncarnation(0),
@@ -183,7 +187,7 @@
 	})
 	d.entry, err = entry.New(entry.Config{
 		Self: d.self, Engine: d.engine, Source: d.client, Clock: vm.Now,
-		Draining: func() bool { return d.lifecycle.get() == phaseDraining },
+		Draining: func() bool { return d.lifecycle.get() == phaseDraining }, Intake: d.intake,
 	})
 	return err
 }
@@ -269,7 +273,7 @@
 func (d *Daemon) startServers(parts *work.Parts, ctx context.Context, mux *drpcmux.Mux) {
 	parts.Go("peers", func() error { return peer.Serve(ctx, d.listeners.peer, mux, d.serverTLS()) })
 	operator := newOperatorServer(d.ready, func() any { return d.status() })
-	parts.Go("operators", func() error { return operator.serve(ctx, d.listeners.operator) })
+	parts.Go("operators", func() error { return operator.serve(ctx, d.listeners.operator, d.intake) })
 	if d.control != nil {
 		parts.Go("control VM", func() error { return d.control.Run(ctx) })
 	}
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -14,12 +14,17 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rcrowley/go-metrics"
 	"k8s.io/klog/v2"
+
+	"pearmoor/internal/intake"
+	"pearmoor/internal/policy"
 )
 
 // operatorReadTimeout bounds how long a client of the operator port may take to
 // send its request.
 const operatorReadTimeout = 5 * time.Second
 
+const operatorHeaderBytes = 16 << 10
+
 // readinessFunc reports whether the daemon accepts new requests, and its state or the
 // reason why not.
 type readinessFunc func() (ready bool, why string)
@@ -43,7 +48,7 @@
 	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
 	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
-	return &operatorServer{http: &http.Server{Handler: mux, ReadHeaderTimeout: operatorReadTimeout}}
+	return &operatorServer{http: &http.Server{Handler: mux, ReadHeaderTimeout: operatorReadTimeout, MaxHeaderBytes: operatorHeaderBytes}}
 }
 
 func writeReadiness(w http.ResponseWriter, ready readinessFunc) {
@@ -61,11 +66,12 @@
 	}
 }
 
-// serve serves lis until ctx is done.
-func (o *operatorServer) serve(ctx context.Context, lis net.Listener) error {
+// serve serves lis within the limits of in until ctx is done.
+func (o *operatorServer) serve(ctx context.Context, lis net.Listener, in *intake.Intake) error {
 	stop := context.AfterFunc(ctx, func() { o.http.Close() })
 	defer stop()
-	if err := o.http.Serve(lis); err != nil && ctx.Err() == nil {
+	port := intake.Port{Name: "operators", Share: policy.CallerShare, HeadBytes: func() int { return operatorHeaderBytes }}
+	if err := in.Serve(o.http, lis, port, 1); err != nil && ctx.Err() == nil {
 		return err
 	}
 	return nil
--- a/internal/entry/handle.go
+++ b/internal/entry/handle.go
@@ -14,6 +14,7 @@
 
 	"pearmoor/internal/contract"
 	"pearmoor/internal/directory"
+	"pearmoor/internal/intake"
 	"pearmoor/internal/query"
 	"pearmoor/internal/relay"
 	"pearmoor/internal/vm"
@@ -129,6 +130,10 @@
 		return nil, tooLargeError("request", r.ContentLength, limit)
 	}
 	raw, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if errors.Is(err, intake.ErrNoRoom) {
+		// The request may be a resend of one that ran: its key has not been read.
+		return nil, &contract.Error{Verdict: contract.MayHaveRun, Reason: contract.ReasonOverload, RetryAfter: startupRetryMS, Cause: err}
+	}
 	if err != nil {
 		return nil, contract.Refuse(contract.ReasonInvalidRequest, errors.Wrap(err, "the request ended early"))
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -12,7 +12,9 @@
 	"k8s.io/klog/v2"
 
 	"pearmoor/internal/contract"
+	"pearmoor/internal/intake"
 	"pearmoor/internal/link/peer"
+	"pearmoor/internal/policy"
 	"pearmoor/internal/relay"
 	"pearmoor/internal/vm"
 )
@@ -26,6 +28,7 @@
 	writeChunkBytes = 256 << 10        // bytes
 	idleTimeout     = 2 * time.Minute
 	maxHeaderBytes  = 16 << 10 // bytes
+	bodyCost        = 3        // memory of each byte of a body, in bytes, with what it is decoded to
 )
 
 // Paths of the caller API.
@@ -50,6 +53,8 @@
 	Source   relay.Source
 	Clock    vm.Clock
 	Draining func() bool // reports whether the daemon is draining; nil: never
+	// Intake bounds what callers make the daemon keep; nil: no bound.
+	Intake *intake.Intake
 }
 
 // Server is the HTTP server for callers. It implements http.Handler.
@@ -86,6 +91,9 @@
 // Serve answers callers on lis until ctx ends; it then stops accepting, waits
 // for the requests in flight and returns nil. A nil tlsConf means plain HTTP.
 func (s *Server) Serve(ctx context.Context, lis net.Listener, tlsConf *tls.Config) error {
+	if s.conf.Intake != nil {
+		lis = s.conf.Intake.Listen(lis, intake.Port{Name: "callers", Share: policy.OperatorShare, HeadBytes: func() int { return maxHeaderBytes }})
+	}
 	lis = peer.CallerListener(lis)
 	if tlsConf != nil {
 		lis = tls.NewListener(lis, tlsConf)
@@ -98,6 +106,7 @@
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          errorLog(),
 	}
+	intake.Configure(server, bodyCost)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve(lis) }()
 	select {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -229,6 +230,8 @@
 	switch c := c.(type) {
 	case *Conn:
 		return c
+	case *tls.Conn:
+		return From(c.NetConn())
 	case interface{ Intake() *Conn }:
 		return c.Intake()
 	}
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -12,6 +12,13 @@
 // Serve serves lis with s within the limits, until s is closed. Each byte of a body that a handler
 // reads counts as bodyCost bytes until the request ends.
 func (in *Intake) Serve(s *http.Server, lis net.Listener, port Port, bodyCost int64) error {
+	Configure(s, bodyCost)
+	return s.Serve(in.Listen(lis, port))
+}
+
+// Configure makes s report what its connections do to their Intake. It must be called before s
+// serves the listener of one.
+func Configure(s *http.Server, bodyCost int64) {
 	handler := s.Handler
 	s.ConnState = ConnState
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
@@ -25,7 +32,6 @@
 		}
 		handler.ServeHTTP(w, r)
 	})
-	return s.Serve(in.Listen(lis, port))
 }
 
 type body struct {
