intake, forward: one place for what was written twice

- Which refusals may come back (503 for no room, 413 and 431 before the configuration is confirmed) stood in the handler and again for the bodies of gathers: Engine.retryableAnswer.
The check for a body stood twice: hasBody.
- A request keeps its caller's connection in place of a closure over it.
- The two searches of an intake for a connection to close differed by their order only.
Conn.Reserve had no caller; a victim can't be the connection that needs memory, as MayDisplace says.
- The head of a request wrote the length of a complete body in two branches.
- The share of a side server stands in the table of these servers, not in a check of its name.
- Two starts of a callers' server in tests are one.

No assertion changed.

--- a/cmd/pearmoor-entry/main.go
+++ b/cmd/pearmoor-entry/main.go
@@ -161,12 +161,13 @@
 	host, _, _ := net.SplitHostPort(settings.VM.PeerAddr) // can't fail: ReadSettings joined it from an IP and a port
 	sideServers := []struct {
 		name, addr string
+		share      policy.IntakeShare
 		handler    http.Handler
 	}{
-		{"readiness", settings.ReadinessAddr, platform.ReadinessHandler(v)},
-		{operatorsServer, settings.OperatorAddr, platform.OperatorHandler(v, settings.OperatorAddr)},
-		{"directory", settings.DirectoryAddr, platform.DirectoryHandler(v)},
-		{metricsServer, metricsAddr(host, opts.metricsPort), entryvm.MetricsHandler()},
+		{"readiness", settings.ReadinessAddr, policy.CallerShare, platform.ReadinessHandler(v)},
+		{"operators", settings.OperatorAddr, policy.OperatorShare, platform.OperatorHandler(v, settings.OperatorAddr)},
+		{"directory", settings.DirectoryAddr, policy.CallerShare, platform.DirectoryHandler(v)},
+		{metricsServer, metricsAddr(host, opts.metricsPort), policy.CallerShare, entryvm.MetricsHandler()},
 	}
 	for _, s := range sideServers {
 		if s.addr == "" {
@@ -176,7 +177,7 @@
 		if err != nil {
 			return out, nil, err
 		}
-		go serveSideServer(s.name, l, s.handler, v)
+		go serveSideServer(s.name, l, s.share, s.handler, v)
 	}
 	return out, closeAll, nil
 }
@@ -198,22 +199,16 @@
 	configurationCost = 4
 )
 
-const (
-	operatorsServer = "operators"
-	// metricsServer is the name of the only side server that a VM can do without.
-	metricsServer = "metrics"
-)
+// metricsServer is the name of the only side server that a VM can do without.
+const metricsServer = "metrics"
 
-func serveSideServer(name string, l net.Listener, h http.Handler, v *entryvm.VM) {
+func serveSideServer(name string, l net.Listener, share policy.IntakeShare, h http.Handler, v *entryvm.VM) {
 	s := &http.Server{
 		Handler: h, ReadHeaderTimeout: sideReadHeaderTimeout, ReadTimeout: sideReadTimeout, IdleTimeout: sideIdleTimeout,
 		MaxHeaderBytes: sideHeaderBytes,
 		ErrorLog:       decision.NewServerLog(name),
 	}
-	port := intake.Port{Name: name, Share: policy.CallerShare, HeadBytes: func() int { return sideHeaderBytes }}
-	if name == operatorsServer {
-		port.Share = policy.OperatorShare
-	}
+	port := intake.Port{Name: name, Share: share, HeadBytes: func() int { return sideHeaderBytes }}
 	err := v.Intake().Serve(s, l, port, configurationCost)
 	switch {
 	case errors.Is(err, net.ErrClosed): // closed after Run
--- a/cmd/pearmoor-entry/main_test.go
+++ b/cmd/pearmoor-entry/main_test.go
@@ -19,6 +19,7 @@
 	"pearmoor/internal/entryvm"
 	"pearmoor/internal/freeport"
 	"pearmoor/internal/journal"
+	"pearmoor/internal/policy"
 	"pearmoor/platform"
 )
 
@@ -179,7 +180,7 @@
 			defer cancel()
 			ended := make(chan error, 1)
 			go func() { ended <- v.Run(stop, entryvm.Listeners{Peers: peers}) }()
-			serveSideServer(name, failingListener{peers}, http.NotFoundHandler(), v)
+			serveSideServer(name, failingListener{peers}, policy.CallerShare, http.NotFoundHandler(), v)
 			if !fails {
 				cancel()
 			}
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -40,9 +40,13 @@
 	return n, err
 }
 
+func hasBody(r *http.Request) bool {
+	return r.Body != nil && r.Body != http.NoBody && r.ContentLength != 0
+}
+
 // trackBody replaces the body of r by a requestBody. It returns nil if there is no body.
 func trackBody(r *http.Request) *requestBody {
-	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+	if !hasBody(r) {
 		return nil
 	}
 	b := &requestBody{ReadCloser: r.Body}
@@ -68,15 +72,14 @@
 	if r.ContentLength > limit {
 		return bodyTooLong(limit)
 	}
-	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+	if !hasBody(r) {
 		return nil
 	}
 	var buf bytes.Buffer
 	if n := r.ContentLength; n > 0 {
 		buf.Grow(int(min(n, firstBodyBytes)) + bytes.MinRead)
 	}
-	held := callerConnFrom(r.Context()).Intake().Body(r.Body, bodyCost)
-	n, err := io.Copy(&buf, io.LimitReader(held, bufferedBodyBytes+1))
+	n, err := io.Copy(&buf, io.LimitReader(req.keep(r.Body), bufferedBodyBytes+1))
 	if err != nil {
 		return newBadRequest(bodyErrorStatus(err), "body", "", "it broke off: "+err.Error(), "send it whole")
 	}
@@ -88,11 +91,14 @@
 		return nil
 	}
 	rest := &limitedReader{source: r.Body, remaining: limit - n}
-	req.held = func(rest io.Reader) io.Reader { return callerConnFrom(r.Context()).Intake().Body(rest, bodyCost) }
 	req.Stream = target.NewStream(rest, r.ContentLength, slices.Sorted(maps.Keys(r.Trailer)), func() http.Header { return r.Trailer })
 	return nil
 }
 
+// keep returns a reader of a part of the body that is kept in memory, which counts against what the
+// caller may hold.
+func (r *Request) keep(part io.Reader) io.Reader { return r.conn.Body(part, bodyCost) }
+
 // firstBodyBytes is what is allocated for a body before any of it has come.
 const firstBodyBytes = 4 << 10
 
@@ -117,6 +123,20 @@
 	return &Answer{Status: http.StatusServiceUnavailable, RetryAfter: noRoomRetryAfter, Verdict: contract.NotRun, Reason: contract.ReasonOverload}
 }
 
+// retryableAnswer returns the answer to a request that would be refused with the given status and
+// may come back, nil if the refusal is final.
+func (e *Engine) retryableAnswer(status int) *Answer {
+	switch status {
+	case http.StatusServiceUnavailable:
+		return noRoomAnswer()
+	case http.StatusRequestHeaderFieldsTooLarge, http.StatusRequestEntityTooLarge:
+		if !e.mayDeny() { // a newer configuration may have a higher limit
+			return unconfirmedAnswer()
+		}
+	}
+	return nil
+}
+
 func bodyTooLong(limit int64) *badRequest {
 	return newBadRequest(http.StatusRequestEntityTooLarge, "body", "", "it is longer than "+strconv.FormatInt(limit, 10)+" bytes", "send less")
 }
@@ -144,7 +164,7 @@
 	if r.req.Stream == nil || !r.entry.IsGather() {
 		return nil
 	}
-	body, trailer, err := r.req.Stream.ReadAll(r.req.Body, r.req.held)
+	body, trailer, err := r.req.Stream.ReadAll(r.req.Body, r.req.keep)
 	if err != nil {
 		return r.badBodyAnswer(err)
 	}
@@ -154,12 +174,10 @@
 }
 
 func (r *run) badBodyAnswer(err error) *Answer {
-	a := &Answer{Status: bodyErrorStatus(err), Verdict: contract.NotRun, Reason: contract.ReasonInvalidRequest, Cause: err}
-	switch {
-	case a.Status == http.StatusServiceUnavailable:
-		a = noRoomAnswer()
-	case a.Status == http.StatusRequestEntityTooLarge && !r.e.mayDeny():
-		a = unconfirmedAnswer()
+	status := bodyErrorStatus(err)
+	a := r.e.retryableAnswer(status)
+	if a == nil {
+		a = &Answer{Status: status, Verdict: contract.NotRun, Reason: contract.ReasonInvalidRequest, Cause: err}
 	}
 	badRequests.Inc(1)
 	r.e.cfg.Log.Line("caller", "bad request").Str("id", r.req.ID).Str("from", r.req.Caller).
--- a/internal/forward/body_limits_test.go
+++ b/internal/forward/body_limits_test.go
@@ -10,29 +10,15 @@
 	"testing"
 	"time"
 
-	"pearmoor/internal/intake"
 	"pearmoor/internal/policy"
 )
 
-// serveWithin is like serveCallers with the given limits.
-func serveWithin(t *testing.T, f *fixture, limits policy.IntakeLimits) string {
-	t.Helper()
-	s := NewServer(&Handler{Engine: f.engine, Dialect: testDialect, Draining: func() bool { return false }}, intake.New(limits, nil))
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = s.http.Close() })
-	go func() { _ = s.Serve(t.Context(), lis) }()
-	return lis.Addr().String()
-}
-
 // Guards against a body that is kept although it doesn't fit, and against one that is refused as if
 // it might have run.
 func TestBodyThatDoesNotFitIsRefusedAsNotRun(t *testing.T) {
 	leaf := startLeaf(t, replyWith("done"))
 	f := newFixture(t, singleRoute("s"), map[string][]*fakeLeaf{"s": {leaf}})
-	addr := serveWithin(t, f, policy.IntakeLimits{Bytes: 600 << 10, Connections: 10})
+	_, addr := serveCallersWithin(t, f, nil, policy.IntakeLimits{Bytes: 600 << 10, Connections: 10})
 	for _, c := range []struct{ length, status int }{{1000, http.StatusOK}, {60_000, http.StatusServiceUnavailable}, {1000, http.StatusOK}} {
 		req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/", strings.NewReader(strings.Repeat("x", c.length)))
 		if err != nil {
@@ -58,7 +44,7 @@
 func TestUnfinishedBodyDoesNotKeepItsConnection(t *testing.T) {
 	leaf := startLeaf(t, replyWith("done"))
 	f := newFixture(t, singleRoute("s"), map[string][]*fakeLeaf{"s": {leaf}})
-	addr := serveWithin(t, f, policy.NewIntakeLimits(0, 0))
+	_, addr := serveCallers(t, f, nil)
 	for name, head := range map[string]string{
 		"refused": "POST / HTTP/1.1\r\nHost: unknown.example\r\nRequest-Id: %s\r\nContent-Length: 100000\r\n\r\n" + strings.Repeat("x", 70_000),
 		"invalid": "POST / HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: 100000\r\n\r\n",
--- a/internal/forward/conn_test.go
+++ b/internal/forward/conn_test.go
@@ -66,12 +66,18 @@
 // address.
 func serveCallers(t *testing.T, f *fixture, log *decision.Log) (*Server, string) {
 	t.Helper()
-	s := NewServer(&Handler{Engine: f.engine, Dialect: testDialect, Log: log, Draining: func() bool { return false }}, intake.New(policy.NewIntakeLimits(0, 0), log))
+	return serveCallersWithin(t, f, log, policy.NewIntakeLimits(0, 0))
+}
+
+// serveCallersWithin is like serveCallers with the given limits.
+func serveCallersWithin(t *testing.T, f *fixture, log *decision.Log, limits policy.IntakeLimits) (*Server, string) {
+	t.Helper()
+	s := NewServer(&Handler{Engine: f.engine, Dialect: testDialect, Log: log, Draining: func() bool { return false }}, intake.New(limits, log))
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { lis.Close() })
+	t.Cleanup(func() { _ = s.http.Close() })
 	go func() { _ = s.Serve(t.Context(), lis) }()
 	return s, lis.Addr().String()
 }
--- a/internal/forward/engine.go
+++ b/internal/forward/engine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"runtime/debug"
 	"sync"
@@ -14,6 +13,7 @@
 	"pearmoor/internal/contract"
 	"pearmoor/internal/decision"
 	"pearmoor/internal/discovery"
+	"pearmoor/internal/intake"
 	"pearmoor/internal/link/target"
 	"pearmoor/internal/policy"
 	"pearmoor/internal/quarantine"
@@ -152,9 +152,8 @@
 	HandedOver bool          // the request was handed over by another daemon
 	Head       []byte        // request head as sent to leaves; nil if it is to be rendered from the fields above
 
-	identity identity // set by the key check
-	// held returns a reader of the rest of the body that counts what is kept of it.
-	held func(rest io.Reader) io.Reader
+	identity identity     // set by the key check
+	conn     *intake.Conn // of the caller; nil if another daemon has it
 }
 
 // Answer is the answer to a caller. A nil Answer means that the caller has left.
--- a/internal/forward/handler.go
+++ b/internal/forward/handler.go
@@ -62,12 +62,8 @@
 		badRequests.Inc(1)
 		h.Log.Line("caller", "bad request").Str("id", r.Header.Get(h.Dialect.RequestID)).
 			Str("from", r.RemoteAddr).Int("status", int64(fault.status)).Str("field", fault.Field).Str("why", fault.Why).End()
-		switch {
-		case fault.status == http.StatusServiceUnavailable:
-			h.writeAnswer(w, conn, noRoomAnswer())
-			return
-		case fault.exceedsLimit() && !h.Engine.mayDeny():
-			h.writeAnswer(w, conn, unconfirmedAnswer())
+		if a := h.Engine.retryableAnswer(fault.status); a != nil {
+			h.writeAnswer(w, conn, a)
 			return
 		}
 		http.Error(w, fault.String(), fault.status)
@@ -90,11 +86,6 @@
 	status int
 }
 
-// exceedsLimit reports whether the request exceeds a limit of the configuration.
-func (b *badRequest) exceedsLimit() bool {
-	return b.status == http.StatusRequestHeaderFieldsTooLarge || b.status == http.StatusRequestEntityTooLarge
-}
-
 func newBadRequest(status int, field, value, why, fix string) *badRequest {
 	return &badRequest{contract.Fault{Field: field, Value: value, Why: why, Fix: fix}, status}
 }
@@ -119,6 +110,7 @@
 	req := &Request{
 		ID: id, Method: r.Method, URI: r.RequestURI, Path: pathOf(r.RequestURI), Host: r.Host,
 		Caller: callerAddr(r), Header: r.Header, Arrived: arrived, Wait: wait,
+		conn: callerConnFrom(r.Context()).Intake(),
 	}
 	if fault := readBody(r, req, limits.BodyBytes); fault != nil {
 		return nil, fault
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -137,17 +137,6 @@
 	c.intake.remove(c)
 }
 
-// Reserve lets the current request hold n more bytes until it ends. It returns ErrNoRoom if they
-// don't fit.
-func (c *Conn) Reserve(n int64) error {
-	if c == nil {
-		return nil
-	}
-	c.intake.mu.Lock()
-	defer c.intake.mu.Unlock()
-	return c.intake.reserve(c, n)
-}
-
 // setPhase changes the phase and returns the one before. The caller holds Intake.mu.
 func (c *Conn) setPhase(p phase) phase {
 	before := c.phase
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -100,7 +100,7 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	for len(in.conns) >= in.limits.Connections || !in.limits.MayHold(0, connBytes, in.total, c.port.Share) {
-		victim := in.longestWaiting()
+		victim := in.pickWaiting(waitsLonger)
 		if victim == nil {
 			refusedConns.Inc(1)
 			in.logRefused(c, "no connection is free")
@@ -137,8 +137,8 @@
 		return net.ErrClosed
 	}
 	for !in.limits.MayHold(c.held-connBytes, n, in.total, c.port.Share) {
-		victim := in.largestWaiting()
-		if victim == nil || victim == c || !policy.MayDisplace(c.held-connBytes+n, victim.held-connBytes) {
+		victim := in.pickWaiting(holdsMore)
+		if victim == nil || !policy.MayDisplace(c.held-connBytes+n, victim.held-connBytes) {
 			refusedMemory.Inc(1)
 			in.logRefused(c, "no memory is free")
 			return ErrNoRoom
@@ -158,7 +158,7 @@
 	}
 	in.add(c, n)
 	for in.total > in.limits.Bytes {
-		victim := in.largestWaiting()
+		victim := in.pickWaiting(holdsMore)
 		if victim == nil {
 			return
 		}
@@ -173,28 +173,21 @@
 	}
 }
 
-// longestWaiting returns the connection that has waited longest for its client. The caller holds mu.
-func (in *Intake) longestWaiting() *Conn {
+// pickWaiting returns the connection that comes before all others of those that wait for their
+// clients, nil if none waits. The caller holds mu.
+func (in *Intake) pickWaiting(before func(a, b *Conn) bool) *Conn {
 	var out *Conn
 	for c := range in.conns {
-		if c.phase.waits() && (out == nil || c.since.Before(out.since)) {
+		if c.phase.waits() && (out == nil || before(c, out)) {
 			out = c
 		}
 	}
 	return out
 }
 
-// largestWaiting returns the connection that holds most while it waits for its client. The caller
-// holds mu.
-func (in *Intake) largestWaiting() *Conn {
-	var out *Conn
-	for c := range in.conns {
-		if c.phase.waits() && (out == nil || c.held > out.held) {
-			out = c
-		}
-	}
-	return out
-}
+func waitsLonger(a, b *Conn) bool { return a.since.Before(b.since) }
+
+func holdsMore(a, b *Conn) bool { return a.held > b.held }
 
 // evict closes a connection. The caller holds mu.
 func (in *Intake) evict(c *Conn, why string) {
--- a/internal/link/target/exchange.go
+++ b/internal/link/target/exchange.go
@@ -107,11 +107,11 @@
 	case req.Stream != nil:
 		buf.WriteString("Content-Length: " + strconv.FormatInt(req.Stream.length, 10) + "\r\n\r\n")
 		buf.Write(req.Body)
-	case len(req.Body) > maxBodyWithHead:
-		buf.WriteString("Content-Length: " + strconv.Itoa(len(req.Body)) + "\r\n\r\n")
 	case len(req.Body) > 0 || methodHasBody(req.Method):
 		buf.WriteString("Content-Length: " + strconv.Itoa(len(req.Body)) + "\r\n\r\n")
-		buf.Write(req.Body)
+		if !req.writesBodyApart() {
+			buf.Write(req.Body)
+		}
 	default:
 		buf.WriteString("\r\n")
 	}
