linger: the peer of a test accepts before its listener is closed

Cause: the fixture dialed, and closed its listener while the goroutine that accepts had not run yet. Closing resets what waits in the queue, so the far end never ran, and the test waited for it without end.

Change: the fixture accepts before it returns. No assertion changed.

--- a/internal/link/linger/linger_test.go
+++ b/internal/link/linger/linger_test.go
@@ -15,18 +15,19 @@
 		t.Fatal(err)
 	}
 	defer lis.Close()
-	go func() {
-		c, err := lis.Accept()
-		if err != nil {
-			return
-		}
-		defer c.Close()
-		serve(c)
-	}()
 	c, err := net.Dial("tcp", lis.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
+	// Accepted before the listener is closed: closing it resets what waits in its queue.
+	far, err := lis.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		defer far.Close()
+		serve(far)
+	}()
 	return c
 }
 
