control: changes are accepted once enough disks can lose what they must

Cause: the three seeds found the group and the others join one by one; nothing held changes back before that. A change of a group of three is on two disks.

Change: policy.GroupGrowth accepts changes from twice the stated losses and one voters, or when the group's members have not changed for 0.4 of the time to acknowledge an order, as a tier may have fewer disks. Node.waitUntilGrown stands before the only place that proposes a change, so orders of evacuation and reports of crashes pass it too. A VM that votes with a new disk counts once.

Ruled out: that removals shrink the group below that size (they need as many responsive voters), and that a membership that is not yet committed matters (a change proposed after it is committed after it).

--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -7,6 +7,7 @@
 
 	"pearmoor/internal/contract"
 	"pearmoor/internal/journal"
+	"pearmoor/internal/policy"
 	"pearmoor/internal/quorum"
 	"pearmoor/internal/relay"
 	"pearmoor/internal/vm"
@@ -37,6 +38,9 @@
 	MaxAuditBytes   int64             // size of the audit trail above which its oldest records are deleted; 0: unlimited
 	FS              journal.FS        // nil: the operating system's
 	Maintenance     MaintenanceConfig // automatic changes of the group; the zero value disables them
+	// Growth holds changes back until the group is large enough; the zero value accepts them
+	// from the start.
+	Growth policy.GroupGrowth
 }
 
 // Defaults for fields of Config.
--- a/internal/control/group_member_test.go
+++ b/internal/control/group_member_test.go
@@ -19,6 +19,7 @@
 	"pearmoor/internal/journal/faultydisk"
 	"pearmoor/internal/link/peer"
 	"pearmoor/internal/link/wire"
+	"pearmoor/internal/policy"
 	"pearmoor/internal/route"
 	"pearmoor/internal/settings"
 	"pearmoor/internal/vm"
@@ -46,6 +47,7 @@
 	dir      string
 	founders []string
 	vms      map[string]*memberVM // by address
+	growth   policy.GroupGrowth
 }
 
 const (
@@ -62,7 +64,13 @@
 // startTierWithDisks is like startTier, with a fault of the first VM's disk from the start.
 func startTierWithDisks(t testing.TB, n int, first faultydisk.Fault) *memberTier {
 	t.Helper()
-	tier := &memberTier{t: t, dir: t.TempDir(), vms: make(map[string]*memberVM)}
+	return startGrowingTier(t, n, first, policy.GroupGrowth{})
+}
+
+// startGrowingTier is like startTierWithDisks, with a group that accepts changes as growth says.
+func startGrowingTier(t testing.TB, n int, first faultydisk.Fault, growth policy.GroupGrowth) *memberTier {
+	t.Helper()
+	tier := &memberTier{t: t, dir: t.TempDir(), vms: make(map[string]*memberVM), growth: growth}
 	var listeners []net.Listener
 	for range n {
 		lis := listen(t, "127.0.0.1:0")
@@ -104,7 +112,8 @@
 		Config: Config{
 			Name: "vm-" + addr, DataDir: s.dataDir(addr), PeerAddr: addr, Conns: v.pool, Tick: testTick, ReserveBytes: 1,
 			FS:          faultydisk.New(s.dataDir(addr)),
-			Maintenance: MaintenanceConfig{MinVoters: 3, RemoveSilentAfter: testRemoveSilentAfter},
+			Maintenance: MaintenanceConfig{MinVoters: max(s.growth.MinVoters, 3), RemoveSilentAfter: testRemoveSilentAfter},
+			Growth:      s.growth,
 		},
 		FirstStart: found,
 		Founders:   func(context.Context) []string { return *v.founders.Load() },
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -21,6 +21,7 @@
 	isLeader    bool       // whether this VM leads and has applied an entry of its own term
 	activeUntil vm.Instant // until when no other leader can have been elected
 	conf        *quorum.Conf
+	confSince   vm.Instant // when conf was first seen by this VM in this leadership
 	status      quorum.Status
 	steppedDown chan struct{} // closed when this VM stops leading in the term
 }
@@ -51,6 +52,11 @@
 	case l.isLeader:
 		l.steppedDown = make(chan struct{})
 	}
+	if l.conf == old.conf && l.isLeader == old.isLeader && l.term == old.term {
+		l.confSince = old.confSince
+	} else {
+		l.confSince = n.cfg.Clock()
+	}
 	if role := l.status.Role; role != old.status.Role || l.term != old.term {
 		klog.Infof("control: role=%v term=%d leader=%d, before role=%v term=%d leader=%d", role, l.term, l.leader, old.status.Role, old.term, old.leader)
 	}
--- a/internal/control/maintenance.go
+++ b/internal/control/maintenance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -169,10 +170,8 @@
 		}
 		return ""
 	}
-	for _, other := range members {
-		if !other.Learner && supersedes(other, m) {
-			return "a later disk of the same VM votes"
-		}
+	if isSupersededByVoter(members, m) {
+		return "a later disk of the same VM votes"
 	}
 	if g.silentFor(m.Id, now) < g.cfg.Maintenance.RemoveSilentAfter {
 		return ""
@@ -198,10 +197,10 @@
 
 // isSuperseded reports whether any member supersedes m.
 func isSuperseded(members []*quorum.Member, m *quorum.Member) bool {
-	for _, o := range members {
-		if supersedes(o, m) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(members, func(o *quorum.Member) bool { return supersedes(o, m) })
+}
+
+// isSupersededByVoter reports whether a member that votes supersedes m.
+func isSupersededByVoter(members []*quorum.Member, m *quorum.Member) bool {
+	return slices.ContainsFunc(members, func(o *quorum.Member) bool { return !o.Learner && supersedes(o, m) })
 }
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -111,6 +111,9 @@
 	if err := s.checkFreeSpace(); err != nil {
 		return nil, err
 	}
+	if err := s.waitUntilGrown(ctx); err != nil {
+		return nil, err
+	}
 	res, err := s.propose(ctx, &wire.Command{Body: &wire.Command_Change{Change: &wire.ChangeCommand{
 		ChangeId: req.ChangeId, BaseVersion: req.BaseVersion, Edits: req.Edits, Reason: req.Reason,
 		Operator: op, Unauthenticated: !verified, UnixMs: time.Now().UnixMilli(),
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -124,12 +124,14 @@
 }
 
 func (v *VM) newGroupMember() *control.GroupMember {
+	growth := policy.NewGroupGrowth(v.conf.MaxLostDisks, v.conf.OrderResendTime)
 	return control.NewGroupMember(control.GroupMemberConfig{
 		Config: control.Config{
 			Name: v.conf.Name, DataDir: v.conf.DataDir, PeerAddr: v.conf.PeerAddr, Conns: v.controlConns,
 			Tick: controlTick, ExclusiveRuns: true, ReserveBytes: max(v.conf.DiskBytes/diskReserveDivisor, 1), SnapshotEntries: 500,
 			MaxAuditBytes: int64(v.conf.DiskBytes / auditDivisor),
-			Maintenance:   control.MaintenanceConfig{MinVoters: 2*v.conf.MaxLostDisks + 1, RemoveSilentAfter: removeVoterAfter},
+			Maintenance:   control.MaintenanceConfig{MinVoters: growth.MinVoters, RemoveSilentAfter: removeVoterAfter},
+			Growth:        growth,
 			FS:            v.conf.FS,
 		},
 		FirstStart: v.conf.FirstStart, Founders: v.founders, Contacts: v.contacts,
