control: a founder lost during the first start takes part in the founding again

Cause: the first leader needs the votes of all founders. A VM that is not told that it is the first start founds nothing, and the other founders had no group to admit it to.

Change: the seeds of the first start are written to the disk before the founders are looked for, and a later run goes on with them. A founder whose log binds no disk answers a founder that asks for admission with the founders, and whether it has taken part in an election; offeredPlace decides whether a group can exist. A VM that waits for the founders stops when it follows a group itself.

--- a/Makefile
+++ b/Makefile
@@ -45,9 +45,10 @@
 	./scripts/days
 
 # Random faults on real processes; SEEDS="1 2 3", CONTROL_SEEDS for the runs with four control
-# VMs, REMOVAL_SEEDS for those that remove one, and REPLY_SEEDS for those with faulty replies.
+# VMs, REMOVAL_SEEDS for those that remove one, REPLY_SEEDS for those with faulty replies, and
+# FIRST_START_SEEDS for those with faults while the control group is founded.
 soak:
-	$(GO) test ./soak -count=1 -timeout 60m -run TestSoak -seeds="$(SEEDS)" -control-seeds="$(CONTROL_SEEDS)" -removal-seeds="$(REMOVAL_SEEDS)" -reply-seeds="$(REPLY_SEEDS)"
+	$(GO) test ./soak -count=1 -timeout 60m -run TestSoak -seeds="$(SEEDS)" -control-seeds="$(CONTROL_SEEDS)" -removal-seeds="$(REMOVAL_SEEDS)" -reply-seeds="$(REPLY_SEEDS)" -first-start-seeds="$(FIRST_START_SEEDS)"
 
 lint:
 	./scripts/lint
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -26,6 +26,9 @@
 	// folder and without Bootstrap waits to be added to a group.
 	Bootstrap bool
 	Voters    map[uint64]string
+	// Invited makes a founding member take the place of a founder that has lost its disk. Its
+	// new disk does not prove that no group has been founded.
+	Invited bool
 
 	Conns relay.Conns
 	Clock vm.Clock // nil: vm.Now
--- a/internal/control/founding_test.go
+++ b/internal/control/founding_test.go
@@ -1,12 +1,50 @@
 package control
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"pearmoor/internal/link/wire"
 	"pearmoor/internal/quorum"
 )
 
+// Guards against a tier that accepts no configuration, ever, because a founder has lost its disk
+// before the group was founded.
+func TestFounderThatLosesItsDiskBeforeItVotesFoundsTheGroup(t *testing.T) {
+	t.Parallel()
+	tier := startTier(t, 3)
+	lost := tier.founders[2]
+	tier.stopAt(lost)
+	tier.loseDisk(lost)
+	tier.putRelease(testRelease(1, time.Second))
+	tier.waitForVoters(tier.founders...)
+}
+
+// Guards against a tier that accepts no configuration, ever, because all founders were killed
+// while they waited for one another, and were not told again that it is the first start.
+func TestFoundersKilledWhileTheyWaitFoundTheGroupLater(t *testing.T) {
+	t.Parallel()
+	tier, listeners := newTier(t, 3)
+	tier.waitForSeeds = func(ctx context.Context) { <-ctx.Done() }
+	for _, lis := range listeners {
+		tier.start(lis, true)
+	}
+	for _, addr := range tier.founders {
+		eventually(t, "the disk is marked", func() bool {
+			id, err := tier.identity(addr)
+			return err == nil && len(id.GetFirstSeeds()) == 3
+		})
+		tier.stopAt(addr)
+	}
+	tier.waitForSeeds = nil
+	for _, addr := range tier.founders {
+		tier.startAt(addr)
+	}
+	tier.putRelease(testRelease(1, time.Second))
+	tier.waitForVoters(tier.founders...)
+}
+
 // followerOfNewLeader returns a VM that has no leader yet although one is elected, or "".
 func (s *simulation) followerOfNewLeader() string {
 	elected, follower := false, ""
@@ -67,3 +105,29 @@
 		}
 	})
 }
+
+// Guards against a VM with a new disk that founds a second group, because founders whose answer
+// proves nothing are believed.
+func TestPlaceOfLostFounderIsTakenOnlyIfNoGroupExists(t *testing.T) {
+	all := []string{"a", "b", "c"}
+	offer := &wire.JoinReply{Founders: all}
+	noElection := &wire.JoinReply{Founders: all, NoElection: true}
+	for _, c := range []struct {
+		name   string
+		self   string
+		offers map[string]*wire.JoinReply
+		want   bool
+	}{
+		{"no offer", "c", nil, false},
+		{"one founder that has voted", "c", map[string]*wire.JoinReply{"a": offer}, false},
+		{"all other founders, which have voted", "c", map[string]*wire.JoinReply{"a": offer, "b": offer}, true},
+		{"one founder that has taken part in no election", "c", map[string]*wire.JoinReply{"b": noElection}, true},
+		{"founders of two groups", "c", map[string]*wire.JoinReply{"a": offer, "b": {Founders: []string{"b", "c"}}}, false},
+		{"no place of this VM", "d", map[string]*wire.JoinReply{"a": noElection, "b": offer, "c": offer}, false},
+		{"only founder", "a", map[string]*wire.JoinReply{"b": {Founders: []string{"a"}}}, false},
+	} {
+		if got := offeredPlace(c.self, c.offers); (got != nil) != c.want {
+			t.Errorf("%s: founders %v", c.name, got)
+		}
+	}
+}
--- a/internal/control/group_member.go
+++ b/internal/control/group_member.go
@@ -33,21 +33,25 @@
 	node  atomic.Pointer[Node]
 
 	// The following fields are used by Run only.
-	group vm.GroupID // the last group that this VM was a member of
-	left  bool       // a node of this process was removed from its group
+	group      vm.GroupID // the last group that this VM was a member of
+	left       bool       // a node of this process was removed from its group
+	firstSeeds []string   // the seeds at the first start, if the disk was used then
+	founders   []string   // as named by the last founder that offered this VM its former place
 }
 
 // GroupMemberConfig configures a GroupMember, which sets Config.ID, Config.Bootstrap and
 // Config.Voters itself.
 type GroupMemberConfig struct {
 	Config
-	// FirstStart is true when the whole tier starts for the first time. Only then a
-	// founder may found the group, and only before this VM has been a member.
+	// FirstStart is true when the whole tier starts for the first time. Only a disk that was
+	// in use then may found the group, also in a later process, and only before this VM has
+	// been a member.
 	FirstStart bool
-	// Founders waits until the peer addresses of the group's founders are known and
-	// returns them. The result must be identical on every founder. It is empty if a
-	// group exists already.
-	Founders func(ctx context.Context) []string
+	// Seeds returns the peer addresses of the VMs that this VM is told of.
+	Seeds func() []string
+	// Founders waits until it is known which of the seeds found the group and returns them.
+	// The result must be identical on every founder. It is empty if a group exists already.
+	Founders func(ctx context.Context, seeds []string) []string
 	// Contacts returns peer addresses of VMs to ask for admission to the group, in
 	// order of preference.
 	Contacts func() []string
@@ -202,21 +206,18 @@
 	if group := vm.GroupID(id.GetGroup()); group != "" {
 		m.group = group
 	}
+	if m.firstSeeds, err = m.recordFirstSeeds(ctx, id); err != nil {
+		return nil, err
+	}
 	cfg := m.cfg.Config
 	var founders []string
-	if m.mayFound(id) {
-		founders = m.cfg.Founders(ctx)
-	}
-	index := slices.Index(founders, cfg.PeerAddr)
-	if index >= 0 {
-		cfg.Bootstrap, cfg.Voters = true, make(map[uint64]string)
-		for i, addr := range founders {
-			cfg.Voters[uint64(i+1)] = addr
-		}
+	if slices.Contains(m.firstSeeds, cfg.PeerAddr) && m.mayFound(id) {
+		founders = m.cfg.Founders(ctx, m.firstSeeds)
 	}
+	found := cfg.foundWith(founders)
 	if id.GetId() != 0 {
+		cfg.Bootstrap, cfg.Invited = found && id.Id == cfg.ID, id.Invited
 		cfg.ID = id.Id
-		cfg.Bootstrap = cfg.Bootstrap && id.Id == uint64(index+1)
 		return &cfg, nil
 	}
 	// Without a member ID, this disk has never been used as a member, or clear has
@@ -224,21 +225,55 @@
 	if err := m.untilRoom(ctx, m.clear); err != nil {
 		return nil, err
 	}
-	if cfg.Bootstrap {
-		cfg.ID = uint64(index + 1)
-		groupsFounded.Inc(1)
-		klog.Infof("control: founding the group as member %d of %v", cfg.ID, founders)
-		return &cfg, nil
+	if found {
+		return logFounding(&cfg, founders), nil
 	}
-	return m.join(ctx, cfg)
+	return m.join(ctx, cfg, id == nil || len(id.FirstSeeds) > 0)
 }
 
-// mayFound reports whether this VM may take part in the founding of a group, given the
+// recordFirstSeeds returns the seeds of the first start, given the identity on the disk, which
+// may be nil. At the first start they are written to the disk before they are used: a process
+// that is killed while it waits for the other founders goes on in its next run, whose settings
+// no longer say that it is the first start and may name other seeds.
+func (m *GroupMember) recordFirstSeeds(ctx context.Context, id *wire.DiskIdentity) ([]string, error) {
+	if recorded := id.GetFirstSeeds(); len(recorded) > 0 || !m.cfg.FirstStart {
+		return recorded, nil
+	}
+	seeds := m.cfg.Seeds()
+	if id != nil || m.left {
+		return seeds, nil
+	}
+	return seeds, m.untilRoom(ctx, func() error {
+		return m.writeIdentity(&wire.DiskIdentity{Name: m.cfg.Name, FirstSeeds: seeds})
+	})
+}
+
+// foundWith makes the VM a founding member of a group if it is one of the founders. Their
+// member IDs follow from their order.
+func (c *Config) foundWith(founders []string) bool {
+	index := slices.Index(founders, c.PeerAddr)
+	if index < 0 {
+		return false
+	}
+	c.ID, c.Bootstrap, c.Voters = uint64(index+1), true, make(map[uint64]string)
+	for i, addr := range founders {
+		c.Voters[uint64(i+1)] = addr
+	}
+	return true
+}
+
+func logFounding(cfg *Config, founders []string) *Config {
+	groupsFounded.Inc(1)
+	klog.Infof("control: founding the group as member %d of %v", cfg.ID, founders)
+	return cfg
+}
+
+// mayFound reports whether a founder may take part in the founding of a group, given the
 // identity on its disk, which may be nil. A VM that a group has removed would otherwise
 // found another group, which acknowledges changes that the rest of the tier never receives.
 func (m *GroupMember) mayFound(id *wire.DiskIdentity) bool {
-	unused := id == nil || id.Id != 0 && len(id.Group) == 0 && !m.hasLog()
-	return m.cfg.FirstStart && unused && !m.left && m.group == ""
+	unused := id == nil || len(id.Group) == 0 && (id.Id == 0 && len(id.FirstSeeds) > 0 || id.Id != 0 && !m.hasLog())
+	return unused && !m.left && m.group == ""
 }
 
 // hasLog reports whether the data folder contains a log. If so, the group has already
@@ -250,10 +285,17 @@
 
 // join asks for admission to the group until it is granted, and writes the identity with
 // the assigned ID to disk. The result is nil if ctx is done.
-func (m *GroupMember) join(ctx context.Context, cfg Config) (*Config, error) {
+//
+// If no group is founded yet and this VM is one of the founders, it takes part in the founding.
+// Only a disk that was never used may: the votes of a used one may be what a group rests on.
+func (m *GroupMember) join(ctx context.Context, cfg Config, unused bool) (*Config, error) {
 	disk := rand.Uint64() | 1
 	for ctx.Err() == nil {
-		id, group := m.requestID(ctx, disk)
+		id, group, founders := m.requestID(ctx, disk)
+		if id == 0 && unused && !m.left && m.expectedGroup() == "" && cfg.foundWith(founders) {
+			cfg.Invited = true
+			return logFounding(&cfg, founders), nil
+		}
 		if id == 0 {
 			vm.Sleep(ctx, joinRetryInterval/2+rand.N(joinRetryInterval))
 			continue
@@ -283,9 +325,12 @@
 }
 
 // requestID asks the contacts in turn for admission, following redirects. It returns the
-// assigned member ID and the group, or 0 if no contact granted admission.
-func (m *GroupMember) requestID(ctx context.Context, disk uint64) (id uint64, group vm.GroupID) {
-	contacts := slices.DeleteFunc(slices.Clone(m.cfg.Contacts()), func(a string) bool { return a == m.cfg.PeerAddr })
+// assigned member ID and the group, or 0 if no contact granted admission. If no group is founded
+// yet and this VM may take part in the founding, it returns the founders.
+func (m *GroupMember) requestID(ctx context.Context, disk uint64) (id uint64, group vm.GroupID, founders []string) {
+	offers := make(map[string]*wire.JoinReply)
+	contacts := slices.Concat(m.cfg.Contacts(), m.founders)
+	contacts = slices.DeleteFunc(contacts, func(a string) bool { return a == m.cfg.PeerAddr })
 	peer.TryEach(ctx, contacts, func(addr string) (string, bool) {
 		reply, err := m.requestJoin(ctx, addr, disk)
 		if err != nil {
@@ -295,10 +340,16 @@
 		if m.guard.Refuses(m.expectedGroup(), vm.GroupID(reply.Group), "an admission", addr) {
 			return "", false
 		}
+		if len(reply.Founders) > 0 {
+			offers[addr], m.founders = reply, reply.Founders
+		}
 		id, group = reply.Id, vm.GroupID(reply.Group)
 		return reply.Redirect, id != 0
 	})
-	return id, group
+	if id == 0 {
+		founders = offeredPlace(m.cfg.PeerAddr, offers)
+	}
+	return id, group, founders
 }
 
 func (m *GroupMember) requestJoin(ctx context.Context, addr string, disk uint64) (*wire.JoinReply, error) {
@@ -315,7 +366,8 @@
 // clear removes all files from the data folder. Last, the identity of a disk that was used
 // is replaced by one without a member ID: if clearing is interrupted, the rest of the log
 // still belongs to the ID it was written under. The identity that remains keeps the disk
-// from another founding, also if its VM was removed before it knew its group.
+// from another founding, also if its VM was removed before it knew its group. That of a disk
+// which was never a member's keeps the seeds of the first start.
 func (m *GroupMember) clear() error {
 	fs, dir := m.cfg.FS, m.cfg.DataDir
 	if err := fs.MkdirAll(dir); err != nil {
@@ -338,7 +390,18 @@
 	if err := fs.SyncDir(dir); err != nil || !used {
 		return errors.Wrap(err, "control: data folder")
 	}
-	return journal.WriteIdentity(fs, dir, &wire.DiskIdentity{Name: m.cfg.Name, Group: m.group.Wire()})
+	id := &wire.DiskIdentity{Name: m.cfg.Name, Group: m.group.Wire()}
+	if !m.left && m.group == "" {
+		id.FirstSeeds = m.firstSeeds
+	}
+	return m.writeIdentity(id)
+}
+
+func (m *GroupMember) writeIdentity(id *wire.DiskIdentity) error {
+	if err := m.cfg.FS.MkdirAll(m.cfg.DataDir); err != nil {
+		return errors.Wrap(err, "control: data folder")
+	}
+	return journal.WriteIdentity(m.cfg.FS, m.cfg.DataDir, id)
 }
 
 // IsLeader reports whether this VM leads and no other VM can have been elected by now.
--- a/internal/control/group_member_test.go
+++ b/internal/control/group_member_test.go
@@ -16,6 +16,7 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcmux"
 
+	"pearmoor/internal/journal"
 	"pearmoor/internal/journal/faultydisk"
 	"pearmoor/internal/link/peer"
 	"pearmoor/internal/link/wire"
@@ -48,6 +49,8 @@
 	founders []string
 	vms      map[string]*memberVM // by address
 	growth   policy.GroupGrowth
+	// waitForSeeds, if set, is called before a VM is told the founders.
+	waitForSeeds func(context.Context)
 }
 
 const (
@@ -64,26 +67,27 @@
 // startTierWithDisks is like startTier, with a fault of the first VM's disk from the start.
 func startTierWithDisks(t testing.TB, n int, first faultydisk.Fault) *memberTier {
 	t.Helper()
-	return startGrowingTier(t, n, first, policy.GroupGrowth{})
+	tier, listeners := newTier(t, n)
+	if err := faultydisk.Set(tier.dataDir(tier.founders[0]), first); err != nil {
+		t.Fatal(err)
+	}
+	for _, lis := range listeners {
+		tier.start(lis, true)
+	}
+	return tier
 }
 
-// startGrowingTier is like startTierWithDisks, with a group that accepts changes as growth says.
-func startGrowingTier(t testing.TB, n int, first faultydisk.Fault, growth policy.GroupGrowth) *memberTier {
+// newTier returns a tier with n founders, which are not started, and their listeners.
+func newTier(t testing.TB, n int) (*memberTier, []net.Listener) {
 	t.Helper()
-	tier := &memberTier{t: t, dir: t.TempDir(), vms: make(map[string]*memberVM), growth: growth}
+	tier := &memberTier{t: t, dir: t.TempDir(), vms: make(map[string]*memberVM)}
 	var listeners []net.Listener
 	for range n {
 		lis := listen(t, "127.0.0.1:0")
 		listeners = append(listeners, lis)
 		tier.founders = append(tier.founders, lis.Addr().String())
 	}
-	if err := faultydisk.Set(tier.dataDir(tier.founders[0]), first); err != nil {
-		t.Fatal(err)
-	}
-	for _, lis := range listeners {
-		tier.start(lis, true)
-	}
-	return tier
+	return tier, listeners
 }
 
 func (s *memberTier) dataDir(addr string) string {
@@ -108,6 +112,7 @@
 	v.mux.Store(drpcmux.New())
 	v.founders.Store(&s.founders)
 	v.followed.Store(&followed)
+	wait := s.waitForSeeds
 	v.cfg = GroupMemberConfig{
 		Config: Config{
 			Name: "vm-" + addr, DataDir: s.dataDir(addr), PeerAddr: addr, Conns: v.pool, Tick: testTick, ReserveBytes: 1,
@@ -116,9 +121,15 @@
 			Growth:      s.growth,
 		},
 		FirstStart: found,
-		Founders:   func(context.Context) []string { return *v.founders.Load() },
-		Contacts:   func() []string { return s.founders },
-		Followed:   func() vm.GroupID { return *v.followed.Load() },
+		Seeds:      func() []string { return *v.founders.Load() },
+		Founders: func(ctx context.Context, seeds []string) []string {
+			if wait != nil {
+				wait(ctx)
+			}
+			return seeds
+		},
+		Contacts: func() []string { return s.founders },
+		Followed: func() vm.GroupID { return *v.followed.Load() },
 		OnNodeChange: func(n *Node) {
 			mux := drpcmux.New()
 			if n != nil {
@@ -149,6 +160,11 @@
 	_ = v.pool.Close()
 }
 
+// identity returns the identity on the disk of the VM at addr.
+func (s *memberTier) identity(addr string) (*wire.DiskIdentity, error) {
+	return journal.ReadIdentity(journal.OS{}, s.dataDir(addr))
+}
+
 // stopAt stops the VM at addr.
 func (s *memberTier) stopAt(addr string) {
 	s.vms[addr].stop()
--- a/internal/control/growth_test.go
+++ b/internal/control/growth_test.go
@@ -10,12 +10,22 @@
 	"testing"
 	"time"
 
-	"pearmoor/internal/journal/faultydisk"
 	"pearmoor/internal/link/peer"
 	"pearmoor/internal/link/wire"
 	"pearmoor/internal/policy"
 )
 
+// startGrowingTier is like startTier, with a group that accepts changes as growth says.
+func startGrowingTier(t testing.TB, n int, growth policy.GroupGrowth) *memberTier {
+	t.Helper()
+	tier, listeners := newTier(t, n)
+	tier.growth = growth
+	for _, lis := range listeners {
+		tier.start(lis, true)
+	}
+	return tier
+}
+
 // leaderAddr waits until a VM leads and returns its address.
 func (s *memberTier) leaderAddr() string {
 	s.t.Helper()
@@ -71,7 +81,7 @@
 // lost with the disks that the tier must be able to lose.
 func TestFirstReleaseSurvivesTheLossOfTwoOfSixDisks(t *testing.T) {
 	t.Parallel()
-	tier := startGrowingTier(t, 3, faultydisk.None, policy.NewGroupGrowth(2, 2*waitTimeout))
+	tier := startGrowingTier(t, 3, policy.NewGroupGrowth(2, 2*waitTimeout))
 	tier.waitForVoters(tier.founders...)
 	acknowledged := tier.acknowledged(1)
 	var late []net.Listener
@@ -112,7 +122,7 @@
 func TestGroupThatCannotGrowAcceptsReleases(t *testing.T) {
 	t.Parallel()
 	growth := policy.NewGroupGrowth(2, time.Second)
-	tier := startGrowingTier(t, 3, faultydisk.None, growth)
+	tier := startGrowingTier(t, 3, growth)
 	tier.putRelease(testRelease(1, time.Second))
 	if v := tier.vms[tier.leaderAddr()].member.Node(); votingVMs(v.leadership.Load().conf) != 3 {
 		t.Errorf("members of the group: %v", v.leadership.Load().conf)
@@ -123,7 +133,7 @@
 // have been made.
 func TestReleaseRefusedWhileGroupGrowsIsNotMade(t *testing.T) {
 	t.Parallel()
-	tier := startGrowingTier(t, 3, faultydisk.None, policy.GroupGrowth{MinVoters: 5, SettleTime: time.Hour})
+	tier := startGrowingTier(t, 3, policy.GroupGrowth{MinVoters: 5, SettleTime: time.Hour})
 	addr := tier.leaderAddr()
 	node := tier.vms[addr].member.Node()
 	before := node.state.Version()
--- a/internal/control/maintenance.go
+++ b/internal/control/maintenance.go
@@ -37,6 +37,10 @@
 	if err := s.checkGroup(req.Group, "a request to join", req.PeerAddr); err != nil {
 		return nil, err
 	}
+	if offer := s.offerPlace(ctx, req.PeerAddr); offer != nil {
+		klog.Infof("control: the founder %s at %s starts with an empty disk, before the group of %v is founded", req.Name, req.PeerAddr, offer.Founders)
+		return offer, nil
+	}
 	op := operatorServer{s.Node}
 	redirect, err := op.leaderRedirect()
 	if err != nil || redirect != "" {
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -107,8 +107,12 @@
 // includes the bootstrap snapshot if cfg.Bootstrap is set. It returns an error for a
 // folder that belongs to another VM.
 func initDataDir(cfg *Config, j *journal.Journal, st *journal.StoredState) error {
-	if st.Identity == nil {
-		st.Identity = &wire.DiskIdentity{Disk: rand.Uint64() | 1, Id: cfg.ID, Name: cfg.Name}
+	unnumbered := st.Identity.GetId() == 0 && len(st.Identity.GetGroup()) == 0
+	if st.Identity == nil || cfg.Bootstrap && unnumbered {
+		st.Identity = &wire.DiskIdentity{
+			Disk: rand.Uint64() | 1, Id: cfg.ID, Name: cfg.Name,
+			FirstSeeds: st.Identity.GetFirstSeeds(), Invited: cfg.Invited,
+		}
 		if err := j.WriteIdentity(st.Identity); err != nil {
 			return err
 		}
--- a/internal/control/one_group_test.go
+++ b/internal/control/one_group_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,16 +28,21 @@
 
 // groupSchedule is a random sequence of faults and releases. As the platform promises, the
 // settings of the first start are the same on all VMs, a VM with a new disk is not told that
-// it is the first start, and no second disk is lost before the first has been replaced.
+// it is the first start, and no second disk is lost before the first has been replaced. While
+// the group is being founded one disk may be lost, and what is killed may or may not be told
+// that it is the first start.
 type groupSchedule struct {
 	*simulation
-	number  uint64 // of the last release sent
-	acked   uint64 // the highest acknowledged release
-	groups  map[vm.GroupID]string
-	healAt  map[string]vm.Instant
-	startAt map[string]vm.Instant
-	killAt  map[string]vm.Instant
-	trace   bytes.Buffer
+	seeds  []string // of the first start
+	number uint64   // of the last release sent
+	acked  uint64   // the highest acknowledged release
+	groups map[vm.GroupID]string
+	// lostFirst tells whether a disk was lost before the group was founded.
+	lostFirst bool
+	healAt    map[string]vm.Instant
+	startAt   map[string]vm.Instant
+	killAt    map[string]vm.Instant
+	trace     bytes.Buffer
 }
 
 func (s *groupSchedule) logf(format string, args ...any) {
@@ -98,7 +104,7 @@
 // start, unless the group is in use and the disk never was.
 func (s *groupSchedule) restart(addr string) {
 	v := s.vms[addr]
-	if s.acked > 0 && (!v.used || s.chance(0.3)) {
+	if s.acked > 0 && !v.used || v.used && s.chance(0.3) {
 		v.firstStart = false
 	}
 	s.logf("start %s first=%v used=%v seeds=%v", addr, v.firstStart, v.used, v.seeds)
@@ -184,11 +190,43 @@
 	}
 }
 
+// mayLoseDiskOfFirstStart reports whether a founder may lose its disk before the group is
+// founded. The others have to know that it is not.
+func (s *groupSchedule) mayLoseDiskOfFirstStart(addr string) bool {
+	if s.lostFirst || s.leader() != nil || s.acked > 0 || !slices.Contains(s.seeds, addr) {
+		return false
+	}
+	for _, other := range s.seeds {
+		p := s.vms[other].process
+		if p == nil {
+			return false
+		}
+		if n := p.member.Node(); other != addr && (n == nil || !n.leadership.Load().status.Unbound) {
+			return false
+		}
+	}
+	return len(s.seeds) > 1
+}
+
+func (s *groupSchedule) actLoseDiskOfFirstStart() {
+	for range 20 {
+		addr := s.seeds[s.rng.IntN(len(s.seeds))]
+		if s.mayLoseDiskOfFirstStart(addr) {
+			s.lostFirst = true
+			s.loseDisk(addr)
+			return
+		}
+		s.pause(50 * time.Millisecond)
+	}
+}
+
 func (s *groupSchedule) actLoseDisk() {
-	addr := s.pick()
-	if !s.mayLoseDisk() {
-		return
+	if addr := s.pick(); s.mayLoseDisk() {
+		s.loseDisk(addr)
 	}
+}
+
+func (s *groupSchedule) loseDisk(addr string) {
 	s.logf("lose disk %s", addr)
 	s.killVM(addr)
 	v := s.vms[addr]
@@ -223,12 +261,12 @@
 	for i := range n {
 		all = append(all, simAddr(i+1))
 	}
-	seeds := all[:1+s.rng.IntN(n)]
+	s.seeds = all[:1+s.rng.IntN(n)]
 	for _, addr := range all {
-		s.addVM(addr, seeds)
+		s.addVM(addr, s.seeds)
 		s.startAt[addr] = s.in(0, 300*time.Millisecond)
 	}
-	s.logf("%d VMs, seeds %v", n, seeds)
+	s.logf("%d VMs, seeds %v", n, s.seeds)
 	acts := []func(){
 		s.actIsolate, s.actIsolate, s.actIsolate, s.actKill, s.actKill, s.actKillAll, s.actLoseDisk, s.actLoseDisk,
 		s.actExchangeSeeds, s.actExchangeSeeds, s.actNetwork, func() {},
@@ -236,6 +274,13 @@
 	if s.chance(0.5) {
 		s.actNetwork()
 	}
+	switch s.rng.IntN(4) {
+	case 0:
+		s.actLoseDiskOfFirstStart()
+	case 1:
+		s.pause(s.between(0, time.Second))
+		s.actKillAll()
+	}
 	s.pause(s.between(50*time.Millisecond, 6*time.Second))
 	for range scheduleSteps {
 		acts[s.rng.IntN(len(acts))]()
@@ -317,7 +362,7 @@
 // Two groups in one tier acknowledge changes of which the other one never hears.
 func TestAcknowledgedReleasesStayInOneGroup(t *testing.T) {
 	logs := captureLogs(t)
-	var acked, removed, lost int
+	var acked, removed, lost, lostFirst int
 	for seed := *firstSchedule; seed < *firstSchedule+uint64(*schedules); seed++ {
 		logs.Reset()
 		var err error
@@ -334,9 +379,12 @@
 		acked += bytes.Count(s.trace.Bytes(), []byte(" acknowledged "))
 		removed += bytes.Count(logs.Bytes(), []byte("was removed from group"))
 		lost += bytes.Count(s.trace.Bytes(), []byte(" lose disk "))
+		if s.lostFirst {
+			lostFirst++
+		}
 		if err != nil {
 			t.Errorf("seed %d: %v\n%s%s", seed, err, s.trace.Bytes(), logs.Bytes())
 		}
 	}
-	t.Logf("%d schedules: %d releases acknowledged, %d members removed, %d disks lost", *schedules, acked, removed, lost)
+	t.Logf("%d schedules: %d releases acknowledged, %d members removed, %d disks lost, %d of them before a group was founded", *schedules, acked, removed, lost, lostFirst)
 }
--- a/internal/control/simulation_test.go
+++ b/internal/control/simulation_test.go
@@ -314,8 +314,7 @@
 
 // founders returns the seeds of the VM, after each of them has answered, or none if one
 // follows a group.
-func (p *simProcess) founders(ctx context.Context) []string {
-	seeds := p.sim.seedsOf(p.addr)
+func (p *simProcess) founders(ctx context.Context, seeds []string) []string {
 	answered := map[string]bool{p.addr: true}
 	for ctx.Err() == nil {
 		for _, addr := range seeds {
@@ -415,7 +414,7 @@
 			Conns: simConns{network: s.network, from: addr}, SnapshotEntries: 10,
 			Maintenance: MaintenanceConfig{MinVoters: 3, RemoveSilentAfter: simRemoveSilentAfter},
 		},
-		FirstStart: v.firstStart, Founders: p.founders, Contacts: p.contacts, OnNodeChange: p.setNode,
+		FirstStart: v.firstStart, Seeds: func() []string { return s.seedsOf(addr) }, Founders: p.founders, Contacts: p.contacts, OnNodeChange: p.setNode,
 	})
 	p.setNode(nil)
 	v.process = p
--- a/internal/entryvm/contacts.go
+++ b/internal/entryvm/contacts.go
@@ -160,14 +160,18 @@
 	return wire.NewDRPCContactsClient(conn).Exchange(ctx, &wire.ContactsRequest{Control: group, Member: member, Group: v.group().Wire()})
 }
 
-// founders returns the seeds that have a disk, in the same order on every daemon. It waits
+// founders returns those of the seeds that have a disk, in the same order on every daemon. It waits
 // until every seed has answered: VMs with different sets of founders would create separate
-// control groups. If a seed follows a group there are no founders, since this VM is late or
-// has lost its disk, and has to join that group.
-func (v *VM) founders(ctx context.Context) []string {
-	seeds := slices.Compact(slices.Sorted(slices.Values(*v.seeds.Load())))
+// control groups. If a seed or this VM follows a group there are no founders, since this VM is
+// late or has lost its disk, and has to join that group.
+func (v *VM) founders(ctx context.Context, seeds []string) []string {
+	seeds = slices.Compact(slices.Sorted(slices.Values(seeds)))
 	hasDisk := map[string]bool{v.conf.PeerAddr: v.conf.DataDir != ""}
 	for ctx.Err() == nil {
+		if group := v.group(); group != "" {
+			klog.Infof("entry: founding no control group, this VM follows group=%s", group)
+			return nil
+		}
 		var out []string
 		for _, addr := range seeds {
 			if addr != v.conf.PeerAddr {
--- a/internal/entryvm/contacts_test.go
+++ b/internal/entryvm/contacts_test.go
@@ -65,7 +65,7 @@
 		founders := make(chan []string, 1)
 		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 		Reset(cancel)
-		go func() { founders <- v.founders(ctx) }()
+		go func() { founders <- v.founders(ctx, seeds) }()
 
 		Convey("founders returns only after the third has answered, and returns those with a disk", func() {
 			select {
@@ -117,7 +117,7 @@
 		Reset(cancel)
 
 		Convey("founders returns none", func() {
-			So(v.founders(ctx), ShouldBeEmpty)
+			So(v.founders(ctx, seeds), ShouldBeEmpty)
 			So(ctx.Err(), ShouldBeNil)
 		})
 	})
@@ -138,7 +138,7 @@
 	serve(t, mux, first)
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	if founders := v.founders(ctx); len(founders) > 0 || ctx.Err() != nil {
+	if founders := v.founders(ctx, seeds); len(founders) > 0 || ctx.Err() != nil {
 		t.Errorf("founders %v, %v", founders, ctx.Err())
 	}
 }
--- a/internal/entryvm/vm.go
+++ b/internal/entryvm/vm.go
@@ -134,7 +134,7 @@
 			Growth:        growth,
 			FS:            v.conf.FS,
 		},
-		FirstStart: v.conf.FirstStart, Founders: v.founders, Contacts: v.contacts,
+		FirstStart: v.conf.FirstStart, Seeds: func() []string { return *v.seeds.Load() }, Founders: v.founders, Contacts: v.contacts,
 		Followed: func() vm.GroupID { return v.client.Current().Group },
 		OnNodeChange: func(n *control.Node) {
 			if err := v.registerServices(n); err != nil {
--- a/internal/quorum/disk_test.go
+++ b/internal/quorum/disk_test.go
@@ -4,6 +4,8 @@
 	"errors"
 	"testing"
 
+	"pgregory.net/rapid"
+
 	"google.golang.org/protobuf/proto"
 
 	"pearmoor/internal/quorum/quorumpb"
@@ -221,3 +223,34 @@
 		t.Fatalf("states %v and %v", f.state, l.state)
 	}
 }
+
+// Guards against a founder whose answer makes a VM with a new disk found a group although one
+// exists.
+func TestFoundersProveThatNoGroupExists(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(t, rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 5).Draw(t, "founders"))
+		c.delayRate = rapid.SampledFrom([]float64{0, 0.3, 0.9}).Draw(t, "delay")
+		for range 60 {
+			unbound, founded, elected := 0, false, c.leader() != nil
+			for _, h := range c.runningHosts() {
+				founded = founded || allDisksBound(h.m.committedConf())
+				if h.m.Status().Unbound {
+					unbound++
+				}
+			}
+			for _, h := range c.runningHosts() {
+				if st := h.m.Status(); st.Unbound && st.Term == 0 && (founded || elected) {
+					t.Fatalf("member %d has taken part in no election, and a leader was elected", st.ID)
+				}
+			}
+			if unbound >= len(c.runningHosts())-1 && founded {
+				t.Fatalf("%d of %d members hold no disk bound, and the group is founded", unbound, len(c.runningHosts()))
+			}
+			if h := c.host(1); rapid.IntRange(0, 20).Draw(t, "crash") == 0 {
+				c.crash(h, c.rng.IntN(4))
+				c.start(h)
+			}
+			c.runTicks(1)
+		}
+	})
+}
--- a/internal/quorum/machine.go
+++ b/internal/quorum/machine.go
@@ -205,6 +205,7 @@
 		Commit: m.log.commit, Applied: m.log.applied, LastIndex: m.log.lastIndex(), FirstIndex: m.log.firstIndex,
 		Conf: m.conf(), ConfCommitted: m.confs.latest().index <= m.log.commit,
 		Refusal: m.lastRefusal.reason, Group: m.group(),
+		Unbound: !allDisksBound(m.conf()),
 	}
 	for _, member := range s.Conf.GetMembers() {
 		p := m.peers[member.Id]
--- a/internal/quorum/types.go
+++ b/internal/quorum/types.go
@@ -77,6 +77,7 @@
 	Peers                                  []PeerStatus     // on the leader only, sorted by id
 	Refusal                                quorumpb.Refusal // reason why another member refuses this VM, if any
 	Group                                  []byte           // identity of the group; empty if none is committed
+	Unbound                                bool             // this member is a founder, and its log does not bind the founders' disks yet
 }
 
 // PeerStatus is the leader's view of another member.
--- a/soak/doc_test.go
+++ b/soak/doc_test.go
@@ -41,6 +41,10 @@
 // TestSoakFaultyReplies has seeds of its own: leaves of at-most-once requests send copies of refusals
 // late, and leaves of queries send headers without end.
 //
+// TestSoakFirstStart has seeds of its own: while the control group is founded, one founder loses its
+// disk (odd seeds), or all VMs are killed and started again without being told that it is the first
+// start (even seeds).
+//
 // Not covered: clock steps, which can't be simulated from outside a process without privileges
 // on the machine, and writes lost in a power failure. internal/control and internal/journal
 // test these with simulated clocks and file systems.
