--- a/internal/control/group_member.go
+++ b/internal/control/group_member.go
@@ -226,7 +226,8 @@
 		return nil, err
 	}
 	if found {
-		return logFounding(&cfg, founders), nil
+		logFounding(&cfg, founders)
+		return &cfg, nil
 	}
 	return m.join(ctx, cfg, id == nil || len(id.FirstSeeds) > 0)
 }
@@ -262,10 +263,9 @@
 	return true
 }
 
-func logFounding(cfg *Config, founders []string) *Config {
+func logFounding(cfg *Config, founders []string) {
 	groupsFounded.Inc(1)
 	klog.Infof("control: founding the group as member %d of %v", cfg.ID, founders)
-	return cfg
 }
 
 // mayFound reports whether a founder may take part in the founding of a group, given the
@@ -294,7 +294,8 @@
 		id, group, founders := m.requestID(ctx, disk)
 		if id == 0 && unused && !m.left && m.expectedGroup() == "" && cfg.foundWith(founders) {
 			cfg.Invited = true
-			return logFounding(&cfg, founders), nil
+			logFounding(&cfg, founders)
+			return &cfg, nil
 		}
 		if id == 0 {
 			vm.Sleep(ctx, joinRetryInterval/2+rand.N(joinRetryInterval))
