control: one rule for who may found, and one list of the members' addresses

join stated mayFound's conditions again, in other words, and offerPlace collected the members' addresses as controlAddrs does. join now gets what mayFound said, and both take memberAddrs. No behaviour changed.

--- a/internal/control/founding.go
+++ b/internal/control/founding.go
@@ -31,10 +31,7 @@
 	if !st.Unbound {
 		return nil
 	}
-	var founders []string
-	for _, m := range st.Conf.GetMembers() {
-		founders = append(founders, m.PeerAddr)
-	}
+	founders := memberAddrs(st.Conf)
 	if !slices.Contains(founders, addr) {
 		return nil
 	}
--- a/internal/control/group_member.go
+++ b/internal/control/group_member.go
@@ -211,7 +211,8 @@
 	}
 	cfg := m.cfg.Config
 	var founders []string
-	if slices.Contains(m.firstSeeds, cfg.PeerAddr) && m.mayFound(id) {
+	mayFound := m.mayFound(id)
+	if mayFound && slices.Contains(m.firstSeeds, cfg.PeerAddr) {
 		founders = m.cfg.Founders(ctx, m.firstSeeds)
 	}
 	found := cfg.foundWith(founders)
@@ -229,7 +230,7 @@
 		logFounding(&cfg, founders)
 		return &cfg, nil
 	}
-	return m.join(ctx, cfg, id == nil || len(id.FirstSeeds) > 0)
+	return m.join(ctx, cfg, mayFound)
 }
 
 // recordFirstSeeds returns the seeds of the first start, given the identity on the disk, which
@@ -268,8 +269,8 @@
 	klog.Infof("control: founding the group as member %d of %v", cfg.ID, founders)
 }
 
-// mayFound reports whether a founder may take part in the founding of a group, given the
-// identity on its disk, which may be nil. A VM that a group has removed would otherwise
+// mayFound reports whether this VM, if it is a founder, may take part in the founding of a group,
+// given the identity on its disk, which may be nil. A VM that a group has removed would otherwise
 // found another group, which acknowledges changes that the rest of the tier never receives.
 func (m *GroupMember) mayFound(id *wire.DiskIdentity) bool {
 	unused := id == nil || len(id.Group) == 0 && (id.Id == 0 && len(id.FirstSeeds) > 0 || id.Id != 0 && !m.hasLog())
@@ -286,13 +287,13 @@
 // join asks for admission to the group until it is granted, and writes the identity with
 // the assigned ID to disk. The result is nil if ctx is done.
 //
-// If no group is founded yet and this VM is one of the founders, it takes part in the founding.
-// Only a disk that was never used may: the votes of a used one may be what a group rests on.
-func (m *GroupMember) join(ctx context.Context, cfg Config, unused bool) (*Config, error) {
+// If no group is founded yet, this VM is one of the founders and mayFound is set, it takes part
+// in the founding.
+func (m *GroupMember) join(ctx context.Context, cfg Config, mayFound bool) (*Config, error) {
 	disk := rand.Uint64() | 1
 	for ctx.Err() == nil {
 		id, group, founders := m.requestID(ctx, disk)
-		if id == 0 && unused && !m.left && m.expectedGroup() == "" && cfg.foundWith(founders) {
+		if id == 0 && mayFound && m.expectedGroup() == "" && cfg.foundWith(founders) {
 			cfg.Invited = true
 			logFounding(&cfg, founders)
 			return &cfg, nil
--- a/internal/control/leadership.go
+++ b/internal/control/leadership.go
@@ -82,13 +82,7 @@
 }
 
 // controlAddrs returns the peer addresses of the members of the control group.
-func (l *leadership) controlAddrs() []string {
-	var out []string
-	for _, m := range l.conf.GetMembers() {
-		out = append(out, m.PeerAddr)
-	}
-	return out
-}
+func (l *leadership) controlAddrs() []string { return memberAddrs(l.conf) }
 
 // confirmed reports whether this VM leads and no other VM can have been elected by now.
 // A driver that is blocked, by a full disk or because the VM was paused, does not extend
@@ -141,6 +135,15 @@
 	return noContactAge
 }
 
+// memberAddrs returns the peer addresses of the members in the order of their IDs.
+func memberAddrs(conf *quorum.Conf) []string {
+	var out []string
+	for _, m := range conf.GetMembers() {
+		out = append(out, m.PeerAddr)
+	}
+	return out
+}
+
 func memberAddr(conf *quorum.Conf, id uint64) string {
 	for _, m := range conf.GetMembers() {
 		if m.Id == id {
