control: one way to run something on the driver and wait for it

offerPlace waited for a call to the driver with the select that appendTrail has. Both call driver.callAndWait. No behaviour changed.

--- a/internal/control/backfill.go
+++ b/internal/control/backfill.go
@@ -136,9 +136,7 @@
 // appendTrail appends records up to version to on the driver's goroutine, which owns
 // the trail, and reports whether it has run. Versions up to lostUpTo are skipped.
 func (n *Node) appendTrail(ctx context.Context, records []*wire.AuditRecord, to, lostUpTo uint64) bool {
-	done := make(chan struct{})
-	err := n.driver.call(ctx, func() {
-		defer close(done)
+	return n.driver.callAndWait(ctx, func() {
 		n.trail.SkipTo(lostUpTo)
 		for _, r := range records {
 			if r.Version <= to {
@@ -153,14 +151,4 @@
 			klog.Infof("control: the audit trail is whole again up to version %d", n.trail.Last())
 		}
 	})
-	if err != nil {
-		return false
-	}
-	select {
-	case <-done:
-		return true
-	case <-ctx.Done():
-	case <-n.stopped:
-	}
-	return false
 }
--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -234,6 +234,22 @@
 	return time.After(transferTimeout)
 }
 
+// callAndWait runs f on the driver's goroutine and reports whether it has run. If not, because
+// ctx is done or the node has stopped, f may still run.
+func (d *driver) callAndWait(ctx context.Context, f func()) bool {
+	done := make(chan struct{})
+	if err := d.call(ctx, func() { defer close(done); f() }); err != nil {
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+	case <-d.node.stopped:
+	}
+	return false
+}
+
 // call queues f to run on the driver's goroutine. It returns an error if f was not queued
 // because ctx is done or the node has stopped.
 func (d *driver) call(ctx context.Context, f func()) error {
--- a/internal/control/founding.go
+++ b/internal/control/founding.go
@@ -16,19 +16,8 @@
 	if n.cfg.Invited || addr == n.cfg.PeerAddr || !n.leadership.Load().status.Unbound {
 		return nil
 	}
-	result := make(chan quorum.Status, 1)
-	if err := n.driver.call(ctx, func() { result <- n.driver.machine.Status() }); err != nil {
-		return nil
-	}
 	var st quorum.Status
-	select {
-	case st = <-result:
-	case <-ctx.Done():
-		return nil
-	case <-n.stopped:
-		return nil
-	}
-	if !st.Unbound {
+	if !n.driver.callAndWait(ctx, func() { st = n.driver.machine.Status() }) || !st.Unbound {
 		return nil
 	}
 	founders := memberAddrs(st.Conf)
